messenger: WebSocket and CBOR transport between VMs

Cause: the system's processes need correlated calls, ordered messages and detection of silent connections.

--- /dev/null
+++ b/internal/messenger/accepted.go
@@ -0,0 +1,137 @@
+package messenger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// acceptedConnection serves the messages and calls of one peer.
+type acceptedConnection struct {
+	messenger *Messenger
+	from      scheduler.VMName
+	socket    *websocket.Conn
+	sends     chan frame
+	answers   chan frame
+	slots     chan struct{}
+}
+
+func newAcceptedConnection(messenger *Messenger, from scheduler.VMName, socket *websocket.Conn) *acceptedConnection {
+	return &acceptedConnection{
+		messenger: messenger,
+		from:      from,
+		socket:    socket,
+		sends:     make(chan frame, queueLength),
+		answers:   make(chan frame, queueLength),
+		slots:     make(chan struct{}, concurrentCalls),
+	}
+}
+
+// serve runs until the connection ends. Messages run in order in one goroutine, calls side by side.
+func (connection *acceptedConnection) serve() {
+	ctx, cancel := context.WithCancel(connection.messenger.context)
+	var workers sync.WaitGroup
+	workers.Go(func() { connection.runSends(ctx) })
+	workers.Go(func() {
+		defer cancel()
+		connection.writeAnswers(ctx)
+	})
+	connection.read(ctx, &workers)
+	cancel()
+	_ = connection.socket.CloseNow()
+	workers.Wait()
+}
+
+func (connection *acceptedConnection) read(ctx context.Context, workers *sync.WaitGroup) {
+	for {
+		received, err := readFrame(ctx, connection.socket)
+		if err != nil {
+			return
+		}
+		switch received.Type {
+		case frameSend:
+			connection.queueSend(received)
+		case frameCall:
+			connection.startCall(ctx, received, workers)
+		case frameHeartbeat, frameAnswer:
+		}
+	}
+}
+
+// queueSend drops the message when the handlers are too slow, so that heartbeats are still read.
+func (connection *acceptedConnection) queueSend(received frame) {
+	select {
+	case connection.sends <- received:
+	default:
+		connection.messenger.log.Warn().Str("event", "message.dropped").Str("from", string(connection.from)).
+			Str("kind", string(received.Kind)).Msg("handlers are too slow")
+	}
+}
+
+func (connection *acceptedConnection) runSends(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-connection.sends:
+			_, _ = connection.handle(ctx, received)
+		}
+	}
+}
+
+func (connection *acceptedConnection) startCall(ctx context.Context, received frame, workers *sync.WaitGroup) {
+	select {
+	case connection.slots <- struct{}{}:
+	default:
+		refusal := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID}
+		refusal.setError(scheduler.ErrNotRun.New("too many calls at once from %s", connection.from))
+		connection.answer(ctx, refusal)
+		return
+	}
+	workers.Go(func() {
+		defer func() { <-connection.slots }()
+		answer := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID}
+		body, err := connection.handle(ctx, received)
+		if err != nil {
+			answer.setError(err)
+		}
+		answer.Body = body
+		connection.answer(ctx, answer)
+	})
+}
+
+func (connection *acceptedConnection) handle(ctx context.Context, received frame) ([]byte, error) {
+	handler := connection.messenger.handler(received.Group, received.Kind)
+	if handler == nil {
+		return nil, scheduler.ErrNotRun.New("no handler for %s in group %s", received.Kind, received.Group)
+	}
+	return handler(ctx, connection.from, received.Body)
+}
+
+func (connection *acceptedConnection) answer(ctx context.Context, answer frame) {
+	select {
+	case connection.answers <- answer:
+	case <-ctx.Done():
+	}
+}
+
+func (connection *acceptedConnection) writeAnswers(ctx context.Context) {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		outgoing := frame{Type: frameHeartbeat}
+		select {
+		case <-ctx.Done():
+			return
+		case <-heartbeat.C:
+		case outgoing = <-connection.answers:
+		}
+		if err := writeFrame(ctx, connection.socket, outgoing); err != nil {
+			return
+		}
+	}
+}
