--- a/design/jobs.go
+++ b/design/jobs.go
@@ -75,7 +75,14 @@
 			Attribute("next", String, "Pass as after for the next page; empty on the last page.")
 			Required("jobs")
 		})
-		HTTP(func() { GET("/v1/jobs"); tokenHeader(); pageParams(); Param("team"); Param("state"); Response(StatusOK) })
+		HTTP(func() {
+			GET("/v1/jobs")
+			tokenHeader()
+			pageParams()
+			Param("team")
+			Param("state")
+			Response(StatusOK)
+		})
 	})
 	Method("cancel", func() {
 		Description("Cancel jobs. Cancelling a job that has ended or was cancelled before has no effect.")
--- a/design/state.go
+++ b/design/state.go
@@ -92,7 +92,11 @@
 	Method("endpoints", func() {
 		Description("List the endpoints that this VM's gateway knows.")
 		Payload(func() { secured(); paged() })
-		Result(func() { Attribute("endpoints", ArrayOf(endpointState)); Attribute("next", String); Required("endpoints") })
+		Result(func() {
+			Attribute("endpoints", ArrayOf(endpointState))
+			Attribute("next", String)
+			Required("endpoints")
+		})
 		HTTP(func() { GET("/v1/endpoints"); tokenHeader(); pageParams(); Response(StatusOK) })
 	})
 	Method("evictions", func() {
@@ -134,7 +138,11 @@
 			Attribute("from", UInt64, func() { Default(1) })
 			Attribute("limit", Int, func() { Default(100); Minimum(1); Maximum(1000) })
 		})
-		Result(func() { Attribute("records", ArrayOf(auditRecord)); Attribute("next", UInt64); Required("records", "next") })
+		Result(func() {
+			Attribute("records", ArrayOf(auditRecord))
+			Attribute("next", UInt64)
+			Required("records", "next")
+		})
 		HTTP(func() { GET("/v1/audit"); tokenHeader(); Param("from"); Param("limit"); Response(StatusOK) })
 	})
 	Method("verify", func() {
--- /dev/null
+++ b/internal/commander/connection.go
@@ -0,0 +1,155 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+
+	goahttp "goa.design/goa/v3/http"
+
+	"github.com/crocusplank/crocusplank/gen/audit"
+	"github.com/crocusplank/crocusplank/gen/configuration"
+	auditclient "github.com/crocusplank/crocusplank/gen/http/audit/client"
+	configurationclient "github.com/crocusplank/crocusplank/gen/http/configuration/client"
+	jobsclient "github.com/crocusplank/crocusplank/gen/http/jobs/client"
+	replicasclient "github.com/crocusplank/crocusplank/gen/http/replicas/client"
+	stateclient "github.com/crocusplank/crocusplank/gen/http/state/client"
+	"github.com/crocusplank/crocusplank/gen/jobs"
+	"github.com/crocusplank/crocusplank/gen/replicas"
+	"github.com/crocusplank/crocusplank/gen/state"
+)
+
+// connection holds the API clients of one deployment.
+type connection struct {
+	token         *string
+	jobs          *jobs.Client
+	configuration *configuration.Client
+	state         *state.Client
+	audit         *audit.Client
+	replicas      *replicas.Client
+}
+
+// connect returns the API clients for the servers of the flags or of the context.
+func (commander *Commander) connect() (*connection, error) {
+	target, err := commander.target()
+	if err != nil {
+		return nil, err
+	}
+	connected := &connection{}
+	if target.TokenFile != "" {
+		token, err := readToken(target.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		connected.token = &token
+	}
+	doer := &failoverDoer{client: &http.Client{}, servers: target.Servers}
+	encoder, decoder := goahttp.RequestEncoder, goahttp.ResponseDecoder
+	const scheme, host = "http", "entry-vm"
+	job := jobsclient.NewClient(scheme, host, doer, encoder, decoder, false)
+	connected.jobs = jobs.NewClient(job.Submit(), job.Show(), job.List(), job.Cancel(), job.Evict())
+	config := configurationclient.NewClient(scheme, host, doer, encoder, decoder, false)
+	connected.configuration = configuration.NewClient(config.Show(), config.Diff(), config.Apply(), config.RollForward(), config.History())
+	states := stateclient.NewClient(scheme, host, doer, encoder, decoder, false)
+	connected.state = state.NewClient(states.VM(), states.Workers(), states.Drain(), states.Endpoints(), states.Evictions(), states.Promises())
+	trail := auditclient.NewClient(scheme, host, doer, encoder, decoder, false)
+	connected.audit = audit.NewClient(trail.List(), trail.Verify())
+	replica := replicasclient.NewClient(scheme, host, doer, encoder, decoder, false)
+	connected.replicas = replicas.NewClient(replica.Change(), replica.Transfer())
+	return connected, nil
+}
+
+func readToken(path string) (string, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return "", newUsageError("read token: %v", err)
+	}
+	return "Bearer " + strings.TrimSpace(string(data)), nil
+}
+
+type resendKey struct{}
+
+// withResend marks the requests of ctx as safe to send again: they carry an ID by which the server
+// recognises a resend, or have the same effect when they run twice.
+func withResend(ctx context.Context) context.Context {
+	return context.WithValue(ctx, resendKey{}, true)
+}
+
+// failoverDoer sends a request to the first server that answers. A request that may have run is sent
+// again only if its context allows that.
+type failoverDoer struct {
+	client  *http.Client
+	servers []string
+}
+
+// Do implements the Doer of the generated clients.
+func (failoverDoer *failoverDoer) Do(request *http.Request) (*http.Response, error) {
+	body, err := bufferBody(request)
+	if err != nil {
+		return nil, err
+	}
+	resend := request.Method == http.MethodGet || request.Context().Value(resendKey{}) != nil
+	var last error
+	sent := false
+	for number, server := range failoverDoer.servers {
+		response, err := failoverDoer.client.Do(readdress(request, server, body))
+		if err == nil {
+			if failoverDoer.answered(response, resend) || number == len(failoverDoer.servers)-1 {
+				return response, nil
+			}
+			_ = response.Body.Close()
+			continue
+		}
+		last = err
+		if !isDialError(err) {
+			sent = true
+			if !resend {
+				break
+			}
+		}
+	}
+	return nil, &noAnswerError{sent: sent, cause: last}
+}
+
+// answered reports whether a response is final. Another server may do better when this one refused
+// without running the request, or does not know the outcome of one that may be sent again.
+func (failoverDoer *failoverDoer) answered(response *http.Response, resend bool) bool {
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable:
+		return false
+	case http.StatusGatewayTimeout:
+		return !resend
+	default:
+		return true
+	}
+}
+
+func bufferBody(request *http.Request) ([]byte, error) {
+	if request.Body == nil {
+		return nil, nil
+	}
+	defer func() { _ = request.Body.Close() }()
+	return io.ReadAll(request.Body)
+}
+
+func readdress(request *http.Request, server string, body []byte) *http.Request {
+	copied := request.Clone(request.Context())
+	copied.URL.Host = server
+	copied.Host = server
+	if body != nil {
+		copied.Body = io.NopCloser(bytes.NewReader(body))
+		copied.ContentLength = int64(len(body))
+	}
+	return copied
+}
+
+// isDialError reports whether the connection was never established, so that nothing was sent.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/internal/commander/state.go
@@ -0,0 +1,192 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/crocusplank/crocusplank/gen/state"
+)
+
+func (commander *Commander) vmCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "vm", Short: "Show the state of an entry VM"}
+	parent.AddCommand(&cobra.Command{
+		Use:   "show",
+		Short: "Show the VM that answers and its groups",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				shown, err := connected.state.VM(ctx, &state.VMPayload{Token: connected.token})
+				if err != nil {
+					return err
+				}
+				return commander.printVM(command, shown)
+			})
+		},
+	})
+	return parent
+}
+
+func (commander *Commander) printVM(command *cobra.Command, vm *state.VMState) error {
+	if commander.output != outputJSON {
+		_, _ = fmt.Fprintf(command.OutOrStdout(), "vm %s in %s: ready %v, revision %d, peers %v\n",
+			vm.VM, vm.DataCentre, vm.Ready, vm.RevisionInForce, vm.Peers)
+	}
+	rows := newTable("GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "LEASE", "VOTERS")
+	for _, group := range vm.Groups {
+		rows.add(group.Name, group.Role, group.Term, text(group.Leader), group.Commit, group.Applied,
+			group.HoldsLeaderLease, strings.Join(group.Voters, ","))
+	}
+	return commander.print(command, camelValue(vm), rows)
+}
+
+func (commander *Commander) workerCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "worker", Short: "List, drain and undrain workers"}
+	parent.AddCommand(commander.workerListCommand(), commander.drainCommand("drain", true), commander.drainCommand("undrain", false))
+	return parent
+}
+
+func (commander *Commander) workerListCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List the data centre's workers",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				listed, err := collect(func(after *string) ([]*state.WorkerState, *string, error) {
+					page, err := connected.state.Workers(ctx, &state.WorkersPayload{Token: connected.token, After: after, Limit: 1000})
+					if err != nil {
+						return nil, nil, err
+					}
+					return page.Workers, page.Next, nil
+				})
+				if err != nil {
+					return err
+				}
+				rows := newTable("WORKER", "RACK", "STATE", "TASKS", "MILLICORES", "MEMORY", "ACCELERATORS")
+				for _, worker := range listed {
+					rows.add(worker.Name, text(worker.Rack), worker.State, worker.Tasks,
+						fmt.Sprintf("%d/%d", worker.Reserved.MilliCores, worker.Capacity.MilliCores),
+						fmt.Sprintf("%d/%d", worker.Reserved.MemoryBytes, worker.Capacity.MemoryBytes),
+						fmt.Sprintf("%d/%d", worker.Reserved.Accelerators, worker.Capacity.Accelerators))
+				}
+				return commander.print(command, camelValue(listed), rows)
+			})
+		},
+	}
+}
+
+// collect reads all pages of a list.
+func collect[Item any](read func(after *string) (page []Item, next *string, err error)) ([]Item, error) {
+	var all []Item
+	var after *string
+	for {
+		page, next, err := read(after)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if text(next) == "" {
+			return all, nil
+		}
+		after = next
+	}
+}
+
+func (commander *Commander) drainCommand(name string, drained bool) *cobra.Command {
+	var evict bool
+	command := &cobra.Command{
+		Use:   name + " WORKER",
+		Short: map[bool]string{true: "Place no new tasks on a worker", false: "Place tasks on a worker again"}[drained],
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if evict {
+				if err := commander.confirm(command, fmt.Sprintf("Evict all tasks of worker %s?", arguments[0])); err != nil {
+					return err
+				}
+			}
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				return connected.state.Drain(withResend(ctx), &state.DrainPayload{Token: connected.token, Worker: arguments[0], Drained: drained, Evict: evict})
+			})
+		},
+	}
+	if drained {
+		command.Flags().BoolVar(&evict, "evict", false, "evict the tasks that run there")
+	}
+	return command
+}
+
+func (commander *Commander) endpointCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "endpoint", Short: "List endpoints"}
+	parent.AddCommand(&cobra.Command{
+		Use:   "list",
+		Short: "List the endpoints that the VM's gateway knows",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				listed, err := collect(func(after *string) ([]*state.EndpointState, *string, error) {
+					page, err := connected.state.Endpoints(ctx, &state.EndpointsPayload{Token: connected.token, After: after, Limit: 1000})
+					if err != nil {
+						return nil, nil, err
+					}
+					return page.Endpoints, page.Next, nil
+				})
+				if err != nil {
+					return err
+				}
+				rows := newTable("ENDPOINT", "SERVICE", "ADDRESS", "SLOTS", "LEAVING", "INCARNATION")
+				for _, endpoint := range listed {
+					rows.add(endpoint.Name, endpoint.Service, endpoint.Address, endpoint.Slots, endpoint.Leaving, endpoint.Incarnation)
+				}
+				return commander.print(command, camelValue(listed), rows)
+			})
+		},
+	})
+	return parent
+}
+
+func (commander *Commander) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show each promise as kept, at risk or not kept, with the evidence",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				result, err := connected.state.Promises(ctx, &state.PromisesPayload{Token: connected.token})
+				if err != nil {
+					return err
+				}
+				rows := newTable("PROMISE", "STATE", "EVIDENCE")
+				for _, promise := range result.Promises {
+					rows.add(promise.Name, promise.State, promise.Evidence)
+				}
+				return commander.print(command, camelValue(result.Promises), rows)
+			})
+		},
+	}
+}
+
+func (commander *Commander) evictionCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "eviction", Short: "List evictions"}
+	parent.AddCommand(&cobra.Command{
+		Use:   "list",
+		Short: "List recent evictions and why they happened",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
+				result, err := connected.state.Evictions(ctx, &state.EvictionsPayload{Token: connected.token})
+				if err != nil {
+					return err
+				}
+				rows := newTable("TASK", "ATTEMPT", "WORKER", "TIME", "REASON")
+				for _, eviction := range result.Evictions {
+					rows.add(eviction.Task, eviction.Attempt, text(eviction.Worker), text(eviction.Time), eviction.Reason)
+				}
+				return commander.print(command, camelValue(result.Evictions), rows)
+			})
+		},
+	})
+	return parent
+}
