--- /dev/null
+++ b/internal/journaler/filesystem.go
@@ -0,0 +1,121 @@
+package journaler
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// fileSystem is the part of the operating system that the package uses. Tests replace it to inject
+// faults and to drop data that was not synced.
+type fileSystem interface {
+	// makeFolder creates a folder. It is no fault when the folder exists.
+	makeFolder(name string) error
+	// names returns the names of the files in a folder.
+	names(folder string) ([]string, error)
+	// readFile returns the contents of a file as they are on the disk.
+	readFile(name string) ([]byte, error)
+	// open opens a file for reading.
+	open(name string) (io.ReadCloser, error)
+	// create creates an empty file, or empties the existing one, and opens it for writing.
+	create(name string) (file, error)
+	// openEnd opens an existing file for writing at its end.
+	openEnd(name string) (file, error)
+	rename(from, to string) error
+	remove(name string) error
+	// syncFolder makes the creation, renaming and removal of files in a folder durable.
+	syncFolder(name string) error
+	// lock takes the lock of a file for this process and fails with ErrLocked if it is taken.
+	lock(name string) (io.Closer, error)
+}
+
+// file is a file that is open for writing.
+type file interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+type osFileSystem struct{}
+
+func (osFileSystem) makeFolder(name string) error {
+	if err := os.Mkdir(name, 0o750); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	return nil
+}
+
+func (osFileSystem) names(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+// readFile syncs the file and drops its cached pages first. After a failed sync Linux keeps pages in
+// its cache that are marked clean but never reached the disk; reading those would make entries look
+// durable that are not.
+func (osFileSystem) readFile(name string) (data []byte, err error) {
+	file, err := os.Open(filepath.Clean(name))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	if err := file.Sync(); err != nil {
+		return nil, err
+	}
+	// A file system without support for the advice has no such cache to drop.
+	_ = unix.Fadvise(int(file.Fd()), 0, 0, unix.FADV_DONTNEED)
+	info, err := file.Stat()
+	if err != nil {
+		return nil, err
+	}
+	data = make([]byte, info.Size())
+	_, err = io.ReadFull(file, data)
+	return data, err
+}
+
+func (osFileSystem) open(name string) (io.ReadCloser, error) { return os.Open(filepath.Clean(name)) }
+
+func (osFileSystem) create(name string) (file, error) {
+	return os.OpenFile(filepath.Clean(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
+}
+
+func (osFileSystem) openEnd(name string) (file, error) {
+	return os.OpenFile(filepath.Clean(name), os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+func (osFileSystem) rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFileSystem) remove(name string) error { return os.Remove(name) }
+
+func (osFileSystem) syncFolder(name string) error {
+	folder, err := os.Open(filepath.Clean(name))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+func (osFileSystem) lock(name string) (io.Closer, error) {
+	file, err := os.OpenFile(filepath.Clean(name), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		closeErr := file.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, errors.Join(ErrLocked, closeErr)
+		}
+		return nil, errors.Join(err, closeErr)
+	}
+	return file, nil
+}
--- /dev/null
+++ b/internal/journaler/folder.go
@@ -0,0 +1,108 @@
+package journaler
+
+import (
+	"errors"
+	"io"
+	"path/filepath"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// temporarySuffix marks files that are written before they are renamed to their final name.
+const temporarySuffix = ".temporary"
+
+// folder is a group's folder on a file system.
+type folder struct {
+	fileSystem fileSystem
+	name       string
+}
+
+func (folder folder) path(name string) string { return filepath.Join(folder.name, name) }
+
+// prepareFolder creates the group's folder below the data folder. The data folder itself must exist,
+// so that a disk that is not mounted is noticed.
+func prepareFolder(fileSystem fileSystem, dataFolder string, group scheduler.GroupName) (folder, error) {
+	if _, err := fileSystem.names(dataFolder); err != nil {
+		return folder{}, Error.New("%w: %s: %w", ErrMissing, dataFolder, err)
+	}
+	groups := filepath.Join(dataFolder, "groups")
+	result := folder{fileSystem: fileSystem, name: filepath.Join(groups, string(group))}
+	for _, step := range []struct{ parent, name string }{{dataFolder, groups}, {groups, result.name}} {
+		if err := fileSystem.makeFolder(step.name); err != nil {
+			return folder{}, Error.New("create %s: %w", step.name, err)
+		}
+		if err := fileSystem.syncFolder(step.parent); err != nil {
+			return folder{}, finalError("sync "+step.parent, err)
+		}
+	}
+	return result, nil
+}
+
+// readOne reads a file that holds one frame. The frame must be whole, because such files get their
+// name only after they are synced.
+func (folder folder) readOne(name string) (record, error) {
+	data, err := folder.fileSystem.readFile(folder.path(name))
+	if err != nil {
+		return record{}, Error.New("read %s: %w", folder.path(name), err)
+	}
+	result, size, ok := readFrame(place{}, data)
+	if !ok || size != len(data) {
+		return record{}, Error.New("%w: %s: invalid record at offset 0", ErrDamaged, folder.path(name))
+	}
+	return result, nil
+}
+
+// writeOne replaces a file by one that holds one frame.
+func (folder folder) writeOne(name string, record record) error {
+	frame, err := appendFrame(nil, place{}, record)
+	if err != nil {
+		return err
+	}
+	return folder.replace(name, func(w io.Writer) error {
+		_, err := w.Write(frame)
+		return err
+	})
+}
+
+// replace writes a temporary file, syncs it, gives it its name and syncs the folder. If the process
+// ends in between, the old file is still whole. An error is of class ErrJournalFailed only if a sync
+// failed or the rename may have happened; before that nothing has changed.
+func (folder folder) replace(name string, write func(w io.Writer) error) error {
+	temporary := folder.path(name + temporarySuffix)
+	file, err := folder.fileSystem.create(temporary)
+	if err != nil {
+		return Error.New("create %s: %w", temporary, err)
+	}
+	if err := write(file); err != nil {
+		err = errors.Join(err, file.Close(), folder.fileSystem.remove(temporary))
+		return Error.New("write %s: %w", folder.path(name), err)
+	}
+	if err := file.Sync(); err != nil {
+		return finalError("sync "+temporary, errors.Join(err, file.Close()))
+	}
+	if err := file.Close(); err != nil {
+		return finalError("close "+temporary, err)
+	}
+	if err := folder.fileSystem.rename(temporary, folder.path(name)); err != nil {
+		return finalError("rename to "+folder.path(name), err)
+	}
+	if err := folder.fileSystem.syncFolder(folder.name); err != nil {
+		return finalError("sync "+folder.name, err)
+	}
+	return nil
+}
+
+// loadHardState reads the hard state. It returns nil if the folder has none.
+func (folder folder) loadHardState(names map[string]bool) (*scheduler.HardState, error) {
+	if !names["hardState"] {
+		return nil, nil
+	}
+	stored, err := folder.readOne("hardState")
+	if err != nil {
+		return nil, err
+	}
+	if stored.HardState == nil {
+		return nil, Error.New("%w: %s: no hard state record", ErrDamaged, folder.path("hardState"))
+	}
+	return stored.HardState, nil
+}
--- /dev/null
+++ b/internal/journaler/open.go
@@ -0,0 +1,153 @@
+package journaler
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Option changes a setting of a FolderJournal.
+type Option func(folderJournal *FolderJournal)
+
+// WithSegmentBytes sets the size from which on a new segment is started. The default is 16 MiB.
+func WithSegmentBytes(bytes int64) Option {
+	return func(folderJournal *FolderJournal) { folderJournal.segmentBytes = bytes }
+}
+
+// Open opens the folder of a group below the data folder, or creates it if the group has none there,
+// and locks it until Close. An incomplete write at the end of the log, which was never acknowledged,
+// is cut off. Every other fault is returned with one of ErrMissing, ErrLocked, ErrForeign,
+// ErrNewerFormat and ErrDamaged in its chain, and changes nothing in the folder.
+func Open(dataFolder string, identity Identity, options ...Option) (*FolderJournal, error) {
+	return open(osFileSystem{}, dataFolder, identity, options...)
+}
+
+func open(fileSystem fileSystem, dataFolder string, identity Identity, options ...Option) (*FolderJournal, error) {
+	if err := identity.check(); err != nil {
+		return nil, err
+	}
+	folder, err := prepareFolder(fileSystem, dataFolder, identity.group)
+	if err != nil {
+		return nil, err
+	}
+	lock, err := fileSystem.lock(folder.path("lock"))
+	if err != nil {
+		return nil, Error.New("lock %s: %w", folder.name, err)
+	}
+	folderJournal := &FolderJournal{folder: folder, lock: lock, segmentBytes: defaultSegmentBytes}
+	for _, option := range options {
+		option(folderJournal)
+	}
+	if err := folderJournal.load(identity); err != nil {
+		if folderJournal.file != nil {
+			err = errors.Join(err, folderJournal.file.Close())
+		}
+		return nil, errors.Join(err, lock.Close())
+	}
+	return folderJournal, nil
+}
+
+// names returns the names of the files in the folder.
+func (folder folder) names() (map[string]bool, error) {
+	list, err := folder.fileSystem.names(folder.name)
+	if err != nil {
+		return nil, Error.New("read %s: %w", folder.name, err)
+	}
+	names := make(map[string]bool, len(list))
+	for _, name := range list {
+		names[name] = true
+	}
+	return names, nil
+}
+
+// load reads the folder. A new folder gets its files in the order identity, first segment, hard state,
+// so a folder without a hard state is one whose creation was interrupted and that holds nothing yet.
+func (folderJournal *FolderJournal) load(identity Identity) (err error) {
+	folder := folderJournal.folder
+	names, err := folder.names()
+	if err != nil {
+		return err
+	}
+	if !names["identity"] && (names["hardState"] || len(numbersOf(names, segmentSuffix)) > 0) {
+		return Error.New("%w: %s: missing, but other files exist", ErrDamaged, folder.path("identity"))
+	}
+	if folderJournal.identity, err = folder.loadIdentity(identity); err != nil {
+		return err
+	}
+	hardState, err := folder.loadHardState(names)
+	if err != nil {
+		return err
+	}
+	header, hasSnapshot, err := folder.loadSnapshot(names)
+	if err != nil {
+		return err
+	}
+	if hasSnapshot {
+		folderJournal.log.snapshot = header.Meta
+	}
+	if err := folderJournal.loadSegments(names, hardState != nil); err != nil {
+		return err
+	}
+	if err := folderJournal.loadEnd(hardState); err != nil {
+		return err
+	}
+	if hasSnapshot {
+		if err := folderJournal.useSnapshot(header); err != nil {
+			return err
+		}
+	}
+	return folder.removeTemporary(names)
+}
+
+// loadSegments reads the log and opens its last segment for writing. The sync makes entries durable
+// that an earlier process wrote but did not sync.
+func (folderJournal *FolderJournal) loadSegments(names map[string]bool, complete bool) error {
+	reader := &logReader{folder: folderJournal.folder, log: &folderJournal.log}
+	if err := reader.read(numbersOf(names, segmentSuffix)); err != nil {
+		return err
+	}
+	folderJournal.segments = reader.segments
+	if len(reader.segments) == 0 {
+		if complete {
+			return Error.New("%w: %s: no segments", ErrDamaged, folderJournal.folder.name)
+		}
+		return folderJournal.startSegment(false)
+	}
+	name := folderJournal.folder.segmentPath(reader.segments[len(reader.segments)-1].number)
+	file, err := folderJournal.folder.fileSystem.openEnd(name)
+	if err != nil {
+		return Error.New("open %s: %w", name, err)
+	}
+	folderJournal.file = file
+	if err := file.Sync(); err != nil {
+		return finalError("sync "+name, err)
+	}
+	folderJournal.durable = folderJournal.log.last()
+	return nil
+}
+
+// loadEnd takes over the hard state, or completes the creation of the folder.
+func (folderJournal *FolderJournal) loadEnd(hardState *scheduler.HardState) error {
+	if hardState != nil {
+		folderJournal.hardState = *hardState
+		return nil
+	}
+	if folderJournal.log.last() > 0 || folderJournal.log.snapshot.Index > 0 {
+		return Error.New("%w: %s: missing, but the log has entries", ErrDamaged, folderJournal.folder.path("hardState"))
+	}
+	return folderJournal.folder.writeOne("hardState", record{HardState: &scheduler.HardState{}})
+}
+
+// removeTemporary removes files whose writing was interrupted.
+func (folder folder) removeTemporary(names map[string]bool) error {
+	for name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := folder.fileSystem.remove(folder.path(name)); err != nil {
+			return Error.New("remove %s: %w", folder.path(name), err)
+		}
+	}
+	return nil
+}
