replicator: log replication with elections, proposals and reads

Cause: the roles need replicated state that survives the loss of a VM. Change: one event loop per group owns the state; syncs and the state machine run on goroutines of their own. Terms, pre-vote, check-quorum, log matching, group commit, send windows, learners, voters that do not stand for election, voter identities with incarnations. A new incarnation of a voter is admitted in two changes (learner in place of the old identity, then voter): with one change, the old and the new identity could each form a majority with a different second voter, one of them under a deposed leader. A voter that does not stand for election does so for a while when a candidate lacks entries that it holds; otherwise the loss of a leader could leave nobody who can be elected.

--- /dev/null
+++ b/internal/replicator/applier.go
@@ -0,0 +1,159 @@
+package replicator
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// applyWork is one task for the state machine: entries to apply, a snapshot to take or to install.
+type applyWork struct {
+	entries []scheduler.Entry
+	take    *scheduler.SnapshotMeta
+	install *scheduler.SnapshotMeta
+	data    []byte
+}
+
+type applyResult struct {
+	work    applyWork
+	results [][]byte
+	// data is the snapshot that was taken.
+	data []byte
+	err  error
+}
+
+// applier runs the state machine away from the event loop, one task at a time.
+type applier struct {
+	machine scheduler.StateMachine
+	work    chan applyWork
+	results chan applyResult
+	busy    bool
+	// reached is the last applied index; bytes of a snapshot written count as progress, too.
+	reached atomic.Uint64
+	signal  appliedSignal
+}
+
+func newApplier(machine scheduler.StateMachine) *applier {
+	return &applier{
+		machine: machine, work: make(chan applyWork, 1), results: make(chan applyResult, 1),
+		signal: appliedSignal{changed: make(chan struct{})},
+	}
+}
+
+func (node *node) runApplier() {
+	defer node.running.Done()
+	for {
+		select {
+		case <-node.stopped:
+			return
+		case work := <-node.applying.work:
+			node.applying.results <- node.applyOne(work)
+		}
+	}
+}
+
+func (node *node) applyOne(work applyWork) applyResult {
+	result := applyResult{work: work}
+	machine := node.applying.machine
+	switch {
+	case work.take != nil:
+		buffer := &bytes.Buffer{}
+		result.err = machine.Snapshot(buffer)
+		result.data = buffer.Bytes()
+	case work.install != nil:
+		result.err = node.journal.SaveSnapshot(*work.install, 0, func(w io.Writer) error {
+			_, err := w.Write(work.data)
+			return err
+		})
+		if result.err == nil {
+			result.err = machine.Restore(bytes.NewReader(work.data))
+		}
+	default:
+		result.results = make([][]byte, len(work.entries))
+		for position, entry := range work.entries {
+			if entry.Kind == scheduler.EntryCommand {
+				result.results[position] = machine.Apply(entry.Index, entry.Data)
+			}
+			node.applying.reached.Store(uint64(entry.Index))
+		}
+	}
+	return result
+}
+
+// startApply gives the state machine its next task.
+func (node *node) startApply() error {
+	if node.applying.busy {
+		return nil
+	}
+	work, err := node.nextApplyWork()
+	if err != nil || work == nil {
+		return err
+	}
+	node.applying.busy = true
+	node.applying.work <- *work
+	return nil
+}
+
+func (node *node) nextApplyWork() (*applyWork, error) {
+	if work := node.snapshot.nextWork(node); work != nil {
+		return work, nil
+	}
+	if node.isInstalling() || node.applied >= node.commit {
+		return nil, nil
+	}
+	entries, err := node.log.entries(node.applied+1, node.commit, maxApplyBytes)
+	if err != nil {
+		return nil, err
+	}
+	return &applyWork{entries: entries}, nil
+}
+
+// handleApplied answers the proposers of the applied entries.
+func (node *node) handleApplied(done applyResult) error {
+	node.applying.busy = false
+	if done.err != nil {
+		return Error.Wrap(done.err)
+	}
+	switch {
+	case done.work.take != nil:
+		node.saveSnapshot(*done.work.take, done.data)
+	case done.work.install != nil:
+		return node.finishInstall(*done.work.install)
+	default:
+		for position, entry := range done.work.entries {
+			node.waiting.resolve(entry, done.results[position])
+		}
+		node.setApplied(done.work.entries[len(done.work.entries)-1].Index)
+	}
+	return nil
+}
+
+func (node *node) setApplied(index scheduler.Index) {
+	node.applied = index
+	node.applying.signal.set(index)
+}
+
+// appliedSignal lets other goroutines wait until an index has been applied.
+type appliedSignal struct {
+	mutex   sync.Mutex
+	index   scheduler.Index
+	changed chan struct{}
+}
+
+func (appliedSignal *appliedSignal) set(index scheduler.Index) {
+	appliedSignal.mutex.Lock()
+	defer appliedSignal.mutex.Unlock()
+	appliedSignal.index = index
+	close(appliedSignal.changed)
+	appliedSignal.changed = make(chan struct{})
+}
+
+// get returns the applied index and a channel that is closed when it changes.
+func (appliedSignal *appliedSignal) get() (scheduler.Index, <-chan struct{}) {
+	appliedSignal.mutex.Lock()
+	defer appliedSignal.mutex.Unlock()
+	return appliedSignal.index, appliedSignal.changed
+}
--- /dev/null
+++ b/internal/replicator/fake_cluster_test.go
@@ -0,0 +1,236 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const testGroup scheduler.GroupName = "couva"
+
+// fakeMachine records what it applies.
+type fakeMachine struct {
+	mutex sync.Mutex
+	// applied holds "index:command" of every applied command, padding what only makes snapshots
+	// large.
+	applied []string
+	padding []byte
+	// hang blocks Apply until it is closed.
+	hang chan struct{}
+}
+
+func (machine *fakeMachine) Apply(index scheduler.Index, command []byte) []byte {
+	machine.mutex.Lock()
+	hang := machine.hang
+	machine.mutex.Unlock()
+	if hang != nil {
+		<-hang
+	}
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	result := fmt.Sprintf("%d:%s", index, command)
+	machine.applied = append(machine.applied, result)
+	return []byte(result)
+}
+
+func (machine *fakeMachine) Snapshot(w io.Writer) error {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	return cbor.NewEncoder(w).Encode([]any{machine.applied, machine.padding})
+}
+
+func (machine *fakeMachine) Restore(r io.Reader) error {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	var state struct {
+		_       struct{} `cbor:",toarray"`
+		Applied []string
+		Padding []byte
+	}
+	err := cbor.NewDecoder(r).Decode(&state)
+	machine.applied, machine.padding = state.Applied, state.Padding
+	return err
+}
+
+func (machine *fakeMachine) list() []string {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	return slices.Clone(machine.applied)
+}
+
+// fakeVM is one VM of a fakeCluster.
+type fakeVM struct {
+	member     Member
+	journal    *fakeJournal
+	transport  *fakeTransport
+	machine    *fakeMachine
+	replicator *Replicator
+	running    bool
+	// rate is the rate of the VM's clock, freeze blocks its event loop while held.
+	rate   float64
+	freeze sync.RWMutex
+}
+
+// fakeCluster is a group on fake VMs.
+type fakeCluster struct {
+	t       *testing.T
+	network *fakeNetwork
+	initial []Member
+	vms     map[scheduler.VMName]*fakeVM
+	options []Option
+	hooks   hooks
+	// lives counts the incarnations given out.
+	lives scheduler.Incarnation
+}
+
+func disk(vm scheduler.VMName) Member {
+	return Member{VM: vm, Incarnation: 1, Disk: true, StandsForElection: true}
+}
+
+// threeVoters is the arrangement of a data centre's group: two local VMs, of which one has a disk,
+// and a remote VM with a disk that does not stand for election.
+func threeVoters() []Member {
+	return []Member{disk("a"), {VM: "b", StandsForElection: true}, {VM: "r", Incarnation: 1, Disk: true}}
+}
+
+func newCluster(t *testing.T, seed uint64, initial []Member, options ...Option) *fakeCluster {
+	cluster := &fakeCluster{
+		t: t, network: newFakeNetwork(seed, time.Millisecond), initial: initial, options: options,
+		vms: map[scheduler.VMName]*fakeVM{}, lives: 1,
+	}
+	for _, member := range initial {
+		cluster.add(member)
+	}
+	return cluster
+}
+
+func (cluster *fakeCluster) add(member Member) *fakeVM {
+	vm := &fakeVM{member: member, journal: &fakeJournal{}, rate: 1}
+	cluster.vms[member.VM] = vm
+	return vm
+}
+
+// start begins a new life of a VM. One without a stored incarnation gets a new one.
+func (cluster *fakeCluster) start(name scheduler.VMName) *fakeVM {
+	cluster.t.Helper()
+	vm := cluster.vms[name]
+	if vm.member.Incarnation == 0 {
+		cluster.lives++
+		vm.member.Incarnation = cluster.lives
+	}
+	vm.machine, vm.transport = &fakeMachine{}, cluster.network.connect(name)
+	hooks := cluster.hooks
+	hooks.pause = func() {
+		vm.freeze.RLock()
+		defer vm.freeze.RUnlock()
+	}
+	options := append(slices.Clone(cluster.options), withHooks(hooks), withClockRate(vm.rate),
+		withSeed(uint64(len(name))*1000+uint64(name[0])+uint64(cluster.lives)))
+	replicator, err := New(testGroup, vm.member, cluster.initial, vm.journal, vm.transport, vm.machine, options...)
+	if err != nil {
+		cluster.t.Fatalf("New on %s: %v", name, err)
+	}
+	cluster.network.attach(vm.transport)
+	if err := replicator.Start(); err != nil {
+		cluster.t.Fatalf("Start on %s: %v", name, err)
+	}
+	vm.replicator, vm.running = replicator, true
+	return vm
+}
+
+func (cluster *fakeCluster) startAll() {
+	for _, member := range cluster.initial {
+		cluster.start(member.VM)
+	}
+}
+
+// crash ends a VM's life at once. A VM without a disk, or whose disk is lost, forgets everything.
+func (cluster *fakeCluster) crash(name scheduler.VMName, loseDisk bool) {
+	vm := cluster.vms[name]
+	vm.transport.kill()
+	vm.replicator.node.stop(nil)
+	vm.journal, vm.running = vm.journal.crash(cluster.network.random), false
+	if !vm.member.Disk || loseDisk {
+		vm.journal, vm.member.Incarnation = &fakeJournal{syncDelay: vm.journal.syncDelay}, 0
+	}
+}
+
+func (cluster *fakeCluster) stop() {
+	for _, vm := range cluster.vms {
+		if vm.running {
+			vm.transport.kill()
+			vm.replicator.node.stop(nil)
+		}
+	}
+	close(cluster.network.closed)
+}
+
+// leader returns the VM that holds the leader lease, waiting up to 10 s.
+func (cluster *fakeCluster) leader() scheduler.VMName {
+	cluster.t.Helper()
+	for range 200 {
+		for name, vm := range cluster.vms {
+			if vm.running && vm.replicator.HoldsLeaderLease() {
+				return name
+			}
+		}
+		time.Sleep(tickInterval)
+	}
+	cluster.t.Fatalf("no leader within 10 s")
+	return ""
+}
+
+// eventually waits up to 10 s for a condition.
+func (cluster *fakeCluster) eventually(what string, condition func() bool) {
+	cluster.t.Helper()
+	for range 200 {
+		if condition() {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
+	for name, vm := range cluster.vms {
+		cluster.t.Logf("%s running=%v %+v members %+v", name, vm.running, vm.replicator.Status(), vm.replicator.Members())
+	}
+	cluster.t.Fatalf("not within 10 s: %s", what)
+}
+
+func (cluster *fakeCluster) propose(name scheduler.VMName, command string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return cluster.vms[name].replicator.Propose(ctx, []byte(command))
+}
+
+func (cluster *fakeCluster) mustPropose(name scheduler.VMName, command string) string {
+	cluster.t.Helper()
+	result, err := cluster.propose(name, command)
+	if err != nil {
+		cluster.t.Fatalf("Propose %s on %s: %v", command, name, err)
+	}
+	return string(result)
+}
+
+// isVoter reports whether the VM's present incarnation votes in its own view.
+func (cluster *fakeCluster) isVoter(name scheduler.VMName) bool {
+	vm := cluster.vms[name]
+	current := membership{Members: vm.replicator.Members()}
+	return current.isVoter(name, vm.member.Incarnation) && vm.replicator.Status().Leader() != ""
+}
+
+// inBubble runs a test on fake time and lets the goroutines of the stopped cluster end.
+func inBubble(t *testing.T, run func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(10 * time.Second)
+		run(t)
+	})
+}
--- /dev/null
+++ b/internal/replicator/fake_journal_test.go
@@ -0,0 +1,191 @@
+package replicator
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// fakeJournal is a Journal in memory that knows which part of its data is durable.
+type fakeJournal struct {
+	mutex     sync.Mutex
+	hardState scheduler.HardState
+	entries   []scheduler.Entry
+	durable   []scheduler.Entry
+	meta      scheduler.SnapshotMeta
+	snapshot  []byte
+	dead      bool
+	failSync  bool
+	// stalled blocks Sync until it is closed.
+	stalled   chan struct{}
+	syncDelay time.Duration
+	syncs     int
+}
+
+var errDead = scheduler.ErrJournalFailed.New("the journal has failed")
+
+// crash ends the use of the journal and returns what a restart finds: the durable entries and, when
+// random says so, some of those that were not synced.
+func (journal *fakeJournal) crash(random *rand.Rand) *fakeJournal {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	journal.dead = true
+	entries := slices.Clone(journal.durable)
+	unsynced := journal.entries
+	if random != nil && random.IntN(2) == 0 && len(entries) > 0 && len(unsynced) > len(entries) &&
+		unsynced[0].Index == entries[0].Index && unsynced[len(entries)-1].Term == entries[len(entries)-1].Term {
+		entries = slices.Clone(unsynced[:len(entries)+random.IntN(len(unsynced)-len(entries)+1)])
+	}
+	if len(entries) > 0 && entries[len(entries)-1].Index < journal.meta.Index {
+		entries = nil
+	}
+	return &fakeJournal{
+		hardState: journal.hardState, entries: entries, durable: slices.Clip(entries),
+		meta: journal.meta, snapshot: journal.snapshot, syncDelay: journal.syncDelay,
+	}
+}
+
+func (journal *fakeJournal) HardState() scheduler.HardState {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return journal.hardState
+}
+
+func (journal *fakeJournal) SaveHardState(hardState scheduler.HardState) error {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if journal.dead {
+		return errDead
+	}
+	journal.hardState = hardState
+	return nil
+}
+
+func (journal *fakeJournal) FirstIndex() scheduler.Index {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if len(journal.entries) == 0 {
+		return journal.meta.Index + 1
+	}
+	return journal.entries[0].Index
+}
+
+func (journal *fakeJournal) LastIndex() scheduler.Index {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return journal.lastIndex()
+}
+
+func (journal *fakeJournal) lastIndex() scheduler.Index {
+	if len(journal.entries) == 0 {
+		return journal.meta.Index
+	}
+	return journal.entries[len(journal.entries)-1].Index
+}
+
+func (journal *fakeJournal) Term(index scheduler.Index) (scheduler.Term, error) {
+	if entries, err := journal.Entries(index, index, 1); err == nil {
+		return entries[0].Term, nil
+	}
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if index != journal.meta.Index {
+		return 0, Error.New("no entry %d", index)
+	}
+	return journal.meta.Term, nil
+}
+
+func (journal *fakeJournal) Entries(low, high scheduler.Index, maxBytes int) ([]scheduler.Entry, error) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if len(journal.entries) == 0 || low < journal.entries[0].Index || high > journal.lastIndex() || low > high {
+		return nil, Error.New("no entries %d to %d", low, high)
+	}
+	first := journal.entries[0].Index
+	var entries []scheduler.Entry
+	for _, entry := range journal.entries[low-first : high-first+1] {
+		maxBytes -= len(entry.Data)
+		if maxBytes < 0 && len(entries) > 0 {
+			break
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+func (journal *fakeJournal) Append(entries []scheduler.Entry) error {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if journal.dead {
+		return errDead
+	}
+	if keep := int(entries[0].Index) - int(journal.lastIndex()) - 1; keep < 0 {
+		journal.entries = slices.Clone(journal.entries[:max(0, len(journal.entries)+keep)])
+	} else if keep > 0 {
+		panic("gap in the journal")
+	}
+	journal.entries = append(journal.entries, entries...)
+	return nil
+}
+
+func (journal *fakeJournal) Sync() (scheduler.Index, error) {
+	journal.mutex.Lock()
+	entries, stalled, delay := slices.Clip(journal.entries), journal.stalled, journal.syncDelay
+	journal.mutex.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if journal.dead || journal.failSync {
+		journal.dead = true
+		return 0, errDead
+	}
+	journal.syncs++
+	journal.durable = entries
+	if len(entries) == 0 {
+		return journal.meta.Index, nil
+	}
+	return entries[len(entries)-1].Index, nil
+}
+
+func (journal *fakeJournal) SaveSnapshot(meta scheduler.SnapshotMeta, keep int, write func(io.Writer) error) error {
+	buffer := &bytes.Buffer{}
+	if err := write(buffer); err != nil {
+		return err
+	}
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if journal.dead {
+		return errDead
+	}
+	journal.meta, journal.snapshot = meta, buffer.Bytes()
+	cut := func(entries []scheduler.Entry) []scheduler.Entry {
+		if len(entries) > 0 && entries[len(entries)-1].Index < meta.Index {
+			return nil
+		}
+		for len(entries) > 0 && entries[0].Index+scheduler.Index(keep) <= meta.Index {
+			entries = entries[1:]
+		}
+		return entries
+	}
+	journal.entries, journal.durable = cut(journal.entries), cut(journal.durable)
+	return nil
+}
+
+func (journal *fakeJournal) OpenSnapshot() (scheduler.SnapshotMeta, io.ReadCloser, bool, error) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	found := journal.meta.Index > 0
+	return journal.meta, io.NopCloser(bytes.NewReader(journal.snapshot)), found, nil
+}
+
+func (journal *fakeJournal) Close() error { return nil }
--- /dev/null
+++ b/internal/replicator/replicator.go
@@ -0,0 +1,159 @@
+// Package replicator replicates a log of commands between VMs under an elected leader and applies it
+// to a state machine. It follows Ongaro and Ousterhout, "In Search of an Understandable Consensus
+// Algorithm" (2014), with pre-vote, check-quorum, a leader lease, learners, voters that do not stand
+// for election, and voter identities that include an incarnation.
+package replicator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/zeebo/errs"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Error is the class of errors that this package returns.
+var Error = errs.Class("replicator")
+
+var _ scheduler.Group = (*Replicator)(nil)
+
+// Replicator is one VM's part in a replicated group. It is safe for concurrent use.
+type Replicator struct {
+	node      *node
+	startOnce sync.Once
+	started   atomic.Bool
+}
+
+// New returns a Replicator that is not started yet and registers its handlers with transport, so it
+// must be called before the transport starts.
+//
+// members is the initial voter set. It counts only while neither the log nor a snapshot holds one,
+// and must then be equal on all VMs. A voter without a disk is listed with incarnation 0, which never
+// votes; the leader admits the incarnation that runs once it has caught up.
+//
+// The incarnation in the journal's hard state takes precedence over that of self, which must be new
+// whenever the journal starts empty after the group was created. The caller closes the journal after
+// Close has returned.
+func New(name scheduler.GroupName, self Member, members []Member, journal scheduler.Journal,
+	transport scheduler.Transport, machine scheduler.StateMachine, options ...Option,
+) (*Replicator, error) {
+	settings := defaultSettings()
+	for _, option := range options {
+		option(&settings)
+	}
+	if self.VM != transport.Self() {
+		return nil, Error.New("self is %s but the transport's VM is %s", self.VM, transport.Self())
+	}
+	if stored := journal.HardState().Incarnation; stored != 0 {
+		self.Incarnation = stored
+	}
+	if self.Incarnation == 0 {
+		return nil, Error.New("VM %s has no incarnation", self.VM)
+	}
+	initial := newMembership(members)
+	if err := initial.validate(); err != nil {
+		return nil, err
+	}
+	node := newNode(name, self, journal, transport, machine, settings)
+	if err := node.load(initial); err != nil {
+		return nil, err
+	}
+	replicator := &Replicator{node: node}
+	replicator.registerHandlers()
+	return replicator, nil
+}
+
+// Start begins to take part in the group. It returns an error when the incarnation cannot be stored.
+func (replicator *Replicator) Start() error {
+	var err error
+	replicator.startOnce.Do(func() {
+		node := replicator.node
+		if err = node.saveHardState(); err != nil {
+			err = Error.Wrap(err)
+			return
+		}
+		replicator.started.Store(true)
+		node.start()
+	})
+	return err
+}
+
+// Close transfers leadership if this VM is the leader, then ends its part in the group. It returns an
+// error when ctx ended before the running disk and state machine calls have returned.
+func (replicator *Replicator) Close(ctx context.Context) error {
+	node := replicator.node
+	if !replicator.started.Load() {
+		node.stop(nil)
+		return nil
+	}
+	if node.askToLeave() {
+		select {
+		case <-node.left:
+		case <-node.stopped:
+		case <-ctx.Done():
+		}
+	}
+	node.stop(nil)
+	finished := make(chan struct{})
+	go func() {
+		node.running.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return Error.New("close group %s: %v", node.name, ctx.Err())
+	}
+}
+
+// Name returns the name of the group.
+func (replicator *Replicator) Name() scheduler.GroupName { return replicator.node.name }
+
+// Status returns the current state of this VM in the group.
+func (replicator *Replicator) Status() scheduler.GroupStatus {
+	return replicator.node.view.Load().status
+}
+
+// Members returns the members of the newest membership that this VM knows, committed or not.
+func (replicator *Replicator) Members() []Member {
+	return append([]Member(nil), replicator.node.view.Load().members...)
+}
+
+// HoldsLeaderLease reports whether this VM is the leader, its leader lease is valid now, and its state
+// machine has applied every entry of earlier leaders.
+func (replicator *Replicator) HoldsLeaderLease() bool {
+	node := replicator.node
+	view := node.view.Load()
+	return view.leaseUntil > 0 && node.clock.now() < view.leaseUntil
+}
+
+// Failed is closed when the VM's part in the group has ended, because of a journal failure or by
+// Close. Err tells which.
+func (replicator *Replicator) Failed() <-chan struct{} { return replicator.node.stopped }
+
+// Err returns the failure that ended the VM's part in the group, nil if there was none.
+func (replicator *Replicator) Err() error {
+	if failure := replicator.node.failure.Load(); failure != nil {
+		return *failure
+	}
+	return nil
+}
+
+func notRun(format string, arguments ...any) error {
+	return Error.Wrap(scheduler.ErrNotRun.New(format, arguments...))
+}
+
+func unknown(format string, arguments ...any) error {
+	return Error.Wrap(scheduler.ErrUnknown.New(format, arguments...))
+}
+
+func newRandom(seed uint64) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, seed))
+}
--- /dev/null
+++ b/internal/replicator/replicator_test.go
@@ -0,0 +1,256 @@
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// startThree starts the arrangement of threeVoters and waits until the diskless voter is admitted
+// and a leads.
+func startThree(t *testing.T, options ...Option) *fakeCluster {
+	t.Helper()
+	cluster := newCluster(t, 1, threeVoters(), options...)
+	cluster.startAll()
+	cluster.eventually("b is a voter", func() bool { return cluster.isVoter("b") })
+	cluster.leader()
+	if got, want := cluster.leader(), scheduler.VMName("a"); got != want {
+		t.Fatalf("first leader: got %s, want %s", got, want)
+	}
+	return cluster
+}
+
+// Guards against proposals that are lost or answered with another's result, on leader and followers,
+// and against reads that miss a committed entry.
+func TestProposeAndRead(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := startThree(t)
+		defer cluster.stop()
+		for _, name := range []scheduler.VMName{"a", "b", "r"} {
+			result := cluster.mustPropose(name, "from-"+string(name))
+			for reader, vm := range cluster.vms {
+				if err := vm.replicator.ReadBarrier(t.Context()); err != nil {
+					t.Fatalf("ReadBarrier on %s: %v", reader, err)
+				}
+				applied := vm.machine.list()
+				if got, want := applied[len(applied)-1], result; got != want {
+					t.Errorf("last command on %s: got %s, want %s", reader, got, want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a refusal as "not run" of a command that may still be committed, and against
+// "unknown" where the caller could safely try again.
+func TestProposeOutcomeUnderFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault func(cluster *fakeCluster)
+		on    scheduler.VMName
+		size  int
+		want  string
+	}{
+		"leader without majority appends": {
+			fault: func(cluster *fakeCluster) { cluster.network.isolate("a", true) }, on: "a", want: "unknown",
+		},
+		"forwarding to a silent leader": {
+			fault: func(cluster *fakeCluster) { cluster.network.isolate("b", true) }, on: "b", want: "unknown",
+		},
+		"connection refused and no new leader": {
+			fault: func(cluster *fakeCluster) { cluster.crash("a", false); cluster.crash("r", false) },
+			on:    "b", want: "not run",
+		},
+		"too large": {on: "a", size: maxCommandBytes + 1, want: "not run"},
+		"stopped": {
+			fault: func(cluster *fakeCluster) { cluster.vms["a"].replicator.node.stop(nil) }, on: "a", want: "not run",
+		},
+		"follower takes over": {fault: func(cluster *fakeCluster) { cluster.crash("a", false) }, on: "b", want: ""},
+		"lost follower":       {fault: func(cluster *fakeCluster) { cluster.crash("r", false) }, on: "a", want: ""},
+		"replaced by the next leader's entry": {
+			fault: func(cluster *fakeCluster) {
+				cluster.network.isolate("a", true)
+				go func() {
+					time.Sleep(4 * time.Second)
+					cluster.network.isolate("a", false)
+				}()
+			},
+			on: "a", want: "not run",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				cluster := startThree(t)
+				defer cluster.stop()
+				if test.fault != nil {
+					test.fault(cluster)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				_, err := cluster.vms[test.on].replicator.Propose(ctx, make([]byte, test.size))
+				if got, want := classOf(err), test.want; got != want {
+					t.Errorf("class of %v: got %q, want %q", err, got, want)
+				}
+			})
+		})
+	}
+}
+
+func classOf(err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case scheduler.ErrNotRun.Has(err) && !scheduler.ErrUnknown.Has(err):
+		return "not run"
+	case scheduler.ErrUnknown.Has(err) && !scheduler.ErrNotRun.Has(err):
+		return "unknown"
+	}
+	return "unclassified"
+}
+
+// Guards against one sync per proposal, and against syncs that hold up heartbeats so that a slow disk
+// costs the leader its lease.
+func TestGroupCommitOnSlowDisk(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := startThree(t)
+		defer cluster.stop()
+		journal := cluster.vms["a"].journal
+		journal.mutex.Lock()
+		journal.syncDelay = 900 * time.Millisecond
+		before := journal.syncs
+		journal.mutex.Unlock()
+		var proposals sync.WaitGroup
+		for number := range 200 {
+			proposals.Go(func() { cluster.mustPropose("a", fmt.Sprint(number)) })
+		}
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			if !cluster.vms["a"].replicator.HoldsLeaderLease() {
+				t.Fatalf("lease lost while the disk was slow")
+			}
+		}
+		proposals.Wait()
+		journal.mutex.Lock()
+		defer journal.mutex.Unlock()
+		if got, want := journal.syncs-before, 3; got > want {
+			t.Errorf("syncs for 200 proposals: got %d, want at most %d", got, want)
+		}
+	})
+}
+
+// Guards against a voter that counts again after it forgot its log, and against a VM that never
+// becomes a voter again.
+func TestNewIncarnationIsReadmitted(t *testing.T) {
+	for name, lost := range map[string]struct {
+		vm       scheduler.VMName
+		loseDisk bool
+	}{
+		"diskless voter": {"b", false},
+		"lost disk":      {"r", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				cluster := startThree(t)
+				defer cluster.stop()
+				cluster.mustPropose("a", "before")
+				cluster.crash(lost.vm, lost.loseDisk)
+				// The other follower is cut off, so that only the new incarnation could
+				// complete a majority. It must not count.
+				other := map[scheduler.VMName]scheduler.VMName{"b": "r", "r": "b"}[lost.vm]
+				cluster.network.isolate(other, true)
+				vm := cluster.start(lost.vm)
+				_, err := cluster.propose("a", "alone")
+				if got, want := classOf(err), "unknown"; got != want {
+					t.Errorf("proposal without a majority: got %q, want %q", got, want)
+				}
+				if cluster.isVoter(lost.vm) {
+					t.Errorf("%s votes before it was readmitted", vm.member.identity())
+				}
+				cluster.network.isolate(other, false)
+				cluster.eventually("readmitted", func() bool { return cluster.isVoter(lost.vm) })
+				cluster.mustPropose("a", "after")
+			})
+		})
+	}
+}
+
+// Guards against messages of an earlier incarnation that arrive late and count as answers of the
+// present one.
+func TestLateAnswerOfOldIncarnation(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := startThree(t)
+		defer cluster.stop()
+		old := cluster.vms["b"].member.Incarnation
+		cluster.crash("b", false)
+		cluster.start("b")
+		cluster.eventually("readmitted", func() bool { return cluster.isVoter("b") })
+		cluster.network.isolate("r", true)
+		cluster.network.isolate("b", true)
+		node := cluster.vms["a"].replicator.node
+		call := newCall(proposeMessage{Command: []byte("alone")})
+		node.proposals <- call
+		time.Sleep(10 * time.Millisecond)
+		node.inbox <- inbound{from: "b", message: &appendAnswer{
+			Term: node.view.Load().status.Term(), Incarnation: old, Match: 1 << 20,
+		}}
+		time.Sleep(500 * time.Millisecond)
+		select {
+		case answer := <-call.done:
+			t.Errorf("proposal without a majority: got %+v, want no answer", answer)
+		default:
+		}
+	})
+}
+
+// Guards against a group that stays without a leader because the only VM that holds the newest
+// acknowledged entry does not stand for election, and against a lasting leader there.
+func TestVoterThatDoesNotStandHandsOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := startThree(t)
+		defer cluster.stop()
+		cluster.network.block("a", "b", true)
+		// The leader keeps its majority through r only.
+		cluster.mustPropose("a", "held by a and r")
+		cluster.crash("a", false)
+		cluster.network.block("a", "b", false)
+		if got, want := cluster.leader(), scheduler.VMName("b"); got != want {
+			t.Errorf("leader: got %s, want %s", got, want)
+		}
+		if err := cluster.vms["b"].replicator.ReadBarrier(t.Context()); err != nil {
+			t.Fatalf("ReadBarrier: %v", err)
+		}
+		if got := cluster.vms["b"].machine.list(); !strings.HasSuffix(got[len(got)-1], "held by a and r") {
+			t.Errorf("acknowledged entry is lost: got %v", got)
+		}
+	})
+}
+
+// Guards against memberships and settings that New must refuse.
+func TestNewRefuses(t *testing.T) {
+	tests := map[string]struct {
+		self    Member
+		members []Member
+	}{
+		"no incarnation":           {Member{VM: "a"}, threeVoters()},
+		"another VM's transport":   {disk("x"), threeVoters()},
+		"VM listed twice":          {disk("a"), []Member{disk("a"), disk("a")}},
+		"no voter":                 {disk("a"), nil},
+		"nobody stands":            {disk("a"), []Member{{VM: "a", Disk: true}}},
+		"majority without disks":   {disk("a"), []Member{disk("a"), {VM: "b", StandsForElection: true}, {VM: "c"}}},
+		"only voter without disks": {disk("a"), []Member{{VM: "a", StandsForElection: true}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			transport := newFakeNetwork(1, 0).connect("a")
+			_, err := New(testGroup, test.self, test.members, &fakeJournal{}, transport, &fakeMachine{})
+			if !Error.Has(err) {
+				t.Errorf("New: got %v, want an error", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/replicator/snapshot.go
@@ -0,0 +1,93 @@
+package replicator
+
+import (
+	"hash/crc32"
+	"io"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// snapshotState is what the event loop knows about snapshots in either direction.
+type snapshotState struct {
+	// index is that of the newest snapshot in the journal.
+	index    scheduler.Index
+	saving   bool
+	savedCh  chan snapshotSaved
+	loading  bool
+	loadedCh chan snapshotLoaded
+	// source is the snapshot that the leader sends, nil while no transfer needs it.
+	source   *snapshotSource
+	incoming incomingSnapshot
+	// install is the received snapshot that replaces the local state, nil if there is none.
+	install *scheduler.SnapshotMeta
+	// installData is handed to the applier once.
+	installData []byte
+}
+
+type snapshotSaved struct {
+	index scheduler.Index
+	err   error
+}
+
+// saved returns a channel that is ready when a save has finished.
+func (snapshotState *snapshotState) saved() <-chan snapshotSaved { return snapshotState.savedCh }
+
+// loaded returns a channel that is ready when the journal's snapshot has been read.
+func (snapshotState *snapshotState) loaded() <-chan snapshotLoaded { return snapshotState.loadedCh }
+
+// isInstalling reports whether a received snapshot is replacing the local state. The log takes no
+// entries meanwhile.
+func (node *node) isInstalling() bool { return node.snapshot.install != nil }
+
+// nextWork returns the snapshot work that the state machine has to do before it applies more.
+func (snapshotState *snapshotState) nextWork(node *node) *applyWork {
+	switch {
+	case snapshotState.install != nil:
+		if snapshotState.saving || snapshotState.installData == nil || node.syncing.busy {
+			return nil
+		}
+		data := snapshotState.installData
+		snapshotState.installData = nil
+		return &applyWork{install: snapshotState.install, data: data}
+	case snapshotState.saving || uint64(node.applied-snapshotState.index) < node.settings.snapshotInterval:
+		return nil
+	}
+	term, known := node.log.term(node.applied)
+	if !known {
+		return nil
+	}
+	return &applyWork{take: &scheduler.SnapshotMeta{
+		Index: node.applied, Term: term, Membership: node.log.membershipAt(node.applied).encode(),
+	}}
+}
+
+// saveSnapshot stores a snapshot while the event loop and the state machine go on.
+func (node *node) saveSnapshot(meta scheduler.SnapshotMeta, data []byte) {
+	if node.isInstalling() {
+		return
+	}
+	node.snapshot.saving = true
+	node.snapshot.savedCh = make(chan snapshotSaved, 1)
+	results := node.snapshot.savedCh
+	node.running.Go(func() {
+		err := node.journal.SaveSnapshot(meta, node.settings.snapshotKeep, func(w io.Writer) error {
+			_, err := w.Write(data)
+			return err
+		})
+		results <- snapshotSaved{index: meta.Index, err: err}
+	})
+}
+
+func (node *node) handleSnapshotSaved(saved snapshotSaved) error {
+	node.snapshot.saving = false
+	if saved.err != nil {
+		return Error.Wrap(saved.err)
+	}
+	node.snapshot.index = max(node.snapshot.index, saved.index)
+	node.log.dropMembershipsBefore(saved.index)
+	node.logger.Info().Uint64("index", uint64(saved.index)).Msg("snapshotSaved")
+	return nil
+}
+
+// snapshotSum identifies the contents of a snapshot.
+func snapshotSum(data []byte) uint32 { return crc32.ChecksumIEEE(data) }
--- a/pkg/scheduler/journal.go
+++ b/pkg/scheduler/journal.go
@@ -39,7 +39,8 @@
 }
 
 // Journal is the durable log of one group on one VM. A Journal has one user at a time; it is safe to
-// call Sync from another goroutine than the one that appends.
+// call Sync and SaveSnapshot from other goroutines than the one that uses the rest, so that neither
+// holds up the entries that arrive meanwhile.
 //
 // After a method has returned an error of class ErrJournalFailed the journal refuses every further
 // write: what reached the disk is then unknown, and only a restart, which reads the files, can tell.
