--- a/internal/replicator/handler.go
+++ b/internal/replicator/handler.go
@@ -47,15 +47,15 @@
 	if err != nil {
 		return nil, notRun("%v", err)
 	}
-	if !replicator.started.Load() {
-		return encode(proposeAnswer{Outcome: outcomeNotLeader, Reason: "not started"}), nil
+	if !replicator.isRunning() {
+		return encode(proposeAnswer{Outcome: outcomeNotLeader, Reason: "the group does not run there"}), nil
 	}
 	return encode(replicator.node.propose(ctx, *message)), nil
 }
 
 func (replicator *Replicator) handleReadCall(ctx context.Context, from scheduler.VMName, _ []byte) ([]byte, error) {
-	if !replicator.started.Load() {
-		return nil, Error.New("not started")
+	if !replicator.isRunning() {
+		return nil, Error.New("group %s does not run on %s", replicator.Name(), replicator.node.self.VM)
 	}
 	index, err := replicator.node.askReadIndex(ctx, from)
 	if err != nil {
--- a/internal/replicator/proposer.go
+++ b/internal/replicator/proposer.go
@@ -107,8 +107,8 @@
 
 func (replicator *Replicator) submitOnce(ctx context.Context, message proposeMessage) proposeAnswer {
 	node := replicator.node
-	if !replicator.started.Load() {
-		return proposeAnswer{Outcome: outcomeNotRun, Reason: "not started"}
+	if !replicator.isRunning() {
+		return proposeAnswer{Outcome: outcomeNotRun, Reason: "the group does not run on this VM"}
 	}
 	switch leader := replicator.Status().Leader(); leader {
 	case "":
--- a/internal/replicator/reader.go
+++ b/internal/replicator/reader.go
@@ -46,8 +46,8 @@
 
 func (replicator *Replicator) readIndex(ctx context.Context) (scheduler.Index, error) {
 	node := replicator.node
-	if !replicator.started.Load() {
-		return 0, Error.New("not started")
+	if !replicator.isRunning() {
+		return 0, Error.New("group %s does not run on %s", node.name, node.self.VM)
 	}
 	leader := replicator.Status().Leader()
 	if leader == "" {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -143,6 +143,17 @@
 	return nil
 }
 
+// isRunning is false before Start and after the VM's part in the group has ended. Its view of the
+// leader is then not kept up to date.
+func (replicator *Replicator) isRunning() bool {
+	select {
+	case <-replicator.node.stopped:
+		return false
+	default:
+		return replicator.started.Load()
+	}
+}
+
 func notRun(format string, arguments ...any) error {
 	return Error.Wrap(scheduler.ErrNotRun.New(format, arguments...))
 }
