--- a/internal/replicator/fake_journal_test.go
+++ b/internal/replicator/fake_journal_test.go
@@ -24,6 +24,8 @@
 	// stalled blocks Sync until it is closed.
 	stalled   chan struct{}
 	syncDelay time.Duration
+	// saveDelay is how long SaveSnapshot takes.
+	saveDelay time.Duration
 	syncs     int
 }
 
@@ -158,6 +160,7 @@
 }
 
 func (journal *fakeJournal) SaveSnapshot(meta scheduler.SnapshotMeta, keep int, write func(io.Writer) error) error {
+	time.Sleep(journal.saveDelay)
 	buffer := &bytes.Buffer{}
 	if err := write(buffer); err != nil {
 		return err
