--- a/internal/replicator/fake_journal_test.go
+++ b/internal/replicator/fake_journal_test.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// set changes the faults of a journal in use.
+func (journal *fakeJournal) set(change func()) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	change()
+}
+
 func (journal *fakeJournal) HardState() scheduler.HardState {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
@@ -160,7 +167,10 @@
 }
 
 func (journal *fakeJournal) SaveSnapshot(meta scheduler.SnapshotMeta, keep int, write func(io.Writer) error) error {
-	time.Sleep(journal.saveDelay)
+	journal.mutex.Lock()
+	delay := journal.saveDelay
+	journal.mutex.Unlock()
+	time.Sleep(delay)
 	buffer := &bytes.Buffer{}
 	if err := write(buffer); err != nil {
 		return err
--- a/internal/replicator/lease_test.go
+++ b/internal/replicator/lease_test.go
@@ -47,9 +47,7 @@
 func TestStalledLeaderStepsDown(t *testing.T) {
 	tests := map[string]func(vm *fakeVM, hang chan struct{}){
 		"disk": func(vm *fakeVM, hang chan struct{}) {
-			vm.journal.mutex.Lock()
-			defer vm.journal.mutex.Unlock()
-			vm.journal.stalled = hang
+			vm.journal.set(func() { vm.journal.stalled = hang })
 		},
 		"state machine": func(vm *fakeVM, hang chan struct{}) {
 			vm.machine.mutex.Lock()
@@ -153,17 +151,13 @@
 				cluster := startThree(t)
 				defer cluster.stop()
 				failing := cluster.vms[vm]
-				failing.journal.mutex.Lock()
-				failing.journal.failSync = true
-				failing.journal.mutex.Unlock()
+				failing.journal.set(func() { failing.journal.failSync = true })
 				_, _ = cluster.propose("a", "first")
 				<-failing.replicator.Failed()
 				if err := failing.replicator.Err(); !scheduler.ErrJournalFailed.Has(err) {
 					t.Errorf("Err: got %v, want class %s", err, scheduler.ErrJournalFailed)
 				}
-				failing.journal.mutex.Lock()
-				failing.journal.failSync, failing.journal.dead = false, false
-				failing.journal.mutex.Unlock()
+				failing.journal.set(func() { failing.journal.failSync, failing.journal.dead = false, false })
 				cluster.eventually("b leads or follows a", func() bool {
 					_, err := cluster.propose("b", "goes on")
 					return err == nil
--- a/internal/replicator/snapshot_test.go
+++ b/internal/replicator/snapshot_test.go
@@ -61,7 +61,7 @@
 		cluster := startThree(t, WithSnapshotInterval(50, 5))
 		defer cluster.stop()
 		for _, vm := range cluster.vms {
-			vm.journal.saveDelay = 5 * time.Second
+			vm.journal.set(func() { vm.journal.saveDelay = 5 * time.Second })
 		}
 		start := time.Now()
 		for number := range 500 {
