allocator: shares of slots and connections

Cause: several gateways send to the same endpoints and must never exceed their slots together, whatever dies, freezes or is cut off. A slot that was taken before its share lapsed is not valid under the next share. Slots of abandoned requests stay in use until the endpoint no longer counts them.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,6 +160,14 @@
 	return made.endpoints
 }
 
+// Services returns the names of the services that have endpoints, in alphabetical order.
+func (registrar *Registrar) Services() []scheduler.ServiceName {
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	registrar.table.expire(time.Now())
+	return slices.Sorted(maps.Keys(registrar.table.byService))
+}
+
 // Heard returns the last announcement of an endpoint that has not expired.
 func (registrar *Registrar) Heard(endpoint scheduler.EndpointName) (scheduler.HeardAnnouncement, bool) {
 	now := time.Now()
--- a/pkg/scheduler/request.go
+++ b/pkg/scheduler/request.go
@@ -9,7 +9,9 @@
 // GatewayID identifies one life of a gateway, written "couva-1/7": the VM's name and incarnation.
 type GatewayID string
 
-// NewGatewayID returns the GatewayID of a VM's incarnation.
+// NewGatewayID returns the GatewayID of one life of a gateway. The incarnation is new at each start of
+// the process, also on a VM whose replica keeps its incarnation on disk, because slots that were in use
+// before a restart are unknown after it.
 func NewGatewayID(vm VMName, incarnation Incarnation) GatewayID {
 	return GatewayID(string(vm) + "/" + strconv.FormatUint(uint64(incarnation), 10))
 }
@@ -53,6 +55,8 @@
 
 // Directory knows the endpoints that have announced themselves. It is safe for concurrent use.
 type Directory interface {
+	// Services returns the names of the services that have endpoints.
+	Services() []ServiceName
 	// Endpoints returns the endpoints of a service that may get new work. The slice is shared
 	// and must not be changed.
 	Endpoints(service ServiceName) []Announcement
@@ -62,20 +66,26 @@
 	Remotes(service ServiceName) []RemoteService
 }
 
-// Slot is the permission to have one request in progress at an endpoint over one connection.
+// Slot is the permission to have one request in progress at an endpoint, or one connection open.
 type Slot interface {
-	// Valid reports whether a request may still be started under the slot.
+	// Valid reports whether the request may be started now. It is asked right before the first
+	// byte is written, because the share may have expired since the slot was taken.
 	Valid() bool
-	// Release gives the slot back. Further calls have no effect.
+	// Release gives the slot back. Calls after the first Release or Abandon have no effect.
 	Release()
+	// Abandon gives the slot back once an announcement shows that the endpoint no longer runs the
+	// request. It replaces Release when the gateway stops waiting for an endpoint's response.
+	Abandon()
 }
 
-// ShareSource hands out a gateway's part of the endpoints' slots. It is safe for concurrent use.
+// ShareSource hands out a gateway's part of the endpoints' slots and connections. It is safe for
+// concurrent use.
 type ShareSource interface {
-	// Acquire takes a free slot of the endpoint. ok is false when the share has none; the need is
-	// then counted as waiting until it is met or Acquire has not been called for it for 1 s.
+	// Acquire takes a slot of the endpoint. ok is false when the gateway's share has none free.
 	Acquire(endpoint EndpointName) (slot Slot, ok bool)
-	// Free returns how many slots of the endpoint Acquire could take now.
+	// AcquireConnection takes the permission to open a connection to the endpoint.
+	AcquireConnection(endpoint EndpointName) (slot Slot, ok bool)
+	// Free returns how many slots Acquire could take now.
 	Free(endpoint EndpointName) int
 }
 
