--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,174 @@
+// Package limiter holds requests that wait for a slot. The queue of a service is bounded; callers take
+// turns, requests of higher priority go first, and a request that cannot be served before its deadline is
+// refused at once.
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Error is the class of errors that this package returns.
+var Error = errs.Class("limiter")
+
+// Causes of a refusal.
+var (
+	ErrFull     = errs.Class("queue full")
+	ErrDeadline = errs.Class("deadline")
+)
+
+const (
+	// defaultLength bounds the requests that wait per service, defaultPerCaller those of one caller.
+	defaultLength    = 1000
+	defaultPerCaller = 250
+	// serviceLimit bounds the services with a queue.
+	serviceLimit = 1000
+	// rateWindow is over how long the rate of service is measured, rateMinimum after how long it is
+	// first used.
+	rateWindow  = time.Second
+	rateMinimum = 200 * time.Millisecond
+	// needWeight is the weight of one observed latency in the mean.
+	needWeight = 0.05
+)
+
+// Priority orders waiting requests; a higher one goes first.
+type Priority int
+
+// Values of Priority.
+const (
+	PriorityLow Priority = iota
+	PriorityNormal
+	PriorityHigh
+	priorities
+)
+
+// Limiter holds the queues. It is safe for concurrent use.
+type Limiter struct {
+	length    int
+	perCaller int
+
+	mutex  sync.Mutex
+	queues map[scheduler.ServiceName]*queue
+}
+
+// Option changes a Limiter at its creation.
+type Option func(limiter *Limiter)
+
+// WithLength sets how many requests wait per service, and how many of one caller.
+func WithLength(length, perCaller int) Option {
+	return func(limiter *Limiter) { limiter.length, limiter.perCaller = length, perCaller }
+}
+
+// New returns a Limiter without waiting requests.
+func New(options ...Option) *Limiter {
+	limiter := &Limiter{length: defaultLength, perCaller: defaultPerCaller, queues: map[scheduler.ServiceName]*queue{}}
+	for _, option := range options {
+		option(limiter)
+	}
+	return limiter
+}
+
+// Ask describes a request that needs a slot.
+type Ask struct {
+	Service  scheduler.ServiceName
+	Caller   string
+	Priority Priority
+	// Try takes a slot and reports whether it got one. It is called with the Limiter locked.
+	Try func() bool
+}
+
+// Wait returns nil once Try has succeeded. It fails with ErrFull when too many requests wait, and with
+// ErrDeadline when ctx ends or the wait would surely outlast it. retryAfter is when another attempt makes
+// sense.
+func (limiter *Limiter) Wait(ctx context.Context, ask Ask) (retryAfter time.Duration, err error) {
+	own, retryAfter, err := limiter.join(ctx, ask)
+	if own == nil || err != nil {
+		return retryAfter, err
+	}
+	select {
+	case <-own.settled:
+	case <-ctx.Done():
+	}
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if own.admitted {
+		return 0, nil
+	}
+	found := limiter.queues[ask.Service]
+	found.remove(own)
+	return found.drain(), Error.Wrap(ErrDeadline.New("no slot became free in time"))
+}
+
+// join tries at once when nobody waits, and queues the request otherwise.
+func (limiter *Limiter) join(ctx context.Context, ask Ask) (*waiter, time.Duration, error) {
+	now := time.Now()
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	found := limiter.queue(ask.Service)
+	if found.waiting == 0 && ask.Try() {
+		return nil, 0, nil
+	}
+	if found.waiting >= limiter.length || found.callers[ask.Caller] >= limiter.perCaller {
+		return nil, found.drain(), Error.Wrap(ErrFull.New("%d requests wait for service %s", found.waiting, ask.Service))
+	}
+	deadline, limited := ctx.Deadline()
+	if wait, known := found.estimate(); limited && known && now.Add(wait+found.need).After(deadline) {
+		return nil, found.drain(), Error.Wrap(ErrDeadline.New("about %v to wait", wait.Round(time.Millisecond)))
+	}
+	own := &waiter{try: ask.Try, settled: make(chan struct{}), deadline: deadline}
+	found.push(own, ask.Caller, min(max(ask.Priority, PriorityLow), PriorityHigh), now)
+	return own, 0, nil
+}
+
+func (limiter *Limiter) queue(service scheduler.ServiceName) *queue {
+	found := limiter.queues[service]
+	if found != nil {
+		return found
+	}
+	if len(limiter.queues) >= serviceLimit {
+		for name, other := range limiter.queues {
+			if other.waiting == 0 {
+				delete(limiter.queues, name)
+			}
+		}
+	}
+	found = newQueue()
+	limiter.queues[service] = found
+	return found
+}
+
+// Waiting returns how many requests wait for a slot of the service.
+func (limiter *Limiter) Waiting(service scheduler.ServiceName) int {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if found := limiter.queues[service]; found != nil {
+		return found.waiting
+	}
+	return 0
+}
+
+// Wake lets waiting requests try again. It is called when slots may have become free.
+func (limiter *Limiter) Wake() {
+	now := time.Now()
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	for _, found := range limiter.queues {
+		for found.waiting > 0 && found.admit(now) {
+		}
+	}
+}
+
+// Observe adds the latency of an answered request to the mean that an admitted request needs. Requests
+// whose deadline is nearer than that are refused rather than admitted in vain.
+func (limiter *Limiter) Observe(service scheduler.ServiceName, latency time.Duration) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if found := limiter.queues[service]; found != nil {
+		found.need += time.Duration(needWeight * float64(latency-found.need))
+	}
+}
--- /dev/null
+++ b/internal/retrier/retrier_test.go
@@ -0,0 +1,67 @@
+package retrier
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// TestRetry guards against a second run of a request that may have run, against retries past the deadline,
+// and against retries of what another gateway forwarded.
+func TestRetry(t *testing.T) {
+	const done, notRun, unknown = scheduler.OutcomeDone, scheduler.OutcomeNotRun, scheduler.OutcomeUnknown
+	cases := map[string]struct {
+		idempotent, forwarded bool
+		remaining             time.Duration
+		outcomes              []scheduler.Outcome
+		want                  bool
+	}{
+		"not run":                 {false, false, time.Second, []scheduler.Outcome{notRun}, true},
+		"idempotent, unknown":     {true, false, time.Second, []scheduler.Outcome{unknown}, true},
+		"non-idempotent, unknown": {false, false, time.Second, []scheduler.Outcome{unknown}, false},
+		"done":                    {true, false, time.Second, []scheduler.Outcome{done}, false},
+		"forwarded":               {true, true, time.Second, []scheduler.Outcome{notRun}, false},
+		"past the deadline":       {true, false, 5 * time.Millisecond, []scheduler.Outcome{notRun}, false},
+		"third retry":             {true, false, time.Second, []scheduler.Outcome{notRun, unknown, notRun}, true},
+		"fourth retry":            {true, false, time.Second, []scheduler.Outcome{notRun, notRun, notRun, notRun}, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				retrier := New(WithRandom(func(limit time.Duration) time.Duration { return limit }))
+				request := retrier.Begin(test.idempotent, test.forwarded, time.Now().Add(test.remaining))
+				got := false
+				for _, outcome := range test.outcomes {
+					_, got = request.Retry(outcome)
+				}
+				if got != test.want {
+					t.Errorf("retry: got %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestBudget guards against retries that multiply the load when everything fails.
+func TestBudget(t *testing.T) {
+	retrier, requests, allowed := New(), []*Request(nil), 0
+	for range 100 {
+		requests = append(requests, retrier.Begin(true, false, time.Now().Add(time.Hour)))
+	}
+	for _, request := range requests {
+		if _, ok := request.Retry(scheduler.OutcomeUnknown); ok {
+			allowed++
+		}
+	}
+	if got, want := allowed, 10; got != want {
+		t.Errorf("retries of 100 requests: got %d, want %d", got, want)
+	}
+	for _, request := range requests {
+		request.End()
+	}
+	if got, want := retrier.live+retrier.retrying, 0; got != want {
+		t.Errorf("left after the end: got %d, want %d", got, want)
+	}
+}
