configurator: accept, distribute and roll forward the configuration

Cause: operators submit competing and repeated changes; a data centre must never go back to an older configuration. Change: document types in pkg/scheduler; validation that lists all faults by path; differences and deltas; state machine of the global group (base revision, bounded memory of change IDs, history, roll-forward, audit records); state machine for a data centre's group that only goes up; distributor that copies by delta with a digest and falls back to the whole document.

--- /dev/null
+++ b/internal/configurator/distributor_test.go
@@ -0,0 +1,118 @@
+package configurator
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Guards against a data centre whose configuration goes back, and against a delta that is applied to
+// a document that it was not made for.
+func TestCopy(t *testing.T) {
+	document := inventory(2)
+	digest, _ := Digest(document)
+	delta, err := NewDelta(Normalise(inventory(1)), Normalise(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		command Copy
+		want    CopyResult
+	}{
+		"newer delta":     {command: Copy{Revision: 6, Base: 5, Digest: digest, Delta: &delta}, want: CopyResult{Outcome: CopyInForce, Revision: 6}},
+		"newer document":  {command: Copy{Revision: 9, Digest: digest, Document: document}, want: CopyResult{Outcome: CopyInForce, Revision: 9}},
+		"same revision":   {command: Copy{Revision: 5, Digest: digest, Document: document}, want: CopyResult{Outcome: CopyNotNewer, Revision: 5}},
+		"lower revision":  {command: Copy{Revision: 4, Digest: digest, Document: document}, want: CopyResult{Outcome: CopyNotNewer, Revision: 5}},
+		"other base":      {command: Copy{Revision: 7, Base: 4, Digest: digest, Delta: &delta}, want: CopyResult{Outcome: CopyNeedsDocument, Revision: 5}},
+		"other result":    {command: Copy{Revision: 6, Base: 5, Digest: make([]byte, 32), Delta: &delta}, want: CopyResult{Outcome: CopyNeedsDocument, Revision: 5}},
+		"without content": {command: Copy{Revision: 6, Digest: digest}, want: CopyResult{Outcome: CopyRefused, Revision: 5}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			local := NewLocal()
+			first := inventory(1)
+			firstDigest, _ := Digest(first)
+			local.Apply(1, encodeResult(Copy{Revision: 5, Digest: firstDigest, Document: first}))
+			var got CopyResult
+			if err := decoding.Unmarshal(local.Apply(2, encodeResult(test.command)), &got); err != nil {
+				t.Fatal(err)
+			}
+			got.Reason = ""
+			if got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+			if err := local.Restore(bytes.NewReader(nil)); err == nil {
+				t.Error("got no error for a restore to a lower revision")
+			}
+		})
+	}
+}
+
+// Guards against a restarted VM that serves with an old configuration while it is cut off.
+func TestNotReadyBeforeRead(t *testing.T) {
+	local := NewLocal()
+	group := &fakeGroup{machine: local}
+	group.cutOff.Store(true)
+	if err := local.AwaitReady(t.Context(), group); err == nil {
+		t.Error("got no error while cut off")
+	}
+	if _, _, ok := local.InForce(); ok {
+		t.Error("got ready without a majority")
+	}
+	group.cutOff.Store(false)
+	if err := local.AwaitReady(t.Context(), group); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, ok := local.InForce(); !ok {
+		t.Error("got not ready after the read")
+	}
+}
+
+// Guards against two distributors that act at once, against a revision that is left behind after a
+// change of the local leader, and against subscribers that miss a revision.
+func TestDistribute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		submitter, global, _ := newSubmitter(t)
+		local := NewLocal()
+		subscription := local.Subscribe()
+		defer subscription.Close()
+		leader := &fakeGroup{machine: local}
+		follower := &fakeGroup{machine: local}
+		follower.follower.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go NewDistributor(global, local, leader).Run(ctx)
+		go NewDistributor(global, local, follower).Run(ctx)
+		expect := func(step string, want scheduler.Revision, leaderProposals, followerProposals int) {
+			t.Helper()
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			for _, group := range []*fakeGroup{leader, follower} {
+				group.mutex.Lock()
+				defer group.mutex.Unlock()
+			}
+			if got, _, _ := local.InForce(); got != want {
+				t.Errorf("%s: got revision %d, want %d", step, got, want)
+			}
+			if len(leader.proposed) != leaderProposals || len(follower.proposed) != followerProposals {
+				t.Errorf("%s: got %d and %d proposals, want %d and %d", step,
+					len(leader.proposed), len(follower.proposed), leaderProposals, followerProposals)
+			}
+		}
+		mustSubmit(t, submitter, 0, "1", inventory(1))
+		expect("first revision", 1, 1, 0)
+		<-subscription.Changed()
+		leader.cutOff.Store(true)
+		mustSubmit(t, submitter, 1, "2", inventory(2))
+		mustSubmit(t, submitter, 2, "3", inventory(3))
+		expect("cut off", 1, 1, 0)
+		leader.follower.Store(true)
+		follower.follower.Store(false)
+		expect("new leader", 3, 1, 1)
+		<-subscription.Changed()
+	})
+}
--- /dev/null
+++ b/internal/configurator/notifier.go
@@ -0,0 +1,61 @@
+package configurator
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// notifier tells subscribers that something newer can be read. It carries no value: a subscriber
+// that is slow reads only the newest state.
+type notifier struct {
+	mutex         sync.Mutex
+	subscriptions map[*Subscription]struct{}
+}
+
+// Subscription receives notifications until it is closed.
+type Subscription struct {
+	notifier *notifier
+	changed  chan struct{}
+}
+
+func (notifier *notifier) subscribe() *Subscription {
+	notifier.mutex.Lock()
+	defer notifier.mutex.Unlock()
+	if notifier.subscriptions == nil {
+		notifier.subscriptions = map[*Subscription]struct{}{}
+	}
+	subscription := &Subscription{notifier: notifier, changed: make(chan struct{}, 1)}
+	notifier.subscriptions[subscription] = struct{}{}
+	return subscription
+}
+
+// notify never waits, because it is called while a state machine applies an entry.
+func (notifier *notifier) notify() {
+	notifier.mutex.Lock()
+	defer notifier.mutex.Unlock()
+	for subscription := range notifier.subscriptions {
+		select {
+		case subscription.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Changed receives a value after one or more changes.
+func (subscription *Subscription) Changed() <-chan struct{} { return subscription.changed }
+
+// Close ends the subscription. It may be called more than once.
+func (subscription *Subscription) Close() {
+	subscription.notifier.mutex.Lock()
+	defer subscription.notifier.mutex.Unlock()
+	delete(subscription.notifier.subscriptions, subscription)
+}
+
+// decodeState decodes a snapshot and leaves state as it is when the reader is empty.
+func decodeState(r io.Reader, state any) error {
+	if err := decoding.NewDecoder(r).Decode(state); err != nil && !errors.Is(err, io.EOF) {
+		return Error.New("unreadable snapshot: %w", err)
+	}
+	return nil
+}
