dispatcher: jobs, attempts and leases with the worker exchange

Cause: tasks must never run twice at once, evicted work must resume exactly once, and no worker may get more than it can hold, whatever fails. Change: state machine for jobs, tasks, attempts, leases, checkpoints, evictions, cancellations and drains, with fencing by term and lease number; leader-side engine with the worker exchange, lease expiry, recovery after fail-over, paced re-placement and recorded reasons; wire types in pkg/scheduler; emulator.Worker as stand-in for a worker; failure tests in synctest.

--- /dev/null
+++ b/internal/dispatcher/failure_test.go
@@ -0,0 +1,383 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// mutation is a fault put into the system, to show that the checks can fail.
+type mutation struct {
+	noMargin      bool
+	endlessLease  bool
+	ignoreLeases  bool
+	anyTerm       bool
+	earlyAttempt  bool
+	carelessPlace bool
+	// focus, if set, is the only kind of fault that disturb lets happen, so that a mutation that
+	// matters in one situation is found with few seeds.
+	focus int
+}
+
+// mutant changes commands on their way into the state machine.
+type mutant struct {
+	*Machine
+	mutation mutation
+}
+
+func (mutant *mutant) Apply(index scheduler.Index, command []byte) []byte {
+	var batch Command
+	if err := decoding.Unmarshal(command, &batch); err != nil {
+		return mutant.Machine.Apply(index, command)
+	}
+	var ends []Operation
+	for i := range batch.Operations {
+		operation := &batch.Operations[i]
+		if mutant.mutation.anyTerm && operation.Term != 0 && operation.TakeOver == nil {
+			operation.Term = mutant.Term()
+		}
+		if mutant.mutation.earlyAttempt && operation.Evict != nil {
+			if task := mutant.tasks[operation.Evict.Task]; task != nil && task.Lease != 0 {
+				ends = append(ends, Operation{Term: operation.Term, End: &End{Lease: task.Lease, Outcome: scheduler.AttemptStopped}})
+			}
+		}
+	}
+	encoded, _ := encoding.Marshal(batch)
+	results := mutant.Machine.Apply(index, encoded)
+	if len(ends) > 0 {
+		encoded, _ = encoding.Marshal(Command{AtUnixMilli: batch.AtUnixMilli, Operations: ends})
+		mutant.Machine.Apply(index, encoded)
+	}
+	return results
+}
+
+// trial is one run with faults drawn from a seed.
+type trial struct {
+	random    *rand.Rand
+	cluster   *cluster
+	workers   []*emulator.Worker
+	capacity  scheduler.Resources
+	cancelled map[scheduler.JobID]bool
+	submitted []scheduler.JobID
+	// cutOff holds the workers whose requests do not get through.
+	cutOff [trialWorkers]atomic.Bool
+	focus  int
+	// stay is for how many exchanges, on average, a worker stays with an entry VM.
+	stay int
+}
+
+const trialWorkers = 6
+
+func newTrial(ctx context.Context, seed uint64, mutation mutation) *trial {
+	trial := &trial{
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		focus:    mutation.focus,
+		stay:     10,
+		cluster:  newCluster(seed, "couva-1", "couva-2", "couva-3"),
+		capacity: scheduler.Resources{MilliCores: 4000, MemoryBytes: 4 << 30}, cancelled: map[scheduler.JobID]bool{},
+	}
+	if mutation.endlessLease {
+		trial.stay = 60
+	}
+	trial.cluster.loseResults, trial.cluster.endlessLease = 0.02, mutation.endlessLease
+	for _, node := range trial.cluster.nodes {
+		machine := NewMachine("couva")
+		node.machine = &mutant{Machine: machine, mutation: mutation}
+		placer := newFirstFit()
+		placer.careless = mutation.carelessPlace
+		margin := defaultLeaseMargin
+		if mutation.noMargin {
+			margin = 0
+		}
+		node.engine = NewEngine(node.name, node, machine, placer, WithLease(defaultLeaseDuration, margin))
+	}
+	for _, node := range trial.cluster.nodes {
+		go node.engine.Run(ctx)
+	}
+	var inventory []scheduler.Worker
+	for i := range trialWorkers {
+		name := scheduler.WorkerName(fmt.Sprintf("worker-%d", i))
+		inventory = append(inventory, scheduler.Worker{Name: name, DataCentre: "couva", Rack: fmt.Sprint(i / 3), Capacity: trial.capacity})
+		rate := []float64{0.9, 1, 1.1}[i%3]
+		worker := emulator.NewWorker(name, trial.network(seed, i), emulator.WithClockRate(rate), emulator.WithCheckpointPeriod(5*time.Second))
+		worker.SetFaults(emulator.Faults{IgnoreLeases: mutation.ignoreLeases})
+		trial.workers = append(trial.workers, worker)
+		go worker.Run(ctx)
+	}
+	time.Sleep(time.Second)
+	for trial.cluster.leading().SetInventory(ctx, 1, inventory) != nil {
+		time.Sleep(time.Second)
+	}
+	return trial
+}
+
+// network loses, delays and repeats exchanges.
+func (trial *trial) network(seed uint64, worker int) emulator.Exchange {
+	random := rand.New(rand.NewPCG(seed, uint64(100+worker)))
+	entry := 0
+	return func(ctx context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
+		delay := time.Duration(1+random.IntN(20)) * time.Millisecond
+		fate := random.IntN(100)
+		if fate < 3 {
+			delay = time.Duration(random.IntN(6000)) * time.Millisecond
+		}
+		// A worker stays with an entry VM for a while, also with one that has been isolated.
+		if random.IntN(trial.stay) == 0 {
+			entry = random.IntN(len(trial.cluster.nodes))
+		}
+		engine := trial.cluster.entry(entry)
+		time.Sleep(delay)
+		if fate >= 97 || trial.cutOff[worker].Load() {
+			return nil, scheduler.ErrNotRun.New("request lost")
+		}
+		if fate >= 94 {
+			go func() {
+				time.Sleep(delay * 100)
+				_, _ = trial.cluster.leading().Sync(context.WithoutCancel(ctx), request)
+			}()
+		}
+		answer, err := engine.Sync(ctx, request)
+		time.Sleep(delay)
+		if fate >= 91 && fate < 94 {
+			return nil, scheduler.ErrUnknown.New("answer lost")
+		}
+		return answer, err
+	}
+}
+
+func (trial *trial) submit(ctx context.Context) {
+	id := scheduler.JobID(fmt.Sprintf("job-%d", len(trial.submitted)))
+	urgent := trial.random.IntN(4) == 0
+	spec := scheduler.TaskSpec{
+		Class: scheduler.ClassBatch, RunTime: time.Duration(5+trial.random.IntN(40)) * time.Second,
+		Request: scheduler.Resources{MilliCores: int64(500 + trial.random.IntN(1500)), MemoryBytes: 1 << 28},
+	}
+	if urgent {
+		spec.Class = scheduler.ClassLatencyCritical
+	}
+	submission := Submission{Job: id, Team: "patterns", Urgent: urgent, Tasks: []TaskGroup{{Count: 1 + trial.random.IntN(5), Spec: spec}}}
+	for range 2 + trial.random.IntN(2) {
+		_, _ = trial.cluster.leading().Submit(ctx, submission)
+	}
+	trial.submitted = append(trial.submitted, id)
+}
+
+// disturb lets one random fault happen.
+func (trial *trial) disturb(ctx context.Context) {
+	number := trial.random.IntN(len(trial.workers))
+	worker := trial.workers[number]
+	pause := time.Duration(trial.random.IntN(25)) * time.Second
+	kind := trial.random.IntN(11)
+	if trial.focus != 0 {
+		kind = trial.focus
+	}
+	switch kind {
+	case 0:
+		trial.cluster.elect()
+	case 1:
+		trial.cluster.isolate()
+		time.Sleep(2 * pause)
+		trial.cluster.heal()
+	case 2:
+		worker.SetFaults(emulator.Faults{Frozen: true})
+		time.Sleep(pause)
+	case 3:
+		worker.SetFaults(emulator.Faults{LoseAnswers: true})
+		time.Sleep(pause)
+	case 4:
+		worker.Restart()
+	case 5:
+		worker.SetFaults(emulator.Faults{IgnoreStop: true})
+	case 6:
+		worker.SetFaults(emulator.Faults{FailStarts: true})
+		time.Sleep(3 * time.Second)
+	case 7:
+		var jobs []scheduler.JobID
+		for _, id := range trial.submitted {
+			if trial.random.IntN(6) == 0 {
+				jobs = append(jobs, id)
+				trial.cancelled[id] = true
+			}
+		}
+		_, _ = trial.cluster.leading().Cancel(ctx, Cancellation{Jobs: jobs, Operator: "ama"})
+	case 8:
+		name := scheduler.WorkerName(fmt.Sprintf("worker-%d", trial.random.IntN(trialWorkers)))
+		_ = trial.cluster.leading().Drain(ctx, Drain{Worker: name, Operator: "ama"})
+		go trial.cluster.elect()
+		time.Sleep(pause)
+		for trial.cluster.leading().Drain(ctx, Drain{Worker: name, Off: true, Operator: "ama"}) != nil {
+			time.Sleep(time.Second)
+		}
+	case 9:
+		trial.cutOff[number].Store(true)
+		time.Sleep(pause)
+		trial.cutOff[number].Store(false)
+	case 10:
+		// The leader sees the leases expire while it is being isolated.
+		trial.cutOff[number].Store(true)
+		time.Sleep(defaultLeaseDuration + defaultLeaseMargin - time.Duration(trial.random.IntN(1500))*time.Millisecond)
+		trial.cutOff[number].Store(false)
+		trial.cluster.isolate()
+		time.Sleep(3 * time.Second)
+		trial.cluster.heal()
+	}
+}
+
+// runTrial returns what was wrong, empty when nothing was.
+func runTrial(ctx context.Context, seed uint64, mutation mutation) []string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		time.Sleep(time.Hour) // Exchanges and proposals under way end before the bubble does.
+	}()
+	trial := newTrial(ctx, seed, mutation)
+	for range 25 {
+		for range trial.random.IntN(3) {
+			trial.submit(ctx)
+		}
+		time.Sleep(time.Duration(trial.random.IntN(4000)) * time.Millisecond)
+		trial.disturb(ctx)
+		for _, worker := range trial.workers {
+			if trial.random.IntN(2) == 0 {
+				worker.SetFaults(emulator.Faults{IgnoreLeases: mutation.ignoreLeases})
+			}
+		}
+	}
+	trial.cluster.mutex.Lock()
+	trial.cluster.loseResults = 0
+	trial.cluster.mutex.Unlock()
+	for _, worker := range trial.workers {
+		worker.SetFaults(emulator.Faults{})
+	}
+	time.Sleep(10 * time.Minute)
+	return trial.check()
+}
+
+func (trial *trial) check() (faults []string) {
+	byTask := map[scheduler.TaskID][]emulator.Execution{}
+	for _, worker := range trial.workers {
+		executions := worker.Executions()
+		faults = append(faults, overloads(executions, trial.capacity)...)
+		for _, execution := range executions {
+			byTask[execution.Task] = append(byTask[execution.Task], execution)
+		}
+	}
+	for task, executions := range byTask {
+		slices.SortFunc(executions, func(a, b emulator.Execution) int { return int(a.Attempt) - int(b.Attempt) })
+		faults = append(faults, successions(task, executions)...)
+	}
+	machine := trial.cluster.leading().machine
+	for _, id := range trial.submitted {
+		report, ok := machine.Job(id)
+		switch {
+		case !ok:
+			faults = append(faults, fmt.Sprintf("job %s is lost", id))
+		case report.State != JobFinished && (report.State != JobCancelled || !trial.cancelled[id]):
+			faults = append(faults, fmt.Sprintf("job %s is %s", id, report.State))
+		}
+		for _, task := range report.Tasks {
+			complete := slices.ContainsFunc(byTask[task.Task], func(execution emulator.Execution) bool {
+				return execution.Outcome == scheduler.AttemptFinished
+			})
+			if task.State == TaskFinished && !complete {
+				faults = append(faults, fmt.Sprintf("task %s counts as finished but never was", task.Task))
+			}
+		}
+	}
+	return faults
+}
+
+// overloads finds moments at which a worker ran more than it can hold.
+func overloads(executions []emulator.Execution, capacity scheduler.Resources) (faults []string) {
+	for _, at := range executions {
+		var used scheduler.Resources
+		for _, execution := range executions {
+			if !execution.First.After(at.First) && execution.Last.After(at.First) {
+				used = used.Plus(execution.Request)
+			}
+		}
+		if !used.Fits(capacity) {
+			faults = append(faults, fmt.Sprintf("worker %s runs %d of %d", at.Worker, used.MilliCores, capacity.MilliCores))
+		}
+	}
+	return faults
+}
+
+// successions checks that the attempts of a task ran one after another, each at most once and each
+// from the checkpoint of the one before.
+func successions(task scheduler.TaskID, executions []emulator.Execution) (faults []string) {
+	for i := 1; i < len(executions); i++ {
+		before, after := executions[i-1], executions[i]
+		if after.Attempt == before.Attempt {
+			faults = append(faults, fmt.Sprintf("task %s ran attempt %d twice", task, after.Attempt))
+		}
+		if after.First.Before(before.Last) {
+			faults = append(faults, fmt.Sprintf("task %s ran on %s and %s at once", task, before.Worker, after.Worker))
+		}
+		reported := before.Outcome == scheduler.AttemptStopped && after.Attempt == before.Attempt+1 && after.From >= before.Saved
+		if !reported && after.From != before.Saved && (after.From > before.Saved || after.From < before.From) {
+			faults = append(faults, fmt.Sprintf("task %s resumed at %s, saved at %s", task, after.From, before.Saved))
+		}
+	}
+	return faults
+}
+
+// Guards against every violation of the invariants 1 to 3 of the design page and against lost jobs,
+// under changes of the leader, an isolated leader, frozen and restarted workers, lost, late and
+// repeated exchanges, clocks that are 10% off, evictions and drains during fail-over, and
+// cancellations.
+func TestInvariantsUnderFailure(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			for _, fault := range runTrial(t.Context(), seed, mutation{}) {
+				t.Errorf("seed %d: %s", seed, fault)
+			}
+		})
+	}
+}
+
+// Guards against a state machine that trusts the placer.
+func TestCarelessPlacerOverloadsNoWorker(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			for _, fault := range runTrial(t.Context(), seed, mutation{carelessPlace: true}) {
+				t.Errorf("seed %d: %s", seed, fault)
+			}
+		})
+	}
+}
+
+// Guards against checks that cannot fail: each mutation must be found within the given seeds.
+func TestChecksFindMutations(t *testing.T) {
+	tests := map[string]struct {
+		mutation mutation
+		seeds    uint64
+	}{
+		"no margin":                {mutation: mutation{noMargin: true}, seeds: 20},
+		"no term check":            {mutation: mutation{anyTerm: true, focus: 10}, seeds: 30},
+		"endless leader lease":     {mutation: mutation{endlessLease: true, focus: 1}, seeds: 30},
+		"worker ignores its lease": {mutation: mutation{ignoreLeases: true}, seeds: 20},
+		"next attempt on eviction": {mutation: mutation{earlyAttempt: true}, seeds: 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range test.seeds {
+				var faults []string
+				synctest.Test(t, func(t *testing.T) { faults = runTrial(t.Context(), seed, test.mutation) })
+				if len(faults) > 0 {
+					t.Logf("found with seed %d: %s", seed, faults[0])
+					return
+				}
+			}
+			t.Errorf("got no violation with %d seeds", test.seeds)
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/machine_test.go
@@ -0,0 +1,217 @@
+package dispatcher
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// bench is a machine that is driven without an engine.
+type bench struct {
+	*Machine
+	t     testing.TB
+	index scheduler.Index
+	at    int64
+}
+
+func newBench(t testing.TB, workers int) *bench {
+	bench := &bench{Machine: NewMachine("couva"), t: t}
+	var put []scheduler.Worker
+	for i := range workers {
+		put = append(put, scheduler.Worker{
+			Name: scheduler.WorkerName(fmt.Sprintf("worker-%04d", i)), DataCentre: "couva", Rack: fmt.Sprint(i / 8),
+			Capacity: scheduler.Resources{MilliCores: 32000, MemoryBytes: 125 << 30}, Labels: map[string]string{"hosts": "batch"},
+		})
+	}
+	bench.do(Operation{Term: 1, TakeOver: &TakeOver{VM: "couva-1"}}, Operation{Term: 1, Inventory: &Inventory{Revision: 1, Put: put}})
+	return bench
+}
+
+func (bench *bench) do(operations ...Operation) []Result {
+	bench.t.Helper()
+	bench.index++
+	bench.at += 1000
+	encoded, err := encoding.Marshal(Command{AtUnixMilli: bench.at, Operations: operations})
+	if err != nil {
+		bench.t.Fatal(err)
+	}
+	var results []Result
+	if err := decoding.Unmarshal(bench.Apply(bench.index, encoded), &results); err != nil {
+		bench.t.Fatal(err)
+	}
+	return results
+}
+
+func (bench *bench) expect(operation Operation, want ResultOutcome) {
+	bench.t.Helper()
+	if got := bench.do(operation)[0]; got.Outcome != want {
+		bench.t.Errorf("got %s (%s), want %s", got.Outcome, got.Reason, want)
+	}
+}
+
+func batchSpec(milliCores int64) scheduler.TaskSpec {
+	return scheduler.TaskSpec{Class: scheduler.ClassBatch, Kind: "fit-record", Request: scheduler.Resources{MilliCores: milliCores, MemoryBytes: 1 << 30}}
+}
+
+func submitOf(job scheduler.JobID, count int, spec scheduler.TaskSpec) Operation {
+	return Operation{Submit: &Submission{Job: job, Team: "patterns", MaxFailures: 3, Tasks: []TaskGroup{{Count: count, Spec: spec}}}}
+}
+
+func assignOf(task scheduler.TaskID, attempt scheduler.AttemptNumber, worker scheduler.WorkerName) Operation {
+	return Operation{Term: 1, Assign: &Assign{Task: task, Attempt: attempt, Worker: worker, Incarnation: 1}}
+}
+
+func endOf(lease scheduler.LeaseNumber, outcome scheduler.AttemptOutcome) Operation {
+	return Operation{Term: 1, End: &End{Lease: lease, Outcome: outcome, Checkpoint: "c"}}
+}
+
+// step is an operation with its expected outcome.
+type step struct {
+	operation Operation
+	want      ResultOutcome
+}
+
+// Guards against over-commitment, second leases, second resumptions, operations of an old leader, and
+// cancellations that undo a finish or are undone by an eviction.
+func TestLifeCycle(t *testing.T) {
+	cancel := Operation{Cancel: &Cancellation{Jobs: []scheduler.JobID{"a"}, Operator: "ama"}}
+	evict := Operation{Term: 1, Evict: &Evict{Task: "a/1", Attempt: 1, Reason: "makes room"}}
+	started := Operation{Term: 1, Started: &Started{Lease: 1}}
+	submit, assign := step{submitOf("a", 1, batchSpec(20000)), ResultDone}, step{assignOf("a/1", 1, "worker-0000"), ResultDone}
+	drain := Operation{Drain: &Drain{Worker: "worker-0000", Operator: "ama"}}
+	picky := batchSpec(1)
+	picky.Constraints = map[string]string{"hosts": "gpu"}
+	tests := map[string]struct {
+		steps   []step
+		state   TaskState
+		attempt scheduler.AttemptNumber
+	}{
+		"finish":                 {[]step{submit, assign, {started, ResultDone}, {endOf(1, "finished"), ResultDone}}, TaskFinished, 1},
+		"assigned twice":         {[]step{submit, assign, {assignOf("a/1", 1, "worker-0001"), ResultUnchanged}}, TaskStarting, 1},
+		"wrong attempt":          {[]step{submit, {assignOf("a/1", 2, "worker-0000"), ResultUnchanged}}, TaskPending, 1},
+		"unknown worker":         {[]step{submit, {assignOf("a/1", 1, "worker-9"), ResultRefused}}, TaskPending, 1},
+		"drained worker":         {[]step{submit, {drain, ResultDone}, {drain, ResultUnchanged}, {assignOf("a/1", 1, "worker-0000"), ResultRefused}}, TaskPending, 1},
+		"full worker":            {[]step{{submitOf("b", 1, batchSpec(13000)), ResultDone}, {assignOf("b/1", 1, "worker-0000"), ResultDone}, submit, {assign.operation, ResultRefused}}, TaskPending, 1},
+		"evicting still counts":  {[]step{submit, assign, {evict, ResultDone}, {submitOf("b", 1, batchSpec(13000)), ResultDone}, {assignOf("b/1", 1, "worker-0000"), ResultRefused}}, TaskEvicting, 1},
+		"evict then stop":        {[]step{submit, assign, {evict, ResultDone}, {evict, ResultUnchanged}, {endOf(1, "stopped"), ResultDone}, {endOf(1, "stopped"), ResultUnchanged}}, TaskPending, 2},
+		"evict then expire":      {[]step{submit, assign, {evict, ResultDone}, {endOf(1, "expired"), ResultDone}, {endOf(1, "stopped"), ResultUnchanged}}, TaskPending, 2},
+		"evict then finish":      {[]step{submit, assign, {evict, ResultDone}, {endOf(1, "finished"), ResultDone}}, TaskFinished, 1},
+		"cancel pending":         {[]step{submit, {cancel, ResultDone}, {assignOf("a/1", 1, "worker-0000"), ResultUnchanged}}, TaskCancelled, 1},
+		"cancel then stop":       {[]step{submit, assign, {cancel, ResultDone}, {evict, ResultUnchanged}, {endOf(1, "stopped"), ResultDone}}, TaskCancelled, 1},
+		"cancel then fail":       {[]step{submit, assign, {cancel, ResultDone}, {endOf(1, "failed"), ResultDone}}, TaskCancelled, 1},
+		"cancel then finish":     {[]step{submit, assign, {cancel, ResultDone}, {endOf(1, "finished"), ResultDone}}, TaskFinished, 1},
+		"evict then cancel":      {[]step{submit, assign, {evict, ResultDone}, {cancel, ResultDone}, {endOf(1, "stopped"), ResultDone}}, TaskCancelled, 1},
+		"finish then cancel":     {[]step{submit, assign, {endOf(1, "finished"), ResultDone}, {cancel, ResultDone}}, TaskFinished, 1},
+		"old leader":             {[]step{submit, assign, {Operation{Term: 2, TakeOver: &TakeOver{}}, ResultDone}, {endOf(1, "expired"), ResultRefused}, {Operation{Term: 1, TakeOver: &TakeOver{}}, ResultRefused}}, TaskStarting, 1},
+		"no leader":              {[]step{submit, {Operation{Assign: &Assign{Task: "a/1", Attempt: 1, Worker: "worker-0000"}}, ResultRefused}}, TaskPending, 1},
+		"removed worker":         {[]step{submit, {Operation{Term: 1, Inventory: &Inventory{Base: 1, Revision: 2, Remove: []scheduler.WorkerName{"worker-0000"}}}, ResultDone}, {assignOf("a/1", 1, "worker-0000"), ResultRefused}}, TaskPending, 1},
+		"inventory of other":     {[]step{submit, {Operation{Term: 1, Inventory: &Inventory{Base: 4, Revision: 5}}, ResultRefused}, {Operation{Term: 1, Inventory: &Inventory{Revision: 1}}, ResultUnchanged}}, TaskPending, 1},
+		"late checkpoint":        {[]step{submit, assign, {Operation{Term: 1, Checkpoint: &Saved{Lease: 1, Number: 2, Name: "d"}}, ResultDone}, {Operation{Term: 1, Checkpoint: &Saved{Lease: 1, Number: 1, Name: "c"}}, ResultUnchanged}}, TaskStarting, 1},
+		"resend":                 {[]step{submit, {submit.operation, ResultUnchanged}, {submitOf("a", 2, batchSpec(1)), ResultRefused}}, TaskPending, 1},
+		"given up":               {[]step{submit, assign, {endOf(1, "failed"), ResultDone}, {assignOf("a/1", 2, "worker-0000"), ResultDone}, {endOf(2, "failed"), ResultDone}, {assignOf("a/1", 3, "worker-0000"), ResultDone}, {endOf(3, "failed"), ResultDone}}, TaskFailed, 3},
+		"runs nowhere":           {[]step{submit, {submitOf("b", 1, batchSpec(99000)), ResultRefused}, {submitOf("c", 1, picky), ResultRefused}}, TaskPending, 1},
+		"invalid submissions":    {[]step{submit, {submitOf("", 1, batchSpec(1)), ResultRefused}, {submitOf("b", 0, batchSpec(1)), ResultRefused}, {submitOf("b", 1, batchSpec(-1)), ResultRefused}}, TaskPending, 1},
+		"cancel of unknown jobs": {[]step{submit, {Operation{Cancel: &Cancellation{Jobs: []scheduler.JobID{"x"}}}, ResultDone}, {Operation{}, ResultRefused}}, TaskPending, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			bench := newBench(t, 2)
+			for i, step := range test.steps {
+				if got := bench.do(step.operation)[0]; got.Outcome != step.want {
+					t.Errorf("step %d: got %s (%s), want %s", i, got.Outcome, got.Reason, step.want)
+				}
+			}
+			report, _ := bench.Job("a")
+			if got := report.Tasks[0]; got.State != test.state || got.Attempt != test.attempt {
+				t.Errorf("got %s in attempt %d, want %s in attempt %d", got.State, got.Attempt, test.state, test.attempt)
+			}
+			checkSnapshot(t, bench.Machine)
+		})
+	}
+}
+
+// checkSnapshot guards against state that a restore loses or that depends on the order of maps.
+func checkSnapshot(t *testing.T, machine *Machine) {
+	t.Helper()
+	var first, second bytes.Buffer
+	restored := NewMachine("couva")
+	if err := machine.Snapshot(&first); err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(bytes.NewReader(first.Bytes())); err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Snapshot(&second); err != nil || !bytes.Equal(first.Bytes(), second.Bytes()) {
+		t.Errorf("got another snapshot after the restore, error %v", err)
+	}
+	if len(restored.pending) != len(machine.pending) || len(restored.leases) != len(machine.leases) {
+		t.Errorf("got %d pending and %d leases, want %d and %d",
+			len(restored.pending), len(restored.leases), len(machine.pending), len(machine.leases))
+	}
+	for name, worker := range machine.workers {
+		if got := restored.workers[name].reserved; got != worker.reserved {
+			t.Errorf("worker %s: got %v reserved, want %v", name, got, worker.reserved)
+		}
+	}
+	if err := restored.Restore(bytes.NewReader(first.Bytes()[:first.Len()-1])); err == nil {
+		t.Error("got no error for a truncated snapshot")
+	}
+}
+
+// Guards against refusals that outlive their cause, accepted jobs that wait without a reason, and
+// refused jobs that start by themselves after the caller was told that they would not run.
+func TestInventoryChangeIsLookedAtAgain(t *testing.T) {
+	bench := newBench(t, 1)
+	large := submitOf("large", 1, batchSpec(64000))
+	got := bench.do(large)[0]
+	if got.Outcome != ResultRefused || !strings.Contains(got.Reason, "1 workers with 32000") {
+		t.Errorf("got %+v, want a refusal with the worker class", got)
+	}
+	bench.expect(submitOf("small", 1, batchSpec(1000)), ResultDone)
+	put := scheduler.Worker{Name: "worker-0000", Capacity: scheduler.Resources{MilliCores: 500, MemoryBytes: 1 << 40}}
+	bench.expect(Operation{Term: 1, Inventory: &Inventory{Base: 1, Revision: 2, Put: []scheduler.Worker{put}}}, ResultDone)
+	if reason := bench.jobs["small"].Groups[0].Nowhere; reason == "" {
+		t.Error("got no reason for a job that can run nowhere any more")
+	}
+	put.Capacity.MilliCores = 64000
+	bench.expect(Operation{Term: 1, Inventory: &Inventory{Base: 2, Revision: 3, Put: []scheduler.Worker{put}}}, ResultDone)
+	if reason := bench.jobs["small"].Groups[0].Nowhere; reason != "" {
+		t.Errorf("got %q for a job that can run again", reason)
+	}
+	if report, _ := bench.Job("large"); report.State != JobRefused {
+		t.Errorf("got %s before the resend, want %s", report.State, JobRefused)
+	}
+	bench.expect(large, ResultDone)
+}
+
+// Guards against a burst of cancellations that misses or repeats jobs, and against memory that ended
+// jobs keep for ever.
+func TestCancelBurst(t *testing.T) {
+	bench := newBench(t, 1)
+	var jobs []scheduler.JobID
+	for i := range 10_000 {
+		key := Operation{Submit: &Submission{Key: fmt.Sprint(i), Team: "patterns", Tasks: []TaskGroup{{Count: 1, Spec: batchSpec(1)}}}}
+		jobs = append(jobs, bench.do(key)[0].Job)
+	}
+	bench.expect(assignOf(scheduler.TaskID(jobs[0]+"/1"), 1, "worker-0000"), ResultDone)
+	burst := Operation{Cancel: &Cancellation{Jobs: append(jobs, jobs...), Operator: "ama"}}
+	if got := bench.do(burst)[0]; got.Count != 10_001 {
+		t.Errorf("got %d jobs reached, want 10,000 and the running one twice", got.Count)
+	}
+	bench.expect(Operation{Purge: &Purge{BeforeUnixMilli: bench.at + 1}}, ResultDone)
+	if len(bench.jobs) != 1 || len(bench.keys) != 1 || len(bench.tasks) != 1 {
+		t.Errorf("got %d jobs, %d keys, %d tasks, want the running one", len(bench.jobs), len(bench.keys), len(bench.tasks))
+	}
+}
+
+// Guards against a back-off that overflows or grows without a bound.
+func TestBackOff(t *testing.T) {
+	for failures, want := range map[uint32]string{0: "0s", 1: "1s", 4: "8s", 9: "4m16s", 10: "5m0s", 1 << 30: "5m0s"} {
+		if got := backOff(failures).String(); got != want {
+			t.Errorf("%d failures: got %s, want %s", failures, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/placement.go
@@ -0,0 +1,308 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// maxOffered bounds the pending tasks that the placer looks at in one step; the others get
+	// their turn in later steps.
+	maxOffered = 2000
+	// reasonPeriod limits how often the reason of a waiting task is logged.
+	reasonPeriod = 10 * time.Second
+	// maxReasons bounds the reasons that one step logs.
+	maxReasons = 200
+	// keptEnded is how long ended jobs are kept, so that resends find them.
+	keptEnded = 24 * time.Hour
+	// purgePeriod is how often ended jobs are looked at.
+	purgePeriod = 10 * time.Minute
+)
+
+// pacedReason is why a task of a lost worker waits although there may be room.
+const pacedReason = "re-placement after lost workers is paced"
+
+// placement is what the placing goroutine remembers between steps.
+type placement struct {
+	claims map[scheduler.TaskID]claim
+	// usable holds what the placer was last told of each worker.
+	usable    map[scheduler.WorkerName]bool
+	reasoned  map[scheduler.TaskID]time.Time
+	budget    float64
+	budgeted  time.Time
+	nextPurge time.Time
+	turn      int
+}
+
+// claim keeps room on a worker for a task whose victims are being evicted.
+type claim struct {
+	attempt scheduler.AttemptNumber
+	worker  scheduler.WorkerName
+	victims map[scheduler.TaskID]scheduler.AttemptNumber
+	until   time.Time
+}
+
+func newPlacement() placement {
+	return placement{
+		claims:   map[scheduler.TaskID]claim{},
+		usable:   map[scheduler.WorkerName]bool{},
+		reasoned: map[scheduler.TaskID]time.Time{},
+	}
+}
+
+// place settles claims, tells the placer what has changed and logs its decisions.
+func (engine *Engine) place(ctx context.Context) error {
+	now := time.Now()
+	term := engine.actingTerm()
+	engine.refillBudget(now)
+	operations := engine.settleClaims(term, now)
+	operations = append(operations, engine.emptyWorkers(term)...)
+	engine.updatePlacer(now)
+	pending, waits := engine.offer(now)
+	tasks := make([]scheduler.PendingTask, len(pending))
+	for i := range pending {
+		tasks[i] = pending[i].task
+	}
+	assignments, refusals := engine.placer.Place(now, tasks)
+	operations = append(operations, engine.decideAll(term, pending, assignments, now)...)
+	for _, refusal := range refusals {
+		waits = append(waits, Wait{Task: refusal.Task, Reason: refusal.Reason})
+	}
+	operations = append(operations, engine.reasons(waits, now)...)
+	if now.After(engine.placement.nextPurge) {
+		engine.placement.nextPurge = now.Add(purgePeriod)
+		operations = append(operations, Operation{Term: term, Purge: &Purge{BeforeUnixMilli: now.Add(-keptEnded).UnixMilli()}})
+	}
+	return engine.proposeStep(ctx, operations)
+}
+
+// proposeStep proposes the step's operations. After a refusal or an error the placer is told again of the
+// workers concerned, because it has counted the assignments.
+func (engine *Engine) proposeStep(ctx context.Context, operations []Operation) error {
+	if len(operations) == 0 {
+		return nil
+	}
+	results, err := engine.batcher.propose(ctx, operations)
+	for i, operation := range operations {
+		if operation.Assign == nil || err == nil && results[i].Outcome == ResultDone {
+			continue
+		}
+		engine.machine.markChanged(operation.Assign.Worker)
+		if err == nil {
+			engine.log.Warn().Str("task", string(operation.Assign.Task)).Str("worker", string(operation.Assign.Worker)).
+				Str("reason", results[i].Reason).Msg("assignmentRefused")
+		}
+	}
+	return err
+}
+
+// settleClaims assigns the tasks whose victims have gone and drops the claims that took too long, so
+// that another victim is chosen.
+func (engine *Engine) settleClaims(term scheduler.Term, now time.Time) []Operation {
+	var operations []Operation
+	for _, id := range slices.Sorted(maps.Keys(engine.placement.claims)) {
+		claim := engine.placement.claims[id]
+		pending, free := engine.machine.claimState(id, claim)
+		if pending && !free && now.Before(claim.until) {
+			continue
+		}
+		delete(engine.placement.claims, id)
+		engine.machine.markChanged(claim.worker)
+		if incarnation := engine.incarnation(claim.worker); pending && free && incarnation != 0 {
+			operations = append(operations, Operation{Term: term, Assign: &Assign{
+				Task: id, Attempt: claim.attempt, Worker: claim.worker, Incarnation: incarnation,
+			}})
+		}
+	}
+	return operations
+}
+
+// decide turns an assignment into a lease, or into evictions and a claim.
+func (engine *Engine) decide(term scheduler.Term, assignment scheduler.Assignment, now time.Time) []Operation {
+	attempts := engine.machine.attempts(append([]scheduler.TaskID{assignment.Task}, assignment.Evict...))
+	attempt, ok := attempts[assignment.Task]
+	incarnation := engine.incarnation(assignment.Worker)
+	if !ok || incarnation == 0 {
+		engine.machine.markChanged(assignment.Worker)
+		return nil
+	}
+	if len(assignment.Evict) == 0 {
+		return []Operation{{Term: term, Assign: &Assign{
+			Task: assignment.Task, Attempt: attempt, Worker: assignment.Worker, Incarnation: incarnation,
+		}}}
+	}
+	victims := map[scheduler.TaskID]scheduler.AttemptNumber{}
+	var operations []Operation
+	for _, victim := range assignment.Evict {
+		victims[victim] = attempts[victim]
+		operations = append(operations, Operation{Term: term, Evict: &Evict{
+			Task: victim, Attempt: attempts[victim], Reason: fmt.Sprintf("makes room for %s", assignment.Task),
+		}})
+	}
+	engine.placement.claims[assignment.Task] = claim{
+		attempt: attempt, worker: assignment.Worker, victims: victims, until: now.Add(engine.victimTimeout),
+	}
+	engine.machine.markChanged(assignment.Worker)
+	return operations
+}
+
+// emptyWorkers evicts what runs on drained and removed workers, as far as the budget allows.
+func (engine *Engine) emptyWorkers(term scheduler.Term) []Operation {
+	var operations []Operation
+	for _, evict := range engine.machine.unwanted(int(engine.placement.budget)) {
+		engine.placement.budget--
+		operations = append(operations, Operation{Term: term, Evict: &evict})
+	}
+	return operations
+}
+
+func (engine *Engine) refillBudget(now time.Time) {
+	placement := &engine.placement
+	if placement.budgeted.IsZero() {
+		placement.budget = engine.replacementRate
+	} else {
+		placement.budget += now.Sub(placement.budgeted).Seconds() * engine.replacementRate
+	}
+	placement.budget = min(placement.budget, engine.replacementRate)
+	placement.budgeted = now
+}
+
+// updatePlacer passes on the workers whose state in the log, claims or contact has changed.
+func (engine *Engine) updatePlacer(now time.Time) {
+	changed := engine.machine.takeChanged()
+	engine.mutex.Lock()
+	for name, view := range engine.views {
+		if heard := now.Sub(view.heard) < heardWithin; heard != engine.placement.usable[name] {
+			engine.placement.usable[name] = heard
+			changed[name] = struct{}{}
+		}
+	}
+	engine.mutex.Unlock()
+	claimed := map[scheduler.WorkerName]scheduler.Resources{}
+	for id, claim := range engine.placement.claims {
+		claimed[claim.worker] = claimed[claim.worker].Plus(engine.machine.request(id))
+	}
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		state, ok := engine.machine.workerState(name)
+		if !ok {
+			engine.placer.Remove(name)
+			continue
+		}
+		state.Reserved = state.Reserved.Plus(claimed[name])
+		state.Usable = state.Usable && engine.placement.usable[name]
+		engine.placer.Update(state)
+	}
+}
+
+// offer returns the pending tasks that the placer may look at now, most important first, and the
+// reasons why the others wait.
+func (engine *Engine) offer(now time.Time) ([]candidate, []Wait) {
+	pending, waits := engine.machine.pendingTasks(now, engine.placement.claims)
+	slices.SortFunc(pending, comparePending)
+	offered := pending[:0]
+	for _, candidate := range pending {
+		if candidate.replaced && engine.placement.budget < 1 {
+			waits = append(waits, Wait{Task: candidate.task.Task, Reason: pacedReason})
+			continue
+		}
+		offered = append(offered, candidate)
+	}
+	if len(offered) <= maxOffered {
+		return offered, waits
+	}
+	// The most important half is always offered, the rest takes turns.
+	rest := offered[maxOffered/2:]
+	placement := &engine.placement
+	placement.turn = (placement.turn + maxOffered/2) % len(rest)
+	rotated := append(slices.Clone(rest[placement.turn:]), rest[:placement.turn]...)
+	return append(slices.Clone(offered[:maxOffered/2]), rotated[:maxOffered/2]...), waits
+}
+
+// decideAll takes the assignments in the order of importance. The budget limits those of tasks whose
+// worker was lost; it is charged here and not for the offer, because tasks that fit nowhere at present
+// would otherwise use it up.
+func (engine *Engine) decideAll(
+	term scheduler.Term, pending []candidate, assignments []scheduler.Assignment, now time.Time,
+) []Operation {
+	order := make(map[scheduler.TaskID]int, len(pending))
+	for i, candidate := range pending {
+		order[candidate.task.Task] = i
+	}
+	slices.SortStableFunc(assignments, func(a, b scheduler.Assignment) int {
+		return cmp.Compare(order[a.Task], order[b.Task])
+	})
+	var operations []Operation
+	for _, assignment := range assignments {
+		i, ok := order[assignment.Task]
+		if ok && pending[i].replaced {
+			if engine.placement.budget < 1 {
+				engine.machine.markChanged(assignment.Worker)
+				continue
+			}
+			engine.placement.budget--
+		}
+		operations = append(operations, engine.decide(term, assignment, now)...)
+	}
+	return operations
+}
+
+// candidate is a pending task and what decides on its order.
+type candidate struct {
+	task     scheduler.PendingTask
+	replaced bool
+}
+
+func comparePending(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(importance(&a.task), importance(&b.task)),
+		cmp.Compare(b.task.Waiting, a.task.Waiting),
+		cmp.Compare(a.task.Task, b.task.Task),
+	)
+}
+
+func importance(task *scheduler.PendingTask) int {
+	switch {
+	case task.Spec.Class == scheduler.ClassLatencyCritical:
+		return 0
+	case task.Urgent:
+		return 1
+	}
+	return 2
+}
+
+// reasons logs why tasks wait, when the reason is new and not more often than reasonPeriod.
+func (engine *Engine) reasons(waits []Wait, now time.Time) []Operation {
+	reasoned := engine.placement.reasoned
+	for id, at := range reasoned {
+		if now.Sub(at) >= reasonPeriod {
+			delete(reasoned, id)
+		}
+	}
+	var operations []Operation
+	for _, wait := range waits {
+		if len(operations) == maxReasons {
+			break
+		}
+		if _, ok := reasoned[wait.Task]; ok || engine.machine.reason(wait.Task) == wait.Reason {
+			continue
+		}
+		reasoned[wait.Task] = now
+		operations = append(operations, Operation{Wait: &wait})
+	}
+	return operations
+}
+
+func (engine *Engine) incarnation(worker scheduler.WorkerName) scheduler.Incarnation {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if view, ok := engine.views[worker]; ok {
+		return view.incarnation
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatcher/view.go
@@ -0,0 +1,250 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Term returns the term of the leader whose engine has taken over last.
+func (machine *Machine) Term() scheduler.Term {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	return machine.term
+}
+
+// JobReport answers what has become of a job and why. It is a wire type.
+type JobReport struct {
+	Job    scheduler.JobID    `json:"job"`
+	Team   scheduler.TeamName `json:"team"`
+	State  JobState           `json:"state"`
+	Reason string             `json:"reason,omitempty"`
+	Tasks  []TaskReport       `json:"tasks,omitempty"`
+}
+
+// TaskReport answers what has become of a task and why. It is a wire type.
+type TaskReport struct {
+	Task       scheduler.TaskID        `json:"task"`
+	State      TaskState               `json:"state"`
+	Attempt    scheduler.AttemptNumber `json:"attempt"`
+	Lease      scheduler.LeaseNumber   `json:"lease,omitempty"`
+	Worker     scheduler.WorkerName    `json:"worker,omitempty"`
+	Checkpoint string                  `json:"checkpoint,omitempty"`
+	Failures   uint32                  `json:"failures,omitempty"`
+	Evictions  uint32                  `json:"evictions,omitempty"`
+	// Reason is why the task is in its state, for a pending one why it waits.
+	Reason string  `json:"reason,omitempty"`
+	Events []Event `json:"events,omitempty"`
+}
+
+// Job reports on a job. ok is false when it is unknown or forgotten.
+func (machine *Machine) Job(id scheduler.JobID) (report JobReport, ok bool) {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	job, ok := machine.jobs[id]
+	if !ok {
+		return JobReport{}, false
+	}
+	report = JobReport{Job: id, Team: job.Team, State: job.State, Reason: job.Reason}
+	for _, task := range job.Tasks {
+		report.Tasks = append(report.Tasks, TaskReport{
+			Task: task.ID, State: task.State, Attempt: task.Attempt, Lease: task.Lease, Worker: task.Worker,
+			Checkpoint: task.Checkpoint, Failures: task.Failures, Evictions: task.Evictions,
+			Reason: task.Reason, Events: slices.Clone(task.Events),
+		})
+	}
+	return report, true
+}
+
+// Jobs returns the IDs of all known jobs in order.
+func (machine *Machine) Jobs() []scheduler.JobID {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	return slices.Sorted(maps.Keys(machine.jobs))
+}
+
+// Workers returns the workers of the inventory in force, in the order of their names.
+func (machine *Machine) Workers() (scheduler.Revision, []scheduler.Worker) {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	var workers []scheduler.Worker
+	for _, name := range slices.Sorted(maps.Keys(machine.workers)) {
+		if worker := machine.workers[name]; !worker.Removed {
+			workers = append(workers, worker.Worker)
+		}
+	}
+	return machine.revision, workers
+}
+
+// workerState returns what the log knows of a worker; Usable is false for a drained one.
+func (machine *Machine) workerState(name scheduler.WorkerName) (scheduler.WorkerState, bool) {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	worker, ok := machine.workers[name]
+	if !ok || worker.Removed {
+		return scheduler.WorkerState{}, false
+	}
+	state := scheduler.WorkerState{Worker: worker.Worker, Reserved: worker.reserved, Usable: !worker.Drained}
+	for _, lease := range worker.leases() {
+		task := machine.leases[lease]
+		placed := scheduler.PlacedTask{
+			Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(), Started: time.UnixMilli(task.Since),
+		}
+		if task.Saved != 0 {
+			placed.LastCheckpoint = time.UnixMilli(task.Saved)
+		}
+		state.Tasks = append(state.Tasks, placed)
+	}
+	return state, true
+}
+
+func (machine *Machine) liveLeases() []scheduler.LeaseNumber {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	return slices.Sorted(maps.Keys(machine.leases))
+}
+
+func (machine *Machine) markChanged(worker scheduler.WorkerName) {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	machine.changed[worker] = struct{}{}
+}
+
+func (machine *Machine) markAllChanged() {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	for name := range machine.workers {
+		machine.changed[name] = struct{}{}
+	}
+}
+
+func (machine *Machine) takeChanged() map[scheduler.WorkerName]struct{} {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	changed := machine.changed
+	machine.changed = map[scheduler.WorkerName]struct{}{}
+	return changed
+}
+
+// claimState reports whether a claim's task still waits and whether all of its victims have gone.
+func (machine *Machine) claimState(id scheduler.TaskID, claim claim) (pending, free bool) {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	task, ok := machine.pending[id]
+	if !ok || task.Attempt != claim.attempt {
+		return false, false
+	}
+	for victim, attempt := range claim.victims {
+		task, ok := machine.tasks[victim]
+		if ok && task.Attempt == attempt && task.occupies() {
+			return true, false
+		}
+	}
+	return true, true
+}
+
+// attempts returns the current attempts of the tasks that are known.
+func (machine *Machine) attempts(ids []scheduler.TaskID) map[scheduler.TaskID]scheduler.AttemptNumber {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	attempts := map[scheduler.TaskID]scheduler.AttemptNumber{}
+	for _, id := range ids {
+		if task, ok := machine.tasks[id]; ok {
+			attempts[id] = task.Attempt
+		}
+	}
+	return attempts
+}
+
+func (machine *Machine) request(id scheduler.TaskID) scheduler.Resources {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	if task, ok := machine.tasks[id]; ok {
+		return task.spec().Request
+	}
+	return scheduler.Resources{}
+}
+
+func (machine *Machine) reason(id scheduler.TaskID) string {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	if task, ok := machine.tasks[id]; ok {
+		return task.Reason
+	}
+	return ""
+}
+
+// pendingTasks returns the tasks that can be placed now and why others cannot. Tasks in back-off have
+// their reason from the failure.
+func (machine *Machine) pendingTasks(now time.Time, claims map[scheduler.TaskID]claim) ([]candidate, []Wait) {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	var pending []candidate
+	var waits []Wait
+	// A time far ahead comes from another VM's wrong clock and is not waited for.
+	latest := now.Add(maxBackOff).UnixMilli()
+	for id, task := range machine.pending {
+		if _, ok := claims[id]; ok || (task.NotBefore > now.UnixMilli() && task.NotBefore <= latest) {
+			continue
+		}
+		if nowhere := task.job.Groups[task.Group].Nowhere; nowhere != "" {
+			waits = append(waits, Wait{Task: id, Reason: "can run nowhere at present: " + nowhere})
+			continue
+		}
+		pending = append(pending, candidate{task: task.pending(now), replaced: task.Replaced})
+	}
+	slices.SortFunc(waits, func(a, b Wait) int { return compareIDs(a.Task, b.Task) })
+	return pending, waits
+}
+
+func compareIDs(a, b scheduler.TaskID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (task *task) pending(now time.Time) scheduler.PendingTask {
+	pending := scheduler.PendingTask{
+		Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(),
+		Waiting: now.Sub(time.UnixMilli(task.Since)), Urgent: task.job.Urgent,
+		AvoidWorkers: slices.Clone(task.Avoid),
+	}
+	if task.job.DeadlineUnixMilli != 0 {
+		pending.Deadline = time.UnixMilli(task.job.DeadlineUnixMilli)
+	}
+	return pending
+}
+
+// unwanted returns evictions for what runs on drained and removed workers, at most limit.
+func (machine *Machine) unwanted(limit int) []Evict {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	var evictions []Evict
+	for _, name := range slices.Sorted(maps.Keys(machine.workers)) {
+		worker := machine.workers[name]
+		if !worker.Drained && !worker.Removed {
+			continue
+		}
+		reason := worker.Reason
+		if worker.Removed {
+			reason = "the worker was removed from the inventory"
+		}
+		for _, lease := range worker.leases() {
+			task := machine.leases[lease]
+			if task.State != TaskStarting && task.State != TaskRunning {
+				continue
+			}
+			if len(evictions) >= limit {
+				return evictions
+			}
+			evictions = append(evictions, Evict{Task: task.ID, Attempt: task.Attempt, Reason: reason})
+		}
+	}
+	return evictions
+}
--- /dev/null
+++ b/internal/emulator/client.go
@@ -0,0 +1,52 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxAnswer bounds an answer; one with 1,000 start commands has about 300 kB.
+const maxAnswer = 4 << 20
+
+// NewHTTPExchange returns an Exchange that posts to the system at base, for example
+// "http://10.0.0.1:7000". mediaType is "application/json" or "application/cbor".
+func NewHTTPExchange(client *http.Client, base, mediaType string) Exchange {
+	marshal, unmarshal := json.Marshal, json.Unmarshal
+	if mediaType == "application/cbor" {
+		marshal, unmarshal = cbor.Marshal, cbor.Unmarshal
+	}
+	return func(ctx context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
+		body, err := marshal(request)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		address := base + "/v1/workers/" + url.PathEscape(string(request.Worker)) + "/sync"
+		post, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		post.Header.Set("Content-Type", mediaType)
+		post.Header.Set("Accept", mediaType)
+		response, err := client.Do(post)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		defer response.Body.Close() //nolint:errcheck // The body has been read.
+		body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if response.StatusCode != http.StatusOK {
+			return nil, Error.New("exchange answered %s", response.Status)
+		}
+		var answer scheduler.SyncAnswer
+		return &answer, Error.Wrap(unmarshal(body, &answer))
+	}
+}
