dispatcher: moves between data centres, stuck victims, engine tests

Cause: a victim that ignored its stop was chosen again and again for the same urgent task; a job needs exactly one home while it moves. The checks over workers' records and the unreliable network are in internal/emulator, where the demo can use them.

--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -44,8 +44,8 @@
 	machine.changed[task.Worker] = struct{}{}
 }
 
-// release takes the task's attempt from its worker.
-func (machine *Machine) release(task *task) {
+// vacate takes the task's attempt from its worker.
+func (machine *Machine) vacate(task *task) {
 	machine.changed[task.Worker] = struct{}{}
 	delete(machine.leases, task.Lease)
 	worker := machine.workers[task.Worker]
@@ -104,7 +104,7 @@
 		task.Checkpoint, task.Saved = end.Checkpoint, at
 	}
 	worker, state, reason := task.Worker, task.State, task.Reason
-	machine.release(task)
+	machine.vacate(task)
 	switch {
 	case end.Outcome == scheduler.AttemptFinished:
 		task.enter(TaskFinished, at, "")
@@ -119,6 +119,7 @@
 	if task.ended() {
 		machine.closeJob(task.job, at)
 	}
+	machine.settleMove(task.job)
 	return done()
 }
 
@@ -150,5 +151,7 @@
 func (machine *Machine) nextAttempt(task *task, at int64, reason string) {
 	task.Attempt++
 	task.enter(TaskPending, at, reason)
-	machine.pending[task.ID] = task
+	if task.job.MovingTo == "" {
+		machine.pending[task.ID] = task
+	}
 }
--- a/internal/dispatcher/command.go
+++ b/internal/dispatcher/command.go
@@ -45,6 +45,9 @@
 	TakeOver   *TakeOver      `cbor:"takeOver,omitempty"`
 	Submit     *Submission    `cbor:"submit,omitempty"`
 	Cancel     *Cancellation  `cbor:"cancel,omitempty"`
+	Release    *Release       `cbor:"release,omitempty"`
+	Accept     *Accept        `cbor:"accept,omitempty"`
+	Forget     *Forget        `cbor:"forget,omitempty"`
 	Drain      *Drain         `cbor:"drain,omitempty"`
 	Inventory  *Inventory     `cbor:"inventory,omitempty"`
 	Assign     *Assign        `cbor:"assign,omitempty"`
--- /dev/null
+++ b/internal/dispatcher/counts.go
@@ -0,0 +1,43 @@
+package dispatcher
+
+import "github.com/crocusplank/crocusplank/pkg/scheduler"
+
+// Counts are figures for metrics. Evictions and Failures count over the tasks that are still kept.
+type Counts struct {
+	Jobs      map[JobState]int
+	Tasks     map[TaskState]int
+	Evictions uint64
+	Failures  uint64
+	Leases    int
+	Workers   int
+	Drained   int
+	// Capacity and Reserved are sums over the workers of the inventory.
+	Capacity scheduler.Resources
+	Reserved scheduler.Resources
+}
+
+// Counts counts the state. It reads all tasks, so it is meant for a metrics period of seconds.
+func (machine *Machine) Counts() Counts {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	counts := Counts{
+		Jobs: map[JobState]int{}, Tasks: map[TaskState]int{},
+		Leases: len(machine.leases), Workers: len(machine.workers),
+	}
+	for _, job := range machine.jobs {
+		counts.Jobs[job.State]++
+		for _, task := range job.Tasks {
+			counts.Tasks[task.State]++
+			counts.Evictions += uint64(task.Evictions)
+			counts.Failures += uint64(task.Failures)
+		}
+	}
+	for _, worker := range machine.workers {
+		if worker.Drained {
+			counts.Drained++
+		}
+		counts.Capacity = counts.Capacity.Plus(worker.Worker.Capacity)
+		counts.Reserved = counts.Reserved.Plus(worker.reserved)
+	}
+	return counts
+}
--- a/internal/dispatcher/failure_test.go
+++ b/internal/dispatcher/failure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,8 @@
 	// focus, if set, is the only kind of fault that disturb lets happen, so that a mutation that
 	// matters in one situation is found with few seeds.
 	focus int
+	// calm leaves the network without faults.
+	calm bool
 }
 
 // mutant changes commands on their way into the state machine.
@@ -72,22 +75,26 @@
 	focus  int
 	// stay is for how many exchanges, on average, a worker stays with an entry VM.
 	stay int
+	calm bool
 }
 
 const trialWorkers = 6
 
 func newTrial(ctx context.Context, seed uint64, mutation mutation) *trial {
 	trial := &trial{
-		random:   rand.New(rand.NewPCG(seed, 1)),
-		focus:    mutation.focus,
-		stay:     10,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		focus:  mutation.focus,
+		stay:   10, calm: mutation.calm,
 		cluster:  newCluster(seed, "couva-1", "couva-2", "couva-3"),
 		capacity: scheduler.Resources{MilliCores: 4000, MemoryBytes: 4 << 30}, cancelled: map[scheduler.JobID]bool{},
 	}
 	if mutation.endlessLease {
 		trial.stay = 60
 	}
-	trial.cluster.loseResults, trial.cluster.endlessLease = 0.02, mutation.endlessLease
+	trial.cluster.endlessLease = mutation.endlessLease
+	if !mutation.calm {
+		trial.cluster.loseResults = 0.02
+	}
 	for _, node := range trial.cluster.nodes {
 		machine := NewMachine("couva")
 		node.machine = &mutant{Machine: machine, mutation: mutation}
@@ -122,35 +129,25 @@
 // network loses, delays and repeats exchanges.
 func (trial *trial) network(seed uint64, worker int) emulator.Exchange {
 	random := rand.New(rand.NewPCG(seed, uint64(100+worker)))
+	var mutex sync.Mutex
 	entry := 0
-	return func(ctx context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
-		delay := time.Duration(1+random.IntN(20)) * time.Millisecond
-		fate := random.IntN(100)
-		if fate < 3 {
-			delay = time.Duration(random.IntN(6000)) * time.Millisecond
+	exchange := func(ctx context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
+		if trial.cutOff[worker].Load() {
+			return nil, scheduler.ErrNotRun.New("request lost")
 		}
 		// A worker stays with an entry VM for a while, also with one that has been isolated.
+		mutex.Lock()
 		if random.IntN(trial.stay) == 0 {
 			entry = random.IntN(len(trial.cluster.nodes))
 		}
 		engine := trial.cluster.entry(entry)
-		time.Sleep(delay)
-		if fate >= 97 || trial.cutOff[worker].Load() {
-			return nil, scheduler.ErrNotRun.New("request lost")
-		}
-		if fate >= 94 {
-			go func() {
-				time.Sleep(delay * 100)
-				_, _ = trial.cluster.leading().Sync(context.WithoutCancel(ctx), request)
-			}()
-		}
-		answer, err := engine.Sync(ctx, request)
-		time.Sleep(delay)
-		if fate >= 91 && fate < 94 {
-			return nil, scheduler.ErrUnknown.New("answer lost")
-		}
-		return answer, err
+		mutex.Unlock()
+		return engine.Sync(ctx, request)
 	}
+	if trial.calm {
+		return exchange
+	}
+	return emulator.NewUnreliableExchange(exchange, seed<<8+uint64(worker))
 }
 
 func (trial *trial) submit(ctx context.Context) {
@@ -262,18 +259,13 @@
 }
 
 func (trial *trial) check() (faults []string) {
-	byTask := map[scheduler.TaskID][]emulator.Execution{}
-	for _, worker := range trial.workers {
-		executions := worker.Executions()
-		faults = append(faults, overloads(executions, trial.capacity)...)
-		for _, execution := range executions {
-			byTask[execution.Task] = append(byTask[execution.Task], execution)
-		}
-	}
-	for task, executions := range byTask {
-		slices.SortFunc(executions, func(a, b emulator.Execution) int { return int(a.Attempt) - int(b.Attempt) })
-		faults = append(faults, successions(task, executions)...)
+	var executions []emulator.Execution
+	capacity := map[scheduler.WorkerName]scheduler.Resources{}
+	for i, worker := range trial.workers {
+		executions = append(executions, worker.Executions()...)
+		capacity[scheduler.WorkerName(fmt.Sprintf("worker-%d", i))] = trial.capacity
 	}
+	faults = emulator.CheckExecutions(executions, capacity)
 	machine := trial.cluster.leading().machine
 	for _, id := range trial.submitted {
 		report, ok := machine.Job(id)
@@ -284,8 +276,8 @@
 			faults = append(faults, fmt.Sprintf("job %s is %s", id, report.State))
 		}
 		for _, task := range report.Tasks {
-			complete := slices.ContainsFunc(byTask[task.Task], func(execution emulator.Execution) bool {
-				return execution.Outcome == scheduler.AttemptFinished
+			complete := slices.ContainsFunc(executions, func(execution emulator.Execution) bool {
+				return execution.Task == task.Task && execution.Outcome == scheduler.AttemptFinished
 			})
 			if task.State == TaskFinished && !complete {
 				faults = append(faults, fmt.Sprintf("task %s counts as finished but never was", task.Task))
@@ -295,41 +287,6 @@
 	return faults
 }
 
-// overloads finds moments at which a worker ran more than it can hold.
-func overloads(executions []emulator.Execution, capacity scheduler.Resources) (faults []string) {
-	for _, at := range executions {
-		var used scheduler.Resources
-		for _, execution := range executions {
-			if !execution.First.After(at.First) && execution.Last.After(at.First) {
-				used = used.Plus(execution.Request)
-			}
-		}
-		if !used.Fits(capacity) {
-			faults = append(faults, fmt.Sprintf("worker %s runs %d of %d", at.Worker, used.MilliCores, capacity.MilliCores))
-		}
-	}
-	return faults
-}
-
-// successions checks that the attempts of a task ran one after another, each at most once and each
-// from the checkpoint of the one before.
-func successions(task scheduler.TaskID, executions []emulator.Execution) (faults []string) {
-	for i := 1; i < len(executions); i++ {
-		before, after := executions[i-1], executions[i]
-		if after.Attempt == before.Attempt {
-			faults = append(faults, fmt.Sprintf("task %s ran attempt %d twice", task, after.Attempt))
-		}
-		if after.First.Before(before.Last) {
-			faults = append(faults, fmt.Sprintf("task %s ran on %s and %s at once", task, before.Worker, after.Worker))
-		}
-		reported := before.Outcome == scheduler.AttemptStopped && after.Attempt == before.Attempt+1 && after.From >= before.Saved
-		if !reported && after.From != before.Saved && (after.From > before.Saved || after.From < before.From) {
-			faults = append(faults, fmt.Sprintf("task %s resumed at %s, saved at %s", task, after.From, before.Saved))
-		}
-	}
-	return faults
-}
-
 // Guards against every violation of the invariants 1 to 3 of the design page and against lost jobs,
 // under changes of the leader, an isolated leader, frozen and restarted workers, lost, late and
 // repeated exchanges, clocks that are 10% off, evictions and drains during fail-over, and
--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -30,7 +30,11 @@
 	}
 	// A refused job is judged again, because the inventory may have changed since.
 	if ok && first.State != JobRefused {
-		return Result{Outcome: ResultUnchanged, Job: first.ID, Reason: "submitted before"}
+		reason := "submitted before"
+		if first.MovingTo != "" {
+			reason = "the job has moved to " + string(first.MovingTo)
+		}
+		return Result{Outcome: ResultUnchanged, Job: first.ID, Reason: reason}
 	}
 	job := machine.newJob(submission, digest[:], at)
 	if ok {
@@ -196,7 +200,7 @@
 func (machine *Machine) purge(purge *Purge) Result {
 	result := done()
 	for id, job := range machine.jobs {
-		if job.State == JobActive || job.Ended >= purge.BeforeUnixMilli {
+		if job.State == JobActive || job.Ended == 0 || job.Ended >= purge.BeforeUnixMilli {
 			continue
 		}
 		for _, task := range job.Tasks {
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -88,6 +88,12 @@
 		return machine.submit(operation.Submit, at)
 	case operation.Cancel != nil:
 		return machine.cancel(operation.Cancel, at)
+	case operation.Release != nil:
+		return machine.release(operation.Release, at)
+	case operation.Accept != nil:
+		return machine.accept(operation.Accept)
+	case operation.Forget != nil:
+		return machine.forget(operation.Forget, at)
 	case operation.Drain != nil:
 		return machine.drain(operation.Drain)
 	case operation.Inventory != nil:
@@ -134,6 +140,10 @@
 		record.Action, record.Actor = "cancel", operation.Cancel.Operator
 		record.Subject = subjects(operation.Cancel.Jobs)
 		record.Reason = strings.TrimSpace(operation.Cancel.Reason + " " + result.Reason)
+	case operation.Release != nil:
+		record.Action, record.Subject, record.Actor = "release", string(operation.Release.Job), operation.Release.Operator
+	case operation.Accept != nil:
+		record.Action, record.Subject = "accept", string(result.Job)
 	case operation.Drain != nil:
 		record.Action, record.Subject, record.Actor = "drain", string(operation.Drain.Worker), operation.Drain.Operator
 		if operation.Drain.Off {
--- a/internal/dispatcher/machine_test.go
+++ b/internal/dispatcher/machine_test.go
@@ -207,6 +207,41 @@
 	}
 }
 
+// Guards against a job with two homes or none: while it still runs, after a repeated or late Accept,
+// and after it has moved on.
+func TestMove(t *testing.T) {
+	couva, other := newBench(t, 1), newBench(t, 1)
+	other.group = "chaguanas"
+	release := Operation{Release: &Release{Job: "a", To: "chaguanas", Operator: "ama"}}
+	couva.expect(release, ResultRefused)
+	couva.do(submitOf("a", 2, batchSpec(1)), assignOf("a/1", 1, "worker-0000"), release)
+	if _, _, ok := couva.MovedRecord("a"); ok {
+		t.Error("got a record while an attempt occupies a worker")
+	}
+	couva.expect(assignOf("a/2", 1, "worker-0000"), ResultUnchanged)
+	couva.expect(endOf(1, scheduler.AttemptStopped), ResultDone)
+	checkSnapshot(t, couva.Machine)
+	record, _, ok := couva.MovedRecord("a")
+	if !ok || len(couva.pending) != 0 || len(couva.MovedJobs()) != 1 {
+		t.Fatalf("got moved %v with %d pending tasks", ok, len(couva.pending))
+	}
+	accept := Operation{Accept: &Accept{Record: record}}
+	couva.expect(accept, ResultRefused)
+	other.expect(accept, ResultDone)
+	other.expect(accept, ResultUnchanged)
+	couva.expect(Operation{Forget: &Forget{Job: "a"}}, ResultDone)
+	if task := other.jobs["a"].Tasks[0]; task.Attempt != 2 || task.Checkpoint != "c" {
+		t.Errorf("got attempt %d from %q, want 2 from c", task.Attempt, task.Checkpoint)
+	}
+	other.expect(Operation{Release: &Release{Job: "a", To: "couva", Operator: "raj"}}, ResultDone)
+	other.expect(accept, ResultUnchanged)
+	record, _, _ = other.MovedRecord("a")
+	couva.expect(Operation{Accept: &Accept{Record: record}}, ResultDone)
+	if len(couva.pending) != 2 || len(other.pending) != 0 {
+		t.Errorf("got %d and %d pending tasks, want 2 and 0", len(couva.pending), len(other.pending))
+	}
+}
+
 // Guards against a back-off that overflows or grows without a bound.
 func TestBackOff(t *testing.T) {
 	for failures, want := range map[uint32]string{0: "0s", 1: "1s", 4: "8s", 9: "4m16s", 10: "5m0s", 1 << 30: "5m0s"} {
--- a/internal/dispatcher/operator.go
+++ b/internal/dispatcher/operator.go
@@ -39,11 +39,7 @@
 
 // Drain takes a worker out of use or back into it. It works on every VM of the group.
 func (engine *Engine) Drain(ctx context.Context, drain Drain) error {
-	result, err := engine.proposeOne(ctx, Operation{Drain: &drain})
-	if err == nil && result.Outcome == ResultRefused {
-		return Error.Wrap(scheduler.ErrNotRun.New("%s", result.Reason))
-	}
-	return err
+	return engine.proposeAccepted(ctx, Operation{Drain: &drain})
 }
 
 // Evict asks for the eviction of the task's current attempt. Only the leader does it.
@@ -111,11 +107,7 @@
 			inventory.Remove = append(inventory.Remove, worker.Name)
 		}
 	}
-	result, err := engine.proposeOne(ctx, Operation{Term: term, Inventory: inventory})
-	if err == nil && result.Outcome == ResultRefused {
-		return Error.Wrap(scheduler.ErrNotRun.New("%s", result.Reason))
-	}
-	return err
+	return engine.proposeAccepted(ctx, Operation{Term: term, Inventory: inventory})
 }
 
 func (engine *Engine) proposeOne(ctx context.Context, operation Operation) (Result, error) {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -31,6 +31,9 @@
 // placement is what the placing goroutine remembers between steps.
 type placement struct {
 	claims map[scheduler.TaskID]claim
+	// stuck holds victims that did not stop in time. The placer is not shown them, so that it
+	// chooses others; their room stays reserved until their leases expire.
+	stuck map[scheduler.TaskID]scheduler.AttemptNumber
 	// usable holds what the placer was last told of each worker.
 	usable    map[scheduler.WorkerName]bool
 	reasoned  map[scheduler.TaskID]time.Time
@@ -51,6 +54,7 @@
 func newPlacement() placement {
 	return placement{
 		claims:   map[scheduler.TaskID]claim{},
+		stuck:    map[scheduler.TaskID]scheduler.AttemptNumber{},
 		usable:   map[scheduler.WorkerName]bool{},
 		reasoned: map[scheduler.TaskID]time.Time{},
 	}
@@ -114,6 +118,9 @@
 		}
 		delete(engine.placement.claims, id)
 		engine.machine.markChanged(claim.worker)
+		if pending && !free {
+			maps.Copy(engine.placement.stuck, claim.victims)
+		}
 		if incarnation := engine.incarnation(claim.worker); pending && free && incarnation != 0 {
 			operations = append(operations, Operation{Term: term, Assign: &Assign{
 				Task: id, Attempt: claim.attempt, Worker: claim.worker, Incarnation: incarnation,
@@ -188,8 +195,12 @@
 	for id, claim := range engine.placement.claims {
 		claimed[claim.worker] = claimed[claim.worker].Plus(engine.machine.request(id))
 	}
+	attempts := engine.machine.attempts(slices.Collect(maps.Keys(engine.placement.stuck)))
+	maps.DeleteFunc(engine.placement.stuck, func(id scheduler.TaskID, attempt scheduler.AttemptNumber) bool {
+		return attempts[id] != attempt
+	})
 	for _, name := range slices.Sorted(maps.Keys(changed)) {
-		state, ok := engine.machine.workerState(name)
+		state, ok := engine.machine.workerState(name, engine.placement.stuck)
 		if !ok {
 			engine.placer.Remove(name)
 			continue
--- a/internal/dispatcher/record.go
+++ b/internal/dispatcher/record.go
@@ -18,6 +18,8 @@
 	JobCancelled JobState = "cancelled"
 	// JobRefused means that the job could run nowhere when it was submitted.
 	JobRefused JobState = "refused"
+	// JobMoved means that the job has left for another data centre and never runs here again.
+	JobMoved JobState = "moved"
 )
 
 // TaskState is the state of a task and of its current attempt.
@@ -78,10 +80,13 @@
 	Digest            []byte             `cbor:"digest"`
 	State             JobState           `cbor:"state"`
 	Reason            string             `cbor:"reason,omitempty"`
-	Submitted         int64              `cbor:"submitted"`
-	Ended             int64              `cbor:"ended,omitempty"`
-	Groups            []taskGroup        `cbor:"groups,omitempty"`
-	Tasks             []*task            `cbor:"tasks,omitempty"`
+	// MovingTo is set from the release of the job on; Moves counts the releases.
+	Moves     uint64                   `cbor:"moves,omitempty"`
+	MovingTo  scheduler.DataCentreName `cbor:"movingTo,omitempty"`
+	Submitted int64                    `cbor:"submitted"`
+	Ended     int64                    `cbor:"ended,omitempty"`
+	Groups    []taskGroup              `cbor:"groups,omitempty"`
+	Tasks     []*task                  `cbor:"tasks,omitempty"`
 
 	// open counts the tasks that have not ended.
 	open int
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -103,7 +103,7 @@
 				return Error.New("task %s in the snapshot is on the unknown worker %s", task.ID, task.Worker)
 			}
 			machine.occupy(worker, task)
-		case task.State == TaskPending:
+		case task.State == TaskPending && job.MovingTo == "":
 			machine.pending[task.ID] = task
 		}
 	}
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -78,8 +78,11 @@
 	return machine.revision, workers
 }
 
-// workerState returns what the log knows of a worker; Usable is false for a drained one.
-func (machine *Machine) workerState(name scheduler.WorkerName) (scheduler.WorkerState, bool) {
+// workerState returns what the log knows of a worker; Usable is false for a drained one. The attempts
+// in hidden are reserved but not listed.
+func (machine *Machine) workerState(
+	name scheduler.WorkerName, hidden map[scheduler.TaskID]scheduler.AttemptNumber,
+) (scheduler.WorkerState, bool) {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
 	worker, ok := machine.workers[name]
@@ -88,6 +91,9 @@
 	}
 	state := scheduler.WorkerState{Worker: worker.Worker, Reserved: worker.reserved, Usable: !worker.Drained}
 	for _, task := range worker.tasks {
+		if hidden[task.ID] == task.Attempt {
+			continue
+		}
 		placed := scheduler.PlacedTask{
 			Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(), Started: time.UnixMilli(task.Since),
 		}
--- /dev/null
+++ b/internal/emulator/worker_test.go
@@ -0,0 +1,112 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+	"github.com/fxamacker/cbor/v2"
+)
+
+func answerOf(term scheduler.Term, renewed []scheduler.LeaseNumber, commands ...scheduler.WorkerCommand) *scheduler.SyncAnswer {
+	return &scheduler.SyncAnswer{Term: term, LeaseDuration: 15 * time.Second, Renewed: renewed, Commands: commands}
+}
+
+func startOf(lease scheduler.LeaseNumber) scheduler.WorkerCommand {
+	return scheduler.WorkerCommand{Kind: scheduler.CommandStart, Lease: lease, Task: "a/1", Attempt: 1, Spec: &scheduler.TaskSpec{RunTime: time.Hour}}
+}
+
+// Guards against workers that obey an old leader, start an attempt twice, or outlive a lease.
+func TestWorkerObeysLeases(t *testing.T) {
+	stop := scheduler.WorkerCommand{Kind: scheduler.CommandStop, Lease: 1, Grace: 4 * time.Second}
+	tests := map[string]struct {
+		answers []*scheduler.SyncAnswer
+		pause   time.Duration
+		want    []scheduler.AttemptOutcome
+	}{
+		"start":               {answers: []*scheduler.SyncAnswer{answerOf(1, nil, startOf(1))}, want: []scheduler.AttemptOutcome{""}},
+		"start repeated":      {answers: []*scheduler.SyncAnswer{answerOf(1, nil, startOf(1)), answerOf(1, nil, startOf(1))}, want: []scheduler.AttemptOutcome{""}},
+		"lower lease":         {answers: []*scheduler.SyncAnswer{answerOf(1, nil, startOf(2)), answerOf(1, nil, startOf(1))}, want: []scheduler.AttemptOutcome{""}},
+		"lower term":          {answers: []*scheduler.SyncAnswer{answerOf(2, nil), answerOf(1, nil, startOf(1))}},
+		"stop before start":   {answers: []*scheduler.SyncAnswer{answerOf(1, nil, stop), answerOf(1, nil, startOf(1))}},
+		"stop":                {answers: []*scheduler.SyncAnswer{answerOf(1, nil, startOf(1)), answerOf(1, nil, stop)}, pause: 3 * time.Second, want: []scheduler.AttemptOutcome{"stopped"}},
+		"not renewed":         {answers: []*scheduler.SyncAnswer{answerOf(1, nil, startOf(1))}, pause: 16 * time.Second, want: []scheduler.AttemptOutcome{"stopped"}},
+		"renewed by old term": {answers: []*scheduler.SyncAnswer{answerOf(2, nil, startOf(1)), answerOf(1, []scheduler.LeaseNumber{1})}, pause: 14500 * time.Millisecond, want: []scheduler.AttemptOutcome{"stopped"}},
+		"late answer":         {answers: []*scheduler.SyncAnswer{nil, answerOf(1, nil, startOf(1))}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				next, late := 0, slices.Contains(test.answers, nil)
+				exchange := func(_ context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
+					if next >= len(test.answers) {
+						return nil, Error.New("no answer")
+					}
+					answer := test.answers[next]
+					next++
+					if answer == nil {
+						return nil, Error.New("no answer")
+					}
+					if late {
+						time.Sleep(15 * time.Second)
+					}
+					answer.Sequence = request.Sequence
+					return answer, nil
+				}
+				worker := NewWorker("worker-1", exchange)
+				go worker.Run(ctx)
+				time.Sleep(time.Duration(len(test.answers))*time.Second + test.pause + 500*time.Millisecond)
+				if late {
+					time.Sleep(20 * time.Second)
+				}
+				cancel()
+				synctest.Wait()
+				executions := worker.Executions()
+				if len(executions) != len(test.want) {
+					t.Fatalf("got %+v, want %v", executions, test.want)
+				}
+				for i, want := range test.want {
+					if got := executions[i].Outcome; got != want {
+						t.Errorf("got outcome %q, want %q", got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against field names that differ between the two encodings.
+func TestHTTPExchange(t *testing.T) {
+	codecs := map[string]struct {
+		marshal   func(any) ([]byte, error)
+		unmarshal func([]byte, any) error
+	}{"application/json": {json.Marshal, json.Unmarshal}, "application/cbor": {cbor.Marshal, cbor.Unmarshal}}
+	for mediaType, codec := range codecs {
+		t.Run(mediaType, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				body := make([]byte, request.ContentLength)
+				_, _ = request.Body.Read(body)
+				var received scheduler.SyncRequest
+				if err := codec.unmarshal(body, &received); err != nil || request.URL.Path != "/v1/workers/worker-1/sync" || request.Header.Get("Accept") != mediaType {
+					writer.WriteHeader(http.StatusBadRequest)
+					return
+				}
+				answer, _ := codec.marshal(answerOf(3, received.Running, startOf(4)))
+				_, _ = writer.Write(answer)
+			}))
+			defer server.Close()
+			exchange := NewHTTPExchange(server.Client(), server.URL, mediaType)
+			answer, err := exchange(t.Context(), &scheduler.SyncRequest{Worker: "worker-1", Running: []scheduler.LeaseNumber{7}})
+			if err != nil || answer.Term != 3 || len(answer.Renewed) != 1 || answer.Renewed[0] != 7 || answer.Commands[0].Spec.RunTime != time.Hour {
+				t.Errorf("got %+v, %v", answer, err)
+			}
+		})
+	}
+}
