dispatcher: follow the inventory, drive moves, cheaper placement steps

Cause: nothing fed the configuration in force into the engine or delivered released jobs, and each step sorted and copied every waiting task. Change: FollowInventory and MoveJobs; steps look at important tasks only and at all of them once a second; only tasks that are offered are copied.

--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -25,7 +25,7 @@
 	case mismatch(task.spec(), worker.Worker.Labels) != "":
 		return refused(fmt.Sprintf("worker %s %s", assign.Worker, mismatch(task.spec(), worker.Worker.Labels)))
 	}
-	delete(machine.pending, task.ID)
+	machine.dequeue(task)
 	machine.lastLease++
 	task.Lease, task.Term = machine.lastLease, machine.term
 	task.Worker, task.Incarnation = assign.Worker, assign.Incarnation
@@ -152,6 +152,6 @@
 	task.Attempt++
 	task.enter(TaskPending, at, reason)
 	if task.job.MovingTo == "" {
-		machine.pending[task.ID] = task
+		machine.queue(task)
 	}
 }
--- a/internal/dispatcher/engine_test.go
+++ b/internal/dispatcher/engine_test.go
@@ -169,6 +169,39 @@
 	})
 }
 
+// Guards against a moving job that still runs here, is delivered before it has stopped, or is dropped
+// when its delivery fails.
+func TestMoveJobs(t *testing.T) {
+	calmTrial(t, func(t *testing.T, trial *trial) {
+		other, delivered := newBench(t, 1), 0
+		other.group = "chaguanas"
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go trial.cluster.leading().MoveJobs(ctx, func(_ context.Context, _ scheduler.DataCentreName, record []byte) error {
+			delivered++
+			if delivered < 3 {
+				return scheduler.ErrUnknown.New("no answer")
+			}
+			other.expect(Operation{Accept: &Accept{Record: record}}, ResultDone)
+			return nil
+		})
+		trial.mustSubmit(t, "job", false, 2, scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: time.Hour})
+		time.Sleep(5 * time.Second)
+		if err := trial.cluster.leading().Release(t.Context(), Release{Job: "job", To: "chaguanas", Operator: "ama"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(15 * time.Second)
+		if report := trial.report("job"); report.State != JobMoved || delivered != 3 || len(other.pending) != 2 {
+			t.Errorf("got %s after %d deliveries with %d tasks, want a move after 3 with 2", report.State, delivered, len(other.pending))
+		}
+		for _, execution := range trial.executions("job", 1) {
+			if execution.Outcome != scheduler.AttemptStopped {
+				t.Errorf("got %+v, want it stopped", execution)
+			}
+		}
+	})
+}
+
 // Guards against answers to requests that are late, repeated or at the wrong VM, and against attempts
 // that a restarted worker no longer has.
 func TestSyncRefusesOutdatedRequests(t *testing.T) {
--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -131,7 +131,7 @@
 			job.Tasks = append(job.Tasks, task)
 			job.open++
 			machine.tasks[task.ID] = task
-			machine.pending[task.ID] = task
+			machine.queue(task)
 		}
 	}
 }
@@ -174,7 +174,7 @@
 		task.enter(TaskCancelling, at, reason)
 		machine.changed[task.Worker] = struct{}{}
 	default:
-		delete(machine.pending, task.ID)
+		machine.dequeue(task)
 		task.enter(TaskCancelled, at, reason)
 	}
 }
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -27,7 +27,9 @@
 	tasks   map[scheduler.TaskID]*task
 	leases  map[scheduler.LeaseNumber]*task
 	pending map[scheduler.TaskID]*task
-	classes []workerClass
+	// important is the part of pending that each step of the engine looks at.
+	important map[scheduler.TaskID]*task
+	classes   []workerClass
 	// changed holds the workers that the engine must tell the placer about.
 	changed map[scheduler.WorkerName]struct{}
 }
@@ -50,6 +52,7 @@
 	machine.tasks = map[scheduler.TaskID]*task{}
 	machine.leases = map[scheduler.LeaseNumber]*task{}
 	machine.pending = map[scheduler.TaskID]*task{}
+	machine.important = map[scheduler.TaskID]*task{}
 	machine.classes = nil
 	machine.changed = map[scheduler.WorkerName]struct{}{}
 }
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/fxamacker/cbor/v2"
@@ -45,7 +46,7 @@
 	reason := "moves to " + string(release.To) + " for " + release.Operator
 	job.Reason = reason
 	for _, task := range job.Tasks {
-		delete(machine.pending, task.ID)
+		machine.dequeue(task)
 		if task.State == TaskStarting || task.State == TaskRunning {
 			task.Evictions++
 			task.enter(TaskEvicting, at, reason)
@@ -127,14 +128,15 @@
 // MovedJobs returns the moved jobs whose new home has not confirmed them, in order. After a failure
 // the mover goes on with these.
 func (machine *Machine) MovedJobs() []scheduler.JobID {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
 	var moved []scheduler.JobID
-	for _, id := range machine.Jobs() {
-		machine.mutex.RLock()
-		if job, ok := machine.jobs[id]; ok && job.State == JobMoved && job.Ended == 0 {
+	for id, job := range machine.jobs {
+		if job.State == JobMoved && job.Ended == 0 {
 			moved = append(moved, id)
 		}
-		machine.mutex.RUnlock()
 	}
+	slices.Sort(moved)
 	return moved
 }
 
--- a/internal/dispatcher/operator.go
+++ b/internal/dispatcher/operator.go
@@ -84,10 +84,10 @@
 	if term == 0 {
 		return Error.Wrap(scheduler.ErrNotRun.New("this VM does not lead group %s", engine.group.Name()))
 	}
-	inForce, known := engine.machine.Workers()
-	if revision <= inForce {
+	if revision <= engine.machine.Revision() {
 		return nil
 	}
+	inForce, known := engine.machine.Workers()
 	before := map[scheduler.WorkerName]scheduler.Worker{}
 	for _, worker := range known {
 		before[worker.Name] = worker
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -15,6 +15,10 @@
 	// maxOffered bounds the pending tasks that the placer looks at in one step; the others get
 	// their turn in later steps.
 	maxOffered = 2000
+	// offerPeriod is how often all pending tasks are offered. In between only important ones are,
+	// since sorting 16,000 waiting batch tasks at each step would take a large part of the bound
+	// of 1.4% of a core.
+	offerPeriod = time.Second
 	// reasonPeriod limits how often the reason of a waiting task is logged.
 	reasonPeriod = 10 * time.Second
 	// maxReasons bounds the reasons that one step logs.
@@ -25,9 +29,6 @@
 	purgePeriod = 10 * time.Minute
 )
 
-// pacedReason is why a task of a lost worker waits although there may be room.
-const pacedReason = "re-placement after lost workers is paced"
-
 // placement is what the placing goroutine remembers between steps.
 type placement struct {
 	claims map[scheduler.TaskID]claim
@@ -40,6 +41,7 @@
 	budget    float64
 	budgeted  time.Time
 	nextPurge time.Time
+	offered   time.Time
 	turn      int
 }
 
@@ -68,7 +70,14 @@
 	operations := engine.settleClaims(term, now)
 	operations = append(operations, engine.emptyWorkers(term)...)
 	engine.updatePlacer(now)
-	pending, waits := engine.offer(now)
+	all := now.Sub(engine.placement.offered) >= offerPeriod
+	if all {
+		engine.placement.offered = now
+		engine.placement.turn++
+	}
+	pending, waits := engine.machine.offer(now, engine.placement.claims, offer{
+		all: all, paced: engine.placement.budget < 1, turn: engine.placement.turn,
+	})
 	tasks := make([]scheduler.PendingTask, len(pending))
 	for i := range pending {
 		tasks[i] = pending[i].task
@@ -211,30 +220,6 @@
 	}
 }
 
-// offer returns the pending tasks that the placer may look at now, most important first, and the
-// reasons why the others wait.
-func (engine *Engine) offer(now time.Time) ([]candidate, []Wait) {
-	pending, waits := engine.machine.pendingTasks(now, engine.placement.claims)
-	slices.SortFunc(pending, comparePending)
-	offered := pending[:0]
-	for _, candidate := range pending {
-		if candidate.replaced && engine.placement.budget < 1 {
-			waits = append(waits, Wait{Task: candidate.task.Task, Reason: pacedReason})
-			continue
-		}
-		offered = append(offered, candidate)
-	}
-	if len(offered) <= maxOffered {
-		return offered, waits
-	}
-	// The most important half is always offered, the rest takes turns.
-	rest := offered[maxOffered/2:]
-	placement := &engine.placement
-	placement.turn = (placement.turn + maxOffered/2) % len(rest)
-	rotated := append(slices.Clone(rest[placement.turn:]), rest[:placement.turn]...)
-	return append(slices.Clone(offered[:maxOffered/2]), rotated[:maxOffered/2]...), waits
-}
-
 // decideAll takes the assignments in the order of importance. The budget limits those of tasks whose
 // worker was lost; it is charged here and not for the offer, because tasks that fit nowhere at present
 // would otherwise use it up.
@@ -263,30 +248,6 @@
 	return operations
 }
 
-// candidate is a pending task and what decides on its order.
-type candidate struct {
-	task     scheduler.PendingTask
-	replaced bool
-}
-
-func comparePending(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(importance(&a.task), importance(&b.task)),
-		cmp.Compare(b.task.Waiting, a.task.Waiting),
-		cmp.Compare(a.task.Task, b.task.Task),
-	)
-}
-
-func importance(task *scheduler.PendingTask) int {
-	switch {
-	case task.Spec.Class == scheduler.ClassLatencyCritical:
-		return 0
-	case task.Urgent:
-		return 1
-	}
-	return 2
-}
-
 // reasons logs why tasks wait, when the reason is new and not more often than reasonPeriod.
 func (engine *Engine) reasons(waits []Wait, now time.Time) []Operation {
 	reasoned := engine.placement.reasoned
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -104,7 +104,7 @@
 			}
 			machine.occupy(worker, task)
 		case task.State == TaskPending && job.MovingTo == "":
-			machine.pending[task.ID] = task
+			machine.queue(task)
 		}
 	}
 	return nil
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -15,6 +15,13 @@
 	return machine.term
 }
 
+// Revision returns the revision of the inventory in the log.
+func (machine *Machine) Revision() scheduler.Revision {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	return machine.revision
+}
+
 // JobReport answers what has become of a job and why. It is a wire type.
 type JobReport struct {
 	Job    scheduler.JobID    `json:"job"`
@@ -181,39 +188,6 @@
 	return ""
 }
 
-// pendingTasks returns the tasks that can be placed now and why others cannot. Tasks in back-off have
-// their reason from the failure.
-func (machine *Machine) pendingTasks(now time.Time, claims map[scheduler.TaskID]claim) ([]candidate, []Wait) {
-	machine.mutex.RLock()
-	defer machine.mutex.RUnlock()
-	var pending []candidate
-	var waits []Wait
-	// A time far ahead comes from another VM's wrong clock and is not waited for.
-	latest := now.Add(maxBackOff).UnixMilli()
-	for id, task := range machine.pending {
-		if _, ok := claims[id]; ok || (task.NotBefore > now.UnixMilli() && task.NotBefore <= latest) {
-			continue
-		}
-		if nowhere := task.job.Groups[task.Group].Nowhere; nowhere != "" {
-			waits = append(waits, Wait{Task: id, Reason: "can run nowhere at present: " + nowhere})
-			continue
-		}
-		pending = append(pending, candidate{task: task.pending(now), replaced: task.Replaced})
-	}
-	slices.SortFunc(waits, func(a, b Wait) int { return compareIDs(a.Task, b.Task) })
-	return pending, waits
-}
-
-func compareIDs(a, b scheduler.TaskID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (task *task) pending(now time.Time) scheduler.PendingTask {
 	pending := scheduler.PendingTask{
 		Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(),
