--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,289 @@
+package placer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func resources(cores, gigabytes, accelerators int64) scheduler.Resources {
+	return scheduler.Resources{MilliCores: cores * 1000, MemoryBytes: gigabytes << 30, Accelerators: accelerators}
+}
+
+func worker(name, rack string, cores int64, labels map[string]string) scheduler.Worker {
+	return scheduler.Worker{
+		Name: scheduler.WorkerName(name), Rack: rack, Capacity: resources(cores, 4*cores, 2), Labels: labels,
+	}
+}
+
+func spec(class scheduler.Class, kind string, request scheduler.Resources) scheduler.TaskSpec {
+	return scheduler.TaskSpec{Class: class, Kind: kind, Request: request, RunTime: time.Hour}
+}
+
+func running(id string, s scheduler.TaskSpec, age, checkpointAge time.Duration) scheduler.PlacedTask {
+	job, _, _ := strings.Cut(id, "/")
+	return scheduler.PlacedTask{
+		Task: scheduler.TaskID(id), Job: scheduler.JobID(job), Spec: s,
+		Started: start.Add(-age), LastCheckpoint: start.Add(-checkpointAge),
+	}
+}
+
+func state(w scheduler.Worker, tasks ...scheduler.PlacedTask) scheduler.WorkerState {
+	s := scheduler.WorkerState{Worker: w, Tasks: tasks, Usable: true}
+	for _, task := range tasks {
+		s.Reserved = s.Reserved.Plus(task.Spec.Request)
+	}
+	return s
+}
+
+type fixedEstimator map[string]float64
+
+func (f fixedEstimator) Harm(pairing scheduler.Pairing) scheduler.Estimate {
+	return scheduler.Estimate{Harm: f[pairing.Service+"+"+pairing.Kind]}
+}
+
+func (f fixedEstimator) Load(string) scheduler.LoadLevel { return scheduler.LoadMedium }
+
+// Guards against placement on workers that lack room, labels or fitness, and against refusals
+// without a usable reason.
+func TestPlaceOneTask(t *testing.T) {
+	batch := spec(scheduler.ClassBatch, "scaling", resources(4, 8, 0))
+	service := spec(scheduler.ClassLatencyCritical, "desk", resources(4, 8, 0))
+	full := spec(scheduler.ClassBatch, "report", resources(6, 30, 0))
+	old := running("old/1", full, 20*time.Minute, 20*time.Minute)
+	saved := running("saved/1", full, 20*time.Minute, time.Minute)
+	ending := running("ending/1", full, 58*time.Minute, 58*time.Minute)
+	unknown := state(worker("a", "r1", 8, nil))
+	unknown.Reserved = resources(6, 30, 0)
+	drained := state(worker("a", "r1", 8, nil))
+	drained.Usable = false
+	pool := map[string]string{"pool": "x"}
+	cases := map[string]struct {
+		workers []scheduler.WorkerState
+		pending scheduler.PendingTask
+		want    scheduler.WorkerName
+		evict   []scheduler.TaskID
+		reason  string
+		never   bool
+	}{
+		"fits": {workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil))}, pending: scheduler.PendingTask{Spec: batch}, want: "a"},
+		"less loaded worker": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 16, nil), saved), state(worker("b", "r1", 16, nil))},
+			pending: scheduler.PendingTask{Spec: batch}, want: "b",
+		},
+		"unknown attempts stay reserved": {workers: []scheduler.WorkerState{unknown}, pending: scheduler.PendingTask{Spec: batch}, reason: "1 are full"},
+		"worker not usable":              {workers: []scheduler.WorkerState{drained}, pending: scheduler.PendingTask{Spec: batch}, reason: "1 are not usable"},
+		"worker to avoid": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil))},
+			pending: scheduler.PendingTask{Spec: batch, AvoidWorkers: []scheduler.WorkerName{"a"}}, reason: "1 are avoided",
+		},
+		"label": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil)), state(worker("b", "r1", 8, pool))},
+			pending: scheduler.PendingTask{Spec: scheduler.TaskSpec{Request: batch.Request, Constraints: pool}}, want: "b",
+		},
+		"label that no worker has": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil))},
+			pending: scheduler.PendingTask{Spec: scheduler.TaskSpec{Constraints: pool}}, reason: `label pool is "", "x" is required`, never: true,
+		},
+		"larger than any worker": {
+			workers: []scheduler.WorkerState{drained}, never: true, reason: "9.0 cores requested, 8.0 exist",
+			pending: scheduler.PendingTask{Spec: spec(scheduler.ClassBatch, "x", resources(9, 1, 0))},
+		},
+		"no worker": {pending: scheduler.PendingTask{Spec: batch}, reason: "no worker is known"},
+		"urgent evicts where least work is lost": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil), old), state(worker("b", "r1", 8, nil), saved)},
+			pending: scheduler.PendingTask{Spec: service, Urgent: true}, want: "b", evict: []scheduler.TaskID{"saved/1"},
+		},
+		"task near its end is spared": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil), ending)},
+			pending: scheduler.PendingTask{Spec: service, Urgent: true}, reason: "no permitted eviction",
+		},
+		"batch that waits evicts nothing": {
+			workers: []scheduler.WorkerState{state(worker("a", "r1", 8, nil), old)},
+			pending: scheduler.PendingTask{Spec: batch}, reason: "1 are full",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, err := New()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, w := range c.workers {
+				p.Update(w)
+			}
+			c.pending.Task, c.pending.Job = "new/1", "new"
+			assignments, refusals := p.Place(start, []scheduler.PendingTask{c.pending})
+			if c.want != "" {
+				if len(assignments) != 1 || assignments[0].Worker != c.want || !slices.Equal(assignments[0].Evict, c.evict) {
+					t.Fatalf("got %v and %v, want worker %s with evictions %v", assignments, refusals, c.want, c.evict)
+				}
+				return
+			}
+			if len(refusals) != 1 || refusals[0].Never != c.never || !strings.Contains(refusals[0].Reason, c.reason) {
+				t.Fatalf("got %v and %v, want refusal with %q, never %v", assignments, refusals, c.reason, c.never)
+			}
+		})
+	}
+}
+
+// Guards against batch next to a service that it slows down, in both orders of arrival, and against
+// work that never starts because of that.
+func TestPlaceInterference(t *testing.T) {
+	p, _ := New(WithEstimator(fixedEstimator{"desk+scaling": 2, "desk+report": 0.02}))
+	desk := spec(scheduler.ClassLatencyCritical, "desk", resources(2, 2, 0))
+	p.Update(state(worker("a", "r1", 8, nil), running("desk/1", desk, time.Hour, 0)))
+	pending := func(kind string, waiting time.Duration) []scheduler.PendingTask {
+		return []scheduler.PendingTask{{
+			Task: scheduler.TaskID(kind + "/1"), Waiting: waiting,
+			Spec: spec(scheduler.ClassBatch, kind, resources(2, 2, 0)),
+		}}
+	}
+	if got, refusals := p.Place(start, pending("scaling", 0)); len(got) != 0 || !strings.Contains(refusals[0].Reason, "slow down") {
+		t.Errorf("got %v %v, want refusal of the harmful kind", got, refusals)
+	}
+	if got, _ := p.Place(start, pending("report", 0)); len(got) != 1 {
+		t.Errorf("got %v, want the harmless kind placed", got)
+	}
+	if got, _ := p.Place(start, pending("scaling", time.Hour)); len(got) != 1 {
+		t.Errorf("got %v, want the harmful kind placed after a long wait", got)
+	}
+	p.Update(state(worker("b", "r1", 8, nil), running("x/1", spec(scheduler.ClassBatch, "scaling", resources(2, 2, 0)), 0, 0)))
+	p.Update(state(worker("c", "r1", 8, nil), running("y/1", spec(scheduler.ClassBatch, "report", resources(4, 2, 0)), 0, 0)))
+	if got, _ := p.Place(start, []scheduler.PendingTask{{Task: "desk/2", Spec: desk}}); len(got) != 1 || got[0].Worker != "c" {
+		t.Errorf("got %v, want the service next to the harmless kind", got)
+	}
+}
+
+// Guards against all tasks of a job being lost with one rack.
+func TestPlaceSpread(t *testing.T) {
+	p, _ := New()
+	for i := range 6 {
+		p.Update(state(worker(fmt.Sprint("w", i), fmt.Sprint("r", i%3), 8, nil)))
+	}
+	racks := map[scheduler.WorkerName]int{}
+	for i := range 3 {
+		s := spec(scheduler.ClassLatencyCritical, "desk", resources(1, 1, 0))
+		s.Spread = spreadRack
+		got, _ := p.Place(start, []scheduler.PendingTask{{Task: scheduler.TaskID(fmt.Sprint("desk/", i)), Job: "desk", Spec: s}})
+		racks[scheduler.WorkerName(p.hosts[got[0].Worker].worker.Rack)]++
+	}
+	if got, want := len(racks), 3; got != want {
+		t.Errorf("got %d racks in use, want %d", got, want)
+	}
+}
+
+// Guards against a job that loses one task after another to urgent work.
+func TestEvictionBudget(t *testing.T) {
+	p, _ := New(WithEvictionBudget(1, time.Minute))
+	victim := spec(scheduler.ClassBatch, "report", resources(8, 1, 0))
+	p.Update(state(worker("a", "r1", 8, nil), running("job/1", victim, time.Minute, 0)))
+	p.Update(state(worker("b", "r1", 8, nil), running("job/2", victim, time.Minute, 0)))
+	urgent := func(id scheduler.TaskID) []scheduler.PendingTask {
+		return []scheduler.PendingTask{{Task: id, Urgent: true, Spec: spec(scheduler.ClassLatencyCritical, "desk", resources(8, 1, 0))}}
+	}
+	steps := []struct {
+		after time.Duration
+		task  scheduler.TaskID
+		want  int
+	}{{0, "u/1", 1}, {time.Second, "u/2", 0}, {2 * time.Minute, "u/3", 1}}
+	for _, step := range steps {
+		if got, refusals := p.Place(start.Add(step.after), urgent(step.task)); len(got) != step.want {
+			t.Errorf("after %v: got %v %v, want %d assignments", step.after, got, refusals, step.want)
+		}
+	}
+}
+
+// Guards against a worker that holds more memory or accelerators than it has, or more processors
+// than the overcommit bound allows, over any sequence of updates, confirmations and withdrawals.
+func TestNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, _ := New()
+		states := map[scheduler.WorkerName]*scheduler.WorkerState{}
+		for i := range 3 {
+			s := state(worker(fmt.Sprint("w", i), "r", 8, nil))
+			states[s.Worker.Name] = &s
+			p.Update(s)
+		}
+		waiting := map[scheduler.TaskID]scheduler.Assignment{}
+		specs := map[scheduler.TaskID]scheduler.TaskSpec{}
+		now := start
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second / 4)
+			name := scheduler.WorkerName(fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "worker")))
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				id := scheduler.TaskID(fmt.Sprint("j", i, "/1"))
+				class := rapid.SampledFrom([]scheduler.Class{scheduler.ClassBatch, scheduler.ClassLatencyCritical}).Draw(t, "class")
+				specs[id] = spec(class, "k", resources(rapid.Int64Range(1, 6).Draw(t, "cores"), rapid.Int64Range(1, 20).Draw(t, "memory"), rapid.Int64Range(0, 2).Draw(t, "accelerators")))
+				got, _ := p.Place(now, []scheduler.PendingTask{{Task: id, Job: scheduler.JobID(id), Spec: specs[id], Urgent: rapid.Bool().Draw(t, "urgent")}})
+				for _, a := range got {
+					waiting[id] = a
+				}
+			case 2:
+				// Victims stop one at a time; a task starts once all its victims have.
+				advance(states[name], waiting, specs, now)
+				p.Update(*states[name])
+			case 3:
+				p.Observe(scheduler.UsageReport{Worker: name, Tasks: usages(states[name])})
+			}
+			check(t, states)
+		}
+	})
+}
+
+func advance(s *scheduler.WorkerState, waiting map[scheduler.TaskID]scheduler.Assignment, specs map[scheduler.TaskID]scheduler.TaskSpec, now time.Time) {
+	for id, a := range waiting {
+		if a.Worker != s.Worker.Name {
+			continue
+		}
+		stopped := false
+		s.Tasks = slices.DeleteFunc(slices.Clone(s.Tasks), func(task scheduler.PlacedTask) bool {
+			if stopped || !slices.Contains(a.Evict, task.Task) {
+				return false
+			}
+			stopped = true
+			return true
+		})
+		if !stopped {
+			s.Tasks = append(s.Tasks, scheduler.PlacedTask{Task: id, Job: scheduler.JobID(id), Spec: specs[id], Started: now})
+			delete(waiting, id)
+		}
+	}
+	*s = state(s.Worker, s.Tasks...)
+}
+
+func usages(s *scheduler.WorkerState) []scheduler.TaskUsage {
+	var got []scheduler.TaskUsage
+	for _, task := range s.Tasks {
+		got = append(got, scheduler.TaskUsage{Task: task.Task, MilliCores: task.Spec.Request.MilliCores / 3})
+	}
+	return got
+}
+
+func check(t *rapid.T, states map[scheduler.WorkerName]*scheduler.WorkerState) {
+	for name, s := range states {
+		if got, want := s.Reserved, s.Worker.Capacity; got.MemoryBytes > want.MemoryBytes || got.Accelerators > want.Accelerators {
+			t.Fatalf("worker %s: got %v reserved, want at most %v", name, got, want)
+		}
+		var batch, critical int64
+		for _, task := range s.Tasks {
+			if task.Spec.Class == scheduler.ClassBatch {
+				batch += task.Spec.Request.MilliCores
+			} else {
+				critical += task.Spec.Request.MilliCores
+			}
+		}
+		if got, want := float64(batch), defaultOvercommit*float64(s.Worker.Capacity.MilliCores-critical); got > want+2 {
+			t.Fatalf("worker %s: got %v declared batch milli-cores, want at most %v", name, got, want)
+		}
+	}
+}
