auditor: hash-chained audit trail

Cause: changes by operators must be recorded so that a later edit of the record is noticed. A record that a crash cut off, and that was never acknowledged, is removed when the trail is opened. Conclusion: the trail can be wired; it needs the hash of its head kept elsewhere to withstand someone who can rewrite the whole folder.

--- /dev/null
+++ b/internal/auditor/trail.go
@@ -0,0 +1,266 @@
+package auditor
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// defaultFileBytes is the size from which on a new file is started, about 25,000 records.
+	defaultFileBytes = 8 << 20
+	// markInterval is the number of records between marks, at one of which each Read starts.
+	markInterval = 64
+	// maxPageRecords bounds the records of one Read.
+	maxPageRecords = 1000
+)
+
+// Option changes a setting of a Trail.
+type Option func(trail *Trail)
+
+// WithFileBytes sets the size from which on a new file is started. The default is 8 MiB.
+func WithFileBytes(bytes int64) Option {
+	return func(trail *Trail) { trail.fileBytes = bytes }
+}
+
+// Trail is a scheduler.AuditTrail in a folder. It is safe for concurrent use. Its errors are of class
+// Error; those that are also of class scheduler.ErrJournalFailed are final.
+type Trail struct {
+	folder    string
+	fileBytes int64
+	lock      io.Closer
+
+	// mutex protects what follows. It is held during the writing of a record.
+	mutex    sync.Mutex
+	file     file
+	fileName string
+	lines    int
+	size     int64
+	last     link
+	marks    []mark
+	failed   error
+}
+
+var _ scheduler.AuditTrail = (*Trail)(nil)
+
+// file is the part of os.File that a Trail uses.
+type file interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// mark is a place in a file, right after the record of a link or after the start line.
+type mark struct {
+	link   link
+	file   string
+	line   int
+	offset int64
+}
+
+// Open opens the trail in a folder, creates it if the parent folder exists, and locks it until Close.
+// It reads all records; a damaged trail is refused with a DamageError and left as it is. A record that
+// was being written when the process ended, and so was never acknowledged, is cut off.
+func Open(folder string, options ...Option) (*Trail, error) {
+	if err := os.Mkdir(folder, 0o750); err != nil && !errors.Is(err, os.ErrExist) {
+		return nil, Error.Wrap(err)
+	}
+	if err := syncFolder(filepath.Dir(folder)); err != nil {
+		return nil, finalError("sync "+filepath.Dir(folder), err)
+	}
+	lock, err := lockFolder(folder)
+	if err != nil {
+		return nil, Error.New("lock %s: %w", folder, err)
+	}
+	trail := &Trail{folder: folder, fileBytes: defaultFileBytes, lock: lock}
+	for _, option := range options {
+		option(trail)
+	}
+	if err := trail.load(); err != nil {
+		return nil, Error.Wrap(errors.Join(err, lock.Close()))
+	}
+	return trail, nil
+}
+
+func (trail *Trail) load() error {
+	if err := trail.create(); err != nil {
+		return err
+	}
+	head, end, torn, err := scanFolder(trail.folder, trail.mark)
+	if err != nil {
+		return err
+	}
+	trail.fileName, trail.size, trail.lines, trail.last = end.file, end.offset, end.line, end.last
+	file, err := os.OpenFile(filepath.Clean(end.file), os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	if torn {
+		err = file.Truncate(end.offset)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if err == nil && end.last != head {
+		err = trail.saveHead(end.last)
+	}
+	if err != nil {
+		return finalError("repair "+end.file, errors.Join(err, file.Close()))
+	}
+	trail.file = file
+	return nil
+}
+
+// create writes the first files of a new trail. The head comes last; without it, a folder with records
+// is damaged, one without records is new.
+func (trail *Trail) create() error {
+	_, found, err := readHead(trail.folder)
+	if err != nil || found {
+		return err
+	}
+	names, err := fileNames(trail.folder)
+	if err != nil {
+		return err
+	}
+	first := fileName(trail.folder, 1)
+	for _, name := range names {
+		info, err := os.Stat(name)
+		if err != nil {
+			return err
+		}
+		if name != first || info.Size() > int64(len(link{}.line())) {
+			return &DamageError{file: filepath.Join(trail.folder, headName), line: 1, reason: "missing, but records exist"}
+		}
+	}
+	if err := writeWhole(first, link{}.line()); err != nil {
+		return finalError("create "+first, err)
+	}
+	if err := trail.saveHead(link{}); err != nil {
+		return finalError("create the head in "+trail.folder, err)
+	}
+	return nil
+}
+
+func (trail *Trail) saveHead(head link) error {
+	return writeWhole(filepath.Join(trail.folder, headName), head.line())
+}
+
+// mark remembers the place of a scanner at the start of a file and at regular intervals.
+func (trail *Trail) mark(scanner *scanner) {
+	if scanner.line == 1 || scanner.last.index%markInterval == 0 {
+		trail.marks = append(trail.marks, mark{
+			link: scanner.last, file: scanner.file, line: scanner.line, offset: scanner.offset,
+		})
+	}
+}
+
+// Append stores a record durably and returns its index. It sets the record's index, and its time if
+// that is zero. After an error of class scheduler.ErrJournalFailed the trail refuses every further
+// record, since the last one may or may not be stored; the next Open finds out.
+func (trail *Trail) Append(record scheduler.AuditRecord) (index uint64, err error) {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	if trail.failed != nil {
+		return 0, trail.failed
+	}
+	record.Index = trail.last.index + 1
+	if record.Time.IsZero() {
+		record.Time = time.Now()
+	}
+	record.Time = record.Time.UTC()
+	data, err := json.Marshal(record)
+	if err != nil {
+		return 0, Error.New("encode record: %w", err)
+	}
+	next := trail.last.next(data)
+	line := recordLine(next, data)
+	if len(line) > maxRecordBytes {
+		return 0, Error.New("record of %d bytes exceeds the limit of %d", len(line), maxRecordBytes)
+	}
+	if err := trail.write(next, line); err != nil {
+		trail.failed = finalError("append to "+trail.fileName, err)
+		return 0, trail.failed
+	}
+	return record.Index, nil
+}
+
+// write stores a line and then the head, so that the head never names a record that is not durable.
+func (trail *Trail) write(next link, line []byte) error {
+	if trail.size >= trail.fileBytes && trail.lines > 1 {
+		if err := trail.rotate(); err != nil {
+			return err
+		}
+	}
+	if _, err := trail.file.Write(line); err != nil {
+		return err
+	}
+	if err := trail.file.Sync(); err != nil {
+		return err
+	}
+	if err := trail.saveHead(next); err != nil {
+		return err
+	}
+	trail.last = next
+	trail.size += int64(len(line))
+	trail.lines++
+	trail.mark(&scanner{file: trail.fileName, line: trail.lines, offset: trail.size, last: next})
+	return nil
+}
+
+// rotate starts a new file. All records of the old one are synced.
+func (trail *Trail) rotate() error {
+	if err := trail.file.Close(); err != nil {
+		return err
+	}
+	name, start := fileName(trail.folder, trail.last.index+1), trail.last.line()
+	if err := writeWhole(name, start); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(filepath.Clean(name), os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	trail.file, trail.fileName, trail.size, trail.lines = file, name, int64(len(start)), 1
+	trail.mark(&scanner{file: name, line: 1, offset: trail.size, last: trail.last})
+	return nil
+}
+
+// Head returns the index and the hash of the last record.
+func (trail *Trail) Head() (index uint64, hash string) {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	return trail.last.index, hex.EncodeToString(trail.last.hash[:])
+}
+
+// Verify reads the whole trail. The error holds a DamageError for the first bad record.
+func (trail *Trail) Verify() error {
+	trail.mutex.Lock()
+	head := trail.last
+	trail.mutex.Unlock()
+	scan := &folderScan{head: head}
+	if _, _, err := scan.run(trail.folder); err != nil {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+// Close closes the files and releases the folder. Later records are refused.
+func (trail *Trail) Close() error {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	if trail.lock == nil {
+		return nil
+	}
+	err := errors.Join(trail.file.Close(), trail.lock.Close())
+	trail.lock = nil
+	if trail.failed == nil {
+		trail.failed = scheduler.ErrJournalFailed.Wrap(Error.New("trail is closed"))
+	}
+	return Error.Wrap(err)
+}
