scheduler: rename the workers' usage report to AttemptUsage

Cause: two parts gave the name UsageReport to two types, which did not build together. Change: the worker exchange's type is AttemptUsage.

--- a/design/design.go
+++ b/design/design.go
@@ -12,7 +12,7 @@
 	Version("1.0")
 	Server("entryVM", func() {
 		Services("jobs", "configuration", "state", "audit", "replicas", "health")
-		Host("local", func() { URI("http://127.0.0.1:7300") })
+		Host("local", func() { URI("http://127.0.1.1:7200") })
 	})
 })
 
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -44,7 +44,7 @@
 	placer          scheduler.Placer
 	log             zerolog.Logger
 	batcher         *batcher
-	usage           func(worker scheduler.WorkerName, reports []scheduler.UsageReport)
+	usage           func(worker scheduler.WorkerName, reports []scheduler.AttemptUsage)
 	leaseDuration   time.Duration
 	leaseMargin     time.Duration
 	grace           time.Duration
@@ -90,7 +90,7 @@
 func WithLogger(log zerolog.Logger) Option { return func(engine *Engine) { engine.log = log } }
 
 // WithUsage sets the function that gets the workers' usage reports. It must not block.
-func WithUsage(usage func(worker scheduler.WorkerName, reports []scheduler.UsageReport)) Option {
+func WithUsage(usage func(worker scheduler.WorkerName, reports []scheduler.AttemptUsage)) Option {
 	return func(engine *Engine) { engine.usage = usage }
 }
 
@@ -110,7 +110,7 @@
 	engine := &Engine{
 		vm: vm, group: group, machine: machine, placer: placer, log: zerolog.Nop(),
 		batcher:       &batcher{group: group},
-		usage:         func(scheduler.WorkerName, []scheduler.UsageReport) {},
+		usage:         func(scheduler.WorkerName, []scheduler.AttemptUsage) {},
 		leaseDuration: defaultLeaseDuration, leaseMargin: defaultLeaseMargin, grace: defaultGrace,
 		victimTimeout: defaultVictimTimeout, tick: defaultTick, replacementRate: defaultReplacementRate,
 	}
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -24,11 +24,14 @@
 
 // JobReport answers what has become of a job and why. It is a wire type.
 type JobReport struct {
-	Job    scheduler.JobID    `json:"job"`
-	Team   scheduler.TeamName `json:"team"`
-	State  JobState           `json:"state"`
-	Reason string             `json:"reason,omitempty"`
-	Tasks  []TaskReport       `json:"tasks,omitempty"`
+	Job  scheduler.JobID    `json:"job"`
+	Team scheduler.TeamName `json:"team"`
+	// Class and Kind are those of the job's first group of tasks.
+	Class  scheduler.Class `json:"class,omitempty"`
+	Kind   string          `json:"kind,omitempty"`
+	State  JobState        `json:"state"`
+	Reason string          `json:"reason,omitempty"`
+	Tasks  []TaskReport    `json:"tasks,omitempty"`
 }
 
 // TaskReport answers what has become of a task and why. It is a wire type.
@@ -55,6 +58,9 @@
 		return JobReport{}, false
 	}
 	report = JobReport{Job: id, Team: job.Team, State: job.State, Reason: job.Reason}
+	if len(job.Groups) > 0 {
+		report.Class, report.Kind = job.Groups[0].Spec.Class, job.Groups[0].Spec.Kind
+	}
 	for _, task := range job.Tasks {
 		report.Tasks = append(report.Tasks, TaskReport{
 			Task: task.ID, State: task.State, Attempt: task.Attempt, Lease: task.Lease, Worker: task.Worker,
--- a/internal/emulator/attempt.go
+++ b/internal/emulator/attempt.go
@@ -29,7 +29,7 @@
 // usage is a report that is sent once it is due.
 type usage struct {
 	until  time.Duration
-	report scheduler.UsageReport
+	report scheduler.AttemptUsage
 }
 
 // usageInterval is what one usage report covers.
@@ -108,7 +108,7 @@
 	}
 	if now >= attempt.nextUsage {
 		attempt.nextUsage = now + usageInterval
-		worker.usage = append(worker.usage, usage{until: now, report: scheduler.UsageReport{
+		worker.usage = append(worker.usage, usage{until: now, report: scheduler.AttemptUsage{
 			Lease: execution.Lease, Interval: usageInterval, Used: attempt.spec.Request,
 		}})
 	}
@@ -136,8 +136,8 @@
 
 // dueUsage takes the usage reports that are old enough to be sent. They are sent once; lost ones stay
 // lost, as with real workers.
-func (worker *Worker) dueUsage(now time.Duration) []scheduler.UsageReport {
-	var due []scheduler.UsageReport
+func (worker *Worker) dueUsage(now time.Duration) []scheduler.AttemptUsage {
+	var due []scheduler.AttemptUsage
 	for len(worker.usage) > 0 && now-worker.usage[0].until >= usageDelay {
 		report := worker.usage[0].report
 		report.Age = now - worker.usage[0].until
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -66,10 +66,12 @@
 	return names
 }
 
-// Kernel runs a set of roles. It is safe for concurrent use.
+// Kernel runs a set of roles: Build, Start and Stop are called in this order from one goroutine; the
+// other methods are safe for concurrent use.
 type Kernel struct {
 	mutex    sync.Mutex
 	services map[string]any
+	built    []namedRole
 	running  []namedRole
 }
 
@@ -97,32 +99,34 @@
 	return kernel.services[name]
 }
 
-// Start starts the named roles in dependency order. When one fails, those that run are stopped and
-// the failure is returned.
-func (kernel *Kernel) Start(ctx context.Context, names []string) error {
+// Build builds the named roles in dependency order. Nothing runs yet, so roles can register handlers
+// with what the daemon starts next.
+func (kernel *Kernel) Build(names []string) error {
 	order, err := startOrder(names)
 	if err != nil {
 		return err
 	}
 	for _, plugin := range order {
-		if err := kernel.startOne(ctx, plugin); err != nil {
-			return errs.Combine(err, kernel.Stop(ctx))
+		role, err := plugin.build(kernel)
+		if err != nil {
+			return Error.New("build role %s: %v", plugin.name, err)
 		}
+		kernel.built = append(kernel.built, namedRole{name: plugin.name, role: role})
 	}
 	return nil
 }
 
-func (kernel *Kernel) startOne(ctx context.Context, plugin Plugin) error {
-	role, err := plugin.build(kernel)
-	if err != nil {
-		return Error.New("build role %s: %v", plugin.name, err)
-	}
-	if err := role.Start(ctx); err != nil {
-		return Error.New("start role %s: %v", plugin.name, err)
+// Start starts the built roles in order. When one fails, those that run are stopped and the failure is
+// returned.
+func (kernel *Kernel) Start(ctx context.Context) error {
+	for _, entry := range kernel.built {
+		if err := entry.role.Start(ctx); err != nil {
+			return errs.Combine(Error.New("start role %s: %v", entry.name, err), kernel.Stop(ctx))
+		}
+		kernel.mutex.Lock()
+		kernel.running = append(kernel.running, entry)
+		kernel.mutex.Unlock()
 	}
-	kernel.mutex.Lock()
-	defer kernel.mutex.Unlock()
-	kernel.running = append(kernel.running, namedRole{name: plugin.name, role: role})
 	return nil
 }
 
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -84,7 +84,10 @@
 			}
 			replaceRegistry(t, plugins)
 			kernel := New()
-			err := kernel.Start(t.Context(), test.names)
+			err := kernel.Build(test.names)
+			if err == nil {
+				err = kernel.Start(t.Context())
+			}
 			if err == nil {
 				err = kernel.Stop(t.Context())
 			}
--- a/pkg/scheduler/lease.go
+++ b/pkg/scheduler/lease.go
@@ -42,7 +42,7 @@
 	// Ended and Checkpoints are repeated until an answer acknowledges them.
 	Ended       []EndedAttempt `json:"ended,omitempty" cbor:"ended,omitempty"`
 	Checkpoints []Checkpoint   `json:"checkpoints,omitempty" cbor:"checkpoints,omitempty"`
-	Usage       []UsageReport  `json:"usage,omitempty" cbor:"usage,omitempty"`
+	Usage       []AttemptUsage  `json:"usage,omitempty" cbor:"usage,omitempty"`
 }
 
 // EndedAttempt reports the end of an attempt. It is a wire type. An empty Checkpoint means that the
@@ -63,9 +63,9 @@
 	Name   string      `json:"name" cbor:"name"`
 }
 
-// UsageReport is the usage of one attempt in an interval that may be long past. It is a wire type.
+// AttemptUsage is the usage of one attempt in an interval that may be long past. It is a wire type.
 // The interval is given as its length and its age at the time of the exchange.
-type UsageReport struct {
+type AttemptUsage struct {
 	Lease    LeaseNumber   `json:"lease" cbor:"lease"`
 	Age      time.Duration `json:"age" cbor:"age"`
 	Interval time.Duration `json:"interval" cbor:"interval"`
