--- a/design/state.go
+++ b/design/state.go
@@ -170,15 +170,12 @@
 			Attribute("action", String, func() { Enum("addLearner", "promote", "replace", "remove") })
 			Attribute("vm", String)
 			Attribute("replacement", String, "The learner that takes the place of vm, for replace.")
+			Attribute("disk", Boolean, "The VM has a disk, for addLearner.", func() { Default(false) })
+			Attribute("standsForElection", Boolean, "The VM may become leader, for addLearner.", func() { Default(false) })
 			Required("group", "action", "vm")
 		})
 		HTTP(func() { POST("/v1/groups/{group}/replicas"); tokenHeader(); Response(StatusNoContent) })
 	})
-	Method("transfer", func() {
-		Description("Hand leadership of a group to another local voter.")
-		Payload(func() { secured(); Attribute("group", String); Required("group") })
-		HTTP(func() { POST("/v1/groups/{group}/transfer"); tokenHeader(); Response(StatusNoContent) })
-	})
 })
 
 var _ = Service("health", func() {
--- a/gen/http/cli/entry_vm/cli.go
+++ b/gen/http/cli/entry_vm/cli.go
@@ -32,7 +32,7 @@
 		"configuration (show|diff|apply|roll-forward|history)",
 		"state (vm|workers|drain|endpoints|evictions|promises)",
 		"audit (list|verify)",
-		"replicas (change|transfer)",
+		"replicas change",
 		"health (live|ready)",
 	}
 }
@@ -40,10 +40,10 @@
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
 	return os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"batch\",\n      \"constraints\": {\n         \"In totam veritatis.\": \"Ea reprehenderit odit dolores.\"\n      },\n      \"deadline\": \"2001-03-04T21:57:19Z\",\n      \"id\": \"2\",\n      \"kind\": \"it\",\n      \"request\": {\n         \"accelerators\": 1585363689697246773,\n         \"memoryBytes\": 8102496689125745683,\n         \"milliCores\": 9167561360984121210\n      },\n      \"runTime\": \"Occaecati voluptatem est enim.\",\n      \"spread\": \"rack\",\n      \"tasks\": 9279,\n      \"team\": \"a\",\n      \"urgent\": true\n   }' --token \"Quia quidem.\"" + "\n" +
-		os.Args[0] + " " + "configuration show --revision 3458051926902156486 --token \"Omnis necessitatibus.\"" + "\n" +
+		os.Args[0] + " " + "configuration show --revision 13656842526131089128 --token \"Laborum soluta.\"" + "\n" +
 		os.Args[0] + " " + "state vm --token \"Quam in repudiandae ab esse in debitis.\"" + "\n" +
 		os.Args[0] + " " + "audit list --from 15338316392682171679 --limit 891 --token \"Qui quia ratione.\"" + "\n" +
-		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"vm\": \"Ab quo.\"\n   }' --group \"Nihil porro dignissimos porro quasi minima.\" --token \"Occaecati dolorem nobis id aut.\"" + "\n" +
+		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": true,\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"standsForElection\": false,\n      \"vm\": \"Ab quo.\"\n   }' --group \"Dignissimos porro quasi minima dicta occaecati.\" --token \"Nobis id aut.\"" + "\n" +
 		""
 }
 
@@ -146,10 +146,6 @@
 		replicasChangeGroupFlag = replicasChangeFlags.String("group", "REQUIRED", "")
 		replicasChangeTokenFlag = replicasChangeFlags.String("token", "", "")
 
-		replicasTransferFlags     = flag.NewFlagSet("transfer", flag.ExitOnError)
-		replicasTransferGroupFlag = replicasTransferFlags.String("group", "REQUIRED", "")
-		replicasTransferTokenFlag = replicasTransferFlags.String("token", "", "")
-
 		healthFlags = flag.NewFlagSet("health", flag.ContinueOnError)
 
 		healthLiveFlags = flag.NewFlagSet("live", flag.ExitOnError)
@@ -184,7 +180,6 @@
 
 	replicasFlags.Usage = replicasUsage
 	replicasChangeFlags.Usage = replicasChangeUsage
-	replicasTransferFlags.Usage = replicasTransferUsage
 
 	healthFlags.Usage = healthUsage
 	healthLiveFlags.Usage = healthLiveUsage
@@ -307,9 +302,6 @@
 			case "change":
 				epf = replicasChangeFlags
 
-			case "transfer":
-				epf = replicasTransferFlags
-
 			}
 
 		case "health":
@@ -418,9 +410,6 @@
 			case "change":
 				endpoint = c.Change()
 				data, err = replicasc.BuildChangePayload(*replicasChangeBodyFlag, *replicasChangeGroupFlag, *replicasChangeTokenFlag)
-			case "transfer":
-				endpoint = c.Transfer()
-				data, err = replicasc.BuildTransferPayload(*replicasTransferGroupFlag, *replicasTransferTokenFlag)
 			}
 		case "health":
 			c := healthc.NewClient(scheme, host, doer, enc, dec, restore)
@@ -591,7 +580,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configuration show --revision 3458051926902156486 --token \"Omnis necessitatibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "configuration show --revision 13656842526131089128 --token \"Laborum soluta.\"")
 }
 
 func configurationDiffUsage() {
@@ -864,7 +853,6 @@
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] replicas COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    change: Add, promote, replace or remove one replica. A change that leaves no safe majority is refused.`)
-	fmt.Fprintln(os.Stderr, `    transfer: Hand leadership of a group to another local voter.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s replicas COMMAND --help\n", os.Args[0])
@@ -888,27 +876,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"vm\": \"Ab quo.\"\n   }' --group \"Nihil porro dignissimos porro quasi minima.\" --token \"Occaecati dolorem nobis id aut.\"")
-}
-
-func replicasTransferUsage() {
-	// Header with flags
-	fmt.Fprintf(os.Stderr, "%s [flags] replicas transfer", os.Args[0])
-	fmt.Fprint(os.Stderr, " -group STRING")
-	fmt.Fprint(os.Stderr, " -token STRING")
-	fmt.Fprintln(os.Stderr)
-
-	// Description
-	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Hand leadership of a group to another local voter.`)
-
-	// Flags list
-	fmt.Fprintln(os.Stderr, `    -group STRING: `)
-	fmt.Fprintln(os.Stderr, `    -token STRING: `)
-
-	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas transfer --group \"Et repellat aperiam quisquam.\" --token \"Quos delectus quasi magnam similique.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": true,\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"standsForElection\": false,\n      \"vm\": \"Ab quo.\"\n   }' --group \"Dignissimos porro quasi minima dicta occaecati.\" --token \"Nobis id aut.\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/gen/http/replicas/client/cli.go
+++ b/gen/http/replicas/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(replicasChangeBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"action\": \"addLearner\",\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"vm\": \"Ab quo.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"action\": \"addLearner\",\n      \"disk\": true,\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"standsForElection\": false,\n      \"vm\": \"Ab quo.\"\n   }'")
 		}
 		if !(body.Action == "addLearner" || body.Action == "promote" || body.Action == "replace" || body.Action == "remove") {
 			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.action", body.Action, []any{"addLearner", "promote", "replace", "remove"}))
@@ -43,30 +43,24 @@
 		}
 	}
 	v := &replicas.ChangePayload{
-		Action:      body.Action,
-		VM:          body.VM,
-		Replacement: body.Replacement,
+		Action:            body.Action,
+		VM:                body.VM,
+		Replacement:       body.Replacement,
+		Disk:              body.Disk,
+		StandsForElection: body.StandsForElection,
 	}
-	v.Group = group
-	v.Token = token
-
-	return v, nil
-}
-
-// BuildTransferPayload builds the payload for the replicas transfer endpoint
-// from CLI flags.
-func BuildTransferPayload(replicasTransferGroup string, replicasTransferToken string) (*replicas.TransferPayload, error) {
-	var group string
 	{
-		group = replicasTransferGroup
+		var zero bool
+		if v.Disk == zero {
+			v.Disk = false
+		}
 	}
-	var token *string
 	{
-		if replicasTransferToken != "" {
-			token = &replicasTransferToken
+		var zero bool
+		if v.StandsForElection == zero {
+			v.StandsForElection = false
 		}
 	}
-	v := &replicas.TransferPayload{}
 	v.Group = group
 	v.Token = token
 
--- a/gen/http/replicas/client/client.go
+++ b/gen/http/replicas/client/client.go
@@ -20,10 +20,6 @@
 	// Change Doer is the HTTP client used to make requests to the change endpoint.
 	ChangeDoer goahttp.Doer
 
-	// Transfer Doer is the HTTP client used to make requests to the transfer
-	// endpoint.
-	TransferDoer goahttp.Doer
-
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
 	RestoreResponseBody bool
@@ -45,7 +41,6 @@
 ) *Client {
 	return &Client{
 		ChangeDoer:          doer,
-		TransferDoer:        doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -77,27 +72,3 @@
 		return decodeResponse(resp)
 	}
 }
-
-// Transfer returns an endpoint that makes HTTP requests to the replicas
-// service transfer server.
-func (c *Client) Transfer() goa.Endpoint {
-	var (
-		encodeRequest  = EncodeTransferRequest(c.encoder)
-		decodeResponse = DecodeTransferResponse(c.decoder, c.RestoreResponseBody)
-	)
-	return func(ctx context.Context, v any) (any, error) {
-		req, err := c.BuildTransferRequest(ctx, v)
-		if err != nil {
-			return nil, err
-		}
-		err = encodeRequest(req, v)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := c.TransferDoer.Do(req)
-		if err != nil {
-			return nil, goahttp.ErrRequestError("replicas", "transfer", err)
-		}
-		return decodeResponse(resp)
-	}
-}
--- a/gen/http/replicas/client/paths.go
+++ b/gen/http/replicas/client/paths.go
@@ -15,8 +15,3 @@
 func ChangeReplicasPath(group string) string {
 	return fmt.Sprintf("/v1/groups/%v/replicas", group)
 }
-
-// TransferReplicasPath returns the URL path to the replicas service transfer HTTP endpoint.
-func TransferReplicasPath(group string) string {
-	return fmt.Sprintf("/v1/groups/%v/transfer", group)
-}
--- a/gen/http/replicas/client/types.go
+++ b/gen/http/replicas/client/types.go
@@ -19,6 +19,10 @@
 	VM     string `form:"vm" json:"vm" xml:"vm"`
 	// The learner that takes the place of vm, for replace.
 	Replacement *string `form:"replacement,omitempty" json:"replacement,omitempty" xml:"replacement,omitempty"`
+	// The VM has a disk, for addLearner.
+	Disk bool `form:"disk" json:"disk" xml:"disk"`
+	// The VM may become leader, for addLearner.
+	StandsForElection bool `form:"standsForElection" json:"standsForElection" xml:"standsForElection"`
 }
 
 // ChangeInvalidResponseBody is the type of the "replicas" service "change"
@@ -126,118 +130,27 @@
 	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
 }
 
-// TransferInvalidResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "invalid" error.
-type TransferInvalidResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferUnauthorizedResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "unauthorized" error.
-type TransferUnauthorizedResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferForbiddenResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "forbidden" error.
-type TransferForbiddenResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferNotFoundResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "notFound" error.
-type TransferNotFoundResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferConflictResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "conflict" error.
-type TransferConflictResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferNotRunResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "notRun" error.
-type TransferNotRunResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferUnknownResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "unknown" error.
-type TransferUnknownResponseBody struct {
-	// Name of the error, a stable code.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// What went wrong.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// What to do next.
-	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
 // NewChangeRequestBody builds the HTTP request body from the payload of the
 // "change" endpoint of the "replicas" service.
 func NewChangeRequestBody(p *replicas.ChangePayload) *ChangeRequestBody {
 	body := &ChangeRequestBody{
-		Action:      p.Action,
-		VM:          p.VM,
-		Replacement: p.Replacement,
+		Action:            p.Action,
+		VM:                p.VM,
+		Replacement:       p.Replacement,
+		Disk:              p.Disk,
+		StandsForElection: p.StandsForElection,
+	}
+	{
+		var zero bool
+		if body.Disk == zero {
+			body.Disk = false
+		}
+	}
+	{
+		var zero bool
+		if body.StandsForElection == zero {
+			body.StandsForElection = false
+		}
 	}
 	return body
 }
@@ -369,136 +282,6 @@
 	return v
 }
 
-// NewTransferInvalid builds a replicas service transfer endpoint invalid error.
-func NewTransferInvalid(body *TransferInvalidResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferUnauthorized builds a replicas service transfer endpoint
-// unauthorized error.
-func NewTransferUnauthorized(body *TransferUnauthorizedResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferForbidden builds a replicas service transfer endpoint forbidden
-// error.
-func NewTransferForbidden(body *TransferForbiddenResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferNotFound builds a replicas service transfer endpoint notFound
-// error.
-func NewTransferNotFound(body *TransferNotFoundResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferConflict builds a replicas service transfer endpoint conflict
-// error.
-func NewTransferConflict(body *TransferConflictResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferNotRun builds a replicas service transfer endpoint notRun error.
-func NewTransferNotRun(body *TransferNotRunResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
-// NewTransferUnknown builds a replicas service transfer endpoint unknown error.
-func NewTransferUnknown(body *TransferUnknownResponseBody) *replicas.APIError {
-	v := &replicas.APIError{
-		Name:     *body.Name,
-		Message:  *body.Message,
-		Next:     *body.Next,
-		Revision: body.Revision,
-	}
-	if body.Faults != nil {
-		v.Faults = make([]string, len(body.Faults))
-		for i, val := range body.Faults {
-			v.Faults[i] = val
-		}
-	}
-
-	return v
-}
-
 // ValidateChangeInvalidResponseBody runs the validations defined on
 // change_invalid_response_body
 func ValidateChangeInvalidResponseBody(body *ChangeInvalidResponseBody) (err error) {
@@ -603,108 +386,3 @@
 	}
 	return
 }
-
-// ValidateTransferInvalidResponseBody runs the validations defined on
-// transfer_invalid_response_body
-func ValidateTransferInvalidResponseBody(body *TransferInvalidResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferUnauthorizedResponseBody runs the validations defined on
-// transfer_unauthorized_response_body
-func ValidateTransferUnauthorizedResponseBody(body *TransferUnauthorizedResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferForbiddenResponseBody runs the validations defined on
-// transfer_forbidden_response_body
-func ValidateTransferForbiddenResponseBody(body *TransferForbiddenResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferNotFoundResponseBody runs the validations defined on
-// transfer_notFound_response_body
-func ValidateTransferNotFoundResponseBody(body *TransferNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferConflictResponseBody runs the validations defined on
-// transfer_conflict_response_body
-func ValidateTransferConflictResponseBody(body *TransferConflictResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferNotRunResponseBody runs the validations defined on
-// transfer_notRun_response_body
-func ValidateTransferNotRunResponseBody(body *TransferNotRunResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
-
-// ValidateTransferUnknownResponseBody runs the validations defined on
-// transfer_unknown_response_body
-func ValidateTransferUnknownResponseBody(body *TransferUnknownResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
-	}
-	if body.Next == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
-	}
-	return
-}
--- a/gen/http/replicas/server/server.go
+++ b/gen/http/replicas/server/server.go
@@ -18,9 +18,8 @@
 
 // Server lists the replicas service endpoint HTTP handlers.
 type Server struct {
-	Mounts   []*MountPoint
-	Change   http.Handler
-	Transfer http.Handler
+	Mounts []*MountPoint
+	Change http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -51,10 +50,8 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Change", "POST", "/v1/groups/{group}/replicas"},
-			{"Transfer", "POST", "/v1/groups/{group}/transfer"},
 		},
-		Change:   NewChangeHandler(e.Change, mux, decoder, encoder, errhandler, formatter),
-		Transfer: NewTransferHandler(e.Transfer, mux, decoder, encoder, errhandler, formatter),
+		Change: NewChangeHandler(e.Change, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -64,7 +61,6 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Change = m(s.Change)
-	s.Transfer = m(s.Transfer)
 }
 
 // MethodNames returns the methods served.
@@ -73,7 +69,6 @@
 // Mount configures the mux to serve the replicas endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountChangeHandler(mux, h.Change)
-	MountTransferHandler(mux, h.Transfer)
 }
 
 // Mount configures the mux to serve the replicas endpoints.
@@ -133,56 +128,3 @@
 		}
 	})
 }
-
-// MountTransferHandler configures the mux to serve the "replicas" service
-// "transfer" endpoint.
-func MountTransferHandler(mux goahttp.Muxer, h http.Handler) {
-	f, ok := h.(http.HandlerFunc)
-	if !ok {
-		f = func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(w, r)
-		}
-	}
-	mux.Handle("POST", "/v1/groups/{group}/transfer", f)
-}
-
-// NewTransferHandler creates a HTTP handler which loads the HTTP request and
-// calls the "replicas" service "transfer" endpoint.
-func NewTransferHandler(
-	endpoint goa.Endpoint,
-	mux goahttp.Muxer,
-	decoder func(*http.Request) goahttp.Decoder,
-	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
-	errhandler func(context.Context, http.ResponseWriter, error),
-	formatter func(ctx context.Context, err error) goahttp.Statuser,
-) http.Handler {
-	var (
-		decodeRequest  = DecodeTransferRequest(mux, decoder)
-		encodeResponse = EncodeTransferResponse(encoder)
-		encodeError    = EncodeTransferError(encoder, formatter)
-	)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
-		ctx = context.WithValue(ctx, goa.MethodKey, "transfer")
-		ctx = context.WithValue(ctx, goa.ServiceKey, "replicas")
-		payload, err := decodeRequest(r)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		res, err := endpoint(ctx, payload)
-		if err != nil {
-			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-			return
-		}
-		if err := encodeResponse(ctx, w, res); err != nil {
-			if errhandler != nil {
-				errhandler(ctx, w, err)
-			}
-		}
-	})
-}
--- a/gen/http/replicas/server/types.go
+++ b/gen/http/replicas/server/types.go
@@ -19,6 +19,10 @@
 	VM     *string `form:"vm,omitempty" json:"vm,omitempty" xml:"vm,omitempty"`
 	// The learner that takes the place of vm, for replace.
 	Replacement *string `form:"replacement,omitempty" json:"replacement,omitempty" xml:"replacement,omitempty"`
+	// The VM has a disk, for addLearner.
+	Disk *bool `form:"disk,omitempty" json:"disk,omitempty" xml:"disk,omitempty"`
+	// The VM may become leader, for addLearner.
+	StandsForElection *bool `form:"standsForElection,omitempty" json:"standsForElection,omitempty" xml:"standsForElection,omitempty"`
 }
 
 // ChangeInvalidResponseBody is the type of the "replicas" service "change"
@@ -126,111 +130,6 @@
 	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
 }
 
-// TransferInvalidResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "invalid" error.
-type TransferInvalidResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferUnauthorizedResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "unauthorized" error.
-type TransferUnauthorizedResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferForbiddenResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "forbidden" error.
-type TransferForbiddenResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferNotFoundResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "notFound" error.
-type TransferNotFoundResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferConflictResponseBody is the type of the "replicas" service
-// "transfer" endpoint HTTP response body for the "conflict" error.
-type TransferConflictResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferNotRunResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "notRun" error.
-type TransferNotRunResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
-// TransferUnknownResponseBody is the type of the "replicas" service "transfer"
-// endpoint HTTP response body for the "unknown" error.
-type TransferUnknownResponseBody struct {
-	// Name of the error, a stable code.
-	Name string `form:"name" json:"name" xml:"name"`
-	// What went wrong.
-	Message string `form:"message" json:"message" xml:"message"`
-	// What to do next.
-	Next string `form:"next" json:"next" xml:"next"`
-	// All faults found, each with its path.
-	Faults []string `form:"faults,omitempty" json:"faults,omitempty" xml:"faults,omitempty"`
-	// The current revision, for a conflict.
-	Revision *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-}
-
 // NewChangeInvalidResponseBody builds the HTTP response body from the result
 // of the "change" endpoint of the "replicas" service.
 func NewChangeInvalidResponseBody(res *replicas.APIError) *ChangeInvalidResponseBody {
@@ -357,132 +256,6 @@
 	return body
 }
 
-// NewTransferInvalidResponseBody builds the HTTP response body from the result
-// of the "transfer" endpoint of the "replicas" service.
-func NewTransferInvalidResponseBody(res *replicas.APIError) *TransferInvalidResponseBody {
-	body := &TransferInvalidResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "transfer" endpoint of the "replicas" service.
-func NewTransferUnauthorizedResponseBody(res *replicas.APIError) *TransferUnauthorizedResponseBody {
-	body := &TransferUnauthorizedResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferForbiddenResponseBody builds the HTTP response body from the
-// result of the "transfer" endpoint of the "replicas" service.
-func NewTransferForbiddenResponseBody(res *replicas.APIError) *TransferForbiddenResponseBody {
-	body := &TransferForbiddenResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferNotFoundResponseBody builds the HTTP response body from the
-// result of the "transfer" endpoint of the "replicas" service.
-func NewTransferNotFoundResponseBody(res *replicas.APIError) *TransferNotFoundResponseBody {
-	body := &TransferNotFoundResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferConflictResponseBody builds the HTTP response body from the
-// result of the "transfer" endpoint of the "replicas" service.
-func NewTransferConflictResponseBody(res *replicas.APIError) *TransferConflictResponseBody {
-	body := &TransferConflictResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferNotRunResponseBody builds the HTTP response body from the result
-// of the "transfer" endpoint of the "replicas" service.
-func NewTransferNotRunResponseBody(res *replicas.APIError) *TransferNotRunResponseBody {
-	body := &TransferNotRunResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
-// NewTransferUnknownResponseBody builds the HTTP response body from the result
-// of the "transfer" endpoint of the "replicas" service.
-func NewTransferUnknownResponseBody(res *replicas.APIError) *TransferUnknownResponseBody {
-	body := &TransferUnknownResponseBody{
-		Name:     res.Name,
-		Message:  res.Message,
-		Next:     res.Next,
-		Revision: res.Revision,
-	}
-	if res.Faults != nil {
-		body.Faults = make([]string, len(res.Faults))
-		for i, val := range res.Faults {
-			body.Faults[i] = val
-		}
-	}
-	return body
-}
-
 // NewChangePayload builds a replicas service change endpoint payload.
 func NewChangePayload(body *ChangeRequestBody, group string, token *string) *replicas.ChangePayload {
 	v := &replicas.ChangePayload{
@@ -490,15 +263,18 @@
 		VM:          *body.VM,
 		Replacement: body.Replacement,
 	}
-	v.Group = group
-	v.Token = token
-
-	return v
-}
-
-// NewTransferPayload builds a replicas service transfer endpoint payload.
-func NewTransferPayload(group string, token *string) *replicas.TransferPayload {
-	v := &replicas.TransferPayload{}
+	if body.Disk != nil {
+		v.Disk = *body.Disk
+	}
+	if body.StandsForElection != nil {
+		v.StandsForElection = *body.StandsForElection
+	}
+	if body.Disk == nil {
+		v.Disk = false
+	}
+	if body.StandsForElection == nil {
+		v.StandsForElection = false
+	}
 	v.Group = group
 	v.Token = token
 
--- a/gen/replicas/client.go
+++ b/gen/replicas/client.go
@@ -15,15 +15,13 @@
 
 // Client is the "replicas" service client.
 type Client struct {
-	ChangeEndpoint   goa.Endpoint
-	TransferEndpoint goa.Endpoint
+	ChangeEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "replicas" service client given the endpoints.
-func NewClient(change, transfer goa.Endpoint) *Client {
+func NewClient(change goa.Endpoint) *Client {
 	return &Client{
-		ChangeEndpoint:   change,
-		TransferEndpoint: transfer,
+		ChangeEndpoint: change,
 	}
 }
 
@@ -41,18 +39,3 @@
 	_, err = c.ChangeEndpoint(ctx, p)
 	return
 }
-
-// Transfer calls the "transfer" endpoint of the "replicas" service.
-// Transfer may return the following errors:
-//   - "invalid" (type *APIError): The request is malformed or its content has faults.
-//   - "unauthorized" (type *APIError): The token is missing or wrong.
-//   - "forbidden" (type *APIError): The token does not allow this.
-//   - "notFound" (type *APIError): There is no such object.
-//   - "conflict" (type *APIError): The state has changed since it was read, or the ID is taken.
-//   - "notRun" (type *APIError): The operation was refused and had no effect.
-//   - "unknown" (type *APIError): The operation may have had an effect; resend it with the same ID.
-//   - error: internal error
-func (c *Client) Transfer(ctx context.Context, p *TransferPayload) (err error) {
-	_, err = c.TransferEndpoint(ctx, p)
-	return
-}
--- a/gen/replicas/endpoints.go
+++ b/gen/replicas/endpoints.go
@@ -16,8 +16,7 @@
 
 // Endpoints wraps the "replicas" service endpoints.
 type Endpoints struct {
-	Change   goa.Endpoint
-	Transfer goa.Endpoint
+	Change goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "replicas" service with endpoints.
@@ -25,15 +24,13 @@
 	// Casting service to Auther interface
 	a := s.(Auther)
 	return &Endpoints{
-		Change:   NewChangeEndpoint(s, a.APIKeyAuth),
-		Transfer: NewTransferEndpoint(s, a.APIKeyAuth),
+		Change: NewChangeEndpoint(s, a.APIKeyAuth),
 	}
 }
 
 // Use applies the given middleware to all the "replicas" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Change = m(e.Change)
-	e.Transfer = m(e.Transfer)
 }
 
 // NewChangeEndpoint returns an endpoint function that calls the method
@@ -58,26 +55,3 @@
 		return nil, s.Change(ctx, p)
 	}
 }
-
-// NewTransferEndpoint returns an endpoint function that calls the method
-// "transfer" of service "replicas".
-func NewTransferEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
-	return func(ctx context.Context, req any) (any, error) {
-		p := req.(*TransferPayload)
-		var err error
-		sc := security.APIKeyScheme{
-			Name:           "bearerToken",
-			Scopes:         []string{},
-			RequiredScopes: []string{},
-		}
-		var key string
-		if p.Token != nil {
-			key = *p.Token
-		}
-		ctx, err = authAPIKeyFn(ctx, key, &sc)
-		if err != nil {
-			return nil, err
-		}
-		return nil, s.Transfer(ctx, p)
-	}
-}
--- a/gen/replicas/service.go
+++ b/gen/replicas/service.go
@@ -18,8 +18,6 @@
 	// Add, promote, replace or remove one replica. A change that leaves no safe
 	// majority is refused.
 	Change(context.Context, *ChangePayload) (err error)
-	// Hand leadership of a group to another local voter.
-	Transfer(context.Context, *TransferPayload) (err error)
 }
 
 // Auther defines the authorization functions to be implemented by the service.
@@ -42,7 +40,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [2]string{"change", "transfer"}
+var MethodNames = [1]string{"change"}
 
 // An error that scripts can act on.
 type APIError struct {
@@ -67,13 +65,10 @@
 	VM     string
 	// The learner that takes the place of vm, for replace.
 	Replacement *string
-}
-
-// TransferPayload is the payload type of the replicas service transfer method.
-type TransferPayload struct {
-	// Authorization header
-	Token *string
-	Group string
+	// The VM has a disk, for addLearner.
+	Disk bool
+	// The VM may become leader, for addLearner.
+	StandsForElection bool
 }
 
 // Error returns an error description.
--- a/internal/commander/connection.go
+++ b/internal/commander/connection.go
@@ -60,7 +60,7 @@
 	trail := auditclient.NewClient(scheme, host, doer, encoder, decoder, false)
 	connected.audit = audit.NewClient(trail.List(), trail.Verify())
 	replica := replicasclient.NewClient(scheme, host, doer, encoder, decoder, false)
-	connected.replicas = replicas.NewClient(replica.Change(), replica.Transfer())
+	connected.replicas = replicas.NewClient(replica.Change())
 	return connected, nil
 }
 
--- a/internal/commander/replica.go
+++ b/internal/commander/replica.go
@@ -10,31 +10,33 @@
 
 func (commander *Commander) replicaCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "replica", Short: "Change the members of replicated groups"}
-	for action, short := range map[string]string{
-		"addLearner": "Add a VM as learner", "promote": "Make a learner that has caught up a voter", "remove": "Remove a VM",
-	} {
-		parent.AddCommand(commander.replicaChangeCommand(action, short))
-	}
-	parent.AddCommand(commander.replicaReplaceCommand(), commander.replicaTransferCommand())
+	parent.AddCommand(
+		commander.replicaChangeCommand("add", "addLearner", "Add a VM as learner"),
+		commander.replicaChangeCommand("promote", "promote", "Make a learner that has caught up a voter"),
+		commander.replicaChangeCommand("remove", "remove", "Remove a VM"),
+	)
+	parent.AddCommand(commander.replicaReplaceCommand())
 	return parent
 }
 
-func (commander *Commander) replicaChangeCommand(action, short string) *cobra.Command {
-	names := map[string]string{"addLearner": "add"}
-	name := action
-	if other, listed := names[action]; listed {
-		name = other
-	}
-	return &cobra.Command{
+func (commander *Commander) replicaChangeCommand(name, action, short string) *cobra.Command {
+	payload := replicas.ChangePayload{Action: action}
+	command := &cobra.Command{
 		Use:   name + " GROUP VM",
 		Short: short,
 		Args:  cobra.ExactArgs(2),
 		RunE: func(command *cobra.Command, arguments []string) error {
 			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
-				return connected.replicas.Change(withResend(ctx), &replicas.ChangePayload{Token: connected.token, Group: arguments[0], Action: action, VM: arguments[1]})
+				payload.Token, payload.Group, payload.VM = connected.token, arguments[0], arguments[1]
+				return connected.replicas.Change(withResend(ctx), &payload)
 			})
 		},
 	}
+	if action == "addLearner" {
+		command.Flags().BoolVar(&payload.Disk, "disk", false, "the VM has a disk")
+		command.Flags().BoolVar(&payload.StandsForElection, "stands-for-election", false, "the VM may become leader")
+	}
+	return command
 }
 
 func (commander *Commander) replicaReplaceCommand() *cobra.Command {
@@ -51,16 +53,3 @@
 		},
 	}
 }
-
-func (commander *Commander) replicaTransferCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "transfer GROUP",
-		Short: "Hand leadership to another local voter",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			return commander.withConnection(command, func(ctx context.Context, connected *connection) error {
-				return connected.replicas.Transfer(ctx, &replicas.TransferPayload{Token: connected.token, Group: arguments[0]})
-			})
-		},
-	}
-}
--- /dev/null
+++ b/internal/composer/api.go
@@ -0,0 +1,80 @@
+package composer
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/configurator"
+	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/internal/server"
+	"github.com/crocusplank/crocusplank/internal/versioner"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// apiHandler returns the handler of the operators' API.
+func (daemon *Daemon) apiHandler() (http.Handler, error) {
+	settings := daemon.environment.settings
+	parts := server.Parts{
+		VM: settings.VM, DataCentre: settings.DataCentre, Version: versioner.Version(),
+		Connected: daemon.connected, Ready: daemon.ready,
+		Groups: map[scheduler.GroupName]*replicator.Replicator{},
+	}
+	if settings.Tokens.APITokensFile != "" {
+		tokens, err := authenticator.Open(settings.Tokens.APITokensFile)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		parts.Tokens = tokens
+	} else {
+		daemon.environment.log.Warn().Str("event", "api.open").Msg("no file of API tokens is set; everyone who reaches the API is an operator")
+	}
+	daemon.addReplicas(&parts)
+	if coordinator, ok := daemon.kernel.Lookup(serviceCoordinator).(*coordinator); ok {
+		parts.Engine, parts.Evict = coordinator.engine, coordinator.evict
+	}
+	if daemon.gateway != nil {
+		parts.Directory = daemon.gateway.registrar
+	}
+	handler := server.New(parts, daemon.environment.log).Handler()
+	// Balancers that only know the callers' address ask there.
+	daemon.environment.callerMux.Handle("GET /healthz", handler)
+	daemon.environment.callerMux.Handle("GET /readyz", handler)
+	return handler, nil
+}
+
+func (daemon *Daemon) addReplicas(parts *server.Parts) {
+	replicas := replicasOf(daemon.kernel)
+	if replicas == nil {
+		return
+	}
+	parts.Jobs, parts.Local, parts.Global = replicas.jobs, replicas.local, replicas.global
+	if replicas.recorder != nil {
+		parts.Trail = replicas.recorder.trail
+	}
+	for name, replica := range replicas.replicas {
+		parts.Groups[name] = replica.replicator
+	}
+	if global := replicas.member(scheduler.GlobalGroup, machineConfiguration); global != nil {
+		parts.Submitter = configurator.NewSubmitter(global, replicas.global)
+	}
+}
+
+func (daemon *Daemon) connected() map[string]bool {
+	connected := map[string]bool{}
+	for _, vm := range daemon.environment.settings.VMs {
+		if vm.Name != daemon.environment.settings.VM {
+			connected[string(vm.Name)] = daemon.messenger.Connected(vm.Name)
+		}
+	}
+	return connected
+}
+
+// metricsHandler serves the metrics and the runtime's profiles.
+func (daemon *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", daemon.metrics.Handler())
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	return mux
+}
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -17,6 +17,7 @@
 	"github.com/crocusplank/crocusplank/internal/kernel"
 	"github.com/crocusplank/crocusplank/internal/loader"
 	"github.com/crocusplank/crocusplank/internal/messenger"
+	"github.com/crocusplank/crocusplank/internal/reporter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -40,6 +41,7 @@
 	messenger   *messenger.Messenger
 	servers     []*http.Server
 	gateway     *gatewayRole
+	metrics     *reporter.Reporter
 	context     context.Context
 	cancel      context.CancelFunc
 }
@@ -89,7 +91,7 @@
 		environment: &environment{
 			settings: settings, log: log, transport: transport, life: newLife(), callerMux: http.NewServeMux(),
 		},
-		kernel: kernel.New(), messenger: transport, context: ctx, cancel: cancel,
+		kernel: kernel.New(), messenger: transport, metrics: reporter.New(), context: ctx, cancel: cancel,
 	}
 	daemon.kernel.Publish(serviceEnvironment, daemon.environment)
 	if err := daemon.kernel.Build(settings.Roles); err != nil {
@@ -151,6 +153,7 @@
 	if err := daemon.serve("metrics", settings.Addresses.Metrics.String(), daemon.metricsHandler()); err != nil {
 		return errs.Combine(err, daemon.Stop(ctx))
 	}
+	daemon.metrics.Run(daemon.context, daemon.measure)
 	daemon.environment.inService.Store(true)
 	daemon.environment.log.Info().Str("event", "daemon.started").Str("vm", string(settings.VM)).
 		Strs("roles", settings.Roles).Msg("daemon started")
@@ -190,6 +193,7 @@
 		_ = server.Close()
 	}
 	daemon.messenger.Close()
+	daemon.metrics.Close()
 	daemon.environment.log.Info().Str("event", "daemon.stopped").Err(err).Msg("daemon stopped")
 	return Error.Wrap(err)
 }
--- a/internal/composer/gateway.go
+++ b/internal/composer/gateway.go
@@ -36,6 +36,7 @@
 	replicas    *replicaRole
 	registrar   *registrar.Registrar
 	shares      *allocator.Shares
+	queue       *limiter.Limiter
 	keys        *deduplicator.Store
 	gateway     *gateway.Gateway
 	cancel      context.CancelFunc
@@ -60,6 +61,7 @@
 		registrar.WithLogger(log))
 	granting := allocator.New(group, environment.transport, role.registrar, allocator.WithLogger(log))
 	queue := limiter.New(limiter.WithLength(int(settings.Limits.QueueLength), max(1, int(settings.Limits.QueueLength)/queuePerCaller)))
+	role.queue = queue
 	role.shares = allocator.NewShares(id, group, environment.transport, role.registrar, granting,
 		allocator.WithNotify(queue.Wake), allocator.WithWaiting(queue.Waiting), allocator.WithSharesLogger(log))
 	role.keys = deduplicator.NewStore(self, environment.life, role.homes, role.proposer,
--- /dev/null
+++ b/internal/composer/metrics.go
@@ -0,0 +1,64 @@
+package composer
+
+import (
+	"github.com/uber-go/tally/v4"
+)
+
+// measure sets the gauges of the roles that this VM runs. docs/metrics.md lists them.
+func (daemon *Daemon) measure(scope tally.Scope) {
+	ready, _ := daemon.ready()
+	scope.Gauge("ready").Update(flag(ready))
+	for peer, connected := range daemon.connected() {
+		scope.Tagged(map[string]string{"peer": peer}).Gauge("peer_connected").Update(flag(connected))
+	}
+	if replicas := replicasOf(daemon.kernel); replicas != nil {
+		replicas.measure(scope)
+	}
+	if daemon.gateway != nil {
+		daemon.gateway.measure(scope)
+	}
+}
+
+func flag(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+func (replicaRole *replicaRole) measure(scope tally.Scope) {
+	revision, _, _ := replicaRole.local.InForce()
+	scope.Gauge("configuration_revision").Update(float64(revision))
+	for name, replica := range replicaRole.replicas {
+		group := scope.Tagged(map[string]string{"group": string(name)})
+		status := replica.replicator.Status()
+		group.Gauge("group_term").Update(float64(status.Term()))
+		group.Gauge("group_commit_index").Update(float64(status.Commit()))
+		group.Gauge("group_applied_index").Update(float64(status.Applied()))
+		group.Gauge("group_has_leader").Update(flag(status.Leader() != ""))
+		group.Gauge("group_leader_lease").Update(flag(replica.replicator.HoldsLeaderLease()))
+	}
+	counts := replicaRole.jobs.Counts()
+	for state, count := range counts.Tasks {
+		scope.Tagged(map[string]string{"state": string(state)}).Gauge("tasks").Update(float64(count))
+	}
+	for state, count := range counts.Jobs {
+		scope.Tagged(map[string]string{"state": string(state)}).Gauge("jobs").Update(float64(count))
+	}
+	scope.Gauge("task_leases").Update(float64(counts.Leases))
+	scope.Gauge("task_evictions").Update(float64(counts.Evictions))
+	scope.Gauge("task_failures").Update(float64(counts.Failures))
+	scope.Gauge("workers").Update(float64(counts.Workers))
+	scope.Gauge("workers_drained").Update(float64(counts.Drained))
+	scope.Gauge("reserved_milli_cores").Update(float64(counts.Reserved.MilliCores))
+	scope.Gauge("capacity_milli_cores").Update(float64(counts.Capacity.MilliCores))
+}
+
+func (gatewayRole *gatewayRole) measure(scope tally.Scope) {
+	for _, service := range gatewayRole.registrar.Services() {
+		tagged := scope.Tagged(map[string]string{"service": string(service)})
+		tagged.Gauge("endpoints").Update(float64(len(gatewayRole.registrar.Endpoints(service))))
+		tagged.Gauge("slots_free").Update(float64(gatewayRole.shares.FreeOf(service)))
+		tagged.Gauge("requests_waiting").Update(float64(gatewayRole.queue.Waiting(service)))
+	}
+}
--- a/internal/composer/replica.go
+++ b/internal/composer/replica.go
@@ -42,6 +42,7 @@
 	local       *configurator.Local
 	jobs        *dispatcher.Machine
 	keys        *deduplicator.Machine
+	recorder    *recorder // nil on a VM without a disk
 	cancel      context.CancelFunc
 	workers     sync.WaitGroup
 }
@@ -75,6 +76,13 @@
 	if replicas.replicas[environment.homeGroup()] == nil {
 		return nil, errs.Combine(Error.New("VM %s is not a member of group %s", environment.settings.VM, environment.homeGroup()), replicas.close())
 	}
+	if environment.settings.HasDisk() {
+		recorder, err := openRecorder(environment.settings.DataFolder, environment.log)
+		if err != nil {
+			return nil, errs.Combine(err, replicas.close())
+		}
+		replicas.recorder = recorder
+	}
 	host.Publish(serviceReplicas, replicas)
 	return replicas, nil
 }
@@ -165,6 +173,11 @@
 	replicaRole.cancel = cancel
 	replicaRole.workers.Go(func() { replicaRole.awaitConfiguration(ctx) })
 	replicaRole.workers.Go(func() { replicaRole.watch(ctx) })
+	if replicaRole.recorder != nil {
+		replicaRole.workers.Go(func() {
+			replicaRole.recorder.run(ctx, replicaRole.environment.homeGroup(), replicaRole.global, replicaRole.jobs)
+		})
+	}
 	return nil
 }
 
@@ -235,5 +248,8 @@
 	for _, replica := range replicaRole.replicas {
 		group.Add(Error.Wrap(replica.journal.Close()))
 	}
+	if replicaRole.recorder != nil {
+		group.Add(Error.Wrap(replicaRole.recorder.trail.Close()))
+	}
 	return group.Err()
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -89,6 +89,8 @@
 // Tokens names the files of secrets.
 type Tokens struct {
 	PeerKeyFile string `json:"peerKeyFile"`
+	// APITokensFile is empty when the API is open to everyone who reaches it.
+	APITokensFile string `json:"apiTokensFile"`
 }
 
 // TLS names the files for encrypted connections.
--- /dev/null
+++ b/internal/server/promises.go
@@ -0,0 +1,162 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/crocusplank/crocusplank/gen/state"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Values of a promise's state.
+const (
+	promiseKept        = "kept"
+	promiseAtRisk      = "atRisk"
+	promiseNotKept     = "notKept"
+	promiseNotObserved = "notObserved"
+)
+
+// Promises implements the report on the invariants. It states only what this VM can see itself.
+func (stateService *stateService) Promises(context.Context, *state.PromisesPayload) (*state.PromisesResult, error) {
+	return &state.PromisesResult{Promises: []*state.Promise{
+		stateService.capacityPromise(),
+		stateService.singleRunPromise(),
+		stateService.durablePromise(),
+		stateService.configurationPromise(),
+		stateService.servingPromise(),
+		stateService.placementPromise(),
+	}}, nil
+}
+
+func newPromise(name, condition, format string, arguments ...any) *state.Promise {
+	return &state.Promise{Name: name, State: condition, Evidence: fmt.Sprintf(format, arguments...)}
+}
+
+func (stateService *stateService) capacityPromise() *state.Promise {
+	const name = "no worker is given more than it can hold"
+	if stateService.parts.Jobs == nil {
+		return newPromise(name, promiseNotObserved, "this VM holds no jobs")
+	}
+	workers := stateService.parts.Jobs.WorkerStates()
+	for _, worker := range workers {
+		if !worker.Reserved.Fits(worker.Worker.Capacity) {
+			return newPromise(name, promiseNotKept, "worker %s has %+v reserved of %+v; its capacity was lowered while tasks run",
+				worker.Worker.Name, worker.Reserved, worker.Worker.Capacity)
+		}
+	}
+	return newPromise(name, promiseKept, "reservations of %d workers fit their capacity", len(workers))
+}
+
+func (stateService *stateService) singleRunPromise() *state.Promise {
+	const name = "a task never runs in two places"
+	if stateService.parts.Jobs == nil {
+		return newPromise(name, promiseNotObserved, "this VM holds no jobs")
+	}
+	placed := map[scheduler.TaskID]scheduler.WorkerName{}
+	for _, worker := range stateService.parts.Jobs.WorkerStates() {
+		for _, task := range worker.Tasks {
+			if other, twice := placed[task.Task]; twice {
+				return newPromise(name, promiseNotKept, "task %s occupies workers %s and %s", task.Task, other, worker.Worker.Name)
+			}
+			placed[task.Task] = worker.Worker.Name
+		}
+	}
+	return newPromise(name, promiseKept, "%d tasks occupy one worker each", len(placed))
+}
+
+func (stateService *stateService) durablePromise() *state.Promise {
+	const name = "what was acknowledged is not lost"
+	home, ok := stateService.parts.Groups[scheduler.GroupName(stateService.parts.DataCentre)]
+	if !ok {
+		return newPromise(name, promiseNotObserved, "this VM is not a member of its data centre's group")
+	}
+	status := home.Status()
+	connected := stateService.parts.Connected()
+	reachable := 0
+	for _, voter := range status.Voters() {
+		if voter == stateService.parts.VM || connected[string(voter)] {
+			reachable++
+		}
+	}
+	voters := len(status.Voters())
+	switch {
+	case voters == 0 || reachable <= voters/2:
+		return newPromise(name, promiseAtRisk, "%d of %d voters can be reached; changes are refused", reachable, voters)
+	case reachable < voters:
+		return newPromise(name, promiseAtRisk, "%d of %d voters can be reached; the loss of another stops changes", reachable, voters)
+	default:
+		return newPromise(name, promiseKept, "all %d voters can be reached, term %d", voters, status.Term())
+	}
+}
+
+func (stateService *stateService) configurationPromise() *state.Promise {
+	const name = "an accepted configuration is in force within seconds"
+	if stateService.parts.Local == nil || stateService.parts.Global == nil {
+		return newPromise(name, promiseNotObserved, "this VM holds no configuration")
+	}
+	inForce, _, ok := stateService.parts.Local.InForce()
+	accepted, _ := stateService.parts.Global.Current()
+	if !ok {
+		return newPromise(name, promiseAtRisk, "the revision in force has not been read from the data centre's group")
+	}
+	if inForce < accepted {
+		return newPromise(name, promiseAtRisk, "revision %d is in force here, %d is accepted", inForce, accepted)
+	}
+	if global, member := stateService.parts.Groups[scheduler.GlobalGroup]; member && global.Status().Leader() == "" {
+		return newPromise(name, promiseAtRisk, "revision %d is in force; the global group has no leader, so changes are refused", inForce)
+	}
+	return newPromise(name, promiseKept, "revision %d is in force", inForce)
+}
+
+func (stateService *stateService) servingPromise() *state.Promise {
+	const name = "callers are served"
+	ready, reason := stateService.parts.Ready()
+	if !ready {
+		return newPromise(name, promiseNotKept, "%s", reason)
+	}
+	if stateService.parts.Directory == nil {
+		return newPromise(name, promiseNotObserved, "this VM does not run the role gateway")
+	}
+	services := stateService.parts.Directory.Services()
+	missing := stateService.servicesWithoutEndpoints(services)
+	if len(missing) > 0 {
+		return newPromise(name, promiseNotKept, "no endpoint has announced itself for %v", missing)
+	}
+	return newPromise(name, promiseKept, "endpoints are known for %v", services)
+}
+
+func (stateService *stateService) servicesWithoutEndpoints(known []scheduler.ServiceName) []scheduler.ServiceName {
+	if stateService.parts.Local == nil {
+		return nil
+	}
+	_, document, ok := stateService.parts.Local.InForce()
+	if !ok || document == nil {
+		return nil
+	}
+	var missing []scheduler.ServiceName
+	for _, service := range document.Services {
+		if !slices.Contains(known, service.Name) {
+			missing = append(missing, service.Name)
+		}
+	}
+	return missing
+}
+
+func (stateService *stateService) placementPromise() *state.Promise {
+	const name = "work that was accepted is placed"
+	if stateService.parts.Jobs == nil {
+		return newPromise(name, promiseNotObserved, "this VM holds no jobs")
+	}
+	counts := stateService.parts.Jobs.Counts()
+	waiting := 0
+	for condition, count := range counts.Tasks {
+		if condition == "pending" {
+			waiting += count
+		}
+	}
+	if waiting > 0 {
+		return newPromise(name, promiseAtRisk, "%d tasks wait; \"crocusplank job show\" gives the reason of each", waiting)
+	}
+	return newPromise(name, promiseKept, "no task waits, %d leases are live, %d evictions so far", counts.Leases, counts.Evictions)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,117 @@
+// Package server serves the operators' and teams' API over the generated transport code.
+package server
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"github.com/crocusplank/crocusplank/gen/audit"
+	"github.com/crocusplank/crocusplank/gen/configuration"
+	"github.com/crocusplank/crocusplank/gen/health"
+	auditserver "github.com/crocusplank/crocusplank/gen/http/audit/server"
+	configurationserver "github.com/crocusplank/crocusplank/gen/http/configuration/server"
+	healthserver "github.com/crocusplank/crocusplank/gen/http/health/server"
+	jobsserver "github.com/crocusplank/crocusplank/gen/http/jobs/server"
+	replicasserver "github.com/crocusplank/crocusplank/gen/http/replicas/server"
+	stateserver "github.com/crocusplank/crocusplank/gen/http/state/server"
+	"github.com/crocusplank/crocusplank/gen/jobs"
+	"github.com/crocusplank/crocusplank/gen/replicas"
+	"github.com/crocusplank/crocusplank/gen/state"
+	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/configurator"
+	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Error is the class of errors that this package returns.
+var Error = errs.Class("server")
+
+// bodyLimit bounds a request's body: a configuration of 3,440 workers has less than 1 MB.
+const bodyLimit = 8 << 20
+
+// Parts are the parts of the daemon that the API shows and changes. Fields of roles that the VM does
+// not run are nil.
+type Parts struct {
+	VM         scheduler.VMName
+	DataCentre scheduler.DataCentreName
+	Version    string
+	Jobs       *dispatcher.Machine
+	Engine     *dispatcher.Engine
+	// Evict evicts a task on whichever VM leads the data centre's group.
+	Evict     func(ctx context.Context, task scheduler.TaskID, reason string) error
+	Global    *configurator.Global
+	Local     *configurator.Local
+	Submitter *configurator.Submitter
+	Directory scheduler.Directory
+	Groups    map[scheduler.GroupName]*replicator.Replicator
+	Trail     scheduler.AuditTrail
+	// Connected tells of each peer whether the connection to it is up.
+	Connected func() map[string]bool
+	Ready     func() (ready bool, reason string)
+	// Tokens is nil when the API is open to everyone who reaches it.
+	Tokens *authenticator.Authenticator
+}
+
+// Server serves the API. It is safe for concurrent use.
+type Server struct {
+	parts Parts
+	log   zerolog.Logger
+}
+
+// New returns a Server.
+func New(parts Parts, log zerolog.Logger) *Server {
+	return &Server{parts: parts, log: log}
+}
+
+// Handler returns the API's handler.
+func (server *Server) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	decoder, encoder := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	failed := func(_ context.Context, _ http.ResponseWriter, err error) {
+		server.log.Warn().Str("event", "api.responseFailed").Err(err).Msg("response not sent")
+	}
+	jobsserver.Mount(mux, jobsserver.New(jobs.NewEndpoints(&jobService{server}), mux, decoder, encoder, failed, formatError))
+	configurationserver.Mount(mux, configurationserver.New(configuration.NewEndpoints(&configurationService{server}), mux, decoder, encoder, failed, formatError))
+	stateserver.Mount(mux, stateserver.New(state.NewEndpoints(&stateService{server}), mux, decoder, encoder, failed, formatError))
+	auditserver.Mount(mux, auditserver.New(audit.NewEndpoints(&auditService{server}), mux, decoder, encoder, failed, formatError))
+	replicasserver.Mount(mux, replicasserver.New(replicas.NewEndpoints(&replicaService{server}), mux, decoder, encoder, failed, formatError))
+	healthserver.Mount(mux, healthserver.New(health.NewEndpoints(&healthService{server}), mux, decoder, encoder, failed, formatError))
+	return limitBodies(mux)
+}
+
+func limitBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		request.Body = http.MaxBytesReader(writer, request.Body, bodyLimit)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// formatError gives faults that the generated code finds, such as a missing field, the form of the
+// API's own errors.
+func formatError(_ context.Context, err error) goahttp.Statuser {
+	return &requestError{Name: "invalid", Message: err.Error(), Next: "correct the request; docs/openapi.json describes it"}
+}
+
+// requestError is the body of an answer to a malformed request. It is a wire type.
+type requestError struct {
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Next    string `json:"next"`
+}
+
+// StatusCode implements goahttp.Statuser.
+func (*requestError) StatusCode() int { return http.StatusBadRequest }
+
+// Error implements error.
+func (requestError *requestError) Error() string { return requestError.Message }
+
+// GoaErrorName implements goa's named error.
+func (requestError *requestError) GoaErrorName() string { return requestError.Name }
+
+var _ goa.GoaErrorNamer = (*requestError)(nil)
--- a/pkg/scheduler/lease.go
+++ b/pkg/scheduler/lease.go
@@ -42,7 +42,7 @@
 	// Ended and Checkpoints are repeated until an answer acknowledges them.
 	Ended       []EndedAttempt `json:"ended,omitempty" cbor:"ended,omitempty"`
 	Checkpoints []Checkpoint   `json:"checkpoints,omitempty" cbor:"checkpoints,omitempty"`
-	Usage       []AttemptUsage  `json:"usage,omitempty" cbor:"usage,omitempty"`
+	Usage       []AttemptUsage `json:"usage,omitempty" cbor:"usage,omitempty"`
 }
 
 // EndedAttempt reports the end of an attempt. It is a wire type. An empty Checkpoint means that the
