gateway: callers' requests from the queue to the response

Cause: the parts of the request path need a handler that joins them, states true outcomes and stops without cutting requests. Change: Gateway serves /{service}/{path...}: it checks the request, records non-idempotent ones under their key, waits for a slot, forwards, retries within the budget, spills to another data centre when no slot is free, relays, and answers errors as JSON with their outcome. Stop stops accepting, hands back the shares when no request waits for a slot, waits for requests and their records, and cuts at the limit.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -145,6 +145,7 @@
 	valid func() bool
 	mutex sync.Mutex
 	got   []gotten
+	fresh bool
 }
 
 type gotten struct {
@@ -159,10 +160,18 @@
 	}
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
+	tracker.fresh = !info.Reused
 	tracker.got = append(tracker.got, gotten{connection: own, before: own.written.Load()})
 	own.gate.Store(&tracker.valid)
 }
 
+// reused reports whether the request was written to a connection that had been used before.
+func (tracker *tracker) reused() bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.fresh
+}
+
 // wrote reports whether a byte of the request may have been written.
 func (tracker *tracker) wrote() bool {
 	tracker.mutex.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -172,11 +173,14 @@
 
 // outgoing makes the request for the endpoint.
 func (forwarder *Forwarder) outgoing(ctx context.Context, call Call, watched *tracker) (*http.Request, error) {
-	target, err := url.ParseRequestURI(call.Target)
+	// The target is taken apart by hand: url.Parse would take a path that begins with two slashes for a
+	// host.
+	raw, query, _ := strings.Cut(call.Target, "?")
+	path, err := url.PathUnescape(raw)
 	if err != nil {
 		return nil, err
 	}
-	target.Scheme, target.Host = "http", call.Endpoint.Address
+	target := &url.URL{Scheme: "http", Host: call.Endpoint.Address, Path: path, RawPath: raw, RawQuery: query}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watched.gotConn})
 	request := (&http.Request{
 		Method: call.Incoming.Method, URL: target, Host: call.Incoming.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -223,7 +223,7 @@
 		incoming := httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)
 		incoming.Header = http.Header{"Connection": {"close, X-Private"}, "X-Private": {"1"}, "Upgrade": {"h2c"}, "Te": {"trailers"}, "X-End": {"1"}, HeaderKey: {"own"}}
 		taken, _ := shares.Acquire("desk-1")
-		result := forwarder.Send(Call{Endpoint: scheduler.Announcement{Address: "10.0.0.1:80"}, Slot: taken, Incoming: incoming, Target: "/", RequestID: "r1"})
+		result := forwarder.Send(Call{Endpoint: scheduler.Announcement{Address: "10.0.0.1:80"}, Slot: taken, Incoming: incoming, Target: "//a%2Fb?c", RequestID: "r1"})
 		for name, want := range map[string]string{
 			"Connection": "", "X-Private": "", "Upgrade": "", "Te": "", "X-End": "1", "User-Agent": "", HeaderKey: "",
 			HeaderDeadline: "4000", HeaderRequestID: "r1", HeaderGateway: "couva-1/1",
@@ -232,8 +232,11 @@
 				t.Errorf("request header %s: got %q, want %q", name, got, want)
 			}
 		}
+		if got, want := endpoint.requests[0], "GET //a%2Fb?c "; got != want {
+			t.Errorf("request line: got %q, want %q", got, want)
+		}
 		recorder := httptest.NewRecorder()
-		if err := Relay(recorder, result.Response, "r1", nil); err != nil {
+		if err := Relay(recorder, result.Response, result.Outcome, "r1", nil); err != nil {
 			t.Fatal(err)
 		}
 		for name, want := range map[string]string{"X-Hop": "", "Connection": "", "X-End": "1", HeaderOutcome: "done"} {
--- a/internal/forwarder/probe.go
+++ b/internal/forwarder/probe.go
@@ -29,7 +29,9 @@
 		default:
 			forwarder.log.Info().Str("event", "connectionsClosed").Str("endpoint", string(own.endpoint)).Msg("connections may be silent, endpoint answers on a fresh one")
 			forwarder.closePool(own)
-			if call.Restart != nil && call.Restart() {
+			// A connection that was opened for this request is hardly silent; the endpoint is slow, and
+			// running the request again would only add to its load.
+			if watched.reused() && call.Restart != nil && call.Restart() {
 				cancel(errSilent)
 			}
 		}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -41,8 +41,9 @@
 }
 
 // Relay copies a response to the caller and closes its body. seen, when not nil, gets each part of the
-// body. When the body breaks off, the caller's connection is reset and the error is returned.
-func Relay(w http.ResponseWriter, response *http.Response, requestID string, seen func(part []byte)) error {
+// body. When the body breaks off, the caller's connection is reset and the error is returned. outcome is
+// OutcomeDone but for a response in which another gateway states its own.
+func Relay(w http.ResponseWriter, response *http.Response, outcome scheduler.Outcome, requestID string, seen func(part []byte)) error {
 	defer func() { _ = response.Body.Close() }()
 	header := w.Header()
 	for name, values := range endToEnd(response.Header) {
@@ -52,7 +53,7 @@
 	for _, name := range declared {
 		header.Add("Trailer", name)
 	}
-	header.Set(HeaderOutcome, string(scheduler.OutcomeDone))
+	header.Set(HeaderOutcome, string(outcome))
 	header.Set(HeaderRequestID, requestID)
 	w.WriteHeader(response.StatusCode)
 	if err := copyBody(w, response, seen); err != nil {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,418 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/crocusplank/crocusplank/internal/balancer"
+	"github.com/crocusplank/crocusplank/internal/deduplicator"
+	"github.com/crocusplank/crocusplank/internal/forwarder"
+	"github.com/crocusplank/crocusplank/internal/limiter"
+	"github.com/crocusplank/crocusplank/internal/retrier"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// stand is a stand-in for the other parts: a directory, and shares without limits. Its machine is the
+// records' group.
+type stand struct {
+	unlimited
+	endpoints []scheduler.Announcement
+	remotes   []scheduler.RemoteService
+	free      int
+	machine   *deduplicator.Machine
+}
+
+func (stand *stand) Services() []scheduler.ServiceName { return nil }
+
+func (stand *stand) Endpoints(service scheduler.ServiceName) []scheduler.Announcement {
+	if service != "sizing" {
+		return nil
+	}
+	return stand.endpoints
+}
+
+func (stand *stand) Heard(scheduler.EndpointName) (scheduler.HeardAnnouncement, bool) {
+	return scheduler.HeardAnnouncement{}, false
+}
+
+func (stand *stand) Remotes(scheduler.ServiceName) []scheduler.RemoteService { return stand.remotes }
+
+func (stand *stand) Propose(_ context.Context, command []byte) ([]byte, error) {
+	return stand.machine.Apply(1, command), nil
+}
+
+// serve starts a gateway on 127.0.0.1 in front of endpoints at the addresses.
+func serve(t *testing.T, stand *stand, addresses ...string) (*Gateway, string) {
+	t.Helper()
+	for number, address := range addresses {
+		stand.endpoints = append(stand.endpoints, scheduler.Announcement{
+			Endpoint: scheduler.EndpointName(fmt.Sprintf("desk-%d", number)), Address: address, Slots: 8, Connections: 64,
+		})
+	}
+	if stand.machine == nil {
+		stand.machine = deduplicator.NewMachine()
+	}
+	homes := func() []scheduler.DataCentreName { return []scheduler.DataCentreName{"couva"} }
+	store := deduplicator.NewStore(scheduler.Gateway{VM: "couva-1", DataCentre: "couva"}, 1, homes, func(scheduler.DataCentreName) deduplicator.Proposer { return stand })
+	made := New("couva-1", Parts{
+		Directory: stand, Keys: store, Free: func(scheduler.ServiceName) int { return stand.free }, Balancer: balancer.New(stand),
+		Forwarder: forwarder.New("couva-1/1", stand), Limiter: limiter.New(), Retrier: retrier.New(),
+	}, WithBodyLimit(200_000))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- made.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = made.Stop(ctx)
+		if err := <-served; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return made, listener.Addr().String()
+}
+
+// endpoint starts a stand-in endpoint and counts the requests that reach it.
+func endpoint(t *testing.T, handler http.HandlerFunc) (string, *atomic.Int64) {
+	count := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodOptions {
+			return
+		}
+		count.Add(1)
+		handler(w, r)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), count
+}
+
+// drop closes the connection without a response.
+func drop(w http.ResponseWriter, _ *http.Request) {
+	connection, _, _ := http.NewResponseController(w).Hijack()
+	_ = connection.Close()
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+// closedPort returns an address that refuses connections.
+func closedPort(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return listener.Addr().String()
+}
+
+// answer is a response that has been read.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// exchange sends raw bytes and reads the response.
+func exchange(t *testing.T, address, raw string) (answer, error) {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	go func() { _, _ = io.WriteString(connection, raw) }()
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(body)}, err
+}
+
+// TestServeHTTP guards against wrong outcomes and against requests that reach an endpoint although they are
+// refused, or reach it in another shape than the gateway saw. reached is -1 where the endpoint may or may not
+// have begun when the response arrives.
+func TestServeHTTP(t *testing.T) {
+	refuse503 := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(forwarder.HeaderOutcome, "notRun")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	cases := map[string]struct {
+		raw     string
+		handler http.HandlerFunc
+		status  int
+		outcome string
+		body    string
+		reached int64
+	}{
+		"path and query":        {"GET /sizing//a%2Fb/../c?d=%26 HTTP/1.1\r\nHost: x\r\n\r\n", echo, 200, "done", "GET //a%2Fb/../c?d=%26 ", 1},
+		"absolute form":         {"GET http://x/sizing/a HTTP/1.1\r\nHost: x\r\n\r\n", echo, 200, "done", "GET /a ", 1},
+		"body":                  {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi", echo, 200, "done", "POST /a hi", 1},
+		"chunked body":          {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", echo, 200, "done", "POST /a hi", 1},
+		"unknown service":       {"GET /other/a HTTP/1.1\r\nHost: x\r\n\r\n", echo, 404, "notRun", "unknownService", 0},
+		"unknown service, POST": {"POST /other/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", echo, 404, "notRun", "unknownService", 0},
+		"no service":            {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", echo, 404, "notRun", "noService", 0},
+		"CONNECT":               {"CONNECT sizing:80 HTTP/1.1\r\nHost: x\r\n\r\n", echo, 404, "notRun", "noService", 0},
+		"OPTIONS *":             {"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n", echo, 200, "", "", 0},
+		"deadline passed":       {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Deadline-Ms: 0\r\n\r\n", echo, 504, "notRun", "deadlinePassed", 0},
+		"deadline invalid":      {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Deadline-Ms: soon\r\n\r\n", echo, 400, "notRun", "deadlineInvalid", 0},
+		"deadline enormous":     {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Deadline-Ms: 9223372036854775807\r\n\r\n", echo, 200, "done", "GET /a ", 1},
+		"idempotent invalid":    {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Idempotent: maybe\r\n\r\n", echo, 400, "notRun", "idempotentInvalid", 0},
+		"two keys":              {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n", echo, 400, "notRun", "keyInvalid", 0},
+		"header too large":      {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 2*headerLimit) + "\r\n\r\n", echo, 431, "", "", 0},
+		"body too large":        {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 200001\r\n\r\n", echo, 413, "notRun", "bodyTooLarge", 0},
+		"chunked too large":     {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + strings.Repeat("x", 0x40000) + "\r\n0\r\n\r\n", echo, 413, "unknown", "bodyTooLarge", -1},
+		"two lengths":           {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 40\r\n\r\nhi", echo, 400, "", "", 0},
+		"signed length":         {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: +2\r\n\r\nhi", echo, 400, "", "", 0},
+		"unknown coding":        {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", echo, 501, "", "", 0},
+		"space before colon":    {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n", echo, 400, "", "", 0},
+		"length and chunked":    {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\nGET /sizing/smuggled HTTP/1.1\r\nHost: x\r\n\r\n", echo, 200, "done", "POST /a hi", 1},
+		"dropped, GET":          {"GET /sizing/a HTTP/1.1\r\nHost: x\r\n\r\n", drop, 502, "unknown", "endpointFailed", 4},
+		"dropped, POST":         {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", drop, 502, "unknown", "endpointFailed", 1},
+		"dropped, declared":     {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Idempotent: false\r\n\r\n", drop, 502, "unknown", "endpointFailed", 1},
+		"refused by endpoint":   {"POST /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", refuse503, 503, "notRun", "notRun", 4},
+		"forwarded, no retry":   {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Forwarded-By: x\r\n\r\n", refuse503, 503, "notRun", "notRun", 1},
+		"slow endpoint":         {"GET /sizing/a HTTP/1.1\r\nHost: x\r\nCrocusplank-Deadline-Ms: 500\r\n\r\n", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 504, "unknown", "deadlinePassed", 1},
+		"endpoint's own error":  {"GET /sizing/a HTTP/1.1\r\nHost: x\r\n\r\n", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, 500, "done", "", 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, count := endpoint(t, test.handler)
+			_, gateway := serve(t, &stand{free: 1}, address)
+			response, err := exchange(t, gateway, test.raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := response.status; got != test.status {
+				t.Errorf("status: got %d, want %d", got, test.status)
+			}
+			if got := response.header.Get(forwarder.HeaderOutcome); got != test.outcome {
+				t.Errorf("outcome: got %q, want %q", got, test.outcome)
+			}
+			if !strings.Contains(response.body, test.body) {
+				t.Errorf("body: got %q, want it to contain %q", response.body, test.body)
+			}
+			if got := count.Load(); test.reached >= 0 && got != test.reached {
+				t.Errorf("requests at the endpoint: got %d, want %d", got, test.reached)
+			}
+		})
+	}
+}
+
+// TestEndpoints guards against failures of one endpoint that reach the caller although another endpoint, or
+// another data centre, can serve the request.
+func TestEndpoints(t *testing.T) {
+	good, _ := endpoint(t, echo)
+	_, remote := serve(t, &stand{free: 1}, good)
+	bad, _ := endpoint(t, drop)
+	remotes := []scheduler.RemoteService{{DataCentre: "chaguanas", Address: remote, Free: 5}}
+	closedRemote := []scheduler.RemoteService{{DataCentre: "chaguanas", Address: closedPort(t), Free: 5}}
+	cases := map[string]struct {
+		stand     *stand
+		addresses []string
+		method    string
+		status    int
+	}{
+		"refusing endpoint, POST":  {&stand{free: 1}, []string{closedPort(t), good}, http.MethodPost, 200},
+		"dropping endpoint, GET":   {&stand{free: 1}, []string{bad, good}, http.MethodGet, 200},
+		"spill without endpoints":  {&stand{remotes: remotes}, nil, http.MethodPost, 200},
+		"spill without a slot":     {&stand{remotes: remotes}, []string{bad}, http.MethodPost, 200},
+		"spill refused, then here": {&stand{remotes: closedRemote}, []string{good}, http.MethodPost, 200},
+		"no spill with free slots": {&stand{remotes: remotes, free: 1}, []string{closedPort(t), closedPort(t)}, http.MethodPost, 503},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, gateway := serve(t, test.stand, test.addresses...)
+			for range 2 {
+				response, err := exchange(t, gateway, test.method+" /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got, want := response.status, test.status; got != want {
+					t.Errorf("status: got %d (%s), want %d", got, response.body, want)
+				}
+			}
+		})
+	}
+}
+
+// TestResend guards against a second run of a non-idempotent request.
+func TestResend(t *testing.T) {
+	const post = "POST /sizing/a HTTP/1.1\r\nHost: x\r\nIdempotency-Key: couva:x\r\nContent-Length: 5\r\n\r\n"
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		first   int
+		resend  string
+		status  int
+	}{
+		"answered":        {echo, 200, post + "palms", 200},
+		"unknown":         {drop, 502, post + "palms", 409},
+		"another request": {echo, 200, post + "thumb", 422},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, count := endpoint(t, test.handler)
+			made, gateway := serve(t, &stand{free: 1}, address)
+			for _, step := range []struct {
+				raw    string
+				status int
+			}{{post + "palms", test.first}, {test.resend, test.status}} {
+				response, err := exchange(t, gateway, step.raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got, want := response.status, step.status; got != want {
+					t.Errorf("status: got %d, want %d", got, want)
+				}
+				made.finishing.Wait()
+			}
+			if got, want := count.Load(), int64(1); got != want {
+				t.Errorf("requests at the endpoint: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// TestBrokenBody guards against a response that breaks off and looks whole to the caller.
+func TestBrokenBody(t *testing.T) {
+	for name, length := range map[string]string{"with a length": "100", "chunked": ""} {
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(name+", HTTP/"+version, func(t *testing.T) {
+				address, _ := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+					if length != "" {
+						w.Header().Set("Content-Length", length)
+					}
+					_, _ = io.WriteString(w, "half")
+					_ = http.NewResponseController(w).Flush()
+					drop(w, r)
+				})
+				_, gateway := serve(t, &stand{free: 1}, address)
+				if response, err := exchange(t, gateway, "GET /sizing/a HTTP/"+version+"\r\nHost: x\r\n\r\n"); err == nil {
+					t.Errorf("got a whole response %q, want an error", response.body)
+				}
+			})
+		}
+	}
+}
+
+// TestStop guards against a planned stop that cuts a stream, accepts new requests or never ends.
+func TestStop(t *testing.T) {
+	for name, cut := range map[string]bool{"stream ends": false, "limit reached": true} {
+		t.Run(name, func(t *testing.T) {
+			parts, stop := make(chan string), make(chan error, 1)
+			address, _ := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+				for {
+					select {
+					case part, ok := <-parts:
+						if !ok {
+							return
+						}
+						_, _ = io.WriteString(w, part)
+						_ = http.NewResponseController(w).Flush()
+					case <-r.Context().Done():
+						return
+					}
+				}
+			})
+			made, gateway := serve(t, &stand{free: 1}, address)
+			connection, err := net.Dial("tcp", gateway)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = connection.Close() }()
+			_, _ = io.WriteString(connection, "GET /sizing/a HTTP/1.1\r\nHost: x\r\n\r\n")
+			parts <- "first"
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			handedBack := make(chan struct{})
+			made.handBack = sync.OnceFunc(func() { close(handedBack) })
+			go func() { stop <- made.Stop(ctx) }()
+			<-handedBack
+			if got, want := made.Ready(), false; got != want {
+				t.Errorf("ready: got %v, want %v", got, want)
+			}
+			if cut {
+				cancel()
+			} else {
+				parts <- " second"
+				close(parts)
+			}
+			body, err := io.ReadAll(response.Body)
+			if got, want := err != nil, cut; got != want {
+				t.Errorf("stream broken: got %v (%q, %v), want %v", got, body, err, want)
+			}
+			if got, want := string(body), "first second"; !cut && got != want {
+				t.Errorf("body: got %q, want %q", got, want)
+			}
+			if err := <-stop; (err != nil) != cut {
+				t.Errorf("stop: got %v, want an error: %v", err, cut)
+			}
+			if _, err := net.Dial("tcp", gateway); err == nil {
+				t.Error("connection after the stop: got one, want a refusal")
+			}
+		})
+	}
+}
+
+// TestStreamMemory guards against bodies that are held in memory, in either direction. It reports what 64
+// MiB up and down allocate.
+func TestStreamMemory(t *testing.T) {
+	const size = 64 << 20
+	address, _ := endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.Copy(w, r.Body)
+	})
+	made, gateway := serve(t, &stand{free: 1}, address)
+	made.bodyLimit = size
+	connection, err := net.Dial("tcp", gateway)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		_, _ = fmt.Fprintf(connection, "PUT /sizing/a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size)
+		part := make([]byte, 32<<10)
+		for range size / len(part) {
+			_, _ = connection.Write(part)
+		}
+	})
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	got, err := io.Copy(io.Discard, response.Body)
+	if err != nil || got != size {
+		t.Errorf("body: got %d bytes (%v), want %d", got, err, size)
+	}
+	writing.Wait()
+	runtime.ReadMemStats(&after)
+	t.Logf("allocated %d KiB for %d MiB each way", (after.TotalAlloc-before.TotalAlloc)>>10, size>>20)
+	if got, want := after.TotalAlloc-before.TotalAlloc, uint64(8<<20); got > want {
+		t.Errorf("allocated: got %d bytes, want at most %d", got, want)
+	}
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -55,6 +56,7 @@
 	deadline   time.Time
 	attempts   int
 	retrying   bool
+	restarted  atomic.Bool
 }
 
 // Begin counts a live request. forwarded is true when another gateway sent it; such a request is never
@@ -93,6 +95,12 @@
 	return pause, request.take()
 }
 
+// Restart reports whether an attempt that still waits may be ended and tried again, which it allows once per
+// request. It may be called while the attempt runs.
+func (request *Request) Restart() bool {
+	return request.idempotent && !request.forwarded && request.restarted.CompareAndSwap(false, true) && request.take()
+}
+
 // take counts the request as retrying, within the budget.
 func (request *Request) take() bool {
 	retrier := request.retrier
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,9 @@
 	if got, want := allowed, 10; got != want {
 		t.Errorf("retries of 100 requests: got %d, want %d", got, want)
 	}
+	if got, want := fmt.Sprint(requests[0].Restart(), requests[0].Restart(), requests[99].Restart()), "true false false"; got != want {
+		t.Errorf("restart, second restart, restart beyond the budget: got %s, want %s", got, want)
+	}
 	for _, request := range requests {
 		request.End()
 	}
