dispatcher: quarantine, throttle state for the placer, burst test

Cause: the placer could not see throttled tasks, nothing could keep work from a failing worker, and bursts of cancellations had been tested on the state machine only. Change: Engine.Quarantine; PlacedTask.Throttled; a test that cancels 10,000 jobs in one batch while their tasks start, finish, fail and are evicted during a change of the leader.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -58,6 +58,8 @@
 	// leases holds what the engine knows of each live lease.
 	leases map[scheduler.LeaseNumber]*leaseView
 	views  map[scheduler.WorkerName]*view
+	// quarantined workers get no new work.
+	quarantined map[scheduler.WorkerName]bool
 
 	// placement and expiredAt are used by the goroutine of Run only.
 	placement placement
@@ -117,6 +119,8 @@
 	for _, option := range options {
 		option(engine)
 	}
+	engine.quarantined = map[scheduler.WorkerName]bool{}
+	engine.placement = newPlacement()
 	engine.forget()
 	return engine
 }
--- a/internal/dispatcher/engine_test.go
+++ b/internal/dispatcher/engine_test.go
@@ -169,6 +169,38 @@
 	})
 }
 
+// Guards against commands and usage reports that get lost between engine and worker, and against new
+// work on a quarantined worker.
+func TestThrottleCheckpointUsageAndQuarantine(t *testing.T) {
+	calmTrial(t, func(t *testing.T, trial *trial) {
+		engine, reports := trial.cluster.leading(), 0
+		engine.usage = func(_ scheduler.WorkerName, usage []scheduler.UsageReport) { reports += len(usage) }
+		spec := scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: 2 * time.Minute, Request: scheduler.Resources{MilliCores: 1000}}
+		trial.mustSubmit(t, "slow", false, 1, spec)
+		time.Sleep(3 * time.Second)
+		lease := trial.report("slow").Tasks[0].Lease
+		engine.Throttle(lease, true)
+		engine.SaveCheckpoint(lease)
+		engine.Quarantine("worker-0", true)
+		time.Sleep(2 * time.Second)
+		checkpoint := trial.report("slow").Tasks[0].Checkpoint
+		trial.mustSubmit(t, "next", false, 1, spec)
+		time.Sleep(58 * time.Second)
+		if worker := trial.report("next").Tasks[0].Worker; worker != "worker-1" || checkpoint == "" {
+			t.Errorf("got worker %q and checkpoint %q, want worker-1 and a checkpoint", worker, checkpoint)
+		}
+		slow, next := trial.executions("slow", 1)[0], trial.executions("next", 1)[0]
+		if slow.Until > next.Until*2/3 || reports < 4 {
+			t.Errorf("got progress %s and %s with %d usage reports, want half of it and at least 4", slow.Until, next.Until, reports)
+		}
+		engine.Throttle(lease, false)
+		time.Sleep(2 * time.Minute)
+		if report := trial.report("slow"); report.State != JobFinished {
+			t.Errorf("got %s, want the job finished at full speed", report.State)
+		}
+	})
+}
+
 // Guards against a moving job that still runs here, is delivered before it has stopped, or is dropped
 // when its delivery fails.
 func TestMoveJobs(t *testing.T) {
--- a/internal/dispatcher/failure_test.go
+++ b/internal/dispatcher/failure_test.go
@@ -306,6 +306,53 @@
 	}
 }
 
+// Guards against a burst of cancellations that loses, repeats or forgets tasks which start, finish,
+// fail or are evicted at the same time.
+func TestCancelBurstRacesWithTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Hour)
+		}()
+		trial := newTrial(ctx, 3, mutation{})
+		trial.workers[1].SetFaults(emulator.Faults{FailStarts: true})
+		var group sync.WaitGroup
+		for i := range 10_000 {
+			id := scheduler.JobID(fmt.Sprintf("job-%d", i))
+			trial.submitted, trial.cancelled[id] = append(trial.submitted, id), true
+			spec := scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: time.Duration(1+i%8) * time.Second, Request: scheduler.Resources{MilliCores: 20}}
+			group.Go(func() {
+				for {
+					if result, err := trial.cluster.leading().Submit(ctx, Submission{Job: id, Team: "patterns", Tasks: []TaskGroup{{Count: 1, Spec: spec}}}); err == nil && result.Accepted {
+						return
+					}
+				}
+			})
+		}
+		group.Wait()
+		time.Sleep(5 * time.Second)
+		for i := range trialWorkers / 2 {
+			_ = trial.cluster.leading().Drain(ctx, Drain{Worker: scheduler.WorkerName(fmt.Sprintf("worker-%d", i)), Operator: "ama"})
+		}
+		time.Sleep(2 * defaultTick) // The burst meets evictions that have been logged.
+		go trial.cluster.elect()
+		burst := Cancellation{Jobs: trial.submitted, Operator: "ama"}
+		for range 3 {
+			_, _ = trial.cluster.leading().Cancel(ctx, burst)
+		}
+		time.Sleep(time.Minute)
+		for _, fault := range trial.check() {
+			t.Error(fault)
+		}
+		counts := trial.cluster.leading().machine.Counts()
+		if counts.Tasks[TaskFinished] == 0 || counts.Failures == 0 || counts.Evictions == 0 || counts.Leases != 0 {
+			t.Errorf("got %+v, want tasks that finished, failed and were evicted, and no live lease", counts)
+		}
+		t.Logf("%d finished, %d cancelled, %d failures, %d evictions", counts.Tasks[TaskFinished], counts.Tasks[TaskCancelled], counts.Failures, counts.Evictions)
+	})
+}
+
 // Guards against a state machine that trusts the placer.
 func TestCarelessPlacerOverloadsNoWorker(t *testing.T) {
 	for seed := range uint64(5) {
--- a/internal/dispatcher/operator.go
+++ b/internal/dispatcher/operator.go
@@ -64,6 +64,19 @@
 	defer engine.mutex.Unlock()
 	if view, ok := engine.leases[lease]; ok {
 		view.throttled = throttled
+		engine.machine.leaseChanged(lease)
+	}
+}
+
+// Quarantine keeps new work away from a worker, or not any more; what runs there goes on. It is kept in
+// memory over changes of the leader of this VM, for the quarantiner to decide again elsewhere.
+func (engine *Engine) Quarantine(worker scheduler.WorkerName, quarantined bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if quarantined {
+		engine.quarantined[worker] = true
+	} else {
+		delete(engine.quarantined, worker)
 	}
 }
 
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -191,33 +191,50 @@
 
 // updatePlacer passes on the workers whose state in the log, claims or contact has changed.
 func (engine *Engine) updatePlacer(now time.Time) {
+	placement := &engine.placement
+	claimed := map[scheduler.WorkerName]scheduler.Resources{}
+	for id, claim := range placement.claims {
+		claimed[claim.worker] = claimed[claim.worker].Plus(engine.machine.request(id))
+	}
+	attempts := engine.machine.attempts(slices.Collect(maps.Keys(placement.stuck)))
+	maps.DeleteFunc(placement.stuck, func(id scheduler.TaskID, attempt scheduler.AttemptNumber) bool {
+		return attempts[id] != attempt
+	})
+	for _, state := range engine.changedWorkers(now) {
+		state.Reserved = state.Reserved.Plus(claimed[state.Worker.Name])
+		engine.placer.Update(state)
+	}
+}
+
+// changedWorkers returns the states of the workers that have changed, in the order of their names, and
+// removes those that are gone from the placer.
+func (engine *Engine) changedWorkers(now time.Time) []scheduler.WorkerState {
 	changed := engine.machine.takeChanged()
+	usable := engine.placement.usable
 	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
 	for name, view := range engine.views {
-		if heard := now.Sub(view.heard) < heardWithin; heard != engine.placement.usable[name] {
-			engine.placement.usable[name] = heard
+		current := now.Sub(view.heard) < heardWithin && !engine.quarantined[name]
+		if current != usable[name] {
+			usable[name] = current
 			changed[name] = struct{}{}
 		}
 	}
-	engine.mutex.Unlock()
-	claimed := map[scheduler.WorkerName]scheduler.Resources{}
-	for id, claim := range engine.placement.claims {
-		claimed[claim.worker] = claimed[claim.worker].Plus(engine.machine.request(id))
+	throttled := func(lease scheduler.LeaseNumber) bool {
+		view, ok := engine.leases[lease]
+		return ok && view.throttled
 	}
-	attempts := engine.machine.attempts(slices.Collect(maps.Keys(engine.placement.stuck)))
-	maps.DeleteFunc(engine.placement.stuck, func(id scheduler.TaskID, attempt scheduler.AttemptNumber) bool {
-		return attempts[id] != attempt
-	})
+	var states []scheduler.WorkerState
 	for _, name := range slices.Sorted(maps.Keys(changed)) {
-		state, ok := engine.machine.workerState(name, engine.placement.stuck)
+		state, ok := engine.machine.workerState(name, engine.placement.stuck, throttled)
 		if !ok {
 			engine.placer.Remove(name)
 			continue
 		}
-		state.Reserved = state.Reserved.Plus(claimed[name])
-		state.Usable = state.Usable && engine.placement.usable[name]
-		engine.placer.Update(state)
+		state.Usable = state.Usable && usable[name]
+		states = append(states, state)
 	}
+	return states
 }
 
 // decideAll takes the assignments in the order of importance. The budget limits those of tasks whose
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -89,6 +89,7 @@
 // in hidden are reserved but not listed.
 func (machine *Machine) workerState(
 	name scheduler.WorkerName, hidden map[scheduler.TaskID]scheduler.AttemptNumber,
+	throttled func(scheduler.LeaseNumber) bool,
 ) (scheduler.WorkerState, bool) {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
@@ -103,6 +104,7 @@
 		}
 		placed := scheduler.PlacedTask{
 			Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(), Started: time.UnixMilli(task.Since),
+			Throttled: throttled(task.Lease),
 		}
 		if task.Saved != 0 {
 			placed.LastCheckpoint = time.UnixMilli(task.Saved)
@@ -124,6 +126,14 @@
 	machine.changed[worker] = struct{}{}
 }
 
+func (machine *Machine) leaseChanged(lease scheduler.LeaseNumber) {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	if task, ok := machine.leases[lease]; ok {
+		machine.changed[task.Worker] = struct{}{}
+	}
+}
+
 func (machine *Machine) markAllChanged() {
 	machine.mutex.Lock()
 	defer machine.mutex.Unlock()
