journaler: crash during the restart after a crash

Cause: the fault test reopened a folder without faults, so a crash during the repair was not covered. Change: the first restart after each fault ends in a crash at a random operation. Conclusion: the repair can be interrupted.

--- a/internal/journaler/fault_test.go
+++ b/internal/journaler/fault_test.go
@@ -164,6 +164,10 @@
 		t.Errorf("got %d syncs after the failed one, want none", fake.syncsAfter)
 	}
 	for range 2 {
+		// The first restart ends in a crash too.
+		fake = fake.afterCrash(random)
+		fake.fault, fake.crash, fake.failAt = errCrash, true, 1+random.IntN(12)
+		_, _ = open(fake, "/data", testIdentity, WithSegmentBytes(700))
 		fake = fake.afterCrash(random)
 		journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
 		if err != nil {
