loader: faults start on a line of their own

Cause: the class prefix stood before the first fault, so editors did not recognise its file:line:column form. Change: the error text starts with the number of faults. A file that is too large is reported without a doubled prefix. Measured: go test -race ./internal/loader passes. Conclusion: each line after the first can be opened from a terminal.

--- a/internal/loader/fault.go
+++ b/internal/loader/fault.go
@@ -41,9 +41,9 @@
 // Faults returns the faults.
 func (settingsError *SettingsError) Faults() []Fault { return slices.Clone(settingsError.faults) }
 
-// Error returns the faults, one to a line.
+// Error returns the number of faults and then the faults, one to a line.
 func (settingsError *SettingsError) Error() string {
-	lines := make([]string, 0, len(settingsError.faults))
+	lines := []string{fmt.Sprintf("settings have %d faults:", len(settingsError.faults))}
 	for _, fault := range settingsError.faults {
 		lines = append(lines, fault.String())
 	}
--- a/internal/loader/load.go
+++ b/internal/loader/load.go
@@ -32,7 +32,7 @@
 	defer func() { err = errors.Join(err, file.Close()) }()
 	data, err = io.ReadAll(io.LimitReader(file, maxFileBytes+1))
 	if len(data) > maxFileBytes {
-		return nil, Error.New("%s is larger than %d bytes", name, maxFileBytes)
+		return nil, fmt.Errorf("%s is larger than %d bytes", name, maxFileBytes)
 	}
 	return data, err
 }
