--- /dev/null
+++ b/internal/experimenter/experimenter_test.go
@@ -0,0 +1,87 @@
+package experimenter
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against results that depend on the order of runs, map iteration or the wall clock.
+func TestExecuteIsRepeatable(t *testing.T) {
+	plan := Plan{Deployments: []string{"couva"}, Scenarios: []string{"rackLoss"}, Seeds: 1, Parallel: 3, Horizon: 55 * time.Minute}
+	want, err := Execute(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan.Parallel = 1
+	got, err := Execute(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, result := range got {
+		if !reflect.DeepEqual(result, want[i]) {
+			t.Errorf("%s: got %v, want %v", result.Policy, result.Metrics, want[i].Metrics)
+		}
+		// Memory is never overcommitted, also while a rack is lost and victims stop.
+		if got := result.Metrics[metricOverfull].High; got != 0 {
+			t.Errorf("%s: got %v overfull worker steps, want 0", result.Policy, got)
+		}
+	}
+}
+
+// Guards against policies that see different work under the same seed, and against a seed that has
+// no effect.
+func TestWorkDependsOnlyOnSeed(t *testing.T) {
+	d, s := deployments["couva"], scenarios["noisyWaves"]
+	first, second := work(1, d, s, newTruth(1)), work(1, d, s, newTruth(1))
+	if !reflect.DeepEqual(first, second) {
+		t.Error("got different work for one seed, want the same")
+	}
+	if other := work(2, d, s, newTruth(2)); reflect.DeepEqual(first, other) {
+		t.Error("got the same work for two seeds, want different")
+	}
+}
+
+// Guards against a misspelt name that silently runs nothing, and against a file that cannot be read.
+func TestCommand(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "out.json")
+	cases := map[string]struct {
+		args    []string
+		wantErr string
+	}{
+		"run":              {args: []string{"--deployment", "couva", "--scenario", "light", "--policy", "partition", "--seeds", "1", "--horizon", "20m", "--output", file}},
+		"unknown scenario": {args: []string{"--scenario", "calm"}, wantErr: `scenario "calm" is not known`},
+		"unknown policy":   {args: []string{"--policy", "x"}, wantErr: `policy "x" is not known`},
+		"horizon":          {args: []string{"--horizon", "3h"}, wantErr: "horizon 3h0m0s"},
+		"no seeds":         {args: []string{"--seeds", "0"}, wantErr: "at least 1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			command := Command()
+			command.SetArgs(c.args)
+			command.SetOut(&out)
+			command.SetErr(&out)
+			err := command.Execute()
+			if c.wantErr != "" {
+				if err == nil || !strings.Contains(err.Error(), c.wantErr) {
+					t.Fatalf("got error %v, want %q", err, c.wantErr)
+				}
+				return
+			}
+			data, readErr := os.ReadFile(file)
+			var results []Result
+			if err != nil || readErr != nil || json.Unmarshal(data, &results) != nil || len(results) != 1 {
+				t.Fatalf("got %v, %v and %s, want one result", err, readErr, data)
+			}
+			if got := len(results[0].Metrics[metricP99].Seeds); got != 1 {
+				t.Errorf("got %d seeds, want 1", got)
+			}
+		})
+	}
+}
