--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -26,6 +26,9 @@
 	"partition":   func(*world) (*policy, error) { return newBaseline(false, 0.3), nil },
 	"oracle":      oracle,
 	"blindPlacer": blindPlacer,
+	"learned":     learned,
+	"constant":    constant,
+	"observer":    observer,
 }
 
 func newBaseline(firstFit bool, reserved float64) *policy {
