--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -225,3 +225,19 @@
 	}
 	return true, ""
 }
+
+// IsReady reports whether the platform's balancer may send requests to this VM.
+func (daemon *Daemon) IsReady() bool {
+	ready, _ := daemon.ready()
+	return ready
+}
+
+// Revision returns the configuration revision in force on this VM, 0 when none has been read.
+func (daemon *Daemon) Revision() scheduler.Revision {
+	replicas := replicasOf(daemon.kernel)
+	if replicas == nil {
+		return 0
+	}
+	revision, _, _ := replicas.local.InForce()
+	return revision
+}
--- /dev/null
+++ b/internal/composer/main.go
@@ -0,0 +1,147 @@
+package composer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/versioner"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	// exitSettings tells supervisors that a restart without a change of the settings is useless.
+	exitSettings = 2
+)
+
+// Main runs the daemon's command line and returns the exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use: "crocusplankd", Short: "Run an entry VM of crocusplank", SilenceUsage: true, SilenceErrors: true,
+		Long: "Run an entry VM of crocusplank.\n\nExit codes: 0 done, 1 failure, 2 faults in the settings.",
+	}
+	root.AddCommand(runCommand(), initCommand(), checkCommand(), tokenCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) { command.Println(versioner.Version()) },
+	})
+	root.SetArgs(arguments)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	var faults *loader.SettingsError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &faults):
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	default:
+		_, _ = fmt.Fprintln(stderr, "error:", err)
+		return exitFailure
+	}
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "List all faults of a settings file and start nothing", Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if _, err := loader.Load(arguments[0]); err != nil {
+				return err
+			}
+			command.Println(arguments[0] + ": no faults")
+			return nil
+		},
+	}
+}
+
+func initCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "init FILE", Short: "Create the data folder of a VM with a disk when a system is set up",
+		Long: "Create the data folder of a VM with a disk when a system is set up. It is run once per VM.\n" +
+			"A VM that has lost its disk is not initialised again: it is started with an empty data folder\n" +
+			"and rejoins its groups as a new replica.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			settings, err := loader.Load(arguments[0])
+			if err != nil {
+				return err
+			}
+			if err := Init(settings); err != nil {
+				return err
+			}
+			command.Println("data folder of VM " + string(settings.VM) + " is ready")
+			return nil
+		},
+	}
+}
+
+func tokenCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "token", Short: "Print a new token and the hash for the file of tokens", Args: cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) {
+			token, hash := authenticator.NewToken()
+			command.Println("token: ", token)
+			command.Println("sha256:", hash)
+		},
+	}
+}
+
+func runCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "run FILE", Short: "Run the VM until SIGTERM or SIGINT", Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			settings, err := loader.Load(arguments[0])
+			if err != nil {
+				return err
+			}
+			return run(settings, NewLogger(settings, command.ErrOrStderr()))
+		},
+	}
+}
+
+// NewLogger returns the logger that the settings describe.
+func NewLogger(settings *loader.Settings, writer io.Writer) zerolog.Logger {
+	if settings.Log.Format == "console" {
+		writer = zerolog.ConsoleWriter{Out: writer, NoColor: true}
+	}
+	level, err := zerolog.ParseLevel(settings.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(writer).Level(level).With().Timestamp().Str("vm", string(settings.VM)).Logger()
+}
+
+// run runs the daemon until a signal. The first signal stops it gracefully; a second one, or the limit
+// of the settings, ends what is left.
+func run(settings *loader.Settings, log zerolog.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	daemon, err := New(settings, log)
+	if err != nil {
+		return err
+	}
+	if err := daemon.Start(context.Background()); err != nil {
+		return err
+	}
+	received := <-signals
+	log.Info().Str("event", "daemon.stopping").Str("signal", received.String()).Msg("planned stop begins")
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout)
+	defer cancel()
+	go func() {
+		<-signals
+		log.Warn().Str("event", "daemon.stopNow").Msg("second signal; requests in progress are cut")
+		cancel()
+	}()
+	return daemon.Stop(ctx)
+}
--- a/internal/composer/recorder.go
+++ b/internal/composer/recorder.go
@@ -132,7 +132,7 @@
 	for _, record := range unrecorded(recorder.last[scheduler.GlobalGroup], global.AuditRecords, changeIndex) {
 		err := recorder.append(scheduler.GlobalGroup, record.Index, scheduler.AuditRecord{
 			Time: time.UnixMilli(record.AtUnixMilli), Who: record.Operator, Action: "config.apply",
-			Base: uint64(record.Base), ChangeID: record.ChangeID, Outcome: auditOutcome(record.Outcome == configurator.ChangeAccepted),
+			Base: uint64(record.Base), ChangeID: record.ID, Outcome: auditOutcome(record.Outcome == configurator.ChangeAccepted),
 			Detail: fmt.Sprintf("%s, revision %d %s", record.Outcome, record.Revision, record.Reason),
 		})
 		if err != nil {
--- a/internal/dispatcher/engine_test.go
+++ b/internal/dispatcher/engine_test.go
@@ -174,7 +174,7 @@
 func TestThrottleCheckpointUsageAndQuarantine(t *testing.T) {
 	calmTrial(t, func(t *testing.T, trial *trial) {
 		engine, reports := trial.cluster.leading(), 0
-		engine.usage = func(_ scheduler.WorkerName, usage []scheduler.UsageReport) { reports += len(usage) }
+		engine.usage = func(_ scheduler.WorkerName, usage []scheduler.AttemptUsage) { reports += len(usage) }
 		spec := scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: 2 * time.Minute, Request: scheduler.Resources{MilliCores: 1000}}
 		trial.mustSubmit(t, "slow", false, 1, spec)
 		time.Sleep(3 * time.Second)
--- a/internal/dispatcher/report.go
+++ b/internal/dispatcher/report.go
@@ -15,9 +15,12 @@
 	machine.mutex.RUnlock()
 	var states []scheduler.WorkerState
 	for _, name := range names {
-		if state, ok := machine.workerState(name, nil); ok {
+		if state, ok := machine.workerState(name, nil, notThrottled); ok {
 			states = append(states, state)
 		}
 	}
 	return states
 }
+
+// notThrottled stands for the throttling, which only the leader's engine knows.
+func notThrottled(scheduler.LeaseNumber) bool { return false }
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -31,7 +32,9 @@
 
 // New returns a Reporter.
 func New() *Reporter {
-	served := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own keeps daemons apart that run in one process.
+	registry := client.NewRegistry()
+	served := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: Prefix, CachedReporter: served, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/rs/zerolog"
@@ -92,26 +93,51 @@
 	})
 }
 
-// formatError gives faults that the generated code finds, such as a missing field, the form of the
-// API's own errors.
+// formatError returns the body of an answer that reports an error: one of the API's own, or a fault that
+// the generated code finds, such as a missing field.
 func formatError(_ context.Context, err error) goahttp.Statuser {
-	return &requestError{Name: "invalid", Message: err.Error(), Next: "correct the request; docs/openapi.json describes it"}
+	if own := ownFailure(err); own != nil {
+		return &errorBody{Name: own.Name, Message: own.Message, Next: own.Next, Faults: own.Faults, Revision: own.Revision}
+	}
+	var named goa.GoaErrorNamer
+	if errors.As(err, &named) && named.GoaErrorName() == "notReady" {
+		return &errorBody{Name: "notReady", Message: err.Error(), Next: "wait, or use another entry VM"}
+	}
+	return &errorBody{Name: "invalid", Message: err.Error(), Next: "correct the request; docs/openapi.json describes it"}
 }
 
-// requestError is the body of an answer to a malformed request. It is a wire type.
-type requestError struct {
-	Name    string `json:"name"`
-	Message string `json:"message"`
-	Next    string `json:"next"`
+// ownFailure returns the failure that a service's error was converted from, nil for other errors.
+func ownFailure(err error) *failure {
+	var ofJobs *jobs.APIError
+	var ofConfiguration *configuration.APIError
+	var ofState *state.APIError
+	var ofAudit *audit.APIError
+	var ofReplicas *replicas.APIError
+	switch {
+	case errors.As(err, &ofJobs):
+		return (*failure)(ofJobs)
+	case errors.As(err, &ofConfiguration):
+		return (*failure)(ofConfiguration)
+	case errors.As(err, &ofState):
+		return (*failure)(ofState)
+	case errors.As(err, &ofAudit):
+		return (*failure)(ofAudit)
+	case errors.As(err, &ofReplicas):
+		return (*failure)(ofReplicas)
+	default:
+		return nil
+	}
 }
 
-// StatusCode implements goahttp.Statuser.
-func (*requestError) StatusCode() int { return http.StatusBadRequest }
-
-// Error implements error.
-func (requestError *requestError) Error() string { return requestError.Message }
-
-// GoaErrorName implements goa's named error.
-func (requestError *requestError) GoaErrorName() string { return requestError.Name }
+// errorBody is the body of an answer that reports an error. It is a wire type.
+type errorBody struct {
+	Name     string   `json:"name"`
+	Message  string   `json:"message"`
+	Next     string   `json:"next"`
+	Faults   []string `json:"faults,omitempty"`
+	Revision *uint64  `json:"revision,omitempty"`
+}
 
-var _ goa.GoaErrorNamer = (*requestError)(nil)
+// StatusCode implements goahttp.Statuser for faults that the generated code finds; it sets the status of
+// the API's own errors itself.
+func (*errorBody) StatusCode() int { return http.StatusBadRequest }
