composer: a gateway is ready only once it can know the endpoints

Cause: 16 of 500 first requests were refused as unknownService; the second gateway had not had its first exchange yet. Ruled out: shares and queue (the reasons are now shown by the demo). Change: readiness waits 1.5 s after the start: the endpoints' period and one exchange. The demo waits until both gateways know the endpoints. Conclusion: a restarted gateway no longer refuses services that exist.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -213,6 +213,9 @@
 	if !daemon.environment.inService.Load() {
 		return false, "the daemon is starting or stopping"
 	}
+	if daemon.gateway != nil && !daemon.gateway.hasListened() {
+		return false, "the gateway has not been up for long enough to know the endpoints"
+	}
 	replicas := replicasOf(daemon.kernel)
 	if replicas == nil {
 		return true, ""
@@ -241,3 +244,11 @@
 	revision, _, _ := replicas.local.InForce()
 	return revision
 }
+
+// Endpoints returns the number of a service's endpoints that this VM's gateway knows.
+func (daemon *Daemon) Endpoints(service scheduler.ServiceName) int {
+	if daemon.gateway == nil {
+		return 0
+	}
+	return len(daemon.gateway.registrar.Endpoints(service))
+}
--- a/internal/composer/gateway.go
+++ b/internal/composer/gateway.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/allocator"
@@ -23,6 +24,10 @@
 // reservedService is the first part of paths on the callers' address that are not a service's.
 const reservedService = "v1"
 
+// listenTime is how long a gateway that has just started waits for announcements before it takes requests:
+// the endpoints' period and one exchange between gateways. Until then it would refuse services that exist.
+const listenTime = 1500 * time.Millisecond
+
 // queuePerCaller is the part of a service's queue that one caller may fill, as a divisor.
 const queuePerCaller = 4
 
@@ -39,6 +44,7 @@
 	queue       *limiter.Limiter
 	keys        *deduplicator.Store
 	gateway     *gateway.Gateway
+	started     atomic.Pointer[time.Time]
 	cancel      context.CancelFunc
 	workers     sync.WaitGroup
 }
@@ -161,6 +167,8 @@
 	}
 	running, cancel := context.WithCancel(context.Background())
 	gatewayRole.cancel = cancel
+	now := time.Now()
+	gatewayRole.started.Store(&now)
 	gatewayRole.workers.Go(func() { _ = gatewayRole.registrar.Run(running) })
 	gatewayRole.workers.Go(func() { _ = gatewayRole.shares.Run(running) })
 	gatewayRole.workers.Go(func() {
@@ -177,6 +185,12 @@
 	return nil
 }
 
+// hasListened reports whether the gateway has been up for long enough to know the endpoints.
+func (gatewayRole *gatewayRole) hasListened() bool {
+	started := gatewayRole.started.Load()
+	return started != nil && time.Since(*started) >= listenTime
+}
+
 // Stop waits for the requests in progress and hands the shares back.
 func (gatewayRole *gatewayRole) Stop(ctx context.Context) error {
 	err := gatewayRole.gateway.Stop(ctx)
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -45,7 +45,7 @@
 	daemons    []*composer.Daemon
 	workers    []*emulator.Worker
 	endpoints  []*emulator.Endpoint
-	traffic    *traffic
+	callers    *emulator.Callers
 	broken     []string
 }
 
--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/emulator"
@@ -78,8 +77,12 @@
 		}
 	}
 	if err := demonstrator.until(ctx, readyLimit, func() bool {
-		listed, err := demonstrator.capture(false, "endpoint", "list")
-		return err == nil && strings.Count(listed, "desk-") == 3
+		for _, daemon := range demonstrator.daemons[:2] {
+			if daemon.Endpoints("charts") != 3 {
+				return false
+			}
+		}
+		return true
 	}); err != nil {
 		return Error.New("the endpoints are not known: %v", err)
 	}
@@ -107,11 +110,14 @@
 }
 
 func (demonstrator *Demonstrator) serveCallers(ctx context.Context) error {
-	demonstrator.traffic = newTraffic(demonstrator.deployment.CallerAddresses(dataCentre))
-	if err := demonstrator.traffic.run(ctx, 400, 16); err != nil {
+	demonstrator.callers = emulator.NewCallers("charts", demonstrator.deployment.CallerAddresses(dataCentre))
+	if err := demonstrator.callers.Run(ctx, 400, 16); err != nil {
 		return err
 	}
-	demonstrator.say("%s", demonstrator.traffic.summary())
+	demonstrator.say("%s", demonstrator.callers.Summary())
+	for reason, count := range demonstrator.callers.Reasons() {
+		demonstrator.say("%d requests: %s", count, reason)
+	}
 	return nil
 }
 
@@ -161,9 +167,9 @@
 // stopVM stops the second VM of the data centre while requests are in progress there.
 func (demonstrator *Demonstrator) stopVM(ctx context.Context) error {
 	const stopped = 1
-	before := demonstrator.traffic.failures()
+	before := demonstrator.callers.Failures()
 	results := make(chan error, 1)
-	go func() { results <- demonstrator.traffic.run(ctx, 2000, 16) }()
+	go func() { results <- demonstrator.callers.Run(ctx, 2000, 16) }()
 	stopContext, cancel := context.WithTimeout(ctx, stopLimit)
 	defer cancel()
 	if err := demonstrator.daemons[stopped].Stop(stopContext); err != nil {
@@ -173,8 +179,8 @@
 	if err := <-results; err != nil {
 		return err
 	}
-	demonstrator.say("VM couva-2 was stopped; %s", demonstrator.traffic.summary())
-	if cut := demonstrator.traffic.failures() - before; cut > 0 {
+	demonstrator.say("VM couva-2 was stopped; %s", demonstrator.callers.Summary())
+	if cut := demonstrator.callers.Failures() - before; cut > 0 {
 		demonstrator.broken = append(demonstrator.broken, fmt.Sprintf("the planned stop cut %d requests", cut))
 	}
 	return demonstrator.cli("status")
@@ -185,11 +191,11 @@
 	demonstrator.say("endpoint %s announced that it is leaving", demonstrator.endpoints[0].Name())
 	started := time.Now()
 	for time.Since(started) < emulator.LeaveLimit+time.Second {
-		if err := demonstrator.traffic.run(ctx, 100, 8); err != nil {
+		if err := demonstrator.callers.Run(ctx, 100, 8); err != nil {
 			return err
 		}
 	}
-	demonstrator.say("%s", demonstrator.traffic.summary())
+	demonstrator.say("%s", demonstrator.callers.Summary())
 	return nil
 }
 
@@ -203,7 +209,7 @@
 	}
 	demonstrator.report("no worker over its capacity, no task in two places, evicted tasks resumed once from their checkpoint",
 		fmt.Sprintf("%d executions", len(executions)), emulator.CheckExecutions(executions, capacity))
-	demonstrator.report("every caller got the whole answer to its own request", demonstrator.traffic.summary(), demonstrator.traffic.faults())
+	demonstrator.report("every caller got the whole answer to its own request", demonstrator.callers.Summary(), demonstrator.callers.Faults())
 	runs := 0
 	var faults, late []string
 	perKey := map[string]int{}
@@ -223,7 +229,7 @@
 	demonstrator.report("no endpoint was given more than its slots hold", fmt.Sprintf("%d runs", runs), faults)
 	demonstrator.report("a leaving endpoint got no new work after 3 s", "", late)
 	demonstrator.report("every non-idempotent request ran at most once", fmt.Sprintf("%d keys, each sent twice", len(perKey)), moreThanOnce(perKey))
-	demonstrator.report("requests that were answered as not run were not run", "", demonstrator.traffic.falseNotRun(perKey))
+	demonstrator.report("requests that were answered as not run were not run", "", demonstrator.callers.FalseNotRun(perKey))
 	if _, err := demonstrator.capture(true, "audit", "verify"); err != nil {
 		return err
 	}
