--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,7 @@
 	status  int
 	body    string
 	drop    bool // closes the connection without an answer
+	silent  bool // keeps the connection open and never answers
 	refuses bool // nothing listens
 }
 
@@ -40,8 +42,14 @@
 		defer func() { _ = listener.Close() }()
 		return listener.Addr().String()
 	}
-	started := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	started := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		requests.Add(1)
+		if server.silent {
+			// The server notices the end of the connection only once the body has been read.
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+			return
+		}
 		if server.drop {
 			connection, _, err := http.NewResponseController(writer).Hijack()
 			if err == nil {
@@ -75,6 +83,7 @@
 	done := server{status: http.StatusCreated, body: jobAnswer}
 	refuses := server{refuses: true}
 	drops := server{drop: true}
+	silent := server{silent: true}
 	notRun := server{status: http.StatusServiceUnavailable, body: errorBody("notRun")}
 	unknown := server{status: http.StatusGatewayTimeout, body: errorBody("unknown")}
 	conflict := server{status: http.StatusConflict, body: errorBody("conflict")}
@@ -98,6 +107,8 @@
 		"eviction refused by the first server":        {[]server{notRun, evicted}, evict, exitOK, 2},
 		"all servers are down":                        {[]server{refuses, refuses}, submit, exitNotRun, 0},
 		"all servers refuse":                          {[]server{notRun, notRun}, submit, exitNotRun, 2},
+		"first server never answers":                  {[]server{silent, done}, submit, exitOK, 2},
+		"first server never answers an eviction":      {[]server{silent, evicted}, evict, exitUnknown, 1},
 		"conflict is final":                           {[]server{conflict, done}, submit, exitConflict, 1},
 	}
 	for name, test := range tests {
@@ -107,7 +118,7 @@
 			for _, server := range test.servers {
 				addresses = append(addresses, server.start(t, &requests))
 			}
-			arguments := append([]string{"--server", strings.Join(addresses, ",")}, test.arguments...)
+			arguments := append([]string{"--timeout", "2s", "--server", strings.Join(addresses, ",")}, test.arguments...)
 			var stdout, stderr bytes.Buffer
 			got := New().Run(arguments, strings.NewReader(jobDocument), &stdout, &stderr)
 			if got != test.wantCode {
--- a/internal/commander/connection.go
+++ b/internal/commander/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	goahttp "goa.design/goa/v3/http"
 
@@ -48,7 +49,9 @@
 		}
 		connected.token = &token
 	}
-	doer := &failoverDoer{client: &http.Client{}, servers: target.Servers}
+	// A server that accepts connections and never answers must leave time to ask the others.
+	limit := commander.timeout / time.Duration(len(target.Servers))
+	doer := &failoverDoer{client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: limit}}, servers: target.Servers}
 	encoder, decoder := goahttp.RequestEncoder, goahttp.ResponseDecoder
 	const scheme, host = "http", "entry-vm"
 	job := jobsclient.NewClient(scheme, host, doer, encoder, decoder, false)
--- a/internal/commander/context.go
+++ b/internal/commander/context.go
@@ -48,6 +48,9 @@
 	if !known {
 		return target{}, newUsageError("no context %q in %s; pass --server or add it with \"crocusplank context set\"", name, commander.contextFile)
 	}
+	if len(chosen.Servers) == 0 {
+		return target{}, newUsageError("context %q has no servers", name)
+	}
 	if commander.tokenFile != "" {
 		chosen.TokenFile = commander.tokenFile
 	}
--- a/internal/composer/replica.go
+++ b/internal/composer/replica.go
@@ -110,7 +110,7 @@
 	self := ownMember(group, replicaRole.environment.settings.VM)
 	self.Incarnation = incarnation
 	opened.replicator, err = replicator.New(group.Name, self, members, opened.journal, replicaRole.environment.transport, machine,
-		replicator.WithLogger(replicaRole.environment.log.With().Str("group", string(group.Name)).Logger()))
+		replicator.WithLogger(replicaRole.environment.log))
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
@@ -65,7 +64,7 @@
 	callers := demonstrator.deployment.CallerAddresses(dataCentre)
 	for number := 1; number <= workerCount; number++ {
 		worker := emulator.NewWorker(scheduler.WorkerName(fmt.Sprintf("worker-%d", number)),
-			failoverExchange(callers), emulator.WithCheckpointPeriod(time.Second))
+			emulator.NewFailoverExchange(callers), emulator.WithCheckpointPeriod(time.Second))
 		demonstrator.workers = append(demonstrator.workers, worker)
 		go worker.Run(ctx)
 	}
@@ -92,23 +91,6 @@
 	return demonstrator.cli("worker", "list")
 }
 
-// failoverExchange sends a worker's exchange to the first entry VM that answers.
-func failoverExchange(callers []string) emulator.Exchange {
-	client := &http.Client{Timeout: 2 * time.Second}
-	var exchanges []emulator.Exchange
-	for _, caller := range callers {
-		exchanges = append(exchanges, emulator.NewHTTPExchange(client, "http://"+caller, "application/json"))
-	}
-	return func(ctx context.Context, request *scheduler.SyncRequest) (answer *scheduler.SyncAnswer, err error) {
-		for _, exchange := range exchanges {
-			if answer, err = exchange(ctx, request); err == nil {
-				return answer, nil
-			}
-		}
-		return nil, err
-	}
-}
-
 func (demonstrator *Demonstrator) serveCallers(ctx context.Context) error {
 	demonstrator.callers = emulator.NewCallers("charts", demonstrator.deployment.CallerAddresses(dataCentre))
 	if err := demonstrator.callers.Run(ctx, 400, 16); err != nil {
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,10 +18,14 @@
 // callTimeout is above the gateways' usual deadline for a request that waits for a slot.
 const callTimeout = 10 * time.Second
 
+// readyTimeout is how long the emulated balancer waits for a VM's readiness.
+const readyTimeout = time.Second
+
 // Callers sends callers' requests to the entry VMs as the platform's balancer would, and records what
 // comes back. It is safe for concurrent use.
 type Callers struct {
 	client    *http.Client
+	balancer  *http.Client
 	service   scheduler.ServiceName
 	addresses []string
 
@@ -37,6 +42,7 @@
 func NewCallers(service scheduler.ServiceName, addresses []string) *Callers {
 	return &Callers{
 		client:    &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		balancer:  &http.Client{Timeout: readyTimeout},
 		service:   service,
 		addresses: addresses,
 		outcomes:  map[scheduler.Outcome]int{},
@@ -90,7 +96,7 @@
 		if err != nil {
 			return "", false
 		}
-		response, err := callers.client.Do(request)
+		response, err := callers.balancer.Do(request)
 		if err != nil {
 			continue
 		}
@@ -153,6 +159,13 @@
 	}
 }
 
+// Done returns the number of requests with the outcome done.
+func (callers *Callers) Done() int {
+	callers.mutex.Lock()
+	defer callers.mutex.Unlock()
+	return callers.outcomes[scheduler.OutcomeDone]
+}
+
 // Failures returns the number of requests that got no whole answer.
 func (callers *Callers) Failures() int {
 	callers.mutex.Lock()
@@ -160,6 +173,13 @@
 	return len(callers.cut) + callers.outcomes[scheduler.OutcomeUnknown]
 }
 
+// Wrong returns the answers that were not those to their requests.
+func (callers *Callers) Wrong() []string {
+	callers.mutex.Lock()
+	defer callers.mutex.Unlock()
+	return slices.Clone(callers.wrong)
+}
+
 // Faults returns the answers that were wrong or broke off.
 func (callers *Callers) Faults() []string {
 	callers.mutex.Lock()
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/fxamacker/cbor/v2"
@@ -15,6 +16,9 @@
 // maxAnswer bounds an answer; one with 1,000 start commands has about 300 kB.
 const maxAnswer = 4 << 20
 
+// addressTimeout lets a worker ask a second entry VM within a few periods of the exchange.
+const addressTimeout = 2 * time.Second
+
 // NewHTTPExchange returns an Exchange that posts to the system at base, for example
 // "http://10.0.0.1:7000". mediaType is "application/json" or "application/cbor".
 func NewHTTPExchange(client *http.Client, base, mediaType string) Exchange {
@@ -50,3 +54,21 @@
 		return &answer, Error.Wrap(unmarshal(body, &answer))
 	}
 }
+
+// NewFailoverExchange returns an Exchange that asks the entry VMs at the addresses in turn until one
+// answers.
+func NewFailoverExchange(addresses []string) Exchange {
+	client := &http.Client{Timeout: addressTimeout}
+	var exchanges []Exchange
+	for _, address := range addresses {
+		exchanges = append(exchanges, NewHTTPExchange(client, "http://"+address, "application/json"))
+	}
+	return func(ctx context.Context, request *scheduler.SyncRequest) (answer *scheduler.SyncAnswer, err error) {
+		for _, exchange := range exchanges {
+			if answer, err = exchange(ctx, request); err == nil {
+				return answer, nil
+			}
+		}
+		return nil, err
+	}
+}
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -13,6 +13,32 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+const (
+	// inForceLimit is how long an answer waits for an accepted revision to be in force here.
+	inForceLimit = 5 * time.Second
+	inForcePoll  = 20 * time.Millisecond
+)
+
+// awaitInForce waits until a revision is in force on this VM, its inventory included, and reports whether
+// that happened in time.
+func (server *Server) awaitInForce(ctx context.Context, revision scheduler.Revision) bool {
+	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
+	defer cancel()
+	ticker := time.NewTicker(inForcePoll)
+	defer ticker.Stop()
+	for {
+		inForce, _, ok := server.parts.Local.InForce()
+		if ok && inForce >= revision && server.parts.Jobs.Revision() >= revision {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // configurationService implements the generated configuration service.
 type configurationService struct{ *Server }
 
@@ -112,6 +138,8 @@
 	if failure != nil {
 		return nil, configurationError(failure)
 	}
+	// The operator's next request then finds the change in force. The change is accepted in any case.
+	configurationService.awaitInForce(ctx, scheduler.Revision(revision))
 	return &configuration.ApplyResult{Revision: revision}, nil
 }
 
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -30,6 +30,9 @@
 
 // Submit implements the submission of a job.
 func (jobService *jobService) Submit(ctx context.Context, payload *jobs.SubmitPayload) (*jobs.Job, error) {
+	if failure := jobService.awaitInventory(ctx); failure != nil {
+		return nil, jobsError(failure)
+	}
 	submission, failure := jobService.submission(payload.Job)
 	if failure != nil {
 		return nil, jobsError(failure)
@@ -37,9 +40,6 @@
 	if failure := jobService.requireTeam(ctx, "submit job "+payload.Job.ID, submission.Team); failure != nil {
 		return nil, jobsError(failure)
 	}
-	if jobService.parts.Engine == nil {
-		return nil, jobsError(notRun("ask another entry VM", "this VM does not run the role scheduler"))
-	}
 	result, err := jobService.parts.Engine.Submit(ctx, submission)
 	if err != nil {
 		return nil, jobsError(outcomeOf(err))
@@ -50,6 +50,21 @@
 	return jobService.job(result.Job, submission), nil
 }
 
+// awaitInventory waits until the jobs' inventory is that of the newest accepted revision that this VM
+// knows. Without it a job submitted right after a change would be refused for want of workers or a team
+// that the change has added.
+func (jobService *jobService) awaitInventory(ctx context.Context) *failure {
+	if jobService.parts.Engine == nil {
+		return notRun("ask another entry VM", "this VM does not run the role scheduler")
+	}
+	accepted, _ := jobService.parts.Global.Current()
+	inForce, _, _ := jobService.parts.Local.InForce()
+	if jobService.awaitInForce(ctx, max(accepted, inForce)) {
+		return nil
+	}
+	return notRun("try again in some seconds", "the accepted configuration is not in force in data centre %s yet", jobService.parts.DataCentre)
+}
+
 // job returns a job from the local replica. A follower may not have applied the submission yet; it then
 // returns what was submitted.
 func (jobService *jobService) job(id scheduler.JobID, submission dispatcher.Submission) *jobs.Job {
