--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -111,9 +111,6 @@
 }
 
 func (node *node) durableMatch() scheduler.Index {
-	if node.settings.hooks.skipSync {
-		return node.follower.verified
-	}
 	return min(node.follower.verified, node.log.durable)
 }
 
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -218,10 +218,13 @@
 	return nil
 }
 
-// considerCaretaking lets a voter that does not stand for election do so for a while when a candidate
-// lacks entries that this VM holds. The entries may have been committed by the lost leader and this
-// VM alone; without this exception nobody could be elected. As leader it takes no proposals and no
-// lease, and hands over to the first candidate that has caught up.
+// A voter that does not stand for election does so for a while in two cases: a candidate lacks entries
+// that this VM holds, or there has been no leader for long. The entries may have been committed by the
+// lost leader and this VM alone, and the other voter may lack even the entry that made it a voter, so
+// that it does not stand either. Without this exception nobody could be elected. As leader this VM
+// takes no proposals and no lease, and hands over to the first candidate that has caught up.
+
+// considerCaretaking is called when a candidate asks for a vote.
 func (node *node) considerCaretaking(message *voteMessage) {
 	now := node.clock.now()
 	if node.standsForElection() || node.ignoresVotes(now) ||
@@ -229,8 +232,17 @@
 		return
 	}
 	if now >= node.caretakerUntil {
-		node.logger.Info().Uint64("term", uint64(node.term)).Msg("caretakerAllowed")
+		node.logger.Info().Uint64("term", uint64(node.term)).Str("reason", "candidateBehind").Msg("caretakerAllowed")
 		node.electionDeadline = min(node.electionDeadline, now+heartbeatInterval)
 	}
 	node.caretakerUntil = now + maxElectionTimeout
 }
+
+// considerSilence is called when the election time-out has passed.
+func (node *node) considerSilence(now time.Duration) {
+	if node.standsForElection() || now < node.heardLeader+silenceTimeout {
+		return
+	}
+	node.logger.Info().Uint64("term", uint64(node.term)).Str("reason", "noLeader").Msg("caretakerAllowed")
+	node.caretakerUntil = now + maxElectionTimeout
+}
--- a/internal/replicator/fake_cluster_test.go
+++ b/internal/replicator/fake_cluster_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,9 +76,9 @@
 	machine    *fakeMachine
 	replicator *Replicator
 	running    bool
-	// rate is the rate of the VM's clock, freeze blocks its event loop while held.
+	// rate is the rate of the VM's clock. A frozen VM's event loop waits for the channel.
 	rate   float64
-	freeze sync.RWMutex
+	frozen atomic.Pointer[chan struct{}]
 }
 
 // fakeCluster is a group on fake VMs.
@@ -130,11 +131,12 @@
 	vm.machine, vm.transport = &fakeMachine{}, cluster.network.connect(name)
 	hooks := cluster.hooks
 	hooks.pause = func() {
-		vm.freeze.RLock()
-		defer vm.freeze.RUnlock()
+		if frozen := vm.frozen.Load(); frozen != nil {
+			<-*frozen
+		}
 	}
 	options := append(slices.Clone(cluster.options), withHooks(hooks), withClockRate(vm.rate),
-		withSeed(uint64(len(name))*1000+uint64(name[0])+uint64(cluster.lives)))
+		withSeed(uint64(name[len(name)-1])*1000+uint64(cluster.lives)))
 	replicator, err := New(testGroup, vm.member, cluster.initial, vm.journal, vm.transport, vm.machine, options...)
 	if err != nil {
 		cluster.t.Fatalf("New on %s: %v", name, err)
@@ -153,12 +155,26 @@
 	}
 }
 
+func (vm *fakeVM) freeze() {
+	frozen := make(chan struct{})
+	vm.frozen.CompareAndSwap(nil, &frozen)
+}
+
+func (vm *fakeVM) thaw() {
+	if frozen := vm.frozen.Swap(nil); frozen != nil {
+		close(*frozen)
+	}
+}
+
 // crash ends a VM's life at once. A VM without a disk, or whose disk is lost, forgets everything.
 func (cluster *fakeCluster) crash(name scheduler.VMName, loseDisk bool) {
 	vm := cluster.vms[name]
 	vm.transport.kill()
 	vm.replicator.node.stop(nil)
+	vm.thaw()
+	cluster.network.mutex.Lock()
 	vm.journal, vm.running = vm.journal.crash(cluster.network.random), false
+	cluster.network.mutex.Unlock()
 	if !vm.member.Disk || loseDisk {
 		vm.journal, vm.member.Incarnation = &fakeJournal{syncDelay: vm.journal.syncDelay}, 0
 	}
@@ -169,6 +185,7 @@
 		if vm.running {
 			vm.transport.kill()
 			vm.replicator.node.stop(nil)
+			vm.thaw()
 		}
 	}
 	close(cluster.network.closed)
--- a/internal/replicator/fake_journal_test.go
+++ b/internal/replicator/fake_journal_test.go
@@ -136,7 +136,7 @@
 	if keep := int(entries[0].Index) - int(journal.lastIndex()) - 1; keep < 0 {
 		journal.entries = slices.Clone(journal.entries[:max(0, len(journal.entries)+keep)])
 	} else if keep > 0 {
-		panic("gap in the journal")
+		return Error.New("gap between %d and %d", journal.lastIndex(), entries[0].Index)
 	}
 	journal.entries = append(journal.entries, entries...)
 	return nil
--- a/internal/replicator/fake_network_test.go
+++ b/internal/replicator/fake_network_test.go
@@ -56,17 +56,20 @@
 	}
 }
 
-// route returns the receiver and the delays of the copies that arrive, none for a lost message.
-func (network *fakeNetwork) route(from, to scheduler.VMName, kind scheduler.MessageKind) (*fakeTransport, []time.Duration) {
+// route returns the receiver, the delays of the copies that arrive, none for a lost message, and
+// whether they may overtake other messages.
+func (network *fakeNetwork) route(from, to scheduler.VMName, kind scheduler.MessageKind) (
+	endpoint *fakeTransport, delays []time.Duration, reorder bool,
+) {
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
-	endpoint := network.endpoints[to]
+	endpoint = network.endpoints[to]
 	if endpoint == nil || network.blocked[[2]scheduler.VMName{from, to}] ||
 		network.filter != nil && !network.filter(from, to, kind) ||
 		network.dropPercent > 0 && network.random.IntN(100) < network.dropPercent {
-		return nil, nil
+		return nil, nil, false
 	}
-	delays := []time.Duration{network.delay}
+	delays = []time.Duration{network.delay}
 	if network.duplicatePercent > 0 && network.random.IntN(100) < network.duplicatePercent {
 		delays = append(delays, network.delay)
 	}
@@ -75,7 +78,7 @@
 			delays[position] += time.Duration(network.random.Int64N(int64(9*network.delay) + 1))
 		}
 	}
-	return endpoint, delays
+	return endpoint, delays, network.reorder
 }
 
 // link returns the queue that keeps the messages of a link in order.
@@ -141,14 +144,14 @@
 	network := transport.network
 	network.messages.Add(1)
 	network.bytes.Add(int64(len(body)))
-	endpoint, delays := network.route(transport.vm, to, kind)
+	endpoint, delays, reorder := network.route(transport.vm, to, kind)
 	for _, delay := range delays {
 		deliver := func() {
 			if !endpoint.dead.Load() {
 				_, _ = endpoint.handlers[kind](context.Background(), transport.vm, body)
 			}
 		}
-		if network.reorder {
+		if reorder {
 			time.AfterFunc(delay, deliver)
 			continue
 		}
@@ -169,7 +172,7 @@
 	kind scheduler.MessageKind, body []byte,
 ) ([]byte, error) {
 	network := transport.network
-	endpoint, delays := network.route(transport.vm, to, kind)
+	endpoint, delays, _ := network.route(transport.vm, to, kind)
 	if endpoint != nil && endpoint.dead.Load() {
 		return nil, scheduler.ErrNotRun.New("connection refused")
 	}
@@ -186,7 +189,7 @@
 		go func() {
 			time.Sleep(delays[0])
 			result, err := endpoint.handlers[kind](callCtx, transport.vm, body)
-			if back, delays := network.route(to, transport.vm, kind); back == transport && !endpoint.dead.Load() {
+			if back, delays, _ := network.route(to, transport.vm, kind); back == transport && !endpoint.dead.Load() {
 				time.Sleep(delays[0])
 				network.bytes.Add(int64(len(result)))
 				answers <- answer{result, err}
--- a/internal/replicator/lease.go
+++ b/internal/replicator/lease.go
@@ -33,6 +33,9 @@
 	if answered == 0 {
 		return 0
 	}
+	if node.settings.hooks.longLease {
+		return answered + 2*leaseDuration
+	}
 	return answered + leaseDuration
 }
 
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -24,6 +24,8 @@
 type view struct {
 	status  scheduler.GroupStatus
 	members []Member
+	// settled is true when the newest membership is committed.
+	settled bool
 	// leaseUntil is zero while the node has no leader lease.
 	leaseUntil time.Duration
 }
@@ -279,6 +281,7 @@
 		return nil
 	}
 	node.resetElectionDeadline(now)
+	node.considerSilence(now)
 	if !node.isCandidateAllowed(now) {
 		node.role, node.leader = roleFollower, ""
 		return nil
@@ -314,7 +317,10 @@
 	}
 	status := scheduler.NewGroupStatus(role, node.term, node.leader, node.commit, node.applied,
 		current.voterNames())
-	node.view.Store(&view{status: status, members: current.Members, leaseUntil: node.leaseUntil()})
+	node.view.Store(&view{
+		status: status, members: current.Members, settled: current.index <= node.commit,
+		leaseUntil: node.leaseUntil(),
+	})
 	select {
 	case node.changed <- struct{}{}:
 	default:
--- a/internal/replicator/option.go
+++ b/internal/replicator/option.go
@@ -13,6 +13,9 @@
 	// vote requests.
 	minElectionTimeout = time.Second
 	maxElectionTimeout = 2 * time.Second
+	// silenceTimeout is after how long without a leader a voter that does not stand for election
+	// does so. It leaves the others time for two elections.
+	silenceTimeout = 2 * maxElectionTimeout
 	// leaseDuration counts from the send time of a heartbeat round that a majority answered. With
 	// clock rates that differ by 10%, 0.7 s × 1.1 is still less than 1 s × 0.9.
 	leaseDuration = 700 * time.Millisecond
@@ -68,6 +71,7 @@
 	forgetVote        bool
 	ignoreIncarnation bool
 	ignoreHeardLeader bool
+	longLease         bool
 }
 
 func defaultSettings() settings {
--- a/internal/replicator/progress.go
+++ b/internal/replicator/progress.go
@@ -9,7 +9,7 @@
 type progressState string
 
 const (
-	// progressProbing sends one message at a time until the logs are known to match.
+	// progressProbing sends empty messages until the last index that both logs hold is known.
 	progressProbing progressState = "probing"
 	// progressReplicating sends without waiting, within the send window.
 	progressReplicating progressState = "replicating"
@@ -55,10 +55,6 @@
 // sentEntries notes that entries up to last are under way.
 func (progress *progress) sentEntries(last scheduler.Index, bytes int, now time.Duration) {
 	progress.sent = now
-	if progress.state == progressProbing {
-		progress.probed = true
-		return
-	}
 	progress.next = last + 1
 	progress.flights = append(progress.flights, flight{last: last, bytes: bytes})
 	progress.flightBytes += bytes
--- a/internal/replicator/replicate.go
+++ b/internal/replicator/replicate.go
@@ -89,9 +89,12 @@
 			progress.probe(progress.match + 1)
 		}
 	}
+	if progress.state == progressProbing {
+		node.sendProbe(vm, progress, now)
+		return
+	}
 	sent := false
-	for progress.state != progressSnapshotting && progress.next <= node.log.last &&
-		!progress.probed && !progress.isWindowFull() {
+	for progress.state == progressReplicating && progress.next <= node.log.last && !progress.isWindowFull() {
 		if !node.sendEntries(vm, progress, now) {
 			break
 		}
@@ -102,6 +105,20 @@
 	}
 }
 
+// sendProbe asks whether the replica holds the entry before the next one. Entries follow once it has
+// answered, so that a VM that is down costs no more than heartbeats.
+func (node *node) sendProbe(vm scheduler.VMName, progress *progress, now time.Duration) {
+	if progress.probed {
+		return
+	}
+	progress.probed = true
+	if _, known := node.log.term(progress.next - 1); !known && progress.isAnswering(now) {
+		node.startSnapshotTransfer(vm, progress, now)
+		return
+	}
+	node.sendHeartbeat(vm, progress, now)
+}
+
 // sendEntries sends one message with entries. It returns false when it could not.
 func (node *node) sendEntries(vm scheduler.VMName, progress *progress, now time.Duration) bool {
 	prev := progress.next - 1
@@ -184,14 +201,6 @@
 	return known
 }
 
-// durable returns the last index that the leader's own journal holds durably.
-func (node *node) durable() scheduler.Index {
-	if node.settings.hooks.skipSync {
-		return node.log.last
-	}
-	return node.log.durable
-}
-
 // advanceCommit commits the last entry that a majority of the voters holds, if it is of the current
 // term. Entries of earlier terms are committed with it.
 func (node *node) advanceCommit() {
@@ -222,7 +231,7 @@
 		if member.Incarnation != node.self.Incarnation {
 			return 0
 		}
-		return node.durable()
+		return node.log.durable
 	}
 	progress := node.leading.peers[member.VM]
 	if progress == nil || progress.incarnation != member.Incarnation && !node.settings.hooks.ignoreIncarnation {
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -230,6 +230,36 @@
 	})
 }
 
+// Guards against a group that stays without a leader because the voter that stands for election lacks
+// the entry that made it a voter, and the one that holds it does not stand.
+func TestVoterThatDoesNotKnowItVotes(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := newCluster(t, 1, threeVoters())
+		defer cluster.stop()
+		cluster.start("r")
+		view := &cluster.start("a").replicator.node.view
+		cluster.network.filter = func(_, to scheduler.VMName, kind scheduler.MessageKind) bool {
+			b, _ := membership{Members: view.Load().members}.find("b")
+			return to != "b" || kind != kindAppend || b.Incarnation == 0
+		}
+		cluster.start("b")
+		cluster.eventually("b votes", func() bool {
+			current := view.Load()
+			return current.settled && membership{Members: current.members}.isVoter("b", cluster.vms["b"].member.Incarnation)
+		})
+		if cluster.isVoter("b") {
+			t.Fatalf("b knows that it votes")
+		}
+		cluster.crash("a", false)
+		cluster.network.mutex.Lock()
+		cluster.network.filter = nil
+		cluster.network.mutex.Unlock()
+		if got, want := cluster.leader(), scheduler.VMName("b"); got != want {
+			t.Errorf("leader: got %s, want %s", got, want)
+		}
+	})
+}
+
 // Guards against memberships and settings that New must refuse.
 func TestNewRefuses(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/replicator/syncer.go
+++ b/internal/replicator/syncer.go
@@ -38,9 +38,8 @@
 		return
 	}
 	if node.settings.hooks.skipSync {
-		if node.role == roleFollower {
-			node.answerSynced()
-		}
+		node.log.durable = node.log.last
+		node.answerSynced()
 		return
 	}
 	node.syncing.busy = true
--- a/internal/replicator/transfer.go
+++ b/internal/replicator/transfer.go
@@ -25,7 +25,8 @@
 }
 
 // tickLeaving hands leadership over once every entry is committed and applied. Without a suitable
-// target the leader steps down after a time-out.
+// target a leader that is about to stop steps down after a time-out, while one that does not stand for
+// election goes on bringing the others up to date.
 func (node *node) tickLeaving(now time.Duration) error {
 	if node.leading.transferUntil > 0 {
 		return nil
@@ -39,7 +40,7 @@
 		node.sendTransfer(target, now)
 		return nil
 	}
-	if !others || now > node.leading.leavingSince+transferTimeout {
+	if node.leaving && (!others || now > node.leading.leavingSince+transferTimeout) {
 		return node.stepDown(node.term, "noTransferTarget")
 	}
 	return nil
