balancer, allocator: checks per service, and one term per answer

Cause: the balancer's check for slow endpoints ran once per second over all services, so with two services only the one that asked first was checked. The allocator read the term before the leader lease and would have used an old table if both changed in between. Change: the check is kept per service; the allocator compares the term again after the lease. TestChoose has another service ask first. TestLoneGateway reports the size of an ask.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -81,7 +81,7 @@
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
 	term := allocator.group.Status().Term()
-	if !allocator.group.HoldsLeaderLease() {
+	if !allocator.group.HoldsLeaderLease() || allocator.group.Status().Term() != term {
 		return nil, Error.Wrap(scheduler.ErrNotRun.New("not the leader of %s", allocator.group.Name()))
 	}
 	if term != allocator.term {
--- a/internal/allocator/share_test.go
+++ b/internal/allocator/share_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -39,6 +41,8 @@
 		if got, want := lone, 50*(capacity-1); got < want {
 			t.Errorf("lone hot gateway: got %d slots, want at least %d", got, want)
 		}
+		asked, _ := cbor.Marshal(world.vms[1].shares.compose(time.Now()))
+		t.Logf("an ask about 50 endpoints takes %d bytes", len(asked))
 		demand(0, 1000, 0)
 		moved := time.Now()
 		for limits(1) < lone/2 {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -31,6 +31,8 @@
 	ejectableShare = 2
 	// forgetAfter is how long an endpoint's record is kept without a request.
 	forgetAfter = 10 * time.Minute
+	// serviceLimit bounds the services whose last check is remembered.
+	serviceLimit = 1000
 )
 
 // Balancer implements scheduler.Balancer. It is safe for concurrent use.
@@ -41,7 +43,7 @@
 
 	mutex   sync.Mutex
 	records map[scheduler.EndpointName]*record
-	checked time.Time
+	checked map[scheduler.ServiceName]time.Time
 	started time.Time
 }
 
@@ -95,7 +97,7 @@
 
 // New returns a Balancer that takes slots from shares.
 func New(shares scheduler.ShareSource, options ...Option) *Balancer {
-	balancer := &Balancer{shares: shares, random: rand.IntN, log: zerolog.Nop(), records: map[scheduler.EndpointName]*record{}}
+	balancer := &Balancer{shares: shares, random: rand.IntN, log: zerolog.Nop(), records: map[scheduler.EndpointName]*record{}, checked: map[scheduler.ServiceName]time.Time{}}
 	for _, option := range options {
 		option(balancer)
 	}
@@ -224,12 +226,16 @@
 }
 
 // ejectSlow ejects endpoints that are much slower than the median of the candidates, and forgets records
-// that are no longer used. It runs once per second.
+// that are no longer used. It runs once per second and service.
 func (balancer *Balancer) ejectSlow(candidates []scheduler.Announcement, now time.Time) {
-	if now.Sub(balancer.checked) < slowCheck {
+	checkedService := candidates[0].Service
+	if now.Sub(balancer.checked[checkedService]) < slowCheck {
 		return
 	}
-	balancer.checked = now
+	if len(balancer.checked) > serviceLimit {
+		clear(balancer.checked)
+	}
+	balancer.checked[checkedService] = now
 	for name, own := range balancer.records {
 		if now.Sub(own.used) > forgetAfter {
 			delete(balancer.records, name)
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -87,7 +87,9 @@
 				balancer := New(free, WithRandom(rand.New(rand.NewPCG(1, 2)).IntN))
 				_, _, _ = balancer.Choose(candidates)
 				test.steps(balancer)
-				balancer.checked = time.Time{}
+				clear(balancer.checked)
+				// Another service's check must not stand for this one's.
+				_, _, _ = balancer.Choose([]scheduler.Announcement{{Endpoint: "other", Service: "pairing"}})
 				got := 0
 				for range 1000 {
 					if chosen, _, _ := balancer.Choose(candidates); chosen.Endpoint == "desk-0" {
