limiter: queues that leave enough time, and waits estimated by turn

Change: a request is refused when it is expected to wait for more than a tenth of its remaining time, and on admission when less than four times the mean latency remains. The expected wait counts what the turns of the callers put before the request, so one caller's long line does not count against another.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -32,6 +32,12 @@
 	// first used.
 	rateWindow  = time.Second
 	rateMinimum = 200 * time.Millisecond
+	// One part in waitPart of the remaining time is the longest expected wait. A longer queue does not
+	// keep more slots busy; it only makes every admitted request late.
+	waitPart = 10
+	// needFactor times the mean latency, but no more than half of the remaining time at the start, must
+	// remain when a request is admitted.
+	needFactor = 4
 	// needWeight is the weight of one observed latency in the mean.
 	needWeight = 0.05
 )
@@ -116,12 +122,13 @@
 	if found.waiting >= limiter.length || found.callers[ask.Caller] >= limiter.perCaller {
 		return nil, found.drain(), Error.Wrap(ErrFull.New("%d requests wait for service %s", found.waiting, ask.Service))
 	}
+	priority := min(max(ask.Priority, PriorityLow), PriorityHigh)
 	deadline, limited := ctx.Deadline()
-	if wait, known := found.estimate(); limited && known && now.Add(wait+found.need).After(deadline) {
+	if wait, known := found.estimate(found.ahead(ask.Caller, priority)); limited && known && now.Add(waitPart*wait).After(deadline) {
 		return nil, found.drain(), Error.Wrap(ErrDeadline.New("about %v to wait", wait.Round(time.Millisecond)))
 	}
-	own := &waiter{try: ask.Try, settled: make(chan struct{}), deadline: deadline}
-	found.push(own, ask.Caller, min(max(ask.Priority, PriorityLow), PriorityHigh), now)
+	own := &waiter{try: ask.Try, settled: make(chan struct{}), deadline: deadline, half: deadline.Sub(now) / 2}
+	found.push(own, ask.Caller, priority, now)
 	return own, 0, nil
 }
 
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -32,6 +32,7 @@
 type waiter struct {
 	try      func() bool
 	deadline time.Time
+	half     time.Duration
 	settled  chan struct{}
 	admitted bool
 	line     *line
@@ -90,7 +91,7 @@
 		}
 		own, _ := element.Value.(*line)
 		next, _ := own.requests.Front().Value.(*waiter)
-		late := !next.deadline.IsZero() && now.Add(queue.need).After(next.deadline)
+		late := !next.deadline.IsZero() && now.Add(min(needFactor*queue.need, next.half)).After(next.deadline)
 		if !late && !next.try() {
 			return false
 		}
@@ -118,17 +119,35 @@
 	}
 }
 
-// estimate returns how long a request that joins now waits at the present rate. known is false until the
-// rate has been measured.
-func (queue *queue) estimate() (wait time.Duration, known bool) {
-	if queue.rate <= 0 || queue.waiting == 0 {
+// ahead returns how many waiting requests take their turn before one that the caller would add now: all of
+// higher priority, and of the same priority those that the turns of the callers put before it.
+func (queue *queue) ahead(caller string, priority Priority) int {
+	own, count := 0, 0
+	if found := queue.lines[priority][caller]; found != nil {
+		own = found.requests.Len()
+	}
+	for _, found := range queue.lines[priority] {
+		count += min(found.requests.Len(), own+1)
+	}
+	for higher := priority + 1; higher < priorities; higher++ {
+		for _, found := range queue.lines[higher] {
+			count += found.requests.Len()
+		}
+	}
+	return count
+}
+
+// estimate returns how long it takes to serve count waiting requests at the present rate. known is false
+// until the rate has been measured.
+func (queue *queue) estimate(count int) (wait time.Duration, known bool) {
+	if queue.rate <= 0 || count == 0 {
 		return 0, false
 	}
-	return time.Duration(float64(queue.waiting) / queue.rate * float64(time.Second)), true
+	return time.Duration(float64(count) / queue.rate * float64(time.Second)), true
 }
 
 // drain returns how long the queue needs to empty, between 1 s and 30 s.
 func (queue *queue) drain() time.Duration {
-	wait, _ := queue.estimate()
+	wait, _ := queue.estimate(queue.waiting)
 	return min(max(wait, time.Second), 30*time.Second)
 }
