gateway: keep the shares while any accepted request waits

Cause: a planned stop gave up the shares when no request waited in the queue. Requests that were still reading their body or recording their key were then refused although they had been accepted. Change: a request counts as waiting from its check until its first slot. TestStopQueue has a request wait during a stop. Conclusion: accepted requests get their first slot; a retry after the shares are gone is refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,9 @@
 	longest    time.Duration
 	log        zerolog.Logger
 
-	server    *http.Server
-	stopping  atomic.Bool
+	server   *http.Server
+	stopping atomic.Bool
+	// queued counts the requests that have not yet had a slot.
 	queued    atomic.Int64
 	finishing sync.WaitGroup
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,6 +30,23 @@
 	remotes   []scheduler.RemoteService
 	free      int
 	machine   *deduplicator.Machine
+	// blocked, when not nil, gets a value for each look at a share that has no slot, until released is
+	// closed.
+	blocked  chan struct{}
+	released chan struct{}
+}
+
+// Free returns 0 while the stand-in is blocked.
+func (stand *stand) Free(scheduler.EndpointName) int {
+	if stand.blocked == nil {
+		return 1
+	}
+	select {
+	case stand.blocked <- struct{}{}:
+		return 0
+	case <-stand.released:
+		return 1
+	}
 }
 
 func (stand *stand) Services() []scheduler.ServiceName { return nil }
@@ -375,6 +392,50 @@
 	}
 }
 
+// TestStopQueue guards against a planned stop that gives up the shares while a request still waits for a slot.
+func TestStopQueue(t *testing.T) {
+	address, _ := endpoint(t, echo)
+	stand := &stand{free: 1, blocked: make(chan struct{}, 100), released: make(chan struct{})}
+	made, gateway := serve(t, stand, address)
+	var early atomic.Bool
+	made.handBack = func() {
+		select {
+		case <-stand.released:
+		default:
+			early.Store(true)
+		}
+	}
+	status := make(chan int, 1)
+	go func() {
+		response, _ := exchange(t, gateway, "GET /sizing/a HTTP/1.1\r\nHost: x\r\n\r\n")
+		status <- response.status
+	}()
+	<-stand.blocked
+	stop := make(chan error, 1)
+	go func() { stop <- made.Stop(t.Context()) }()
+	for made.Ready() {
+		runtime.Gosched()
+	}
+	close(stand.released)
+	for stopped := false; !stopped; {
+		made.parts.Limiter.Wake()
+		select {
+		case err := <-stop:
+			stopped = true
+			if err != nil {
+				t.Errorf("stop: got %v, want none", err)
+			}
+		default:
+		}
+	}
+	if got, want := <-status, http.StatusOK; got != want {
+		t.Errorf("status of the waiting request: got %d, want %d", got, want)
+	}
+	if early.Load() {
+		t.Error("shares handed back while a request waits: got true, want false")
+	}
+}
+
 // TestStreamMemory guards against bodies that are held in memory, in either direction. It reports what 64
 // MiB up and down allocate.
 func TestStreamMemory(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	buffered []byte
 	length   int64
 	retry    *retrier.Request
+	// admitted states that the request has got its first slot, or needs none any more.
+	admitted func()
 	// maybeRun is true when an attempt had an unknown outcome.
 	maybeRun bool
 	tried    map[scheduler.EndpointName]bool
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/forwarder"
@@ -26,6 +27,9 @@
 		gateway.fail(w, asked, found)
 		return
 	}
+	gateway.queued.Add(1)
+	asked.admitted = sync.OnceFunc(func() { gateway.queued.Add(-1) })
+	defer asked.admitted()
 	ctx, cancel := context.WithDeadline(r.Context(), asked.deadline)
 	defer cancel()
 	asked.incoming = r.WithContext(ctx)
@@ -105,8 +109,7 @@
 	})
 }
 
-// run makes attempts until one has an outcome that stands. done is called once with the outcome, before the
-// caller can have the end of the response, unless that is relayed.
+// run makes attempts until one has an outcome that stands. done is called once with the outcome.
 func (gateway *Gateway) run(w http.ResponseWriter, asked *request, done func(scheduler.Outcome, scheduler.StoredAnswer)) {
 	for {
 		endpoint, slot, found := gateway.acquire(asked)
@@ -165,8 +168,6 @@
 	if len(gateway.parts.Directory.Endpoints(asked.service)) == 0 {
 		return endpoint, nil, asked.mark(unknownService(asked))
 	}
-	gateway.queued.Add(1)
-	defer gateway.queued.Add(-1)
 	retryAfter, err := gateway.parts.Limiter.Wait(asked.incoming.Context(), limiter.Ask{
 		Service: asked.service, Caller: asked.caller, Priority: asked.priority,
 		Try: func() (ok bool) {
@@ -176,6 +177,7 @@
 	})
 	switch {
 	case err == nil:
+		asked.admitted()
 		return endpoint, slot, nil
 	case limiter.ErrFull.Has(err):
 		return endpoint, nil, asked.mark(refuse(http.StatusServiceUnavailable, "overloaded", err.Error()).after(retryAfter))
