dispatcher: trials through the multiplexer, measurements

Cause: the failure tests fed the inventory by hand, so that the wiring of multiplexer, configurator and dispatcher was untested. Conclusion: the parts work together on a fake group.

--- a/internal/dispatcher/benchmark_test.go
+++ b/internal/dispatcher/benchmark_test.go
@@ -72,7 +72,8 @@
 			if len(answer.Renewed) != each {
 				b.Fatalf("got %d renewed, want %d", len(answer.Renewed), each)
 			}
-			for name, message := range map[string]any{"request": request, "answer": answer} {
+			report := scheduler.UsageReport{Lease: 11000, Age: 20 * time.Second, Interval: 10 * time.Second, Used: batchSpec(1000).Request}
+			for name, message := range map[string]any{"request": request, "answer": answer, "report": report} {
 				text, _ := json.Marshal(message)
 				binary, _ := encoding.Marshal(message)
 				b.ReportMetric(float64(len(text)), "B/"+name+"JSON")
--- a/internal/dispatcher/failure_test.go
+++ b/internal/dispatcher/failure_test.go
@@ -11,7 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/configurator"
 	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/multiplexer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -71,8 +73,12 @@
 	cancelled map[scheduler.JobID]bool
 	submitted []scheduler.JobID
 	// cutOff holds the workers whose requests do not get through.
-	cutOff [trialWorkers]atomic.Bool
-	focus  int
+	cutOff    [trialWorkers]atomic.Bool
+	global    *configurator.Global
+	submitter *configurator.Submitter
+	locals    []*configurator.Local
+	document  *scheduler.Configuration
+	focus     int
 	// stay is for how many exchanges, on average, a worker stays with an entry VM.
 	stay int
 	calm bool
@@ -95,42 +101,71 @@
 	if !mutation.calm {
 		trial.cluster.loseResults = 0.02
 	}
+	global := newCluster(seed, "global-1").leader
+	trial.global = configurator.NewGlobal()
+	global.machine = trial.global
+	trial.submitter = configurator.NewSubmitter(global, trial.global)
 	for _, node := range trial.cluster.nodes {
-		machine := NewMachine("couva")
-		node.machine = &mutant{Machine: machine, mutation: mutation}
-		placer := newFirstFit()
-		placer.careless = mutation.carelessPlace
-		margin := defaultLeaseMargin
-		if mutation.noMargin {
-			margin = 0
-		}
-		node.engine = NewEngine(node.name, node, machine, placer, WithLease(defaultLeaseDuration, margin))
+		trial.startVM(ctx, node, mutation)
 	}
-	for _, node := range trial.cluster.nodes {
-		go node.engine.Run(ctx)
+	trial.document = &scheduler.Configuration{
+		DataCentres: []scheduler.DataCentre{{Name: "couva"}},
+		Racks:       []scheduler.Rack{{Name: "0", DataCentre: "couva"}, {Name: "1", DataCentre: "couva"}},
 	}
-	var inventory []scheduler.Worker
 	for i := range trialWorkers {
 		name := scheduler.WorkerName(fmt.Sprintf("worker-%d", i))
-		inventory = append(inventory, scheduler.Worker{Name: name, DataCentre: "couva", Rack: fmt.Sprint(i / 3), Capacity: trial.capacity})
+		trial.document.Workers = append(trial.document.Workers, scheduler.Worker{
+			Name: name, DataCentre: "couva", Rack: fmt.Sprint(i / 3), Capacity: trial.capacity,
+		})
 		rate := []float64{0.9, 1, 1.1}[i%3]
 		worker := emulator.NewWorker(name, trial.network(seed, i), emulator.WithClockRate(rate), emulator.WithCheckpointPeriod(5*time.Second))
 		worker.SetFaults(emulator.Faults{IgnoreLeases: mutation.ignoreLeases})
 		trial.workers = append(trial.workers, worker)
 		go worker.Run(ctx)
 	}
-	inForce := func() (scheduler.Revision, *scheduler.Configuration, bool) {
-		return 1, &scheduler.Configuration{Workers: inventory}, true
-	}
-	for _, node := range trial.cluster.nodes {
-		go node.engine.FollowInventory(ctx, inForce, nil)
-	}
+	trial.configure(ctx)
 	for trial.cluster.leading().machine.Revision() == 0 {
 		time.Sleep(time.Second)
 	}
 	return trial
 }
 
+// startVM starts what the daemon wires together on a VM of a data centre.
+func (trial *trial) startVM(ctx context.Context, node *node, mutation mutation) {
+	machine, local, placer := NewMachine("couva"), configurator.NewLocal(), newFirstFit()
+	placer.careless = mutation.carelessPlace
+	shared, err := multiplexer.New(
+		multiplexer.WithMachine("configuration", local),
+		multiplexer.WithMachine("dispatcher", &mutant{Machine: machine, mutation: mutation}),
+	)
+	if err != nil {
+		panic(err)
+	}
+	node.machine = shared
+	margin := defaultLeaseMargin
+	if mutation.noMargin {
+		margin = 0
+	}
+	node.engine = NewEngine(node.name, multiplexer.NewMember(node, "dispatcher"), machine, placer, WithLease(defaultLeaseDuration, margin))
+	trial.locals = append(trial.locals, local)
+	configuration := multiplexer.NewMember(node, "configuration")
+	go func() {
+		_ = local.AwaitReady(ctx, configuration)
+		go configurator.NewDistributor(trial.global, local, configuration).Run(ctx)
+		go node.engine.FollowInventory(ctx, local.InForce, local.Subscribe().Changed())
+		node.engine.Run(ctx)
+	}()
+}
+
+// configure submits a revision with a new label for each worker.
+func (trial *trial) configure(ctx context.Context) {
+	revision, _ := trial.global.Current()
+	for i := range trial.document.Workers {
+		trial.document.Workers[i].Labels = map[string]string{"generation": fmt.Sprint(revision)}
+	}
+	_, _ = trial.submitter.Submit(ctx, revision, "ama", fmt.Sprint(revision), trial.document)
+}
+
 // network loses, delays and repeats exchanges.
 func (trial *trial) network(seed uint64, worker int) emulator.Exchange {
 	random := rand.New(rand.NewPCG(seed, uint64(100+worker)))
@@ -242,6 +277,7 @@
 	}()
 	trial := newTrial(ctx, seed, mutation)
 	for range 25 {
+		trial.configure(ctx)
 		for range trial.random.IntN(3) {
 			trial.submit(ctx)
 		}
@@ -272,6 +308,12 @@
 	}
 	faults = emulator.CheckExecutions(executions, capacity)
 	machine := trial.cluster.leading().machine
+	accepted, _ := trial.global.Current()
+	for i, local := range trial.locals {
+		if revision, _, _ := local.InForce(); revision != accepted || trial.cluster.nodes[i].engine.machine.Revision() != accepted {
+			faults = append(faults, fmt.Sprintf("VM %d has revision %d in force, %d is accepted", i, revision, accepted))
+		}
+	}
 	for _, id := range trial.submitted {
 		report, ok := machine.Job(id)
 		switch {
