configurator, dispatcher: pass every audit record to the auditor

Cause: the state keeps 1,024 audit records; a burst of submissions would push out some that the audit trail has not read yet. Change: WithAuditor sets a function that gets each record while its entry is applied.

--- a/internal/configurator/global.go
+++ b/internal/configurator/global.go
@@ -26,6 +26,8 @@
 // Global is the state machine of the global group: the accepted configuration and its history.
 // Apply and Restore are called by the group; the other methods are safe for concurrent use.
 type Global struct {
+	auditor func(AuditRecord)
+
 	mutex    sync.RWMutex
 	revision scheduler.Revision
 	document *scheduler.Configuration
@@ -74,9 +76,24 @@
 
 var _ scheduler.StateMachine = (*Global)(nil)
 
+// GlobalOption configures a Global.
+type GlobalOption func(*Global)
+
+// WithAuditor sets a function that gets each audit record while its entry is applied. It must not
+// block. After a restart it gets the records of replayed entries again; their index tells them apart.
+func WithAuditor(auditor func(AuditRecord)) GlobalOption {
+	return func(global *Global) { global.auditor = auditor }
+}
+
 // NewGlobal returns an empty state machine for the global group.
-func NewGlobal() *Global {
-	return &Global{document: &scheduler.Configuration{}, changes: map[changeKey]decision{}}
+func NewGlobal(options ...GlobalOption) *Global {
+	global := &Global{
+		auditor: func(AuditRecord) {}, document: &scheduler.Configuration{}, changes: map[changeKey]decision{},
+	}
+	for _, option := range options {
+		option(global)
+	}
+	return global
 }
 
 // Apply decides on an encoded Change and returns an encoded ChangeResult.
@@ -177,10 +194,12 @@
 }
 
 func (global *Global) record(index scheduler.Index, change *Change, result ChangeResult) {
-	global.audit = append(global.audit, AuditRecord{
+	record := AuditRecord{
 		Index: index, AtUnixMilli: change.AtUnixMilli, Operator: change.Operator, ID: change.ID,
 		Base: change.Base, Outcome: result.Outcome, Revision: result.Revision, Reason: result.Reason,
-	})
+	}
+	global.auditor(record)
+	global.audit = append(global.audit, record)
 	global.audit = global.audit[max(0, len(global.audit)-keptAudit):]
 }
 
--- a/internal/configurator/global_test.go
+++ b/internal/configurator/global_test.go
@@ -151,12 +151,17 @@
 // Guards against memory that grows with every change.
 func TestMemoryIsBounded(t *testing.T) {
 	submitter, global, _ := newSubmitter(t)
+	audited := 0
+	global.auditor = func(AuditRecord) { audited++ }
 	for i := range rememberedChanges + 10 {
 		mustSubmit(t, submitter, scheduler.Revision(i), fmt.Sprint(i), inventory(1+i%2))
 	}
 	if len(global.changes) != rememberedChanges || len(global.history) != keptRevisions || len(global.audit) != keptAudit {
 		t.Errorf("got %d changes, %d revisions, %d audit records", len(global.changes), len(global.history), len(global.audit))
 	}
+	if audited != rememberedChanges+10 {
+		t.Errorf("got %d audit records at the auditor, want %d", audited, rememberedChanges+10)
+	}
 	if _, ok := global.DocumentAt(1); ok {
 		t.Error("got a document that the history should have dropped")
 	}
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -52,6 +52,7 @@
 	tick            time.Duration
 	replacementRate float64
 
+	// mutex is taken before the locks of the group and of the machine.
 	mutex sync.Mutex
 	// term is the term in which this engine has taken over.
 	term scheduler.Term
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -11,7 +11,8 @@
 // Machine is the state machine of jobs, tasks and leases of one data centre. Apply and Restore are
 // called by the group; the other methods are safe for concurrent use.
 type Machine struct {
-	group scheduler.GroupName
+	group   scheduler.GroupName
+	auditor func(AuditRecord)
 
 	mutex     sync.RWMutex
 	term      scheduler.Term
@@ -38,9 +39,22 @@
 
 var _ scheduler.StateMachine = (*Machine)(nil)
 
+// MachineOption configures a Machine.
+type MachineOption func(*Machine)
+
+// WithAuditor sets a function that gets each audit record while its entry is applied, so that a burst
+// that exceeds the kept records loses none. It must not block. After a restart it gets the records of
+// replayed entries again; their index tells them apart.
+func WithAuditor(auditor func(AuditRecord)) MachineOption {
+	return func(machine *Machine) { machine.auditor = auditor }
+}
+
 // NewMachine returns an empty state machine for the group of a data centre.
-func NewMachine(group scheduler.GroupName) *Machine {
-	machine := &Machine{group: group}
+func NewMachine(group scheduler.GroupName, options ...MachineOption) *Machine {
+	machine := &Machine{group: group, auditor: func(AuditRecord) {}}
+	for _, option := range options {
+		option(machine)
+	}
 	machine.reset()
 	return machine
 }
@@ -167,6 +181,7 @@
 	default:
 		return
 	}
+	machine.auditor(record)
 	machine.audit = append(machine.audit, record)
 	machine.audit = machine.audit[max(0, len(machine.audit)-keptAudit):]
 }
--- a/internal/dispatcher/machine_test.go
+++ b/internal/dispatcher/machine_test.go
@@ -190,7 +190,8 @@
 // Guards against a burst of cancellations that misses or repeats jobs, and against memory that ended
 // jobs keep for ever.
 func TestCancelBurst(t *testing.T) {
-	bench := newBench(t, 1)
+	bench, audited := newBench(t, 1), 0
+	bench.auditor = func(AuditRecord) { audited++ }
 	var jobs []scheduler.JobID
 	for i := range 10_000 {
 		key := Operation{Submit: &Submission{Key: fmt.Sprint(i), Team: "patterns", Tasks: []TaskGroup{{Count: 1, Spec: batchSpec(1)}}}}
@@ -201,6 +202,9 @@
 	if got := bench.do(burst)[0]; got.Count != 10_001 {
 		t.Errorf("got %d jobs reached, want 10,000 and the running one twice", got.Count)
 	}
+	if audited != 10_001 || len(bench.AuditRecords(0)) != keptAudit {
+		t.Errorf("got %d audit records and %d kept, want 10,001 and %d", audited, len(bench.AuditRecords(0)), keptAudit)
+	}
 	bench.expect(Operation{Purge: &Purge{BeforeUnixMilli: bench.at + 1}}, ResultDone)
 	if len(bench.jobs) != 1 || len(bench.keys) != 1 || len(bench.tasks) != 1 {
 		t.Errorf("got %d jobs, %d keys, %d tasks, want the running one", len(bench.jobs), len(bench.keys), len(bench.tasks))
