dispatcher: bound what workers can put into the state

Cause: a worker could fill the state with long messages and checkpoint names, and the engine kept a record for any name that synced. Change: messages are cut at 256 bytes, checkpoint names over 512 bytes are ignored, workers outside the inventory get no record. Workers are now usable only from their first exchange after the inventory is in force; the trials wait for it, because the test of a lost rack needs all workers from the start and had found 30 of 50 tasks on the rack. Conclusion: the size of the state depends on the inventory and the jobs only.

--- a/internal/dispatcher/attempts.go
+++ b/internal/dispatcher/attempts.go
@@ -3,10 +3,25 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// Bounds of what workers report, which the state keeps for each task.
+const (
+	maxCheckpointName = 512
+	maxMessage        = 256
+)
+
+// shorten cuts a message between characters, since the snapshot's decoder refuses damaged ones.
+func shorten(message string) string {
+	if len(message) <= maxMessage {
+		return message
+	}
+	return strings.ToValidUTF8(message[:maxMessage], "")
+}
+
 // assign grants a lease. It checks the worker itself, so that a fault in the placer cannot give a
 // worker more than it can hold.
 func (machine *Machine) assign(assign *Assign, at int64) Result {
@@ -77,6 +92,9 @@
 	if saved.Number <= task.SavedNumber {
 		return unchanged("this or a later checkpoint is recorded")
 	}
+	if len(saved.Name) > maxCheckpointName {
+		return unchanged("the name of the checkpoint is too long")
+	}
 	task.Checkpoint, task.SavedNumber, task.Saved = saved.Name, saved.Number, at
 	machine.changed[task.Worker] = struct{}{}
 	return done()
@@ -100,7 +118,8 @@
 	if !ok {
 		return unchanged("the lease is not live")
 	}
-	if end.Checkpoint != "" && end.Checkpoint != task.Checkpoint {
+	end.Message = shorten(end.Message)
+	if end.Checkpoint != "" && end.Checkpoint != task.Checkpoint && len(end.Checkpoint) <= maxCheckpointName {
 		task.Checkpoint, task.Saved = end.Checkpoint, at
 	}
 	worker, state, reason := task.Worker, task.State, task.Reason
--- a/internal/dispatcher/engine_test.go
+++ b/internal/dispatcher/engine_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -126,9 +127,6 @@
 // latency-critical ones.
 func TestLostRackIsReplacedInOrder(t *testing.T) {
 	calmTrial(t, func(t *testing.T, trial *trial) {
-		for _, node := range trial.cluster.nodes {
-			node.engine.replacementRate = 4
-		}
 		spec := scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: time.Hour, Request: scheduler.Resources{MilliCores: 200}}
 		trial.mustSubmit(t, "batch", false, 30, spec)
 		spec.Class = scheduler.ClassLatencyCritical
@@ -173,8 +171,7 @@
 // work on a quarantined worker.
 func TestThrottleCheckpointUsageAndQuarantine(t *testing.T) {
 	calmTrial(t, func(t *testing.T, trial *trial) {
-		engine, reports := trial.cluster.leading(), 0
-		engine.usage = func(_ scheduler.WorkerName, usage []scheduler.UsageReport) { reports += len(usage) }
+		engine := trial.cluster.leading()
 		spec := scheduler.TaskSpec{Class: scheduler.ClassBatch, RunTime: 2 * time.Minute, Request: scheduler.Resources{MilliCores: 1000}}
 		trial.mustSubmit(t, "slow", false, 1, spec)
 		time.Sleep(3 * time.Second)
@@ -190,7 +187,7 @@
 			t.Errorf("got worker %q and checkpoint %q, want worker-1 and a checkpoint", worker, checkpoint)
 		}
 		slow, next := trial.executions("slow", 1)[0], trial.executions("next", 1)[0]
-		if slow.Until > next.Until*2/3 || reports < 4 {
+		if reports := trial.reports.Load(); slow.Until > next.Until*2/3 || reports < 4 {
 			t.Errorf("got progress %s and %s with %d usage reports, want half of it and at least 4", slow.Until, next.Until, reports)
 		}
 		engine.Throttle(lease, false)
@@ -266,6 +263,7 @@
 		"next exchange":    {request: scheduler.SyncRequest{Incarnation: 2, Sequence: 6, Running: []scheduler.LeaseNumber{1}}, want: "renewed [1] commands []"},
 		"unsorted":         {request: scheduler.SyncRequest{Incarnation: 2, Sequence: 6, Running: []scheduler.LeaseNumber{9, 1}}, want: "renewed [1] commands [stop 9]"},
 		"not delivered":    {request: scheduler.SyncRequest{Incarnation: 2, Sequence: 6}, want: "renewed [] commands [start 1]"},
+		"unknown worker":   {request: scheduler.SyncRequest{Worker: "worker-9", Running: []scheduler.LeaseNumber{1}}, want: "renewed [] commands [stop 1]"},
 		"repeated":         {request: scheduler.SyncRequest{Incarnation: 2, Sequence: 5}, refused: true},
 		"earlier life":     {request: scheduler.SyncRequest{Incarnation: 1, Sequence: 9}, refused: true},
 		"not the leader":   {request: scheduler.SyncRequest{Incarnation: 2, Sequence: 6}, follows: true, refused: true},
@@ -290,7 +288,7 @@
 			if test.follows {
 				cluster.leader = cluster.nodes[1]
 			}
-			test.request.Worker = "worker-0000"
+			test.request.Worker = cmp.Or(test.request.Worker, "worker-0000")
 			answer, err := engine.Sync(t.Context(), &test.request)
 			if refused := scheduler.ErrNotRun.Has(err); refused != test.refused || refused {
 				if refused != test.refused {
--- a/internal/dispatcher/failure_test.go
+++ b/internal/dispatcher/failure_test.go
@@ -74,6 +74,7 @@
 	submitted []scheduler.JobID
 	// cutOff holds the workers whose requests do not get through.
 	cutOff    [trialWorkers]atomic.Bool
+	reports   atomic.Int64
 	global    *configurator.Global
 	submitter *configurator.Submitter
 	locals    []*configurator.Local
@@ -127,6 +128,7 @@
 	for trial.cluster.leading().machine.Revision() == 0 {
 		time.Sleep(time.Second)
 	}
+	time.Sleep(3 * time.Second) // Workers are used once they have synced with the inventory in force.
 	return trial
 }
 
@@ -142,11 +144,16 @@
 		panic(err)
 	}
 	node.machine = shared
-	margin := defaultLeaseMargin
+	margin, rate := defaultLeaseMargin, float64(defaultReplacementRate)
+	if mutation.calm {
+		rate = 4 // Slow enough to see the order of re-placement.
+	}
 	if mutation.noMargin {
 		margin = 0
 	}
-	node.engine = NewEngine(node.name, multiplexer.NewMember(node, "dispatcher"), machine, placer, WithLease(defaultLeaseDuration, margin))
+	node.engine = NewEngine(node.name, multiplexer.NewMember(node, "dispatcher"), machine, placer,
+		WithLease(defaultLeaseDuration, margin), WithReplacementRate(rate),
+		WithUsage(func(_ scheduler.WorkerName, usage []scheduler.UsageReport) { trial.reports.Add(int64(len(usage))) }))
 	trial.locals = append(trial.locals, local)
 	configuration := multiplexer.NewMember(node, "configuration")
 	go func() {
--- a/internal/dispatcher/sync.go
+++ b/internal/dispatcher/sync.go
@@ -45,6 +45,10 @@
 		return 0, Error.Wrap(scheduler.ErrNotRun.New("this VM does not lead group %s", engine.group.Name()))
 	}
 	known, ok := engine.views[request.Worker]
+	if !ok && !engine.machine.hasWorker(request.Worker) {
+		// An unknown worker has no leases; it is only told to stop what it runs.
+		return engine.term, nil
+	}
 	if !ok {
 		known = &view{}
 		engine.views[request.Worker] = known
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -114,6 +114,13 @@
 	return state, true
 }
 
+func (machine *Machine) hasWorker(name scheduler.WorkerName) bool {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	_, ok := machine.workers[name]
+	return ok
+}
+
 func (machine *Machine) liveLeases() []scheduler.LeaseNumber {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
