--- a/internal/dispatcher/benchmark_test.go
+++ b/internal/dispatcher/benchmark_test.go
@@ -45,6 +45,7 @@
 // newBenchEngine returns an engine that has taken over in term 2.
 func newBenchEngine(b *testing.B, machine *Machine) *Engine {
 	cluster := newCluster(1, "couva-1")
+	cluster.delay = 0
 	cluster.nodes[0].machine = machine
 	cluster.nodes[0].term = 2
 	engine := NewEngine("couva-1", cluster.nodes[0], machine, fullPlacer{newFirstFit()})
@@ -72,7 +73,8 @@
 			if len(answer.Renewed) != each {
 				b.Fatalf("got %d renewed, want %d", len(answer.Renewed), each)
 			}
-			for name, message := range map[string]any{"request": request, "answer": answer} {
+			report := scheduler.AttemptUsage{Lease: 11000, Age: 20 * time.Second, Interval: 10 * time.Second, Used: batchSpec(1000).Request}
+			for name, message := range map[string]any{"request": request, "answer": answer, "report": report} {
 				text, _ := json.Marshal(message)
 				binary, _ := encoding.Marshal(message)
 				b.ReportMetric(float64(len(text)), "B/"+name+"JSON")
@@ -94,7 +96,7 @@
 				bench.do(submitOf(scheduler.JobID(fmt.Sprintf("wait-%d", i)), 4, batchSpec(32000)))
 			}
 			engine := newBenchEngine(b, bench.Machine)
-			for b.Loop() {
+			for seconds := 0; b.Loop(); seconds++ {
 				for _, request := range requests {
 					request.Sequence++
 					encoded, _ := encoding.Marshal(request)
@@ -109,8 +111,11 @@
 					_, _ = encoding.Marshal(answer)
 				}
 				// The benchmark runs faster than the clock.
-				engine.expiredAt, engine.placement.offered = time.Time{}, time.Time{}
-				for range 5 {
+				engine.expiredAt = time.Time{}
+				for i := range 5 {
+					if seconds%3 == 0 && i == 0 {
+						engine.placement.queues.ordered = time.Time{}
+					}
 					if err := engine.step(b.Context()); err != nil {
 						b.Fatal(err)
 					}
--- a/internal/dispatcher/machine_test.go
+++ b/internal/dispatcher/machine_test.go
@@ -110,6 +110,7 @@
 		"removed worker":         {[]step{submit, {Operation{Term: 1, Inventory: &Inventory{Base: 1, Revision: 2, Remove: []scheduler.WorkerName{"worker-0000"}}}, ResultDone}, {assignOf("a/1", 1, "worker-0000"), ResultRefused}}, TaskPending, 1},
 		"inventory of other":     {[]step{submit, {Operation{Term: 1, Inventory: &Inventory{Base: 4, Revision: 5}}, ResultRefused}, {Operation{Term: 1, Inventory: &Inventory{Revision: 1}}, ResultUnchanged}}, TaskPending, 1},
 		"late checkpoint":        {[]step{submit, assign, {Operation{Term: 1, Checkpoint: &Saved{Lease: 1, Number: 2, Name: "d"}}, ResultDone}, {Operation{Term: 1, Checkpoint: &Saved{Lease: 1, Number: 1, Name: "c"}}, ResultUnchanged}}, TaskStarting, 1},
+		"long reports":           {[]step{submit, assign, {Operation{Term: 1, Checkpoint: &Saved{Lease: 1, Number: 1, Name: strings.Repeat("c", 1000)}}, ResultUnchanged}, {Operation{Term: 1, End: &End{Lease: 1, Outcome: "failed", Message: "x" + strings.Repeat("é", 1000)}}, ResultDone}}, TaskPending, 2},
 		"resend":                 {[]step{submit, {submit.operation, ResultUnchanged}, {submitOf("a", 2, batchSpec(1)), ResultRefused}}, TaskPending, 1},
 		"given up":               {[]step{submit, assign, {endOf(1, "failed"), ResultDone}, {assignOf("a/1", 2, "worker-0000"), ResultDone}, {endOf(2, "failed"), ResultDone}, {assignOf("a/1", 3, "worker-0000"), ResultDone}, {endOf(3, "failed"), ResultDone}}, TaskFailed, 3},
 		"runs nowhere":           {[]step{submit, {submitOf("b", 1, batchSpec(99000)), ResultRefused}, {submitOf("c", 1, picky), ResultRefused}}, TaskPending, 1},
@@ -190,7 +191,8 @@
 // Guards against a burst of cancellations that misses or repeats jobs, and against memory that ended
 // jobs keep for ever.
 func TestCancelBurst(t *testing.T) {
-	bench := newBench(t, 1)
+	bench, audited := newBench(t, 1), 0
+	bench.auditor = func(AuditRecord) { audited++ }
 	var jobs []scheduler.JobID
 	for i := range 10_000 {
 		key := Operation{Submit: &Submission{Key: fmt.Sprint(i), Team: "patterns", Tasks: []TaskGroup{{Count: 1, Spec: batchSpec(1)}}}}
@@ -201,6 +203,9 @@
 	if got := bench.do(burst)[0]; got.Count != 10_001 {
 		t.Errorf("got %d jobs reached, want 10,000 and the running one twice", got.Count)
 	}
+	if audited != 10_001 || len(bench.AuditRecords(0)) != keptAudit {
+		t.Errorf("got %d audit records and %d kept, want 10,001 and %d", audited, len(bench.AuditRecords(0)), keptAudit)
+	}
 	bench.expect(Operation{Purge: &Purge{BeforeUnixMilli: bench.at + 1}}, ResultDone)
 	if len(bench.jobs) != 1 || len(bench.keys) != 1 || len(bench.tasks) != 1 {
 		t.Errorf("got %d jobs, %d keys, %d tasks, want the running one", len(bench.jobs), len(bench.keys), len(bench.tasks))
