--- a/internal/placer/decide.go
+++ b/internal/placer/decide.go
@@ -15,9 +15,6 @@
 	draws = 32
 )
 
-// noLimit is a harm limit that is never reached.
-const noLimit = 1e9
-
 // Weights of the score. Harm is in units of the relative rise of a 99th latency percentile.
 const (
 	spreadWeight = 100.0
@@ -114,13 +111,9 @@
 // limit returns the harm up to which the task may start. Services and urgent tasks have none.
 func (placer *Placer) limit(task *scheduler.PendingTask) float64 {
 	if task.Urgent || task.Spec.Class == scheduler.ClassLatencyCritical || placer.harmLimit == 0 {
-		return noLimit
-	}
-	if task.Waiting >= liftAfter*placer.patience {
-		return noLimit
+		return 1e9
 	}
-	growth := 1 + float64(task.Waiting)/float64(placer.patience)
-	return placer.harmLimit * min(growth, maxGrowth)
+	return placer.harmLimit * (1 + float64(task.Waiting)/float64(placer.patience))
 }
 
 // score returns the cost of the worker for the task, lower is better, and the largest harm that any
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -25,12 +25,6 @@
 	// defaultPatience is the waiting time after which the harm limit has doubled, so that work
 	// that harms every service still starts.
 	defaultPatience = 10 * time.Minute
-	// maxGrowth bounds the growth of the harm limit with the waiting time. The default limit then
-	// stays at that of the controller, so the two do not work against each other.
-	maxGrowth = 2.5
-	// liftAfter is the waiting time, in units of the patience, after which the limit no longer
-	// applies. Without it work that harms every service would never start on a full fleet.
-	liftAfter = 6
 	// defaultHoldTime is how long an assignment stays reserved without an Update that lists it.
 	// It covers the commit of the assignment and the stop of its victims.
 	defaultHoldTime       = 30 * time.Second
@@ -83,7 +77,7 @@
 
 // WithHarmLimit sets the expected rise of a service's 99th latency percentile above which batch
 // waits instead of starting next to the service. Patience is the waiting time after which the limit
-// has doubled; it grows to 2.5 times the limit and is lifted after six times the patience. A limit of 0 switches the mechanism off.
+// has doubled. A limit of 0 switches the mechanism off.
 func WithHarmLimit(limit float64, patience time.Duration) Option {
 	return func(placer *Placer) { placer.harmLimit, placer.patience = limit, patience }
 }
