controller: throttle, move or stop batch next to slow services

Change: internal/controller with hysteresis, confirmation by three reports from after the last action, the cheapest step first and a hold that doubles when a release had to be taken back; the placer no longer counts a throttled task's reduced use as room.

--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -21,14 +21,16 @@
 
 // policies builds the policies by name.
 var policies = map[string]func(w *world) (*policy, error){
-	"firstFit":    func(*world) (*policy, error) { return newBaseline(true, 0), nil },
-	"leastLoaded": func(*world) (*policy, error) { return newBaseline(false, 0), nil },
-	"partition":   func(*world) (*policy, error) { return newBaseline(false, 0.3), nil },
-	"oracle":      oracle,
-	"blindPlacer": blindPlacer,
-	"learned":     learned,
-	"constant":    constant,
-	"observer":    observer,
+	"firstFit":        func(*world) (*policy, error) { return newBaseline(true, 0), nil },
+	"leastLoaded":     func(*world) (*policy, error) { return newBaseline(false, 0), nil },
+	"partition":       func(*world) (*policy, error) { return newBaseline(false, 0.3), nil },
+	"oracle":          oracle,
+	"blindPlacer":     blindPlacer,
+	"learned":         learned,
+	"constant":        constant,
+	"observer":        observer,
+	"controlled":      controlled,
+	"blindControlled": blindControlled,
 }
 
 func newBaseline(firstFit bool, reserved float64) *policy {
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -307,3 +307,17 @@
 		w.requeue(t)
 	})
 }
+
+// setThrottled takes effect with the worker's next exchange.
+func (w *world) setThrottled(t *task, throttled bool) {
+	if t.state != taskRunning || t.throttled == throttled {
+		return
+	}
+	w.measure.throttles++
+	w.at(w.now+time.Second, func() {
+		if t.state == taskRunning {
+			t.throttled = throttled
+			t.worker.dirty = true
+		}
+	})
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -203,8 +203,7 @@
 	}
 	for _, usage := range report.Tasks {
 		if o := h.occupant(usage.Task); o != nil {
-			o.used = max(usage.MilliCores, o.used*9/10)
-			o.measured = true
+			o.observe(usage.MilliCores)
 		}
 	}
 	placer.refresh(h)
--- a/internal/placer/worker.go
+++ b/internal/placer/worker.go
@@ -147,6 +147,19 @@
 	return o.Spec.Request.MilliCores
 }
 
+// observe takes over a measured use. The use of a throttled task says nothing about what it takes once
+// it is released, so it counts with what was known before.
+func (o *occupant) observe(milliCores int64) {
+	if o.Throttled {
+		if !o.measured {
+			o.used, o.measured = o.Spec.Request.MilliCores, true
+		}
+		return
+	}
+	o.used = max(milliCores, o.used*9/10)
+	o.measured = true
+}
+
 func (o *occupant) isEvictable() bool {
 	return o.Spec.Class == scheduler.ClassBatch && o.leavingFor == ""
 }
