--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -44,6 +44,7 @@
 	flags.StringSliceVar(&plan.Deployments, "deployment", nil, "deployments: couva, bramble (default both)")
 	flags.StringSliceVar(&plan.Policies, "policy", nil, "policies to run (default all)")
 	flags.IntVar(&plan.Seeds, "seeds", 10, "number of seeds")
+	flags.IntVar(&plan.FirstSeed, "first-seed", 1, "first seed")
 	flags.IntVar(&plan.Parallel, "parallel", 4, "runs at a time")
 	flags.DurationVar(&plan.Horizon, "horizon", horizon, "virtual time of a run, at most 2h")
 	flags.StringVar(&output, "output", "", "JSON file for the figures of each seed")
--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -15,8 +15,9 @@
 	observe       func(w *world, report scheduler.UsageReport)
 	usable        func(w *world, v *vm) bool
 	submitted     func(w *world, j *job)
-	failed        func(w *world, t *task, v *vm)
-	finished      func(w *world, t *task, ran time.Duration, whole bool)
+	failed        func(w *world, t *task, v *vm, started time.Duration)
+	survived      func(w *world, t *task)
+	finished      func(w *world, t *task, v *vm, ran time.Duration, whole bool)
 }
 
 // policies builds the policies by name.
@@ -30,6 +31,7 @@
 	"constant":        constant,
 	"observer":        observer,
 	"controlled":      controlled,
+	"quarantined":     quarantined,
 	"blindControlled": blindControlled,
 }
 
