quotakeeper: divide the fleet by dominant share

Cause: without quotas the work of one flooding team goes before that of the other 71 teams. Change: internal/quotakeeper with dominant-resource shares relative to quotas, borrowing, giving back after 2 minutes, urgency only within quota, and a first place for teams that started nothing for 30 minutes; scenario flood with 72 teams and policy fair in the experiment.

--- a/internal/experimenter/command.go
+++ b/internal/experimenter/command.go
@@ -26,6 +26,8 @@
 		Use:   "placement",
 		Short: "Compare placement policies on a stand-in of a fleet",
 		Args:  cobra.NoArgs,
+		// The usage text would hide the error.
+		SilenceUsage: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			results, err := Execute(plan)
 			if err != nil {
--- a/internal/experimenter/deployment.go
+++ b/internal/experimenter/deployment.go
@@ -38,8 +38,8 @@
 	// declaredLow and declaredHigh bound the factor by which declarations are off.
 	declaredLow, declaredHigh float64
 	// delay is how late usage reports arrive.
-	delay                                    time.Duration
-	waves, shift, failing, rackLoss, cancels bool
+	delay                                           time.Duration
+	waves, shift, failing, rackLoss, cancels, flood bool
 }
 
 // scenarios lists the scenarios by name. In all of them but wrongDeclarations, declared sizes and run
@@ -49,6 +49,7 @@
 	"light":             {offered: 0.7, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second},
 	"steady":            {offered: 0.95, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second},
 	"overload":          {offered: 1.4, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second},
+	"flood":             {offered: 0.7, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second, flood: true},
 	"noisyWaves":        {offered: 0.75, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second, waves: true},
 	"loadShift":         {offered: 0.95, declaredLow: 0.5, declaredHigh: 2, delay: 30 * time.Second, shift: true},
 	"wrongDeclarations": {offered: 0.95, declaredLow: 0.3, declaredHigh: 5, delay: 30 * time.Second},
@@ -66,6 +67,7 @@
 	reportInterval = 10 * time.Second
 	// rollout is the time over which the services' first tasks arrive, between batch tasks.
 	rollout    = 10 * time.Minute
+	floodAt    = 20 * time.Minute
 	waveEvery  = 15 * time.Minute
 	waveLength = 5 * time.Minute
 	// waveFactor multiplies the arrivals of the two harshest kinds during a wave.
--- a/internal/experimenter/measure.go
+++ b/internal/experimenter/measure.go
@@ -14,7 +14,9 @@
 // measure collects the figures of one run.
 type measure struct {
 	alone, shared *hdrhistogram.Histogram
-	urgentWaits   []float64
+	// otherWaits are the waits of batch tasks of all teams but team 0.
+	otherWaits  []float64
+	urgentWaits []float64
 
 	useful, lost                                     float64
 	started, evictions, throttles, failures, givenUp int
@@ -44,6 +46,9 @@
 	if t.job.class == scheduler.ClassLatencyCritical && t.waiting > rollout {
 		m.urgentWaits = append(m.urgentWaits, (now - t.waiting).Seconds())
 	}
+	if t.job.class == scheduler.ClassBatch && t.job.team != "team0" {
+		m.otherWaits = append(m.otherWaits, (now - t.waiting).Seconds())
+	}
 }
 
 func (m *measure) jobDone(j *job, now, horizon time.Duration) {
@@ -71,6 +76,10 @@
 
 // finish adds up what is known only at the end of a run.
 func (w *world) finish() {
+	// A task that never started has waited until the end of the run.
+	for _, t := range w.pending {
+		w.measure.waited(t, w.horizon)
+	}
 	for _, j := range w.submitted {
 		tasks := w.jobs[j.id]
 		if j.class != scheduler.ClassBatch {
@@ -104,6 +113,7 @@
 	metricPending    = "meanPending"
 	metricUrgentP99  = "p99UrgentWaitSeconds"
 	metricOverfull   = "overfullWorkerSteps"
+	metricOtherWait  = "p99OtherTeamsWaitSeconds"
 	metricGivenUp    = "tasksGivenUp"
 )
 
@@ -126,6 +136,9 @@
 	if len(m.urgentWaits) > 0 {
 		got[metricUrgentP99] = quantile(m.urgentWaits, 0.99)
 	}
+	if len(m.otherWaits) > 0 {
+		got[metricOtherWait] = quantile(m.otherWaits, 0.99)
+	}
 	maps.Copy(got, m.extra)
 	return got
 }
--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -13,11 +13,15 @@
 	// declaresTruth gives the policy the true sizes and run times.
 	declaresTruth bool
 	observe       func(w *world, report scheduler.UsageReport)
-	usable        func(w *world, v *vm) bool
-	submitted     func(w *world, j *job)
-	failed        func(w *world, t *task, v *vm, started time.Duration)
-	survived      func(w *world, t *task)
-	finished      func(w *world, t *task, v *vm, ran time.Duration, whole bool)
+	// order chooses and orders the batch tasks of a round.
+	order     func(w *world, pending []scheduler.PendingTask) []scheduler.PendingTask
+	attached  func(w *world, t *task)
+	detached  func(w *world, t *task)
+	usable    func(w *world, v *vm) bool
+	submitted func(w *world, j *job)
+	failed    func(w *world, t *task, v *vm, started time.Duration)
+	survived  func(w *world, t *task)
+	finished  func(w *world, t *task, v *vm, ran time.Duration, whole bool)
 }
 
 // policies builds the policies by name.
@@ -32,6 +36,7 @@
 	"observer":        observer,
 	"controlled":      controlled,
 	"quarantined":     quarantined,
+	"fair":            fair,
 	"blindControlled": blindControlled,
 }
 
--- a/internal/experimenter/step.go
+++ b/internal/experimenter/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -178,11 +179,16 @@
 			v.dirty = false
 		}
 	}
-	offered := w.offer()
-	if len(offered) == 0 {
-		return
+	// The placer orders what it is offered by waiting time; small parts keep the order of shares.
+	part := 100 * window
+	if w.policy.order != nil {
+		part = window / 6
+	}
+	var assignments []scheduler.Assignment
+	for offered := range slices.Chunk(w.offer(), part) {
+		placed, _ := w.policy.placer.Place(epoch.Add(w.now), offered)
+		assignments = append(assignments, placed...)
 	}
-	assignments, _ := w.policy.placer.Place(epoch.Add(w.now), offered)
 	for _, a := range assignments {
 		t, v := w.tasks[a.Task], w.byName[a.Worker]
 		w.unqueue(t)
@@ -236,6 +242,13 @@
 		}
 		offered = append(offered, w.pendingTask(t))
 	}
+	if w.policy.order != nil {
+		all := make([]scheduler.PendingTask, len(batch))
+		for i, t := range batch {
+			all[i] = w.pendingTask(t)
+		}
+		return append(offered, w.policy.order(w, all)...)
+	}
 	oldest := min(len(batch), window/2)
 	for _, t := range batch[:oldest] {
 		offered = append(offered, w.pendingTask(t))
--- a/internal/experimenter/work.go
+++ b/internal/experimenter/work.go
@@ -17,6 +17,11 @@
 	streamRun
 )
 
+// teamCount is the number of teams; team 0 sends the flood.
+const teamCount = 72
+
+func teamName(n int) scheduler.TeamName { return scheduler.TeamName(fmt.Sprintf("team%d", n)) }
+
 // checkpointInterval is how often a task that can checkpoint does so by itself.
 const checkpointInterval = time.Minute
 
@@ -90,6 +95,16 @@
 			jobs = append(jobs, batchJob(random, number, k, at, p, d, s))
 		}
 	}
+	if s.flood {
+		// One team submits three hours of work for the whole fleet at once.
+		flood := cores * 3 * time.Hour.Seconds()
+		for k := 0; flood > 0; k = (k + 1) % kindCount {
+			j := batchJob(random, number, k, floodAt, profiles[k], d, s)
+			j.team, number = "team0", number+1
+			flood -= float64(j.tasks) * j.cores * j.runTime.Seconds()
+			jobs = append(jobs, j)
+		}
+	}
 	return jobs
 }
 
@@ -110,7 +125,7 @@
 	runTime := time.Duration(float64(p.runTime) * math.Exp(0.4*random.NormFloat64()-0.08))
 	declaredCores := min(p.cores*off(random, s), float64(d.cores)/2)
 	j := job{
-		id: scheduler.JobID(fmt.Sprintf("job%d", n)), team: scheduler.TeamName(fmt.Sprintf("team%d", n%12)),
+		id: scheduler.JobID(fmt.Sprintf("job%d", n)), team: teamName(n % teamCount),
 		at: at, class: scheduler.ClassBatch, kind: kind, tasks: 1 + random.IntN(15),
 		cores: p.cores, runTime: runTime, checkpoints: p.checkpoints,
 		declared: time.Duration(float64(runTime) * off(random, s)),
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -242,6 +242,9 @@
 		w.running[t.job.kind]++
 	}
 	w.measure.started++
+	if w.policy.attached != nil {
+		w.policy.attached(w, t)
+	}
 	attempt := t.started
 	if w.policy.survived != nil {
 		w.at(w.now+survival, func() {
@@ -261,6 +264,9 @@
 
 // detach takes a task off its worker.
 func (w *world) detach(t *task) {
+	if w.policy.detached != nil {
+		w.policy.detached(w, t)
+	}
 	v := t.worker
 	v.tasks = slices.DeleteFunc(v.tasks, func(other *task) bool { return other == t })
 	v.dirty = true
--- /dev/null
+++ b/internal/quotakeeper/quotakeeper_test.go
@@ -0,0 +1,135 @@
+package quotakeeper
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func cores(n int64) scheduler.Resources { return scheduler.Resources{MilliCores: n * 1000} }
+
+func newKeeper(t *testing.T) *Keeper {
+	t.Helper()
+	k, err := New(scheduler.Resources{MilliCores: 100_000, MemoryBytes: 1000, Accelerators: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []scheduler.TeamName{"a", "b", "c"} {
+		k.SetQuota(name, scheduler.Resources{MilliCores: 30_000, MemoryBytes: 300, Accelerators: 3})
+	}
+	return k
+}
+
+func pending(id string, request scheduler.Resources, waiting time.Duration, urgent bool) scheduler.PendingTask {
+	return scheduler.PendingTask{
+		Task: scheduler.TaskID(id), Team: scheduler.TeamName(id[:1]), Waiting: waiting, Urgent: urgent,
+		Spec: scheduler.TaskSpec{Class: scheduler.ClassBatch, Request: request},
+	}
+}
+
+// Guards against a team that goes first because it uses little of one resource and much of another,
+// against the oldest work of a flooding team going first, and against starvation.
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		used    map[string]scheduler.Resources
+		pending []scheduler.PendingTask
+		limit   int
+		want    []string
+	}{
+		"lowest share first": {
+			used:    map[string]scheduler.Resources{"a/0": cores(20), "b/0": cores(10)},
+			pending: []scheduler.PendingTask{pending("a/1", cores(1), time.Minute, false), pending("b/1", cores(1), 0, false)}, want: []string{"b/1", "a/1"},
+		},
+		"dominant resource counts": {
+			used:    map[string]scheduler.Resources{"a/0": {MilliCores: 1000, MemoryBytes: 250}, "b/0": cores(10)},
+			pending: []scheduler.PendingTask{pending("a/1", cores(1), time.Minute, false), pending("b/1", cores(1), 0, false)}, want: []string{"b/1", "a/1"},
+		},
+		"teams take turns": {
+			pending: []scheduler.PendingTask{pending("a/1", cores(5), 9, false), pending("a/2", cores(5), 8, false), pending("b/1", cores(5), 1, false), pending("b/2", cores(5), 0, false)},
+			want:    []string{"a/1", "b/1", "a/2", "b/2"},
+		},
+		"urgent first": {
+			pending: []scheduler.PendingTask{pending("a/1", cores(1), time.Hour, false), pending("b/1", cores(1), 0, true)}, want: []string{"b/1 urgent", "a/1"},
+		},
+		"urgent beyond quota is normal": {
+			used:    map[string]scheduler.Resources{"b/0": cores(30)},
+			pending: []scheduler.PendingTask{pending("a/1", cores(1), 0, false), pending("b/1", cores(1), 0, true)}, want: []string{"a/1", "b/1"},
+		},
+		"a starved team goes first with one task": {
+			pending: []scheduler.PendingTask{pending("z/1", cores(1), time.Hour, false), pending("z/2", cores(1), time.Hour, false), pending("a/1", cores(1), 0, false)},
+			want:    []string{"z/1", "a/1", "z/2"},
+		},
+		"limit": {limit: 1, pending: []scheduler.PendingTask{pending("a/1", cores(1), 0, false), pending("b/1", cores(1), 0, false)}, want: []string{"a/1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(t)
+			for id, request := range c.used {
+				k.Started(start.Add(-time.Hour), scheduler.TaskID(id), scheduler.TeamName(id[:1]), request)
+			}
+			if c.limit == 0 {
+				c.limit = 100
+			}
+			var got []string
+			for _, task := range k.Order(start, c.pending, c.limit) {
+				text := string(task.Task)
+				if task.Urgent {
+					text += " urgent"
+				}
+				got = append(got, text)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against borrowed resources that are never given back, against taking more than was borrowed,
+// and against taking twice for one task.
+func TestReclaim(t *testing.T) {
+	k := newKeeper(t)
+	var running []scheduler.PlacedTask
+	for i := range 8 {
+		task := scheduler.PlacedTask{
+			Task: scheduler.TaskID(fmt.Sprint("a/", i)), Team: "a", Started: start.Add(time.Duration(i) * time.Second),
+			Spec: scheduler.TaskSpec{Class: scheduler.ClassBatch, Request: cores(10)},
+		}
+		running = append(running, task)
+		k.Started(start, task.Task, "a", cores(10))
+		k.Started(start, task.Task, "a", cores(10))
+	}
+	if got, want := k.Share("a"), 80.0/30; got != want {
+		t.Errorf("got share %v, want %v", got, want)
+	}
+	early := []scheduler.PendingTask{pending("b/1", cores(10), time.Minute, false)}
+	if got := k.Reclaim(start, early, running); len(got) != 0 {
+		t.Errorf("got %v before the give-back time, want none", got)
+	}
+	var waiting []scheduler.PendingTask
+	for i := range 9 {
+		waiting = append(waiting, pending(fmt.Sprint("bc"[i%2:i%2+1], "/", i), cores(10), time.Hour, false))
+	}
+	want := []scheduler.TaskID{"a/7", "a/6", "a/5", "a/4", "a/3"}
+	if got := k.Reclaim(start, waiting, running); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v: the youngest first, and none of the quota", got, want)
+	}
+	if got := k.Reclaim(start.Add(time.Second), waiting[:5], running); len(got) != 0 {
+		t.Errorf("got %v while a reclaim is under way, want none", got)
+	}
+	for _, task := range running {
+		k.Ended(task.Task)
+		k.Ended(task.Task)
+	}
+	if got := k.Share("a"); got != 0 {
+		t.Errorf("got share %v after the end of all tasks, want 0", got)
+	}
+	if _, err := New(cores(1), WithAging(time.Second)); !Error.Has(err) {
+		t.Errorf("got %v, want an error for an aging time below the give-back time", err)
+	}
+}
