--- a/internal/experimenter/step.go
+++ b/internal/experimenter/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -119,7 +120,7 @@
 }
 
 func (w *world) complete(t *task) {
-	ran := w.now - t.started
+	v, ran := t.worker, w.now-t.started
 	w.detach(t)
 	t.state, t.done, t.saved = taskOver, t.job.runTime, t.job.runTime
 	w.measure.completed++
@@ -132,7 +133,7 @@
 		w.measure.jobDone(t.job, w.now, w.horizon)
 	}
 	if w.policy.finished != nil {
-		w.policy.finished(w, t, ran, last)
+		w.policy.finished(w, t, v, ran, last)
 	}
 }
 
@@ -171,16 +172,23 @@
 // schedule offers waiting tasks to the policy and carries out its decisions.
 func (w *world) schedule() {
 	for _, v := range w.vms {
-		if v.dirty {
+		usable := v.usable && (w.policy.usable == nil || w.policy.usable(w, v))
+		if v.dirty || usable != v.offered {
+			v.offered = usable
 			w.policy.placer.Update(w.state(v))
 			v.dirty = false
 		}
 	}
-	offered := w.offer()
-	if len(offered) == 0 {
-		return
+	// The placer orders what it is offered by waiting time; small parts keep the order of shares.
+	part := 100 * window
+	if w.policy.order != nil {
+		part = window / 6
+	}
+	var assignments []scheduler.Assignment
+	for offered := range slices.Chunk(w.offer(), part) {
+		placed, _ := w.policy.placer.Place(epoch.Add(w.now), offered)
+		assignments = append(assignments, placed...)
 	}
-	assignments, _ := w.policy.placer.Place(epoch.Add(w.now), offered)
 	for _, a := range assignments {
 		t, v := w.tasks[a.Task], w.byName[a.Worker]
 		w.unqueue(t)
@@ -234,6 +242,13 @@
 		}
 		offered = append(offered, w.pendingTask(t))
 	}
+	if w.policy.order != nil {
+		all := make([]scheduler.PendingTask, len(batch))
+		for i, t := range batch {
+			all[i] = w.pendingTask(t)
+		}
+		return append(offered, w.policy.order(w, all)...)
+	}
 	oldest := min(len(batch), window/2)
 	for _, t := range batch[:oldest] {
 		offered = append(offered, w.pendingTask(t))
@@ -268,10 +283,7 @@
 }
 
 func (w *world) state(v *vm) scheduler.WorkerState {
-	state := scheduler.WorkerState{Worker: v.worker, Usable: v.usable}
-	if w.policy.usable != nil {
-		state.Usable = v.usable && w.policy.usable(w, v)
-	}
+	state := scheduler.WorkerState{Worker: v.worker, Usable: v.offered}
 	for _, t := range v.tasks {
 		placed := scheduler.PlacedTask{
 			Task: t.id, Job: t.job.id, Team: t.job.team, Spec: w.spec(t), Started: epoch.Add(t.started), Throttled: t.throttled,
