importer, commander: import the inventory from the asset register

Places are kept as offsets, because counting the line and column of every cell of a one-line JSON file takes quadratic time.

Conclusion: an export is applied whole or not at all; a change by another operator in the meantime is a conflict.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -69,7 +69,7 @@
 	flags.DurationVar(&commander.timeout, "timeout", defaultTimeout, "time limit of one command without --wait")
 	flags.BoolVarP(&commander.yes, "yes", "y", false, "do not ask before work is evicted")
 	root.AddCommand(
-		commander.jobCommand(), commander.configurationCommand(), commander.workerCommand(),
+		commander.jobCommand(), commander.configurationCommand(), commander.inventoryCommand(), commander.workerCommand(),
 		commander.endpointCommand(), commander.vmCommand(), commander.replicaCommand(),
 		commander.auditCommand(), commander.statusCommand(), commander.evictionCommand(),
 		commander.contextCommand(), commander.versionCommand(),
--- a/internal/commander/configuration.go
+++ b/internal/commander/configuration.go
@@ -35,6 +35,11 @@
 
 func (changeFlags *changeFlags) register(command *cobra.Command) {
 	command.Flags().Int64Var(&changeFlags.base, "base", -1, "revision that the change is based on (default: the revision in the file)")
+	changeFlags.registerNames(command)
+}
+
+// registerNames registers the flags of a command that reads the base itself.
+func (changeFlags *changeFlags) registerNames(command *cobra.Command) {
 	command.Flags().StringVar(&changeFlags.changeID, "change-id", "", "name of the change (default: derived from its content, so that the same command resends it)")
 	command.Flags().StringVar(&changeFlags.operator, "operator", "", "who makes the change")
 	_ = command.MarkFlagRequired("operator")
@@ -95,11 +100,7 @@
 				if err != nil {
 					return err
 				}
-				rows := newTable("PATH", "FROM", "TO")
-				for _, difference := range result.Differences {
-					rows.add(difference.Path, compact(difference.From), compact(difference.To))
-				}
-				return commander.print(command, camelValue(result.Differences), rows)
+				return commander.print(command, camelValue(result.Differences), differenceTable(result.Differences))
 			})
 		},
 	}
--- /dev/null
+++ b/internal/importer/importer.go
@@ -0,0 +1,103 @@
+// Package importer reads the inventory from an export of an asset register, in CSV or in JSON. A file is
+// read whole or refused with all its faults. docs/inventory.md describes the columns.
+package importer
+
+import (
+	"bytes"
+	"path/filepath"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/zeebo/errs"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Error is the class of errors that this package returns.
+var Error = errs.Class("importer")
+
+// maxFileBytes bounds a file. 3,440 workers with ten labels each need less than 2 MB.
+const maxFileBytes = 16 << 20
+
+// Format is the format of an export.
+type Format string
+
+// Values of Format.
+const (
+	// FormatCSV is comma-separated values with a header line (RFC 4180).
+	FormatCSV Format = "csv"
+	// FormatJSON is a list of objects, in which comments and trailing commas are allowed.
+	FormatJSON Format = "json"
+)
+
+// FormatOf returns the format that a file's name stands for; ok is false for any other name.
+func FormatOf(name string) (format Format, ok bool) {
+	switch strings.ToLower(filepath.Ext(name)) {
+	case ".csv":
+		return FormatCSV, true
+	case ".json", ".jsonc":
+		return FormatJSON, true
+	default:
+		return "", false
+	}
+}
+
+// Inventory holds the sections of the configuration that an export replaces. Lists are never nil.
+type Inventory struct {
+	dataCentres []scheduler.DataCentre
+	racks       []scheduler.Rack
+	vms         []scheduler.VM
+	workers     []scheduler.Worker
+}
+
+// Sections returns the sections by their keys in the configuration document.
+func (inventory *Inventory) Sections() map[string]any {
+	return map[string]any{
+		"dataCentres": inventory.dataCentres, "racks": inventory.racks,
+		"vms": inventory.vms, "workers": inventory.workers,
+	}
+}
+
+// Read reads an export. The name is used in the texts of faults. The error holds a FileError with all
+// faults if the file has any.
+func Read(name string, format Format, data []byte) (*Inventory, error) {
+	file := &file{name: name, data: bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))}
+	switch {
+	case len(data) > maxFileBytes:
+		return nil, Error.New("%s is larger than %d bytes", name, maxFileBytes)
+	case !utf8.Valid(data):
+		file.add(invalidOffset(file.data), "the text is not UTF-8")
+		return nil, file.err()
+	}
+	var rows []row
+	switch format {
+	case FormatCSV:
+		rows = file.readCSV()
+	case FormatJSON:
+		rows = file.readJSON()
+	default:
+		return nil, Error.New("unknown format %q; use csv or json", format)
+	}
+	if len(rows) == 0 && len(file.faults) == 0 {
+		// An empty export is taken for a failed one: it would remove the whole inventory.
+		file.add(0, "the file has no rows")
+	}
+	inventory := file.convert(rows)
+	if err := file.err(); err != nil {
+		return nil, err
+	}
+	return inventory, nil
+}
+
+// invalidOffset returns the offset of the first byte that is not UTF-8.
+func invalidOffset(data []byte) int {
+	offset := 0
+	for offset < len(data) {
+		character, size := utf8.DecodeRune(data[offset:])
+		if character == utf8.RuneError && size == 1 {
+			break
+		}
+		offset += size
+	}
+	return offset
+}
