--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,8 @@
 	RoleTeam Role = "team"
 	// RoleReader may see everything and change nothing.
 	RoleReader Role = "reader"
+	// RolePlatform may announce endpoints and exchange with workers, and nothing else.
+	RolePlatform Role = "platform"
 )
 
 // Identity is the holder of a token.
@@ -60,6 +63,14 @@
 // Team returns the holder's team, empty for operators and readers.
 func (identity Identity) Team() scheduler.TeamName { return identity.team }
 
+// MayUseAPI reports whether the holder may use the API at all.
+func (identity Identity) MayUseAPI() bool {
+	return identity.role == RoleOperator || identity.role == RoleTeam || identity.role == RoleReader
+}
+
+// MayServe reports whether the holder may announce endpoints and run tasks.
+func (identity Identity) MayServe() bool { return identity.role == RolePlatform }
+
 // MayChange reports whether the holder may change the system's configuration and state.
 func (identity Identity) MayChange() bool { return identity.role == RoleOperator }
 
@@ -70,7 +81,7 @@
 
 // MaySee reports whether the holder may see jobs of a team.
 func (identity Identity) MaySee(team scheduler.TeamName) bool {
-	return identity.role != RoleTeam || identity.team == team
+	return identity.MayUseAPI() && (identity.role != RoleTeam || identity.team == team)
 }
 
 // Entry is one token in the file of tokens. It is a settings type.
@@ -188,8 +199,8 @@
 	switch {
 	case entry.Name == "":
 		return "the name is empty"
-	case entry.Role != RoleOperator && entry.Role != RoleTeam && entry.Role != RoleReader:
-		return "the role is none of operator, team and reader"
+	case !slices.Contains([]Role{RoleOperator, RoleTeam, RoleReader, RolePlatform}, entry.Role):
+		return "the role is none of operator, team, reader and platform"
 	case (entry.Role == RoleTeam) != (entry.Team != ""):
 		return "a team is given for the role team, and only there"
 	case err != nil || len(decoded) != sha256.Size || entry.SHA256 != strings.ToLower(entry.SHA256):
--- /dev/null
+++ b/internal/composer/access_test.go
@@ -0,0 +1,177 @@
+package composer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/auditor"
+	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// newTestAccess returns an access with one token for each role, and its trail.
+func newTestAccess(t *testing.T, log *bytes.Buffer) (*access, *auditor.Trail, map[authenticator.Role]string) {
+	t.Helper()
+	tokens := map[authenticator.Role]string{}
+	var entries []authenticator.Entry
+	for _, role := range []authenticator.Role{authenticator.RoleOperator, authenticator.RoleTeam, authenticator.RoleReader, authenticator.RolePlatform} {
+		token, hash := authenticator.NewToken()
+		tokens[role] = token
+		entry := authenticator.Entry{Name: string(role), Role: role, SHA256: hash}
+		if role == authenticator.RoleTeam {
+			entry.Team = "cutting"
+		}
+		entries = append(entries, entry)
+	}
+	data, err := json.Marshal(entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "tokens.jsonc")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	access, err := newAccess(&loader.Settings{Tokens: loader.Tokens{APITokensFile: path}}, zerolog.New(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	trail, err := auditor.Open(filepath.Join(t.TempDir(), "audit"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = trail.Close() })
+	access.trail = trail
+	return access, trail, tokens
+}
+
+func sendTo(handler http.Handler, authorization string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "/v1/endpoints", strings.NewReader("{}"))
+	if authorization != "" {
+		request.Header.Set("Authorization", authorization)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+var passed = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })
+
+// Guards against endpoints and workers that get in without a token of the platform, against refusals
+// without a record, and against tokens in the log, the answer or the audit trail.
+func TestPlatformAccess(t *testing.T) {
+	var log bytes.Buffer
+	access, trail, tokens := newTestAccess(t, &log)
+	tests := map[string]struct {
+		authorization string
+		want          int
+		who           string
+	}{
+		"platform":          {"Bearer " + tokens[authenticator.RolePlatform], 204, ""},
+		"lower-case scheme": {"bearer " + tokens[authenticator.RolePlatform], 204, ""},
+		"other scheme":      {"Basic " + tokens[authenticator.RolePlatform], 401, "unknown"},
+		"operator":          {"Bearer " + tokens[authenticator.RoleOperator], 403, "operator"},
+		"team":              {"Bearer " + tokens[authenticator.RoleTeam], 403, "team"},
+		"reader":            {"Bearer " + tokens[authenticator.RoleReader], 403, "reader"},
+		"wrong token":       {"Bearer wrong-secret", 401, "unknown"},
+		"no token":          {"", 401, "unknown"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			before, _ := trail.Head()
+			answer := sendTo(access.guard(name, passed), test.authorization)
+			if answer.Code != test.want {
+				t.Errorf("status: got %d, want %d", answer.Code, test.want)
+			}
+			records, _, err := trail.Read(before+1, 10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if test.who == "" && len(records) > 0 || test.who != "" && (len(records) != 1 || records[0].Who != test.who || records[0].Action != name) {
+				t.Errorf("audit records: got %+v, want one of %q", records, test.who)
+			}
+			written, _ := json.Marshal(records)
+			for _, secret := range append([]string{"wrong-secret"}, tokens[authenticator.RoleOperator], tokens[authenticator.RolePlatform]) {
+				if strings.Contains(log.String()+answer.Body.String()+string(written), secret) {
+					t.Error("a token was written")
+				}
+			}
+		})
+	}
+}
+
+// Guards against an open system that refuses endpoints when no tokens are set.
+func TestPlatformAccessWithoutTokens(t *testing.T) {
+	access, err := newAccess(&loader.Settings{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := sendTo(access.guard("announce", passed), "").Code, http.StatusNoContent; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
+// Guards against workers with a wrong token that fill the audit trail, one record each second.
+func TestRepeatedRefusalsAreRecordedOnceAMinute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		access, trail, _ := newTestAccess(t, &log)
+		for range 90 {
+			sendTo(access.guard("exchange", passed), "Bearer wrong")
+			time.Sleep(time.Second)
+		}
+		if got, _ := trail.Head(); got != 2 {
+			t.Errorf("records after 90 s: got %d, want 2", got)
+		}
+	})
+}
+
+// keeperTransport delivers calls to the handler of a VM with a disk; calls to other VMs fail.
+type keeperTransport struct {
+	scheduler.Transport
+	keeper  scheduler.VMName
+	handler *access
+}
+
+func (keeperTransport *keeperTransport) Call(ctx context.Context, to scheduler.VMName, _ scheduler.GroupName, _ scheduler.MessageKind, body []byte) ([]byte, error) {
+	if to != keeperTransport.keeper {
+		return nil, scheduler.ErrNotRun.New("VM %s is down", to)
+	}
+	return keeperTransport.handler.handleRecord(ctx, "couva-2", body)
+}
+
+// Guards against refusals of a VM without a disk that no trail holds, and against accepted changes that
+// another VM could write into a trail.
+func TestRefusalsOfVMWithoutDisk(t *testing.T) {
+	var log bytes.Buffer
+	keeper, trail, _ := newTestAccess(t, &log)
+	diskless, _, _ := newTestAccess(t, &log)
+	diskless.trail, diskless.vm, diskless.keepers = nil, "couva-2", []scheduler.VMName{"down", "couva-1"}
+	diskless.transport = &keeperTransport{keeper: "couva-1", handler: keeper}
+	sendTo(diskless.guard("announce", passed), "")
+	records, _, err := trail.Read(1, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(records) != 1 || !strings.Contains(records[0].Detail, "couva-2") {
+		t.Errorf("records of the keeper: got %+v, want one that names couva-2", records)
+	}
+	if err := diskless.record(scheduler.AuditRecord{Who: "x", Action: "y", Outcome: scheduler.AuditAccepted}); err == nil {
+		t.Error("an accepted change from another VM: got no error")
+	}
+	diskless.keepers = nil
+	if err := diskless.record(scheduler.AuditRecord{Outcome: scheduler.AuditRefused}); err == nil {
+		t.Error("no VM with a disk: got no error")
+	}
+}
--- a/internal/composer/api.go
+++ b/internal/composer/api.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/http/pprof"
 
-	"github.com/crocusplank/crocusplank/internal/authenticator"
 	"github.com/crocusplank/crocusplank/internal/configurator"
 	"github.com/crocusplank/crocusplank/internal/replicator"
 	"github.com/crocusplank/crocusplank/internal/server"
@@ -13,21 +12,13 @@
 )
 
 // apiHandler returns the handler of the operators' API.
-func (daemon *Daemon) apiHandler() (http.Handler, error) {
+func (daemon *Daemon) apiHandler() http.Handler {
 	settings := daemon.environment.settings
 	parts := server.Parts{
 		VM: settings.VM, DataCentre: settings.DataCentre, Version: versioner.Version(),
 		Connected: daemon.connected, Ready: daemon.ready,
-		Groups: map[scheduler.GroupName]*replicator.Replicator{},
-	}
-	if settings.Tokens.APITokensFile != "" {
-		tokens, err := authenticator.Open(settings.Tokens.APITokensFile)
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		parts.Tokens = tokens
-	} else {
-		daemon.environment.log.Warn().Str("event", "api.open").Msg("no file of API tokens is set; everyone who reaches the API is an operator")
+		Groups: map[scheduler.GroupName]*replicator.Replicator{}, Tokens: daemon.environment.access.tokens,
+		Record: daemon.environment.access.record,
 	}
 	daemon.addReplicas(&parts)
 	if coordinator, ok := daemon.kernel.Lookup(serviceCoordinator).(*coordinator); ok {
@@ -40,7 +31,7 @@
 	// Balancers that only know the callers' address ask there.
 	daemon.environment.callerMux.Handle("GET /healthz", handler)
 	daemon.environment.callerMux.Handle("GET /readyz", handler)
-	return handler, nil
+	return handler
 }
 
 func (daemon *Daemon) addReplicas(parts *server.Parts) {
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -86,10 +86,14 @@
 	if err != nil {
 		return nil, err
 	}
+	access, err := newAccess(settings, log)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon := &Daemon{
 		environment: &environment{
-			settings: settings, log: log, transport: transport, life: newLife(), callerMux: http.NewServeMux(),
+			settings: settings, log: log, transport: transport, life: newLife(), callerMux: http.NewServeMux(), access: access,
 		},
 		kernel: kernel.New(), messenger: transport, metrics: reporter.New(), context: ctx, cancel: cancel,
 	}
@@ -98,6 +102,7 @@
 		cancel()
 		return nil, Error.Wrap(err)
 	}
+	access.connect(daemon.environment, replicasOf(daemon.kernel))
 	daemon.gateway, _ = daemon.kernel.Lookup(serviceGateway).(*gatewayRole)
 	return daemon, nil
 }
@@ -143,11 +148,7 @@
 	if err := daemon.kernel.Start(ctx); err != nil {
 		return errs.Combine(Error.Wrap(err), daemon.Stop(ctx))
 	}
-	handler, err := daemon.apiHandler()
-	if err != nil {
-		return errs.Combine(err, daemon.Stop(ctx))
-	}
-	if err := daemon.serve("api", settings.Addresses.API.String(), handler); err != nil {
+	if err := daemon.serve("api", settings.Addresses.API.String(), daemon.apiHandler()); err != nil {
 		return errs.Combine(err, daemon.Stop(ctx))
 	}
 	if err := daemon.serve("metrics", settings.Addresses.Metrics.String(), daemon.metricsHandler()); err != nil {
--- a/internal/composer/coordinator.go
+++ b/internal/composer/coordinator.go
@@ -70,7 +70,8 @@
 		replicas.member(home, machineConfiguration), configurator.WithLogger(log))
 	environment.transport.Handle(home, kindWorkerSync, coordinator.handleSync)
 	environment.transport.Handle(home, kindEvict, coordinator.handleEvict)
-	environment.callerMux.HandleFunc("POST /v1/workers/{worker}/sync", coordinator.serveSync)
+	environment.callerMux.Handle("POST /v1/workers/{worker}/sync",
+		environment.access.guard("exchange with a worker", http.HandlerFunc(coordinator.serveSync)))
 	host.Publish(serviceCoordinator, coordinator)
 	return coordinator, nil
 }
--- a/internal/composer/environment.go
+++ b/internal/composer/environment.go
@@ -29,6 +29,7 @@
 	life scheduler.Incarnation
 	// callerMux takes the paths that workers and endpoints use on the callers' address.
 	callerMux *http.ServeMux
+	access    *access
 	// inService is true while the VM may get new requests.
 	inService atomic.Bool
 }
--- a/internal/composer/gateway.go
+++ b/internal/composer/gateway.go
@@ -76,7 +76,7 @@
 		gateway.WithDeadline(settings.Limits.RequestTimeout, longestDeadline),
 		gateway.WithHandBack(role.shares.HandBack), gateway.WithHandler(role.withOwnPaths),
 		gateway.WithIdempotent(role.idempotent), gateway.WithLogger(log))
-	environment.callerMux.Handle("POST /v1/endpoints", role.registrar)
+	environment.callerMux.Handle("POST /v1/endpoints", environment.access.guard("announce an endpoint", role.registrar))
 	host.Publish(serviceGateway, role)
 	return role, nil
 }
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -15,9 +15,17 @@
 // maxAnswer bounds an answer; one with 1,000 start commands has about 300 kB.
 const maxAnswer = 4 << 20
 
+// ExchangeOption changes an exchange under construction.
+type ExchangeOption func(header http.Header)
+
+// WithExchangeToken sends a token of the role platform with each exchange.
+func WithExchangeToken(token string) ExchangeOption {
+	return func(header http.Header) { header.Set("Authorization", "Bearer "+token) }
+}
+
 // NewHTTPExchange returns an Exchange that posts to the system at base, for example
 // "http://10.0.0.1:7000". mediaType is "application/json" or "application/cbor".
-func NewHTTPExchange(client *http.Client, base, mediaType string) Exchange {
+func NewHTTPExchange(client *http.Client, base, mediaType string, options ...ExchangeOption) Exchange {
 	marshal, unmarshal := json.Marshal, json.Unmarshal
 	if mediaType == "application/cbor" {
 		marshal, unmarshal = cbor.Marshal, cbor.Unmarshal
@@ -34,6 +42,9 @@
 		}
 		post.Header.Set("Content-Type", mediaType)
 		post.Header.Set("Accept", mediaType)
+		for _, option := range options {
+			option(post.Header)
+		}
 		response, err := client.Do(post)
 		if err != nil {
 			return nil, Error.Wrap(err)
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -31,6 +31,7 @@
 	announcement scheduler.Announcement
 	gateways     []string
 	work         time.Duration
+	token        string
 	client       *http.Client
 	server       *http.Server
 
@@ -59,12 +60,20 @@
 // LeaveLimit is how long after its announcement a leaving endpoint may still get new requests.
 const LeaveLimit = 3 * time.Second
 
+// EndpointOption changes an Endpoint under construction.
+type EndpointOption func(endpoint *Endpoint)
+
+// WithEndpointToken sends a token of the role platform with each announcement.
+func WithEndpointToken(token string) EndpointOption {
+	return func(endpoint *Endpoint) { endpoint.token = token }
+}
+
 // NewEndpoint returns an endpoint of a service that takes work for each request. gateways are the
 // callers' addresses of the data centre's entry VMs.
 func NewEndpoint(name scheduler.EndpointName, service scheduler.ServiceName, dataCentre scheduler.DataCentreName,
-	slots int, work time.Duration, gateways []string,
+	slots int, work time.Duration, gateways []string, options ...EndpointOption,
 ) *Endpoint {
-	return &Endpoint{
+	endpoint := &Endpoint{
 		announcement: scheduler.Announcement{
 			Endpoint: name, Service: service, DataCentre: dataCentre, Slots: slots, Connections: 64,
 			Incarnation: scheduler.Incarnation(time.Now().UnixNano()),
@@ -74,6 +83,10 @@
 		inProgress: map[scheduler.GatewayID]int{},
 		record:     EndpointRecord{RunsByKey: map[string]int{}},
 	}
+	for _, option := range options {
+		option(endpoint)
+	}
+	return endpoint
 }
 
 // Start listens on an address, "127.0.0.1:0" for a free port, and announces the endpoint until ctx ends.
@@ -127,6 +140,9 @@
 		return Error.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if endpoint.token != "" {
+		request.Header.Set("Authorization", "Bearer "+endpoint.token)
+	}
 	response, err := endpoint.client.Do(request)
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/server/access.go
+++ b/internal/server/access.go
@@ -4,10 +4,16 @@
 	"context"
 	"strings"
 
+	goa "goa.design/goa/v3/pkg"
+
 	"github.com/crocusplank/crocusplank/internal/authenticator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// auditTextLimit bounds what a request can put into the audit trail: names in a path or a body have no
+// bound of their own, and refused requests must not fill the disk.
+const auditTextLimit = 200
+
 type identityKey struct{}
 
 // authenticate finds out who sends a request. Without tokens everyone is an operator.
@@ -17,10 +23,21 @@
 	}
 	identity, ok := server.parts.Tokens.Identify(strings.TrimSpace(strings.TrimPrefix(header, "Bearer")))
 	if !ok {
-		server.auditRefusal("unknown", "authenticate", "the token is missing or wrong")
+		server.auditRefusal("unknown", methodOf(ctx), "the token is missing or wrong")
 		return ctx, &failure{Name: "unauthorized", Message: "the token is missing or wrong", Next: "pass the token's file with --token-file"}
 	}
-	return context.WithValue(ctx, identityKey{}, identity), nil
+	ctx = context.WithValue(ctx, identityKey{}, identity)
+	if !identity.MayUseAPI() {
+		return ctx, server.forbid(ctx, methodOf(ctx), "a token of the platform is for endpoints and workers only")
+	}
+	return ctx, nil
+}
+
+// methodOf returns the service and the method of a request, for the audit trail.
+func methodOf(ctx context.Context) string {
+	service, _ := ctx.Value(goa.ServiceKey).(string)
+	method, _ := ctx.Value(goa.MethodKey).(string)
+	return service + " " + method
 }
 
 func identityOf(ctx context.Context) authenticator.Identity {
@@ -53,11 +70,28 @@
 // an answer, so its failure is only logged.
 func (server *Server) auditRefusal(who, action, reason string) {
 	server.log.Warn().Str("event", "api.refused").Str("who", who).Str("action", action).Msg(reason)
-	if server.parts.Trail == nil {
-		return
-	}
-	record := scheduler.AuditRecord{Who: who, Action: action, Outcome: scheduler.AuditRefused, Detail: reason}
-	if _, err := server.parts.Trail.Append(record); err != nil {
+	record := scheduler.AuditRecord{Who: who, Action: clip(action), Outcome: scheduler.AuditRefused, Detail: reason}
+	if err := server.record(record); err != nil {
 		server.log.Error().Str("event", "audit.failed").Err(err).Msg("refusal not recorded")
 	}
 }
+
+func (server *Server) record(record scheduler.AuditRecord) error {
+	switch {
+	case server.parts.Record != nil:
+		return server.parts.Record(record)
+	case server.parts.Trail != nil:
+		_, err := server.parts.Trail.Append(record)
+		return Error.Wrap(err)
+	default:
+		return Error.New("VM %s keeps no audit trail", server.parts.VM)
+	}
+}
+
+// clip shortens a text to auditTextLimit bytes of valid UTF-8.
+func clip(text string) string {
+	if len(text) <= auditTextLimit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:auditTextLimit], "") + "…"
+}
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -34,6 +34,9 @@
 	if payload.Revision != nil {
 		return configurationService.earlier(scheduler.Revision(*payload.Revision))
 	}
+	if configurationService.parts.Local == nil {
+		return nil, configurationError(notRun("ask another entry VM", "this VM does not run the role replica"))
+	}
 	revision, document, ok := configurationService.parts.Local.InForce()
 	if !ok {
 		return nil, configurationError(notRun("ask another entry VM", "this VM has not read the configuration in force yet"))
@@ -45,6 +48,9 @@
 }
 
 func (configurationService *configurationService) earlier(revision scheduler.Revision) (*configuration.Revision, error) {
+	if configurationService.parts.Global == nil {
+		return nil, configurationError(notGlobal())
+	}
 	document, ok := configurationService.parts.Global.DocumentAt(revision)
 	if !ok {
 		return nil, configurationError(notFound("revision %d is not in the history", revision))
@@ -52,6 +58,11 @@
 	return &configuration.Revision{Revision: uint64(revision), Document: document}, nil
 }
 
+// notGlobal is the refusal of a VM that is no member of the configuration's group.
+func notGlobal() *failure {
+	return notRun("ask an entry VM that is a member of the group global", "this VM is not a member of the group global")
+}
+
 // readDocument decodes a document strictly, so that a misspelt key is refused and not ignored.
 func readDocument(value any) (*scheduler.Configuration, *failure) {
 	data, err := json.Marshal(value)
@@ -73,6 +84,9 @@
 	if failure != nil {
 		return nil, configurationError(failure)
 	}
+	if configurationService.parts.Submitter == nil {
+		return nil, configurationError(notGlobal())
+	}
 	result, differences, err := configurationService.parts.Submitter.DryRun(ctx, scheduler.Revision(payload.Change.Base), document)
 	if err != nil {
 		return nil, configurationError(outcomeOf(err))
@@ -106,6 +120,9 @@
 	if failure != nil {
 		return nil, configurationError(failure)
 	}
+	if configurationService.parts.Submitter == nil {
+		return nil, configurationError(notGlobal())
+	}
 	result, err := configurationService.parts.Submitter.Submit(ctx, scheduler.Revision(change.Base),
 		configurationService.operator(ctx, change.Operator), change.ChangeID, document)
 	revision, failure := changed(result, err)
@@ -135,6 +152,9 @@
 	if failure := configurationService.requireOperator(ctx, "roll forward "+payload.ChangeID); failure != nil {
 		return nil, configurationError(failure)
 	}
+	if configurationService.parts.Submitter == nil {
+		return nil, configurationError(notGlobal())
+	}
 	result, err := configurationService.parts.Submitter.RollForward(ctx, scheduler.Revision(payload.Base),
 		configurationService.operator(ctx, payload.Operator), payload.ChangeID, scheduler.Revision(payload.To))
 	revision, failure := changed(result, err)
@@ -147,6 +167,9 @@
 // History implements the list of revisions.
 func (configurationService *configurationService) History(context.Context, *configuration.HistoryPayload) (*configuration.HistoryResult, error) {
 	result := &configuration.HistoryResult{Revisions: []*configuration.HistoryEntry{}}
+	if configurationService.parts.Global == nil {
+		return nil, configurationError(notGlobal())
+	}
 	for _, version := range configurationService.parts.Global.History() {
 		at := time.UnixMilli(version.AtUnixMilli).UTC().Format(time.RFC3339)
 		result.Revisions = append(result.Revisions, &configuration.HistoryEntry{
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -30,11 +30,11 @@
 
 // Submit implements the submission of a job.
 func (jobService *jobService) Submit(ctx context.Context, payload *jobs.SubmitPayload) (*jobs.Job, error) {
-	submission, failure := jobService.submission(payload.Job)
-	if failure != nil {
+	if failure := jobService.requireTeam(ctx, "submit job "+payload.Job.ID, scheduler.TeamName(payload.Job.Team)); failure != nil {
 		return nil, jobsError(failure)
 	}
-	if failure := jobService.requireTeam(ctx, "submit job "+payload.Job.ID, submission.Team); failure != nil {
+	submission, failure := jobService.submission(payload.Job)
+	if failure != nil {
 		return nil, jobsError(failure)
 	}
 	if jobService.parts.Engine == nil {
@@ -108,7 +108,12 @@
 // Show implements the view of a job.
 func (jobService *jobService) Show(ctx context.Context, payload *jobs.ShowPayload) (*jobs.Job, error) {
 	report, ok := jobService.report(payload.ID)
-	if !ok || !identityOf(ctx).MaySee(report.Team) {
+	if ok && !identityOf(ctx).MaySee(report.Team) {
+		// The answer does not tell that the job exists.
+		jobService.auditRefusal(identityOf(ctx).Name(), "show job "+payload.ID, "the job belongs to another team")
+		ok = false
+	}
+	if !ok {
 		return nil, jobsError(notFound("there is no job %s in data centre %s", payload.ID, jobService.parts.DataCentre))
 	}
 	return jobService.toJob(report, true), nil
@@ -183,9 +188,6 @@
 
 // Cancel implements the cancellation of jobs.
 func (jobService *jobService) Cancel(ctx context.Context, payload *jobs.CancelPayload) (*jobs.CancelResult, error) {
-	if jobService.parts.Engine == nil {
-		return nil, jobsError(notRun("ask another entry VM", "this VM does not run the role scheduler"))
-	}
 	result := &jobs.CancelResult{}
 	cancellation := dispatcher.Cancellation{Operator: identityOf(ctx).Name(), Reason: "cancelled over the API"}
 	for _, id := range payload.Ids {
@@ -202,6 +204,9 @@
 	if len(cancellation.Jobs) == 0 {
 		return result, nil
 	}
+	if jobService.parts.Engine == nil {
+		return nil, jobsError(notRun("ask another entry VM", "this VM does not run the role scheduler"))
+	}
 	cancelled, err := jobService.parts.Engine.Cancel(ctx, cancellation)
 	result.Cancelled = cancelled
 	return result, jobsError(outcomeOf(err))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -51,7 +51,10 @@
 	Submitter *configurator.Submitter
 	Directory scheduler.Directory
 	Groups    map[scheduler.GroupName]*replicator.Replicator
-	Trail     scheduler.AuditTrail
+	// Trail is nil on a VM without a disk.
+	Trail scheduler.AuditTrail
+	// Record stores the record of a refusal, nil to append it to Trail.
+	Record func(record scheduler.AuditRecord) error
 	// Connected tells of each peer whether the connection to it is up.
 	Connected func() map[string]bool
 	Ready     func() (ready bool, reason string)
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -162,13 +162,16 @@
 }
 
 // Evictions implements the list of evictions.
-func (stateService *stateService) Evictions(context.Context, *state.EvictionsPayload) (*state.EvictionsResult, error) {
+func (stateService *stateService) Evictions(ctx context.Context, _ *state.EvictionsPayload) (*state.EvictionsResult, error) {
 	result := &state.EvictionsResult{Evictions: []*state.Eviction{}}
 	if stateService.parts.Jobs == nil {
 		return result, nil
 	}
 	for _, id := range stateService.parts.Jobs.Jobs() {
-		report, _ := stateService.parts.Jobs.Job(id)
+		report, ok := stateService.parts.Jobs.Job(id)
+		if !ok || !identityOf(ctx).MaySee(report.Team) {
+			continue
+		}
 		for _, task := range report.Tasks {
 			result.Evictions = append(result.Evictions, evictionsOf(task)...)
 		}
