crocusplankd: test of a data centre that is cut off

Cause: nothing showed that a data centre serves on when the others fall silent. Change: the test freezes the four VMs of two data centres, sends requests, runs and evicts a job and tries a configuration change in the third, then lets the others wake up.

--- /dev/null
+++ b/cmd/crocusplankd/cut_off_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/exec"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// Exit codes of the command line for requests that were refused, and whose outcome is unknown.
+const (
+	exitNotRun  = 5
+	exitUnknown = 6
+)
+
+// Guards against a data centre that stops serving, loses work or accepts a configuration change when the
+// other data centres fall silent, and against changes that come back after they were refused.
+func TestDataCentreCutOff(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	system := startSystem(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	watch := &revisionWatch{highest: map[string]uint64{}}
+	go watch.run(ctx, system)
+	workers, endpoints, callers := startPlatform(ctx, t, system)
+	callers.SetKeyHome("couva")
+	first := system.writeFile("first.jsonc", fmt.Sprintf(deploymentConfiguration, 0, 8000))
+	system.mustCLI("config", "apply", first, "--operator", "anna")
+	var traffic sync.WaitGroup
+	trafficContext, endTraffic := context.WithCancel(ctx)
+	defer endTraffic()
+	traffic.Go(func() {
+		for trafficContext.Err() == nil {
+			_ = callers.Run(ctx, 40, 8)
+		}
+	})
+	awaitServed(system, callers, 200)
+
+	for _, vm := range system.deployment.VMs()[2:] {
+		system.signal(vm.Name, syscall.SIGSTOP)
+	}
+	second := system.writeFile("second.jsonc", fmt.Sprintf(deploymentConfiguration, 1, 7000))
+	_, err := system.cli(nil, "config", "apply", second, "--operator", "anna")
+	refused := exitCode(err)
+	if refused != exitNotRun && refused != exitUnknown {
+		t.Errorf("change in a cut-off data centre: got exit code %d (%v), want %d or %d", refused, err, exitNotRun, exitUnknown)
+	}
+	awaitServed(system, callers, 400)
+	system.mustCLI("job", "submit", system.writeFile("job.jsonc", deploymentJob))
+	system.until("the tasks do not run", system.allTasks("running"))
+	system.mustCLI("job", "evict", "scaling-1/1", "--reason", "test")
+	system.until("the job does not finish", system.allTasks("finished"))
+
+	for _, vm := range system.deployment.VMs()[2:] {
+		system.signal(vm.Name, syscall.SIGCONT)
+	}
+	third := system.writeFile("third.jsonc", fmt.Sprintf(deploymentConfiguration, 1, 6000))
+	var conflict bool
+	system.until("no change is accepted after the cut", func() bool {
+		_, err := system.cli(nil, "config", "apply", third, "--operator", "bert")
+		conflict = exitCode(err) == 4
+		return err == nil || conflict
+	})
+	if conflict && refused == exitNotRun {
+		t.Error("a change that was answered as not run is in force after the cut")
+	}
+	system.until("the change does not reach all VMs", func() bool {
+		return !slices.ContainsFunc(system.deployment.APIAddresses(""), func(address string) bool {
+			revision, ok := revisionOf(ctx, address)
+			return !ok || revision != 2
+		})
+	})
+	endTraffic()
+	traffic.Wait()
+	cancel()
+	checkPromises(t, workers, endpoints, callers)
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	for _, fault := range watch.faults {
+		t.Errorf("configuration: %s", fault)
+	}
+}
+
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return 0
+}
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -30,6 +30,7 @@
 	addresses []string
 
 	mutex    sync.Mutex
+	prefix   string
 	next     int
 	outcomes map[scheduler.Outcome]int
 	reasons  map[string]int
@@ -83,7 +84,9 @@
 		callers.send(ctx, address, http.MethodGet, number, "")
 		return
 	}
-	key := fmt.Sprintf("demo-%d", number)
+	callers.mutex.Lock()
+	key := fmt.Sprintf("%scaller-%d", callers.prefix, number)
+	callers.mutex.Unlock()
 	callers.send(ctx, address, http.MethodPost, number, key)
 	callers.send(ctx, address, http.MethodPost, number, key)
 }
@@ -159,6 +162,13 @@
 	}
 }
 
+// SetKeyHome has the keys of later requests name the data centre that keeps their records.
+func (callers *Callers) SetKeyHome(dataCentre scheduler.DataCentreName) {
+	callers.mutex.Lock()
+	defer callers.mutex.Unlock()
+	callers.prefix = string(dataCentre) + ":"
+}
+
 // Done returns the number of requests with the outcome done.
 func (callers *Callers) Done() int {
 	callers.mutex.Lock()
