quotakeeper: give back as tasks end instead of by eviction

Cause: with 72 teams and quotas smaller than a usual job, giving back by eviction moved work in circles. Change: Reclaim is removed; the order by dominant share gives back as tasks end.

--- a/internal/experimenter/fair.go
+++ b/internal/experimenter/fair.go
@@ -1,15 +1,10 @@
 package experimenter
 
 import (
-	"time"
-
 	"github.com/crocusplank/crocusplank/internal/quotakeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// reclaimInterval limits how often borrowed resources are taken back.
-const reclaimInterval = 10 * time.Second
-
 // fair is quarantined with the quota keeper. Every team has the same quota of batch resources.
 func fair(w *world) (*policy, error) {
 	p, err := quarantined(w)
@@ -36,11 +31,6 @@
 	}
 	p.detached = func(_ *world, t *task) { keeper.Ended(t.id) }
 	p.order = func(w *world, pending []scheduler.PendingTask) []scheduler.PendingTask {
-		if w.now%reclaimInterval == 0 {
-			for _, id := range keeper.Reclaim(epoch.Add(w.now), pending, w.placed()) {
-				w.evict(w.tasks[id], true)
-			}
-		}
 		// Tasks behind the first ones take turns, so that tasks that fit nowhere block nobody.
 		order := keeper.Order(epoch.Add(w.now), pending, 4*window)
 		first := min(len(order), window/2)
@@ -54,18 +44,3 @@
 	}
 	return p, nil
 }
-
-// placed returns all running tasks.
-func (w *world) placed() []scheduler.PlacedTask {
-	var placed []scheduler.PlacedTask
-	for _, v := range w.vms {
-		for _, t := range v.tasks {
-			if t.state == taskRunning {
-				placed = append(placed, scheduler.PlacedTask{
-					Task: t.id, Team: t.job.team, Spec: w.spec(t), Started: epoch.Add(t.started),
-				})
-			}
-		}
-	}
-	return placed
-}
--- a/internal/quotakeeper/quotakeeper.go
+++ b/internal/quotakeeper/quotakeeper.go
@@ -1,6 +1,6 @@
 // Package quotakeeper divides the fleet among teams by dominant-resource fairness: the team whose
 // largest use relative to its quota is lowest goes first. Teams may borrow what others leave and give
-// it back when its owner has waited.
+// it back as their tasks end, since the owner then goes first.
 package quotakeeper
 
 import (
@@ -18,22 +18,16 @@
 var Error = errs.Class("quotakeeper")
 
 const (
-	// defaultGiveBack is how long a task within its team's quota waits before borrowed resources
-	// are taken back. Shorter waits are usually ended by tasks that finish, without an eviction.
-	defaultGiveBack = 2 * time.Minute
 	// defaultAging is the time without a start after which a team's oldest task goes first.
 	defaultAging = 30 * time.Minute
-	// retryAfter is how long a reclaim for a task is given to take effect.
-	retryAfter = time.Minute
 )
 
 // Keeper is used from one goroutine at a time.
 type Keeper struct {
-	giveBack, aging time.Duration
-	capacity        scheduler.Resources
-	teams           map[scheduler.TeamName]*team
-	tasks           map[scheduler.TaskID]held
-	reclaimed       map[scheduler.TaskID]time.Time
+	aging    time.Duration
+	capacity scheduler.Resources
+	teams    map[scheduler.TeamName]*team
+	tasks    map[scheduler.TaskID]held
 }
 
 type team struct {
@@ -49,11 +43,6 @@
 // Option changes a Keeper that New builds.
 type Option func(*Keeper)
 
-// WithGiveBack sets how long a task within quota waits before borrowed resources are taken back.
-func WithGiveBack(wait time.Duration) Option {
-	return func(keeper *Keeper) { keeper.giveBack = wait }
-}
-
 // WithAging sets the time without a start after which a team's oldest task goes before all others.
 func WithAging(wait time.Duration) Option {
 	return func(keeper *Keeper) { keeper.aging = wait }
@@ -62,15 +51,14 @@
 // New returns a Keeper for a fleet. A team without a quota may only borrow.
 func New(capacity scheduler.Resources, options ...Option) (*Keeper, error) {
 	keeper := &Keeper{
-		giveBack: defaultGiveBack, aging: defaultAging, capacity: capacity,
+		aging: defaultAging, capacity: capacity,
 		teams: map[scheduler.TeamName]*team{}, tasks: map[scheduler.TaskID]held{},
-		reclaimed: map[scheduler.TaskID]time.Time{},
 	}
 	for _, option := range options {
 		option(keeper)
 	}
-	if keeper.giveBack <= 0 || keeper.aging <= keeper.giveBack {
-		return nil, Error.New("give-back wait %v and aging %v are out of range", keeper.giveBack, keeper.aging)
+	if keeper.aging <= 0 {
+		return nil, Error.New("aging time %v is not positive", keeper.aging)
 	}
 	return keeper, nil
 }
@@ -100,7 +88,6 @@
 	keeper.tasks[id] = held{team: name, request: request}
 	t := keeper.team(name)
 	t.used, t.started = t.used.Plus(request), now
-	delete(keeper.reclaimed, id)
 }
 
 // Ended returns what a task used, whether its attempt ended, failed or was evicted.
@@ -236,59 +223,3 @@
 	}
 	return order
 }
-
-// Reclaim returns running batch tasks of borrowing teams that give back what waiting tasks within
-// quota need, the team furthest beyond its quota first and the last started task first. It returns
-// none for tasks that have waited less than the give-back time or for which a reclaim is under way.
-func (keeper *Keeper) Reclaim(now time.Time, pending []scheduler.PendingTask, running []scheduler.PlacedTask) []scheduler.TaskID {
-	for id, at := range keeper.reclaimed {
-		if now.Sub(at) >= retryAfter {
-			delete(keeper.reclaimed, id)
-		}
-	}
-	taken := map[scheduler.TaskID]bool{}
-	less := map[scheduler.TeamName]scheduler.Resources{}
-	more := map[scheduler.TeamName]scheduler.Resources{}
-	var victims []scheduler.TaskID
-	for _, task := range pending {
-		_, underWay := keeper.reclaimed[task.Task]
-		wanted := more[task.Team].Plus(task.Spec.Request)
-		if underWay || task.Waiting < keeper.giveBack || keeper.share(keeper.team(task.Team), wanted) > 1 {
-			continue
-		}
-		victim := keeper.victim(task.Spec.Request, running, taken, less)
-		if victim == nil {
-			continue
-		}
-		more[task.Team] = wanted
-		taken[victim.Task] = true
-		less[victim.Team] = less[victim.Team].Plus(victim.Spec.Request)
-		victims = append(victims, victim.Task)
-		keeper.reclaimed[task.Task] = now
-	}
-	return victims
-}
-
-// victim returns one task that is large enough and whose team still borrows without it.
-func (keeper *Keeper) victim(
-	request scheduler.Resources, running []scheduler.PlacedTask,
-	taken map[scheduler.TaskID]bool, less map[scheduler.TeamName]scheduler.Resources,
-) *scheduler.PlacedTask {
-	var best *scheduler.PlacedTask
-	var bestShare float64
-	for i := range running {
-		task := &running[i]
-		if task.Spec.Class != scheduler.ClassBatch || taken[task.Task] || !request.Fits(task.Spec.Request) {
-			continue
-		}
-		gone := scheduler.Resources{}.Minus(less[task.Team].Plus(task.Spec.Request))
-		share := keeper.share(keeper.team(task.Team), gone)
-		if share < 1 {
-			continue
-		}
-		if best == nil || share > bestShare || share == bestShare && task.Started.After(best.Started) {
-			best, bestShare = task, share
-		}
-	}
-	return best
-}
--- a/internal/quotakeeper/quotakeeper_test.go
+++ b/internal/quotakeeper/quotakeeper_test.go
@@ -1,7 +1,6 @@
 package quotakeeper
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -90,46 +89,27 @@
 	}
 }
 
-// Guards against borrowed resources that are never given back, against taking more than was borrowed,
-// and against taking twice for one task.
-func TestReclaim(t *testing.T) {
+// Guards against use that is counted twice or never returned, which would shut a team out.
+func TestShare(t *testing.T) {
 	k := newKeeper(t)
-	var running []scheduler.PlacedTask
-	for i := range 8 {
-		task := scheduler.PlacedTask{
-			Task: scheduler.TaskID(fmt.Sprint("a/", i)), Team: "a", Started: start.Add(time.Duration(i) * time.Second),
-			Spec: scheduler.TaskSpec{Class: scheduler.ClassBatch, Request: cores(10)},
-		}
-		running = append(running, task)
-		k.Started(start, task.Task, "a", cores(10))
-		k.Started(start, task.Task, "a", cores(10))
+	for range 2 {
+		k.Started(start, "a/1", "a", cores(15))
 	}
-	if got, want := k.Share("a"), 80.0/30; got != want {
+	k.Started(start, "a/2", "a", scheduler.Resources{Accelerators: 6})
+	if got, want := k.Share("a"), 2.0; got != want {
 		t.Errorf("got share %v, want %v", got, want)
 	}
-	early := []scheduler.PendingTask{pending("b/1", cores(10), time.Minute, false)}
-	if got := k.Reclaim(start, early, running); len(got) != 0 {
-		t.Errorf("got %v before the give-back time, want none", got)
+	for range 2 {
+		k.Ended("a/2")
 	}
-	var waiting []scheduler.PendingTask
-	for i := range 9 {
-		waiting = append(waiting, pending(fmt.Sprint("bc"[i%2:i%2+1], "/", i), cores(10), time.Hour, false))
-	}
-	want := []scheduler.TaskID{"a/7", "a/6", "a/5", "a/4", "a/3"}
-	if got := k.Reclaim(start, waiting, running); !slices.Equal(got, want) {
-		t.Errorf("got %v, want %v: the youngest first, and none of the quota", got, want)
-	}
-	if got := k.Reclaim(start.Add(time.Second), waiting[:5], running); len(got) != 0 {
-		t.Errorf("got %v while a reclaim is under way, want none", got)
-	}
-	for _, task := range running {
-		k.Ended(task.Task)
-		k.Ended(task.Task)
+	if got, want := k.Share("a"), 0.5; got != want {
+		t.Errorf("got share %v, want %v", got, want)
 	}
+	k.Ended("a/1")
 	if got := k.Share("a"); got != 0 {
 		t.Errorf("got share %v after the end of all tasks, want 0", got)
 	}
-	if _, err := New(cores(1), WithAging(time.Second)); !Error.Has(err) {
-		t.Errorf("got %v, want an error for an aging time below the give-back time", err)
+	if _, err := New(cores(1), WithAging(0)); !Error.Has(err) {
+		t.Errorf("got %v, want an error for an aging time of 0", err)
 	}
 }
