--- a/internal/experimenter/measure.go
+++ b/internal/experimenter/measure.go
@@ -76,6 +76,9 @@
 
 // finish adds up what is known only at the end of a run.
 func (w *world) finish() {
+	if w.policy.closing != nil {
+		w.policy.closing(w)
+	}
 	// A task that never started has waited until the end of the run.
 	for _, t := range w.pending {
 		w.measure.waited(t, w.horizon)
--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -15,6 +15,9 @@
 	observe       func(w *world, report scheduler.UsageReport)
 	// order chooses and orders the batch tasks of a round.
 	order     func(w *world, pending []scheduler.PendingTask) []scheduler.PendingTask
+	cancelled func(w *world, j *job)
+	// closing measures what is known at the end of a run.
+	closing   func(w *world)
 	attached  func(w *world, t *task)
 	detached  func(w *world, t *task)
 	usable    func(w *world, v *vm) bool
@@ -37,6 +40,7 @@
 	"controlled":      controlled,
 	"quarantined":     quarantined,
 	"fair":            fair,
+	"predicting":      predicting,
 	"blindControlled": blindControlled,
 }
 
--- a/internal/experimenter/work.go
+++ b/internal/experimenter/work.go
@@ -44,6 +44,8 @@
 	failsAlways bool
 	date        time.Duration
 	cancelled   time.Duration
+	// ended is when the last task completed, zero before.
+	ended time.Duration
 }
 
 // kindProfile is what the tasks of a kind have in common.
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -199,6 +199,9 @@
 }
 
 func (w *world) cancel(j *job) {
+	if w.policy.cancelled != nil {
+		w.policy.cancelled(w, j)
+	}
 	for _, t := range w.jobs[j.id] {
 		if t.state == taskOver {
 			continue
