gateway: a resend that is refused is unknown, not "not run"

Cause: a request that came with a key and met an unreachable home, an unknown service or a stopping gateway was answered notRun, although an earlier request with its key may have run. The invariant says that a request answered as not run truly was not run. Change: such temporary refusals before the key has been looked up are unknown; refusals of malformed requests and of requests without a key stay notRun. Before: 404 and 504 with a key answered notRun. Conclusion: notRun can be relied on for the key, not only for the attempt.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,8 @@
 	retry    *retrier.Request
 	// admitted states that the request has got its first slot, or needs none any more.
 	admitted func()
+	// begun is true when the key store has decided that this request is the one that runs.
+	begun bool
 	// maybeRun is true when an attempt had an unknown outcome.
 	maybeRun bool
 	tried    map[scheduler.EndpointName]bool
@@ -184,6 +186,21 @@
 	return asked.body
 }
 
+// qualify turns "not run" into "unknown" for a request that came with a key and was refused before its key
+// was looked up: it may be a resend, and the first request may have run. Refusals of malformed requests
+// stand, since the first request would have met the same one.
+func (asked *request) qualify(found *fault) *fault {
+	mayBeResend := !asked.idempotent && !asked.begun && asked.incoming.Header.Get(forwarder.HeaderKey) != ""
+	isTemporary := found.status == http.StatusNotFound || found.status >= http.StatusInternalServerError
+	if found.outcome != scheduler.OutcomeNotRun || !mayBeResend || !isTemporary {
+		return found
+	}
+	qualified := *found
+	qualified.outcome = scheduler.OutcomeUnknown
+	qualified.message += "; an earlier request with this key may have run"
+	return &qualified
+}
+
 // digest identifies what the key stands for. The body is part of it only when it is buffered.
 func (asked *request) digest() []byte {
 	hash := sha256.New()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,6 +55,7 @@
 }
 
 func (gateway *Gateway) fail(w http.ResponseWriter, asked *request, found *fault) {
+	found = asked.qualify(found)
 	gateway.log.Debug().Str("event", "requestFailed").Str("request", asked.id).Str("service", string(asked.service)).
 		Str("code", found.code).Str("outcome", string(found.outcome)).Msg(found.message)
 	if asked.incoming.ContentLength != 0 && len(asked.buffered) == 0 {
@@ -87,6 +88,7 @@
 	case decision == scheduler.KeyConflict:
 		gateway.fail(w, asked, refuse(http.StatusUnprocessableEntity, "keyConflict", "the key belongs to another request"))
 	case decision == scheduler.KeyRun:
+		asked.begun = true
 		gateway.run(w, asked, func(outcome scheduler.Outcome, answer scheduler.StoredAnswer) {
 			gateway.finish(asked, key, outcome, answer)
 		})
