emulator: emulated workers and endpoints as a command

Cause: a job of the README's real system waited for ever, since nothing plays its workers. Change: crocusplank emulate runs workers and endpoints against a deployment.

--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/commander"
 	"github.com/crocusplank/crocusplank/internal/demonstrator"
+	"github.com/crocusplank/crocusplank/internal/emulator"
 	"github.com/crocusplank/crocusplank/internal/experimenter"
 	"github.com/crocusplank/crocusplank/internal/versioner"
 )
@@ -17,6 +18,7 @@
 		commander.WithVersion(versioner.Version()),
 		commander.WithCommand(demonstrator.Command()),
 		commander.WithCommand(experimentCommand()),
+		commander.WithCommand(emulator.Command()),
 	)
 	os.Exit(command.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -187,6 +187,9 @@
 // Name returns the endpoint's name.
 func (endpoint *Endpoint) Name() scheduler.EndpointName { return endpoint.announcement.Endpoint }
 
+// Address returns the address at which the endpoint serves, empty before Start.
+func (endpoint *Endpoint) Address() string { return endpoint.announcement.Address }
+
 // Slots returns the endpoint's number of slots.
 func (endpoint *Endpoint) Slots() int { return endpoint.announcement.Slots }
 
