docs, composer, server: configuration, metrics, operation and commands pages

Cause: operators had no page on the configuration document, the metrics and the procedures for the system's state, and nothing kept pages and commands together.

Change: docs/configuration.md, docs/metrics.md, docs/operating/state.md, and docs/operating/commands.md, which a test compares with the cobra commands ("go test ./cmd/crocusplank -update" rewrites it). A second test checks the crocusplank and crocusplankd lines of all pages against the command trees; it found that "crocusplank experiment placement", used by docs/measurements-placement.md, was not mounted, which is corrected.

The procedures were run on six daemon processes on loopback. Three faults that they showed are corrected: "status" called acknowledged work safe when two voters had returned without a vote and the group had no leader; "config history" showed base 0 for every revision, which the group does not keep; the help contained the home folder of the machine.

A group that has lost two of three voters for good cannot be continued from the last one; the page sets the system up anew.

--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -4,15 +4,28 @@
 import (
 	"os"
 
+	"github.com/spf13/cobra"
+
 	"github.com/crocusplank/crocusplank/internal/commander"
 	"github.com/crocusplank/crocusplank/internal/demonstrator"
+	"github.com/crocusplank/crocusplank/internal/experimenter"
 	"github.com/crocusplank/crocusplank/internal/versioner"
 )
 
 func main() {
-	command := commander.New(
+	os.Exit(newCommander().Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
+
+func newCommander() *commander.Commander {
+	return commander.New(
 		commander.WithVersion(versioner.Version()),
 		commander.WithCommand(demonstrator.Command()),
+		commander.WithCommand(experimentCommand()),
 	)
-	os.Exit(command.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
+
+func experimentCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "experiment", Short: "Run experiments on stand-ins"}
+	parent.AddCommand(experimenter.Command())
+	return parent
 }
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -64,6 +64,8 @@
 	flags.StringSliceVar(&commander.servers, "server", nil, "API addresses of entry VMs, IP:port; the first that answers is used")
 	flags.StringVar(&commander.tokenFile, "token-file", "", "file that holds the token")
 	flags.StringVar(&commander.contextFile, "context-file", defaultContextFile(), "file with the deployments' contexts")
+	// The help is the same on every machine, so that docs/operating/commands.md can be compared with it.
+	flags.Lookup("context-file").DefValue = "crocusplank/contexts.json in the user's configuration folder"
 	flags.StringVar(&commander.contextName, "context", "", "context to use in place of the file's current one")
 	flags.VarP(&commander.output, "output", "o", "output format: table or json")
 	flags.DurationVar(&commander.timeout, "timeout", defaultTimeout, "time limit of one command without --wait")
--- a/internal/commander/configuration.go
+++ b/internal/commander/configuration.go
@@ -202,9 +202,9 @@
 				if err != nil {
 					return err
 				}
-				rows := newTable("REVISION", "BASE", "OPERATOR", "CHANGE", "TIME")
+				rows := newTable("REVISION", "OPERATOR", "CHANGE", "TIME")
 				for _, entry := range result.Revisions {
-					rows.add(entry.Revision, number(entry.Base), entry.Operator, entry.ChangeID, text(entry.Time))
+					rows.add(entry.Revision, entry.Operator, entry.ChangeID, text(entry.Time))
 				}
 				return commander.print(command, camelValue(result.Revisions), rows)
 			})
--- a/internal/composer/main.go
+++ b/internal/composer/main.go
@@ -27,14 +27,7 @@
 
 // Main runs the daemon's command line and returns the exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
-	root := &cobra.Command{
-		Use: "crocusplankd", Short: "Run an entry VM of crocusplank", SilenceUsage: true, SilenceErrors: true,
-		Long: "Run an entry VM of crocusplank.\n\nExit codes: 0 done, 1 failure, 2 faults in the settings.",
-	}
-	root.AddCommand(runCommand(), initCommand(), checkCommand(), tokenCommand(), &cobra.Command{
-		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-		Run: func(command *cobra.Command, _ []string) { command.Println(versioner.Version()) },
-	})
+	root := Command()
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -52,6 +45,19 @@
 	}
 }
 
+// Command returns the daemon's command line.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "crocusplankd", Short: "Run an entry VM of crocusplank", SilenceUsage: true, SilenceErrors: true,
+		Long: "Run an entry VM of crocusplank.\n\nExit codes: 0 done, 1 failure, 2 faults in the settings.",
+	}
+	root.AddCommand(runCommand(), initCommand(), checkCommand(), tokenCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) { command.Println(versioner.Version()) },
+	})
+	return root
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "check FILE", Short: "List all faults of a settings file and start nothing", Args: cobra.ExactArgs(1),
--- a/internal/server/promises.go
+++ b/internal/server/promises.go
@@ -83,6 +83,9 @@
 	switch {
 	case voters == 0 || reachable <= voters/2:
 		return newPromise(name, promiseAtRisk, "%d of %d voters can be reached; changes are refused", reachable, voters)
+	case status.Leader() == "":
+		// A voter that returns under a new incarnation can be reached and has no vote.
+		return newPromise(name, promiseAtRisk, "the group has no leader; changes are refused")
 	case reachable < voters:
 		return newPromise(name, promiseAtRisk, "%d of %d voters can be reached; the loss of another stops changes", reachable, voters)
 	default:
