--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -14,17 +14,20 @@
 )
 
 func main() {
-	command := commander.New(
+	os.Exit(newCommander().Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
+
+func newCommander() *commander.Commander {
+	return commander.New(
 		commander.WithVersion(versioner.Version()),
 		commander.WithCommand(demonstrator.Command()),
 		commander.WithCommand(experimentCommand()),
 		commander.WithCommand(emulator.Command()),
 	)
-	os.Exit(command.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
 
 func experimentCommand() *cobra.Command {
-	command := &cobra.Command{Use: "experiment", Short: "Measure the decisions on stand-ins, without a deployment"}
-	command.AddCommand(experimenter.Command())
-	return command
+	parent := &cobra.Command{Use: "experiment", Short: "Run experiments on stand-ins"}
+	parent.AddCommand(experimenter.Command())
+	return parent
 }
