--- a/internal/experimenter/policy.go
+++ b/internal/experimenter/policy.go
@@ -29,19 +29,22 @@
 
 // policies builds the policies by name.
 var policies = map[string]func(w *world) (*policy, error){
-	"firstFit":        func(*world) (*policy, error) { return newBaseline(true, 0), nil },
-	"leastLoaded":     func(*world) (*policy, error) { return newBaseline(false, 0), nil },
-	"partition":       func(*world) (*policy, error) { return newBaseline(false, 0.3), nil },
-	"oracle":          oracle,
-	"blindPlacer":     blindPlacer,
-	"learned":         learned,
-	"constant":        constant,
-	"observer":        observer,
-	"controlled":      controlled,
-	"quarantined":     quarantined,
-	"fair":            fair,
-	"predicting":      predicting,
-	"blindControlled": blindControlled,
+	"firstFit":          func(*world) (*policy, error) { return newBaseline(true, 0), nil },
+	"leastLoaded":       func(*world) (*policy, error) { return newBaseline(false, 0), nil },
+	"partition":         func(*world) (*policy, error) { return newBaseline(false, 0.3), nil },
+	"oracle":            oracle,
+	"blindPlacer":       blindPlacer,
+	"learned":           learned,
+	"constant":          constant,
+	"observer":          observer,
+	"controlled":        controlled,
+	"quarantined":       quarantined,
+	"fair":              fair,
+	"predicting":        predicting,
+	"withoutHarmLimit":  withoutHarmLimit,
+	"withoutOvercommit": withoutOvercommit,
+	"withoutPatience":   withoutPatience,
+	"blindControlled":   blindControlled,
 }
 
 func newBaseline(firstFit bool, reserved float64) *policy {
