--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -15,6 +15,9 @@
 	nearEnd = 0.85
 	// restartCost is counted for each eviction in addition to the work since the last checkpoint.
 	restartCost = 10 * time.Second
+	// evictionCost is counted for each eviction in core-seconds, whatever is lost, so that one large
+	// task is preferred to several small ones.
+	evictionCost = 120.0
 )
 
 // victim is a task that may be evicted, with its cost in core-seconds.
@@ -112,7 +115,7 @@
 		saved = task.LastCheckpoint
 	}
 	lost := max(0, now.Sub(saved)) + restartCost
-	return lost.Seconds() * float64(max(1, task.Spec.Request.MilliCores)) / 1000
+	return evictionCost + lost.Seconds()*float64(max(1, task.Spec.Request.MilliCores))/1000
 }
 
 func isNearEnd(now time.Time, task *scheduler.PlacedTask) bool {
