commander, server: explain, refusals line by line, tables of 100 columns

Cause: "why is my job waiting" and "why was it evicted" could not be answered from the command line, although the state machine keeps each task's latest steps; a refusal put the reasons of all classes of workers into one line; rows of tables were up to several hundred characters wide; completion offered files for every argument.

Change: GET /v1/jobs/{id}?events=true gives each task's latest steps, its failures and its checkpoint. The steps are left out otherwise, because a command that waits for 10,000 tasks reads the job every second. "crocusplank explain job" and "explain task" print the recorded reasons whole and say so when none is recorded. A refusal lists one reason for each class of workers. Tables are at most 100 characters wide and mark cut cells with …; JSON is never cut. "vm show" counts connections and names those that are down. Completion knows output formats, contexts, jobs and workers.

Conclusion: "explain request" is missing; the idempotency records have no accessor, and requests record no reason.

--- a/design/jobs.go
+++ b/design/jobs.go
@@ -26,6 +26,15 @@
 	Required("id", "team", "class", "kind", "request")
 })
 
+var event = Type("Event", func() {
+	Attribute("time", String)
+	Attribute("attempt", UInt32)
+	Attribute("state", String, "The state that the task came into.")
+	Attribute("worker", String)
+	Attribute("reason", String)
+	Required("time", "attempt", "state")
+})
+
 var task = Type("Task", func() {
 	Attribute("id", String)
 	Attribute("state", String)
@@ -34,6 +43,9 @@
 	Attribute("lease", UInt64)
 	Attribute("evictions", Int)
 	Attribute("reason", String, "Why the task waits, was evicted or failed.")
+	Attribute("failures", Int, "Number of failed attempts.")
+	Attribute("checkpoint", String, "Name of the checkpoint from which the next attempt resumes.")
+	Attribute("events", ArrayOf(event), "The latest steps in the task's life, oldest first, if they were asked for.")
 	Required("id", "state")
 })
 
@@ -63,9 +75,14 @@
 	})
 	Method("show", func() {
 		Description("Show one job with its tasks.")
-		Payload(func() { secured(); Attribute("id", String); Required("id") })
+		Payload(func() {
+			secured()
+			Attribute("id", String)
+			Attribute("events", Boolean, "Show the latest steps of each task.", func() { Default(false) })
+			Required("id")
+		})
 		Result(job)
-		HTTP(func() { GET("/v1/jobs/{id}"); tokenHeader(); Response(StatusOK) })
+		HTTP(func() { GET("/v1/jobs/{id}"); tokenHeader(); Param("events"); Response(StatusOK) })
 	})
 	Method("list", func() {
 		Description("List jobs in the order of their IDs, without their tasks.")
--- a/gen/http/cli/entry_vm/cli.go
+++ b/gen/http/cli/entry_vm/cli.go
@@ -41,9 +41,9 @@
 func UsageExamples() string {
 	return os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"batch\",\n      \"constraints\": {\n         \"In totam veritatis.\": \"Ea reprehenderit odit dolores.\"\n      },\n      \"deadline\": \"2001-03-04T21:57:19Z\",\n      \"id\": \"2\",\n      \"kind\": \"it\",\n      \"request\": {\n         \"accelerators\": 1585363689697246773,\n         \"memoryBytes\": 8102496689125745683,\n         \"milliCores\": 9167561360984121210\n      },\n      \"runTime\": \"Occaecati voluptatem est enim.\",\n      \"spread\": \"rack\",\n      \"tasks\": 9279,\n      \"team\": \"a\",\n      \"urgent\": true\n   }' --token \"Quia quidem.\"" + "\n" +
 		os.Args[0] + " " + "configuration show --revision 13656842526131089128 --token \"Laborum soluta.\"" + "\n" +
-		os.Args[0] + " " + "state vm --token \"Quam in repudiandae ab esse in debitis.\"" + "\n" +
-		os.Args[0] + " " + "audit list --from 15338316392682171679 --limit 891 --token \"Qui quia ratione.\"" + "\n" +
-		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": true,\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"standsForElection\": false,\n      \"vm\": \"Ab quo.\"\n   }' --group \"Dignissimos porro quasi minima dicta occaecati.\" --token \"Nobis id aut.\"" + "\n" +
+		os.Args[0] + " " + "state vm --token \"Sint dolore et.\"" + "\n" +
+		os.Args[0] + " " + "audit list --from 4170265069013125889 --limit 334 --token \"Tempora praesentium placeat.\"" + "\n" +
+		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Quam assumenda quia veritatis et.\",\n      \"standsForElection\": true,\n      \"vm\": \"Dolorem necessitatibus omnis.\"\n   }' --group \"Voluptatibus recusandae voluptatem nesciunt aut.\" --token \"Rem quod cumque quo.\"" + "\n" +
 		""
 }
 
@@ -63,9 +63,10 @@
 		jobsSubmitBodyFlag  = jobsSubmitFlags.String("body", "REQUIRED", "")
 		jobsSubmitTokenFlag = jobsSubmitFlags.String("token", "", "")
 
-		jobsShowFlags     = flag.NewFlagSet("show", flag.ExitOnError)
-		jobsShowIDFlag    = jobsShowFlags.String("id", "REQUIRED", "")
-		jobsShowTokenFlag = jobsShowFlags.String("token", "", "")
+		jobsShowFlags      = flag.NewFlagSet("show", flag.ExitOnError)
+		jobsShowIDFlag     = jobsShowFlags.String("id", "REQUIRED", "")
+		jobsShowEventsFlag = jobsShowFlags.String("events", "", "")
+		jobsShowTokenFlag  = jobsShowFlags.String("token", "", "")
 
 		jobsListFlags     = flag.NewFlagSet("list", flag.ExitOnError)
 		jobsListAfterFlag = jobsListFlags.String("after", "", "")
@@ -342,7 +343,7 @@
 				data, err = jobsc.BuildSubmitPayload(*jobsSubmitBodyFlag, *jobsSubmitTokenFlag)
 			case "show":
 				endpoint = c.Show()
-				data, err = jobsc.BuildShowPayload(*jobsShowIDFlag, *jobsShowTokenFlag)
+				data, err = jobsc.BuildShowPayload(*jobsShowIDFlag, *jobsShowEventsFlag, *jobsShowTokenFlag)
 			case "list":
 				endpoint = c.List()
 				data, err = jobsc.BuildListPayload(*jobsListAfterFlag, *jobsListLimitFlag, *jobsListTeamFlag, *jobsListStateFlag, *jobsListTokenFlag)
@@ -466,6 +467,7 @@
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] jobs show", os.Args[0])
 	fmt.Fprint(os.Stderr, " -id STRING")
+	fmt.Fprint(os.Stderr, " -events BOOL")
 	fmt.Fprint(os.Stderr, " -token STRING")
 	fmt.Fprintln(os.Stderr)
 
@@ -475,11 +477,12 @@
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -id STRING: `)
+	fmt.Fprintln(os.Stderr, `    -events BOOL: `)
 	fmt.Fprintln(os.Stderr, `    -token STRING: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"Voluptatem repellat illo eos esse.\" --token \"Eaque voluptas et ut sit ut quo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs show --id \"Est occaecati saepe qui deleniti fugiat modi.\" --events false --token \"Soluta debitis qui consectetur animi.\"")
 }
 
 func jobsListUsage() {
@@ -505,7 +508,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs list --after \"Soluta ipsam est reiciendis modi.\" --limit 723 --team \"Voluptatem nostrum qui nam porro facere.\" --state \"Ut eos ipsum.\" --token \"Et ullam explicabo omnis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs list --after \"Dicta ut.\" --limit 441 --team \"Tenetur soluta ipsam est reiciendis modi sed.\" --state \"Voluptatem nostrum qui nam porro facere.\" --token \"Ut eos ipsum.\"")
 }
 
 func jobsCancelUsage() {
@@ -525,7 +528,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --body '{\n      \"ids\": [\n         \"Omnis sed molestias aut cumque.\",\n         \"Natus culpa.\"\n      ]\n   }' --token \"Dicta hic dolorem illo et nulla.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs cancel --body '{\n      \"ids\": [\n         \"Est neque voluptatem rerum.\"\n      ]\n   }' --token \"Ut error qui quisquam sapiente ut.\"")
 }
 
 func jobsEvictUsage() {
@@ -545,7 +548,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs evict --body '{\n      \"reason\": \"tl\",\n      \"task\": \"Quo repellendus numquam.\"\n   }' --token \"Quisquam quia accusantium porro et exercitationem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "jobs evict --body '{\n      \"reason\": \"66\",\n      \"task\": \"Deleniti dolores culpa perspiciatis.\"\n   }' --token \"Minima nostrum accusamus quae.\"")
 }
 
 // configurationUsage displays the usage of the configuration command and its
@@ -691,7 +694,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state vm --token \"Quam in repudiandae ab esse in debitis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state vm --token \"Sint dolore et.\"")
 }
 
 func stateWorkersUsage() {
@@ -713,7 +716,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state workers --after \"Aut enim facilis accusantium optio.\" --limit 201 --token \"Explicabo harum modi iure nesciunt nisi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state workers --after \"Quos itaque eos et dolore perspiciatis.\" --limit 794 --token \"Quos autem.\"")
 }
 
 func stateDrainUsage() {
@@ -735,7 +738,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state drain --body '{\n      \"drained\": false,\n      \"evict\": false\n   }' --worker \"Incidunt suscipit adipisci ab.\" --token \"Esse sit reiciendis rem unde nisi temporibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state drain --body '{\n      \"drained\": false,\n      \"evict\": true\n   }' --worker \"Eos eos voluptatum suscipit incidunt.\" --token \"Autem vero omnis debitis illo quibusdam.\"")
 }
 
 func stateEndpointsUsage() {
@@ -757,7 +760,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state endpoints --after \"Reprehenderit sunt sed aliquam.\" --limit 418 --token \"Possimus dolorem tempora fugiat qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state endpoints --after \"Cum rerum et sit.\" --limit 575 --token \"Dolores doloribus ea distinctio ducimus.\"")
 }
 
 func stateEvictionsUsage() {
@@ -775,7 +778,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state evictions --token \"Rerum similique et cum numquam sapiente.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state evictions --token \"Vitae excepturi vitae.\"")
 }
 
 func statePromisesUsage() {
@@ -793,7 +796,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state promises --token \"Veniam autem id minus voluptates.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state promises --token \"Ipsum aut ea et nisi praesentium.\"")
 }
 
 // auditUsage displays the usage of the audit command and its subcommands.
@@ -826,7 +829,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit list --from 15338316392682171679 --limit 891 --token \"Qui quia ratione.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit list --from 4170265069013125889 --limit 334 --token \"Tempora praesentium placeat.\"")
 }
 
 func auditVerifyUsage() {
@@ -844,7 +847,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit verify --token \"Laborum et enim hic.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit verify --token \"Nemo eos quia.\"")
 }
 
 // replicasUsage displays the usage of the replicas command and its subcommands.
@@ -876,7 +879,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": true,\n      \"replacement\": \"Ut accusamus a eligendi dolor.\",\n      \"standsForElection\": false,\n      \"vm\": \"Ab quo.\"\n   }' --group \"Dignissimos porro quasi minima dicta occaecati.\" --token \"Nobis id aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Quam assumenda quia veritatis et.\",\n      \"standsForElection\": true,\n      \"vm\": \"Dolorem necessitatibus omnis.\"\n   }' --group \"Voluptatibus recusandae voluptatem nesciunt aut.\" --token \"Rem quod cumque quo.\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/gen/http/jobs/client/cli.go
+++ b/gen/http/jobs/client/cli.go
@@ -123,11 +123,21 @@
 
 // BuildShowPayload builds the payload for the jobs show endpoint from CLI
 // flags.
-func BuildShowPayload(jobsShowID string, jobsShowToken string) (*jobs.ShowPayload, error) {
+func BuildShowPayload(jobsShowID string, jobsShowEvents string, jobsShowToken string) (*jobs.ShowPayload, error) {
+	var err error
 	var id string
 	{
 		id = jobsShowID
 	}
+	var events bool
+	{
+		if jobsShowEvents != "" {
+			events, err = strconv.ParseBool(jobsShowEvents)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for events, must be BOOL")
+			}
+		}
+	}
 	var token *string
 	{
 		if jobsShowToken != "" {
@@ -136,6 +146,7 @@
 	}
 	v := &jobs.ShowPayload{}
 	v.ID = id
+	v.Events = events
 	v.Token = token
 
 	return v, nil
@@ -207,7 +218,7 @@
 	{
 		err = json.Unmarshal([]byte(jobsCancelBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ids\": [\n         \"Omnis sed molestias aut cumque.\",\n         \"Natus culpa.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"ids\": [\n         \"Est neque voluptatem rerum.\"\n      ]\n   }'")
 		}
 		if body.Ids == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("ids", "body"))
@@ -250,7 +261,7 @@
 	{
 		err = json.Unmarshal([]byte(jobsEvictBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"reason\": \"tl\",\n      \"task\": \"Quo repellendus numquam.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"reason\": \"66\",\n      \"task\": \"Deleniti dolores culpa perspiciatis.\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Reason) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.reason", body.Reason, utf8.RuneCountInString(body.Reason), 1, true))
--- a/gen/http/jobs/client/encode_decode.go
+++ b/gen/http/jobs/client/encode_decode.go
@@ -238,6 +238,9 @@
 			head := *p.Token
 			req.Header.Set("Authorization", head)
 		}
+		values := req.URL.Query()
+		values.Add("events", fmt.Sprintf("%v", p.Events))
+		req.URL.RawQuery = values.Encode()
 		return nil
 	}
 }
@@ -973,13 +976,42 @@
 		return nil
 	}
 	res := &jobs.Task{
-		ID:        *v.ID,
-		State:     *v.State,
-		Attempt:   v.Attempt,
-		Worker:    v.Worker,
-		Lease:     v.Lease,
-		Evictions: v.Evictions,
-		Reason:    v.Reason,
+		ID:         *v.ID,
+		State:      *v.State,
+		Attempt:    v.Attempt,
+		Worker:     v.Worker,
+		Lease:      v.Lease,
+		Evictions:  v.Evictions,
+		Reason:     v.Reason,
+		Failures:   v.Failures,
+		Checkpoint: v.Checkpoint,
+	}
+	if v.Events != nil {
+		res.Events = make([]*jobs.Event, len(v.Events))
+		for i, val := range v.Events {
+			if val == nil {
+				res.Events[i] = nil
+				continue
+			}
+			res.Events[i] = unmarshalEventResponseBodyToJobsEvent(val)
+		}
+	}
+
+	return res
+}
+
+// unmarshalEventResponseBodyToJobsEvent builds a value of type *jobs.Event
+// from a value of type *EventResponseBody.
+func unmarshalEventResponseBodyToJobsEvent(v *EventResponseBody) *jobs.Event {
+	if v == nil {
+		return nil
+	}
+	res := &jobs.Event{
+		Time:    *v.Time,
+		Attempt: *v.Attempt,
+		State:   *v.State,
+		Worker:  v.Worker,
+		Reason:  v.Reason,
 	}
 
 	return res
--- a/gen/http/jobs/client/types.go
+++ b/gen/http/jobs/client/types.go
@@ -651,6 +651,22 @@
 	Evictions *int    `form:"evictions,omitempty" json:"evictions,omitempty" xml:"evictions,omitempty"`
 	// Why the task waits, was evicted or failed.
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Number of failed attempts.
+	Failures *int `form:"failures,omitempty" json:"failures,omitempty" xml:"failures,omitempty"`
+	// Name of the checkpoint from which the next attempt resumes.
+	Checkpoint *string `form:"checkpoint,omitempty" json:"checkpoint,omitempty" xml:"checkpoint,omitempty"`
+	// The latest steps in the task's life, oldest first, if they were asked for.
+	Events []*EventResponseBody `form:"events,omitempty" json:"events,omitempty" xml:"events,omitempty"`
+}
+
+// EventResponseBody is used to define fields on response body types.
+type EventResponseBody struct {
+	Time    *string `form:"time,omitempty" json:"time,omitempty" xml:"time,omitempty"`
+	Attempt *uint32 `form:"attempt,omitempty" json:"attempt,omitempty" xml:"attempt,omitempty"`
+	// The state that the task came into.
+	State  *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	Worker *string `form:"worker,omitempty" json:"worker,omitempty" xml:"worker,omitempty"`
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
 // JobResponseBody is used to define fields on response body types.
@@ -2091,6 +2107,27 @@
 	if body.State == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
 	}
+	for _, e := range body.Events {
+		if e != nil {
+			if err2 := ValidateEventResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateEventResponseBody runs the validations defined on EventResponseBody
+func ValidateEventResponseBody(body *EventResponseBody) (err error) {
+	if body.Time == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("time", "body"))
+	}
+	if body.Attempt == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("attempt", "body"))
+	}
+	if body.State == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
+	}
 	return
 }
 
--- a/gen/http/jobs/server/encode_decode.go
+++ b/gen/http/jobs/server/encode_decode.go
@@ -202,17 +202,32 @@
 	return func(r *http.Request) (*jobs.ShowPayload, error) {
 		var payload *jobs.ShowPayload
 		var (
-			id    string
-			token *string
+			id     string
+			events bool
+			token  *string
+			err    error
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
+		{
+			eventsRaw := r.URL.Query().Get("events")
+			if eventsRaw != "" {
+				v, err2 := strconv.ParseBool(eventsRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("events", eventsRaw, "boolean"))
+				}
+				events = v
+			}
+		}
 		tokenRaw := r.Header.Get("Authorization")
 		if tokenRaw != "" {
 			token = &tokenRaw
 		}
-		payload = NewShowPayload(id, token)
+		if err != nil {
+			return payload, err
+		}
+		payload = NewShowPayload(id, events, token)
 		if payload.Token != nil {
 			if strings.Contains(*payload.Token, " ") {
 				// Remove authorization scheme prefix (e.g. "Bearer")
@@ -864,13 +879,42 @@
 		return nil
 	}
 	res := &TaskResponseBody{
-		ID:        v.ID,
-		State:     v.State,
-		Attempt:   v.Attempt,
-		Worker:    v.Worker,
-		Lease:     v.Lease,
-		Evictions: v.Evictions,
-		Reason:    v.Reason,
+		ID:         v.ID,
+		State:      v.State,
+		Attempt:    v.Attempt,
+		Worker:     v.Worker,
+		Lease:      v.Lease,
+		Evictions:  v.Evictions,
+		Reason:     v.Reason,
+		Failures:   v.Failures,
+		Checkpoint: v.Checkpoint,
+	}
+	if v.Events != nil {
+		res.Events = make([]*EventResponseBody, len(v.Events))
+		for i, val := range v.Events {
+			if val == nil {
+				res.Events[i] = nil
+				continue
+			}
+			res.Events[i] = marshalJobsEventToEventResponseBody(val)
+		}
+	}
+
+	return res
+}
+
+// marshalJobsEventToEventResponseBody builds a value of type
+// *EventResponseBody from a value of type *jobs.Event.
+func marshalJobsEventToEventResponseBody(v *jobs.Event) *EventResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &EventResponseBody{
+		Time:    v.Time,
+		Attempt: v.Attempt,
+		State:   v.State,
+		Worker:  v.Worker,
+		Reason:  v.Reason,
 	}
 
 	return res
--- a/gen/http/jobs/server/types.go
+++ b/gen/http/jobs/server/types.go
@@ -642,6 +642,22 @@
 	Evictions *int    `form:"evictions,omitempty" json:"evictions,omitempty" xml:"evictions,omitempty"`
 	// Why the task waits, was evicted or failed.
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Number of failed attempts.
+	Failures *int `form:"failures,omitempty" json:"failures,omitempty" xml:"failures,omitempty"`
+	// Name of the checkpoint from which the next attempt resumes.
+	Checkpoint *string `form:"checkpoint,omitempty" json:"checkpoint,omitempty" xml:"checkpoint,omitempty"`
+	// The latest steps in the task's life, oldest first, if they were asked for.
+	Events []*EventResponseBody `form:"events,omitempty" json:"events,omitempty" xml:"events,omitempty"`
+}
+
+// EventResponseBody is used to define fields on response body types.
+type EventResponseBody struct {
+	Time    string `form:"time" json:"time" xml:"time"`
+	Attempt uint32 `form:"attempt" json:"attempt" xml:"attempt"`
+	// The state that the task came into.
+	State  string  `form:"state" json:"state" xml:"state"`
+	Worker *string `form:"worker,omitempty" json:"worker,omitempty" xml:"worker,omitempty"`
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
 // JobResponseBody is used to define fields on response body types.
@@ -1435,9 +1451,10 @@
 }
 
 // NewShowPayload builds a jobs service show endpoint payload.
-func NewShowPayload(id string, token *string) *jobs.ShowPayload {
+func NewShowPayload(id string, events bool, token *string) *jobs.ShowPayload {
 	v := &jobs.ShowPayload{}
 	v.ID = id
+	v.Events = events
 	v.Token = token
 
 	return v
--- a/gen/jobs/service.go
+++ b/gen/jobs/service.go
@@ -81,6 +81,15 @@
 	Missing []string
 }
 
+type Event struct {
+	Time    string
+	Attempt uint32
+	// The state that the task came into.
+	State  string
+	Worker *string
+	Reason *string
+}
+
 // EvictPayload is the payload type of the jobs service evict method.
 type EvictPayload struct {
 	// Authorization header
@@ -164,6 +173,8 @@
 	// Authorization header
 	Token *string
 	ID    string
+	// Show the latest steps of each task.
+	Events bool
 }
 
 // SubmitPayload is the payload type of the jobs service submit method.
@@ -183,6 +194,12 @@
 	Evictions *int
 	// Why the task waits, was evicted or failed.
 	Reason *string
+	// Number of failed attempts.
+	Failures *int
+	// Name of the checkpoint from which the next attempt resumes.
+	Checkpoint *string
+	// The latest steps in the task's life, oldest first, if they were asked for.
+	Events []*Event
 }
 
 // Error returns an error description.
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -67,16 +67,17 @@
 	// The help is the same on every machine, so that docs/operating/commands.md can be compared with it.
 	flags.Lookup("context-file").DefValue = "crocusplank/contexts.json in the user's configuration folder"
 	flags.StringVar(&commander.contextName, "context", "", "context to use in place of the file's current one")
-	flags.VarP(&commander.output, "output", "o", "output format: table or json")
+	flags.VarP(&commander.output, "output", "o", "output format: table, whose long cells are cut, or json, which is whole")
 	flags.DurationVar(&commander.timeout, "timeout", defaultTimeout, "time limit of one command without --wait")
 	flags.BoolVarP(&commander.yes, "yes", "y", false, "do not ask before work is evicted")
 	root.AddCommand(
 		commander.jobCommand(), commander.configurationCommand(), commander.inventoryCommand(), commander.workerCommand(),
 		commander.endpointCommand(), commander.vmCommand(), commander.replicaCommand(),
 		commander.auditCommand(), commander.statusCommand(), commander.evictionCommand(),
-		commander.contextCommand(), commander.versionCommand(),
+		commander.explainCommand(), commander.contextCommand(), commander.versionCommand(),
 	)
 	root.AddCommand(commander.extra...)
+	commander.addCompletions(root)
 	return root
 }
 
--- a/internal/commander/printer.go
+++ b/internal/commander/printer.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"io"
 	"strings"
-	"text/tabwriter"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/spf13/cobra"
 )
@@ -43,6 +44,12 @@
 // Type names the flag's type in help.
 func (outputFormat *outputFormat) Type() string { return "format" }
 
+const (
+	// tableWidth is the largest width of a table, which fits a terminal beside a second window.
+	tableWidth = 100
+	columnGap  = 2
+)
+
 // table collects rows for the terminal.
 type table struct {
 	header []string
@@ -59,17 +66,64 @@
 	table.rows = append(table.rows, row)
 }
 
+// write writes the table in at most tableWidth columns; long cells are cut.
 func (table *table) write(writer io.Writer) error {
-	aligned := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
-	if _, err := fmt.Fprintln(aligned, strings.Join(table.header, "\t")); err != nil {
-		return Error.Wrap(err)
+	lines := append([][]string{table.header}, table.rows...)
+	widths := table.widths(lines)
+	var text strings.Builder
+	for _, line := range lines {
+		var cells strings.Builder
+		for index, cell := range line {
+			shown := cut(cell, widths[index])
+			cells.WriteString(shown)
+			cells.WriteString(strings.Repeat(" ", widths[index]-utf8.RuneCountInString(shown)+columnGap))
+		}
+		text.WriteString(strings.TrimRight(cells.String(), " ") + "\n")
 	}
-	for _, row := range table.rows {
-		if _, err := fmt.Fprintln(aligned, strings.Join(row, "\t")); err != nil {
-			return Error.Wrap(err)
+	_, err := io.WriteString(writer, text.String())
+	return Error.Wrap(err)
+}
+
+// widths returns the widths of the columns. The widest one is narrowed until the table fits.
+func (table *table) widths(lines [][]string) []int {
+	widths := make([]int, len(table.header))
+	for _, line := range lines {
+		for index := range line {
+			line[index] = oneLine(line[index])
+			widths[index] = max(widths[index], utf8.RuneCountInString(line[index]))
 		}
 	}
-	return Error.Wrap(aligned.Flush())
+	total := columnGap * (len(widths) - 1)
+	for _, width := range widths {
+		total += width
+	}
+	for ; total > tableWidth; total-- {
+		widest := 0
+		for index, width := range widths {
+			if width > widths[widest] {
+				widest = index
+			}
+		}
+		widths[widest]--
+	}
+	return widths
+}
+
+// oneLine replaces control characters, which would break the table, by spaces.
+func oneLine(text string) string {
+	return strings.Map(func(character rune) rune {
+		if unicode.IsControl(character) {
+			return ' '
+		}
+		return character
+	}, text)
+}
+
+func cut(text string, width int) string {
+	if utf8.RuneCountInString(text) <= width {
+		return text
+	}
+	return string([]rune(text)[:max(width-1, 0)]) + "…"
 }
 
 // print writes value as JSON or rows as a table, as the --output flag says.
--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -31,8 +32,8 @@
 
 func (commander *Commander) printVM(command *cobra.Command, vm *state.VMState) error {
 	if commander.output != outputJSON {
-		_, _ = fmt.Fprintf(command.OutOrStdout(), "vm %s in %s: ready %v, revision %d, peers %v\n",
-			vm.VM, vm.DataCentre, vm.Ready, vm.RevisionInForce, vm.Peers)
+		_, _ = fmt.Fprintf(command.OutOrStdout(), "vm %s in %s: ready %v, revision %d, %s\n",
+			vm.VM, vm.DataCentre, vm.Ready, vm.RevisionInForce, peersText(vm.Peers))
 	}
 	rows := newTable("GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "LEASE", "VOTERS")
 	for _, group := range vm.Groups {
@@ -42,6 +43,22 @@
 	return commander.print(command, camelValue(vm), rows)
 }
 
+// peersText counts the connections that are up and names the others.
+func peersText(peers map[string]bool) string {
+	var down []string
+	for peer, connected := range peers {
+		if !connected {
+			down = append(down, peer)
+		}
+	}
+	slices.Sort(down)
+	text := fmt.Sprintf("connected to %d of %d VMs", len(peers)-len(down), len(peers))
+	if len(down) > 0 {
+		text += ", not to " + strings.Join(down, ", ")
+	}
+	return text
+}
+
 func (commander *Commander) workerCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "worker", Short: "List, drain and undrain workers"}
 	parent.AddCommand(commander.workerListCommand(), commander.drainCommand("drain", true), commander.drainCommand("undrain", false))
--- a/internal/server/access_test.go
+++ b/internal/server/access_test.go
@@ -23,7 +23,8 @@
 
 const wrongToken = "not-a-token-that-anyone-holds"
 
-// newJobs returns a state machine with the job own of the team cutting and the job foreign of another.
+// newJobs returns a state machine with the job own of the team cutting, which has a worker, and the job
+// foreign of another.
 func newJobs(t *testing.T) *dispatcher.Machine {
 	t.Helper()
 	machine := dispatcher.NewMachine("couva")
@@ -39,6 +40,9 @@
 			}}},
 		}})
 	}
+	command.Operations = append(command.Operations,
+		dispatcher.Operation{Term: 1, TakeOver: &dispatcher.TakeOver{VM: "couva-1"}},
+		dispatcher.Operation{Term: 1, Assign: &dispatcher.Assign{Task: "own/1", Attempt: 1, Worker: "w", Incarnation: 1}})
 	encoded, err := cbor.Marshal(command)
 	if err != nil {
 		t.Fatal(err)
@@ -269,6 +273,21 @@
 	}
 }
 
+// Guards against steps of 10,000 tasks in every answer to a waiting command, and against an explanation
+// without them.
+func TestShowGivesEventsOnRequest(t *testing.T) {
+	tests := map[string]bool{"/v1/jobs/own": false, "/v1/jobs/own?events=true": true}
+	for path, want := range tests {
+		t.Run(path, func(t *testing.T) {
+			test := newAccessTest(t, nil)
+			test.send(apiCall{route: "GET " + path}, "")
+			if got := strings.Contains(test.bodies.String(), `"events"`); got != want {
+				t.Errorf("events: got %v, want %v in %s", got, want, test.bodies.String())
+			}
+		})
+	}
+}
+
 // Guards against lists in which a team sees another team's jobs.
 func TestTeamListsItsOwnJobsOnly(t *testing.T) {
 	tokens, held := newTokens(t)
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"goa.design/goa/v3/security"
@@ -45,11 +46,25 @@
 		return nil, jobsError(outcomeOf(err))
 	}
 	if !result.Accepted {
-		return nil, jobsError(invalid("change the job and submit it under a new ID", "job %s was refused: %s", payload.Job.ID, result.Reason))
+		return nil, jobsError(refusedJob(payload.Job.ID, result.Reason))
 	}
 	return jobService.job(result.Job, submission), nil
 }
 
+// refusedJob returns the refusal of a job, with the reason for each class of workers as a fault of its
+// own. A fleet with many classes gives a reason of many lines.
+func refusedJob(id, reason string) *failure {
+	refusal := invalid("change the job and submit it under a new ID, or submit it again after a change of the inventory",
+		"job %s was refused: %s", id, reason)
+	const introduction = "can run nowhere: "
+	before, classes, found := strings.Cut(reason, introduction)
+	if found {
+		refusal.Message = "job " + id + " was refused: " + before + strings.TrimSuffix(introduction, ": ")
+		refusal.Faults = strings.Split(classes, "; ")
+	}
+	return refusal
+}
+
 // job returns a job from the local replica. A follower may not have applied the submission yet; it then
 // returns what was submitted.
 func (jobService *jobService) job(id scheduler.JobID, submission dispatcher.Submission) *jobs.Job {
@@ -116,7 +131,13 @@
 	if !ok {
 		return nil, jobsError(notFound("there is no job %s in data centre %s", payload.ID, jobService.parts.DataCentre))
 	}
-	return jobService.toJob(report, true), nil
+	shown := jobService.toJob(report, true)
+	if payload.Events {
+		for index, task := range report.Tasks {
+			shown.Tasks[index].Events = toEvents(task.Events)
+		}
+	}
+	return shown, nil
 }
 
 func (jobService *jobService) report(id string) (dispatcher.JobReport, bool) {
@@ -135,15 +156,28 @@
 		return job
 	}
 	for _, task := range report.Tasks {
-		attempt, lease, evictions := uint32(task.Attempt), uint64(task.Lease), int(task.Evictions)
+		attempt, lease := uint32(task.Attempt), uint64(task.Lease)
+		evictions, failures := int(task.Evictions), int(task.Failures)
 		job.Tasks = append(job.Tasks, &jobs.Task{
 			ID: string(task.Task), State: string(task.State), Attempt: &attempt, Worker: textPointer(string(task.Worker)),
-			Lease: &lease, Evictions: &evictions, Reason: textPointer(task.Reason),
+			Lease: &lease, Evictions: &evictions, Failures: &failures, Reason: textPointer(task.Reason),
+			Checkpoint: textPointer(task.Checkpoint),
 		})
 	}
 	return job
 }
 
+func toEvents(events []dispatcher.Event) []*jobs.Event {
+	shown := []*jobs.Event{}
+	for _, event := range events {
+		shown = append(shown, &jobs.Event{
+			Time: time.UnixMilli(event.AtUnixMilli).UTC().Format(time.RFC3339Nano), Attempt: uint32(event.Attempt),
+			State: string(event.State), Worker: textPointer(string(event.Worker)), Reason: textPointer(event.Reason),
+		})
+	}
+	return shown
+}
+
 func textPointer(text string) *string {
 	if text == "" {
 		return nil
