server, composer, importer: tests for what mutations showed as untested

Cause: changes of the code on a scratch copy showed that no test guarded the filter of evictions by team, the wiring of the token check for endpoints and workers, and the largest number that an import takes.

Change: a test for each. No code changes.

--- a/internal/composer/access_test.go
+++ b/internal/composer/access_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/auditor"
 	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/deployer"
 	"github.com/crocusplank/crocusplank/internal/loader"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -175,3 +176,32 @@
 		t.Error("no VM with a disk: got no error")
 	}
 }
+
+// Guards against a wiring that leaves the paths of endpoints and workers open when tokens are set.
+func TestPlatformPathsAreGuarded(t *testing.T) {
+	deployment, err := deployer.New(t.TempDir(), "couva", "chaguanas", "claxton-bay")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := loader.Load(deployment.SettingsFile("couva-2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings.Tokens.APITokensFile = filepath.Join(t.TempDir(), "tokens.jsonc")
+	if err := os.WriteFile(settings.Tokens.APITokensFile, []byte("[]"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	daemon, err := New(settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The daemon has not been started, so nothing listens; a refusal is only logged.
+	defer daemon.cancel()
+	for _, path := range []string{"/v1/endpoints", "/v1/workers/w/sync"} {
+		recorder := httptest.NewRecorder()
+		daemon.environment.callerMux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader("{}")))
+		if got, want := recorder.Code, http.StatusUnauthorized; got != want {
+			t.Errorf("%s: got %d, want %d", path, got, want)
+		}
+	}
+}
--- a/internal/importer/importer_test.go
+++ b/internal/importer/importer_test.go
@@ -96,6 +96,7 @@
 		"negative cores":       {FormatCSV, worker("dc,r1,-1,1GB,,"), []string{`4:17: cores: "-1" is negative`}},
 		"negative memory":      {FormatCSV, worker("dc,r1,1,-1GB,,"), []string{`4:19: memory: "-1GB" is negative`}},
 		"memory overflows":     {FormatCSV, worker("dc,r1,1,99999999TB,,"), []string{`4:19: memory: "99999999TB" is too large`}},
+		"memory not exact":     {FormatCSV, worker("dc,r1,1,9007199254740992B,,"), []string{`4:19: memory: "9007199254740992B" is too large`}},
 		"cores overflow":       {FormatCSV, worker("dc,r1,99999999999999999999,1GB,,"), []string{"4:17: cores", "is too large"}},
 		"number too long":      {FormatCSV, worker("dc,r1,1,1GB,999999999999999999999999,"), []string{"4:23: accelerators", "is not a number"}},
 		"memory without unit":  {FormatCSV, worker("dc,r1,1,125,,"), []string{`4:19: memory: "125" has no unit`}},
--- a/internal/server/access_test.go
+++ b/internal/server/access_test.go
@@ -23,8 +23,8 @@
 
 const wrongToken = "not-a-token-that-anyone-holds"
 
-// newJobs returns a state machine with the job own of the team cutting, which has a worker, and the job
-// foreign of another.
+// newJobs returns a state machine with the job own of the team cutting and the job foreign of another;
+// their tasks are being evicted.
 func newJobs(t *testing.T) *dispatcher.Machine {
 	t.Helper()
 	machine := dispatcher.NewMachine("couva")
@@ -42,7 +42,10 @@
 	}
 	command.Operations = append(command.Operations,
 		dispatcher.Operation{Term: 1, TakeOver: &dispatcher.TakeOver{VM: "couva-1"}},
-		dispatcher.Operation{Term: 1, Assign: &dispatcher.Assign{Task: "own/1", Attempt: 1, Worker: "w", Incarnation: 1}})
+		dispatcher.Operation{Term: 1, Assign: &dispatcher.Assign{Task: "own/1", Attempt: 1, Worker: "w", Incarnation: 1}},
+		dispatcher.Operation{Term: 1, Assign: &dispatcher.Assign{Task: "foreign/1", Attempt: 1, Worker: "w", Incarnation: 1}},
+		dispatcher.Operation{Term: 1, Evict: &dispatcher.Evict{Task: "own/1", Attempt: 1, Reason: "r"}},
+		dispatcher.Operation{Term: 1, Evict: &dispatcher.Evict{Task: "foreign/1", Attempt: 1, Reason: "r"}})
 	encoded, err := cbor.Marshal(command)
 	if err != nil {
 		t.Fatal(err)
@@ -288,12 +291,19 @@
 	}
 }
 
-// Guards against lists in which a team sees another team's jobs.
-func TestTeamListsItsOwnJobsOnly(t *testing.T) {
+// Guards against lists in which a team sees another team's jobs or evictions.
+func TestTeamListsItsOwnWorkOnly(t *testing.T) {
 	tokens, held := newTokens(t)
-	test := newAccessTest(t, tokens)
-	test.send(apiCalls["list jobs"], "Bearer "+held[authenticator.RoleTeam])
-	if got := test.bodies.String(); !strings.Contains(got, "own") || strings.Contains(got, "foreign") {
-		t.Errorf("jobs: got %s, want own only", got)
+	for _, list := range []string{"list jobs", "list evictions"} {
+		for role, wantForeign := range map[authenticator.Role]bool{authenticator.RoleTeam: false, authenticator.RoleReader: true} {
+			t.Run(list+"/"+string(role), func(t *testing.T) {
+				test := newAccessTest(t, tokens)
+				test.send(apiCalls[list], "Bearer "+held[role])
+				got := test.bodies.String()
+				if !strings.Contains(got, "own") || strings.Contains(got, "foreign") != wantForeign {
+					t.Errorf("list: got %s, want own, and foreign %v", got, wantForeign)
+				}
+			})
+		}
 	}
 }
