--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -28,7 +28,7 @@
 	defer ticker.Stop()
 	for {
 		inForce, _, ok := server.parts.Local.InForce()
-		if ok && inForce >= revision && server.parts.Jobs.Revision() >= revision {
+		if ok && inForce >= revision && (server.parts.Jobs == nil || server.parts.Jobs.Revision() >= revision) {
 			return true
 		}
 		select {
