placer: keep spread counts when a worker changes its rack

Cause: assignments that no update had confirmed were counted under the old rack and removed under the new one, so counts stayed behind. Change: Update moves the counts of held assignments together with those of running tasks. Measured: TestPlaceSpread fails without the change (counts of 1 job left, want 0) and passes with it. Conclusion: the counts follow the inventory.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -141,7 +141,13 @@
 	for i := range h.tasks {
 		placer.unspread(h, &h.tasks[i].PlacedTask)
 	}
+	for i := range h.holds {
+		placer.unspread(h, &h.holds[i].task)
+	}
 	placer.enlist(h, state.Worker)
+	for i := range h.holds {
+		placer.spread(h, &h.holds[i].task)
+	}
 	h.usable = state.Usable
 	tasks := make([]occupant, len(state.Tasks))
 	var listed amount
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -179,6 +179,16 @@
 	if got, want := len(racks), 3; got != want {
 		t.Errorf("got %d racks in use, want %d", got, want)
 	}
+	// Counts that stay behind when a worker moves to another rack would mislead later decisions.
+	for i := range 6 {
+		p.Update(state(worker(fmt.Sprint("w", i), "moved", 8, nil)))
+	}
+	for i := range 3 {
+		p.Withdraw(scheduler.TaskID(fmt.Sprint("desk/", i)))
+	}
+	if got := len(p.spreads); got != 0 {
+		t.Errorf("got spread counts of %d jobs after all tasks are gone, want 0", got)
+	}
 }
 
 // Guards against a job that loses one task after another to urgent work.
