--- a/internal/experimenter/deployment.go
+++ b/internal/experimenter/deployment.go
@@ -7,7 +7,7 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// deployment is the size of one customer's fleet.
+// deployment is the size of one user's fleet.
 type deployment struct {
 	workers, cores, gigabytes, perRack int
 }
