commander: a lost answer stays unknown when another server refuses

The command line asked a second server when the first one did not know the outcome, and reported the second one's refusal as the outcome: exit code 5, "not run", for a change that could still commit. Found by reading the test's condition and the fail-over loop; the race needs the global leader inside the cut-off data centre and was not reproduced with processes. Change: an attempt that may have run decides the result unless a later server has a final answer. Conclusion: exit code 5 means that no attempt of the command ran.

--- a/internal/commander/connection.go
+++ b/internal/commander/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -75,6 +76,9 @@
 	return "Bearer " + strings.TrimSpace(string(data)), nil
 }
 
+// refusalLimit bounds what is read of a refusal.
+const refusalLimit = 64 << 10
+
 type resendKey struct{}
 
 // withResend marks the requests of ctx as safe to send again: they carry an ID by which the server
@@ -96,32 +100,32 @@
 	if err != nil {
 		return nil, err
 	}
-	resend := request.Method == http.MethodGet || request.Context().Value(resendKey{}) != nil
+	isRead := request.Method == http.MethodGet
+	resend := isRead || request.Context().Value(resendKey{}) != nil
 	var last error
-	sent := false
-	for number, server := range failoverDoer.servers {
+	mayHaveRun := false
+	for _, server := range failoverDoer.servers {
 		response, err := failoverDoer.client.Do(readdress(request, server, body))
-		if err == nil {
-			if failoverDoer.answered(response, resend) || number == len(failoverDoer.servers)-1 {
-				return response, nil
-			}
-			_ = response.Body.Close()
-			continue
+		if err != nil {
+			last = err
+			mayHaveRun = mayHaveRun || !isRead && !isDialError(err)
+		} else if isFinal(response, resend) {
+			return response, nil
+		} else {
+			last = refusalIn(response)
+			mayHaveRun = mayHaveRun || !isRead && response.StatusCode == http.StatusGatewayTimeout
 		}
-		last = err
-		if !isDialError(err) {
-			sent = true
-			if !resend {
-				break
-			}
+		if mayHaveRun && !resend {
+			break
 		}
 	}
-	return nil, &noAnswerError{sent: sent, cause: last}
+	// What one server does not know, the refusal of another cannot settle.
+	return nil, &noAnswerError{sent: mayHaveRun, cause: last}
 }
 
-// answered reports whether a response is final. Another server may do better when this one refused
+// isFinal reports whether no other server need be asked. Another one may do better when this one refused
 // without running the request, or does not know the outcome of one that may be sent again.
-func (failoverDoer *failoverDoer) answered(response *http.Response, resend bool) bool {
+func isFinal(response *http.Response, resend bool) bool {
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable:
 		return false
@@ -132,6 +136,16 @@
 	}
 }
 
+// refusalIn reads the message of a refusal and closes its body.
+func refusalIn(response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	var refusal failure
+	if err := json.NewDecoder(io.LimitReader(response.Body, refusalLimit)).Decode(&refusal); err != nil || refusal.Message == "" {
+		return Error.New("a server answered with status %d", response.StatusCode)
+	}
+	return errors.New(refusal.Message)
+}
+
 func bufferBody(request *http.Request) ([]byte, error) {
 	if request.Body == nil {
 		return nil, nil
--- a/internal/commander/failure.go
+++ b/internal/commander/failure.go
@@ -122,13 +122,13 @@
 	if noAnswerError.sent {
 		return failure{
 			Name:    "unknown",
-			Message: "the request was sent and no answer came: " + noAnswerError.cause.Error(),
+			Message: "the request may have run: " + noAnswerError.cause.Error(),
 			Next:    "run the same command again with the same ID",
 		}
 	}
 	return failure{
 		Name:    "notRun",
-		Message: "no server could be reached: " + noAnswerError.cause.Error(),
-		Next:    "check --server or the context file, and that an entry VM is running",
+		Message: "no server could run the request: " + noAnswerError.cause.Error(),
+		Next:    "try again; check --server or the context file, and that an entry VM is ready",
 	}
 }
--- a/internal/server/failure.go
+++ b/internal/server/failure.go
@@ -41,7 +41,7 @@
 	case scheduler.ErrUnknown.Has(err):
 		return &failure{Name: "unknown", Message: err.Error(), Next: "send the same request again; its ID makes that safe"}
 	case scheduler.ErrNotRun.Has(err):
-		return &failure{Name: "notRun", Message: err.Error(), Next: "try again, or ask an entry VM of another data centre"}
+		return &failure{Name: "notRun", Message: err.Error(), Next: "try again with the same ID, or ask an entry VM of another data centre; an earlier attempt whose outcome was unknown may still take effect"}
 	default:
 		return &failure{Name: "unknown", Message: err.Error(), Next: "look at the state before you try again"}
 	}
