commander: switch in the fail-over loop

Cause: the linter prefers it to an if-else chain. Change: no change of behaviour. Measured: go test ./internal/commander passes, 0 linter issues.

--- a/internal/commander/connection.go
+++ b/internal/commander/connection.go
@@ -106,12 +106,13 @@
 	mayHaveRun := false
 	for _, server := range failoverDoer.servers {
 		response, err := failoverDoer.client.Do(readdress(request, server, body))
-		if err != nil {
+		switch {
+		case err != nil:
 			last = err
 			mayHaveRun = mayHaveRun || !isRead && !isDialError(err)
-		} else if isFinal(response, resend) {
+		case isFinal(response, resend):
 			return response, nil
-		} else {
+		default:
 			last = refusalIn(response)
 			mayHaveRun = mayHaveRun || !isRead && response.StatusCode == http.StatusGatewayTimeout
 		}
