--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,6 +22,7 @@
 
 	servers     []string
 	tokenFile   string
+	caFile      string
 	contextFile string
 	contextName string
 	output      outputFormat
@@ -63,6 +64,7 @@
 	flags := root.PersistentFlags()
 	flags.StringSliceVar(&commander.servers, "server", nil, "API addresses of entry VMs, IP:port; the first that answers is used")
 	flags.StringVar(&commander.tokenFile, "token-file", "", "file that holds the token")
+	flags.StringVar(&commander.caFile, "ca-file", "", "CA certificate of the servers; the connection is encrypted when it is set")
 	flags.StringVar(&commander.contextFile, "context-file", defaultContextFile(), "file with the deployments' contexts")
 	// The help is the same on every machine, so that docs/operating/commands.md can be compared with it.
 	flags.Lookup("context-file").DefValue = "crocusplank/contexts.json in the user's configuration folder"
--- a/internal/commander/connection.go
+++ b/internal/commander/connection.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"io"
@@ -51,10 +53,17 @@
 		connected.token = &token
 	}
 	// A server that accepts connections and never answers must leave time to ask the others.
-	limit := commander.timeout / time.Duration(len(target.Servers))
-	doer := &failoverDoer{client: &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: limit}}, servers: target.Servers}
+	transport := &http.Transport{ResponseHeaderTimeout: commander.timeout / time.Duration(len(target.Servers))}
+	scheme := "http"
+	if target.CAFile != "" {
+		scheme = "https"
+		if transport.TLSClientConfig, err = trustOnly(target.CAFile); err != nil {
+			return nil, err
+		}
+	}
+	doer := &failoverDoer{client: &http.Client{Transport: transport}, servers: target.Servers}
 	encoder, decoder := goahttp.RequestEncoder, goahttp.ResponseDecoder
-	const scheme, host = "http", "entry-vm"
+	const host = "entry-vm"
 	job := jobsclient.NewClient(scheme, host, doer, encoder, decoder, false)
 	connected.jobs = jobs.NewClient(job.Submit(), job.Show(), job.List(), job.Cancel(), job.Evict())
 	config := configurationclient.NewClient(scheme, host, doer, encoder, decoder, false)
@@ -68,6 +77,19 @@
 	return connected, nil
 }
 
+// trustOnly returns a TLS configuration that accepts servers whose certificate the CA has signed.
+func trustOnly(caFile string) (*tls.Config, error) {
+	data, err := os.ReadFile(caFile) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return nil, newUsageError("read CA certificate: %v", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, newUsageError("%s holds no certificate", caFile)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
 func readToken(path string) (string, error) {
 	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
 	if err != nil {
--- a/internal/commander/context.go
+++ b/internal/commander/context.go
@@ -15,6 +15,8 @@
 type target struct {
 	Servers   []string `json:"servers"`
 	TokenFile string   `json:"tokenFile,omitempty"`
+	// CAFile is empty for servers without TLS.
+	CAFile string `json:"caFile,omitempty"`
 }
 
 // contextFile lists the deployments that an operator works with. It is a settings type.
@@ -34,7 +36,7 @@
 // target returns the servers and token of the flags, or else of the chosen context.
 func (commander *Commander) target() (target, error) {
 	if len(commander.servers) > 0 {
-		return target{Servers: commander.servers, TokenFile: commander.tokenFile}, nil
+		return target{Servers: commander.servers, TokenFile: commander.tokenFile, CAFile: commander.caFile}, nil
 	}
 	contexts, err := loadContexts(commander.contextFile)
 	if err != nil {
@@ -54,6 +56,9 @@
 	if commander.tokenFile != "" {
 		chosen.TokenFile = commander.tokenFile
 	}
+	if commander.caFile != "" {
+		chosen.CAFile = commander.caFile
+	}
 	return chosen, nil
 }
 
@@ -108,7 +113,7 @@
 				return newUsageError("context set needs --server")
 			}
 			return commander.changeContexts(func(contexts *contextFile) error {
-				contexts.Contexts[arguments[0]] = target{Servers: commander.servers, TokenFile: commander.tokenFile}
+				contexts.Contexts[arguments[0]] = target{Servers: commander.servers, TokenFile: commander.tokenFile, CAFile: commander.caFile}
 				contexts.Current = arguments[0]
 				return nil
 			})
