crocusplankd: cut off the data centre that holds the global leader

Cause: the test met the harder case, a leader that takes a change into its log before it is cut off, only by chance. Change: the test freezes leaders of the global group until couva-1 leads it.

--- a/cmd/crocusplankd/cut_off_test.go
+++ b/cmd/crocusplankd/cut_off_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"testing"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // Exit codes of the command line for requests that were refused, and whose outcome is unknown.
@@ -42,6 +44,9 @@
 	})
 	awaitServed(system, callers, 200)
 
+	// The harder case: the leader of the global group is in the data centre that is cut off, and takes
+	// the change into its log before it finds out.
+	moveGlobalLeader(system, "couva-1")
 	for _, vm := range system.deployment.VMs()[2:] {
 		system.signal(vm.Name, syscall.SIGSTOP)
 	}
@@ -87,6 +92,24 @@
 	}
 }
 
+// moveGlobalLeader freezes the leaders of the global group until a VM leads it.
+func moveGlobalLeader(system *system, wanted scheduler.VMName) {
+	system.t.Helper()
+	system.until(string(wanted)+" does not lead the global group", func() bool {
+		leader := scheduler.VMName(groupOf(system, "global").Leader)
+		if leader == wanted || leader == "" {
+			return leader == wanted
+		}
+		system.signal(leader, syscall.SIGSTOP)
+		system.until("the global group has no other leader", func() bool {
+			other := scheduler.VMName(groupOf(system, "global").Leader)
+			return other != "" && other != leader
+		})
+		system.signal(leader, syscall.SIGCONT)
+		return false
+	})
+}
+
 func exitCode(err error) int {
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
