messenger: count messages and bytes by group and kind

Each frame that is written or read is counted under its group and kind, an answer under those of its call. Messenger.Traffic returns the counts, and composer.Daemon.Traffic passes them on. Nothing changes on the wire.

TestTrafficByKind compares the counts of both sides.

--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -230,6 +230,9 @@
 	return true, ""
 }
 
+// Traffic returns the counts of the messages to and from other VMs.
+func (daemon *Daemon) Traffic() []messenger.Traffic { return daemon.messenger.Traffic() }
+
 // IsReady reports whether the platform's balancer may send requests to this VM.
 func (daemon *Daemon) IsReady() bool {
 	ready, _ := daemon.ready()
--- a/internal/messenger/accepted.go
+++ b/internal/messenger/accepted.go
@@ -48,10 +48,11 @@
 
 func (connection *acceptedConnection) read(ctx context.Context, workers *sync.WaitGroup) {
 	for {
-		received, err := readFrame(ctx, connection.socket)
+		received, size, err := readFrame(ctx, connection.socket)
 		if err != nil {
 			return
 		}
+		connection.messenger.counter.received(routeOf(received), size)
 		switch received.Type {
 		case frameSend:
 			connection.queueSend(received)
@@ -87,14 +88,14 @@
 	select {
 	case connection.slots <- struct{}{}:
 	default:
-		refusal := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID}
+		refusal := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID, answers: routeOf(received)}
 		refusal.setError(scheduler.ErrNotRun.New("too many calls at once from %s", connection.from))
 		connection.answer(ctx, refusal)
 		return
 	}
 	workers.Go(func() {
 		defer func() { <-connection.slots }()
-		answer := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID}
+		answer := frame{Type: frameAnswer, Epoch: received.Epoch, ID: received.ID, answers: routeOf(received)}
 		body, err := connection.handle(ctx, received)
 		if err != nil {
 			answer.setError(err)
@@ -130,7 +131,7 @@
 		case <-heartbeat.C:
 		case outgoing = <-connection.answers:
 		}
-		if err := writeFrame(ctx, connection.socket, outgoing); err != nil {
+		if err := writeFrame(ctx, connection.socket, outgoing, connection.messenger.counter); err != nil {
 			return
 		}
 	}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -38,6 +38,9 @@
 	Body  []byte                `cbor:"body,omitempty"`
 	Error string                `cbor:"error,omitempty"`
 	Class errorClass            `cbor:"class,omitempty"`
+
+	// answers is the route of the call that an outgoing answer belongs to. It is not sent.
+	answers route
 }
 
 // setError stores a handler's error in an answer.
@@ -67,28 +70,34 @@
 	}
 }
 
-func readFrame(ctx context.Context, socket *websocket.Conn) (frame, error) {
+// readFrame returns a frame with its number of bytes.
+func readFrame(ctx context.Context, socket *websocket.Conn) (frame, int, error) {
 	// Without a limit a connection that the network has forgotten would block for ever.
 	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
 	defer cancel()
 	_, data, err := socket.Read(ctx)
 	if err != nil {
-		return frame{}, Error.Wrap(err)
+		return frame{}, 0, Error.Wrap(err)
 	}
 	var received frame
 	if err := cbor.Unmarshal(data, &received); err != nil {
-		return frame{}, Error.New("malformed frame: %v", err)
+		return frame{}, 0, Error.New("malformed frame: %v", err)
 	}
-	return received, nil
+	return received, len(data), nil
 }
 
-func writeFrame(ctx context.Context, socket *websocket.Conn, outgoing frame) error {
+func writeFrame(ctx context.Context, socket *websocket.Conn, outgoing frame, counter *counter) error {
 	data, err := cbor.Marshal(outgoing)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
+	counted := routeOf(outgoing)
+	if outgoing.Type == frameAnswer {
+		counted = outgoing.answers
+	}
+	counter.sent(counted, len(data))
 	return Error.Wrap(socket.Write(ctx, websocket.MessageBinary, data))
 }
 
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		pause = firstRedial
-		link.serve(ctx, newSession(socket, epoch))
+		link.serve(ctx, newSession(socket, epoch, link.messenger.counter))
 		sleep(ctx, firstRedial)
 	}
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -61,6 +61,7 @@
 	handlers map[route]scheduler.MessageHandler
 	links    map[scheduler.VMName]*link
 	accepted map[*acceptedConnection]struct{}
+	counter  *counter
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -107,6 +108,7 @@
 		handlers: map[route]scheduler.MessageHandler{},
 		links:    map[scheduler.VMName]*link{},
 		accepted: map[*acceptedConnection]struct{}{},
+		counter:  newCounter(),
 		context:  ctx,
 		cancel:   cancel,
 	}
--- a/internal/messenger/session.go
+++ b/internal/messenger/session.go
@@ -13,10 +13,11 @@
 // session is one life of an outgoing connection. Its epoch and the ids of its calls together name a
 // call, so that an answer can never reach another call.
 type session struct {
-	socket *websocket.Conn
-	epoch  uint64
-	queue  chan *queuedFrame
-	done   chan struct{}
+	socket  *websocket.Conn
+	epoch   uint64
+	counter *counter
+	queue   chan *queuedFrame
+	done    chan struct{}
 
 	mutex  sync.Mutex
 	nextID uint64
@@ -32,13 +33,14 @@
 	abandoned bool
 }
 
-func newSession(socket *websocket.Conn, epoch uint64) *session {
+func newSession(socket *websocket.Conn, epoch uint64, counter *counter) *session {
 	return &session{
-		socket: socket,
-		epoch:  epoch,
-		queue:  make(chan *queuedFrame, queueLength),
-		done:   make(chan struct{}),
-		calls:  map[uint64]*queuedFrame{},
+		socket:  socket,
+		epoch:   epoch,
+		counter: counter,
+		queue:   make(chan *queuedFrame, queueLength),
+		done:    make(chan struct{}),
+		calls:   map[uint64]*queuedFrame{},
 	}
 }
 
@@ -130,7 +132,7 @@
 			}
 			outgoing = queued.frame
 		}
-		if err := writeFrame(ctx, session.socket, outgoing); err != nil {
+		if err := writeFrame(ctx, session.socket, outgoing, session.counter); err != nil {
 			return
 		}
 	}
@@ -139,23 +141,26 @@
 // read delivers answers until the connection ends or has been silent for too long.
 func (session *session) read(ctx context.Context) error {
 	for {
-		received, err := readFrame(ctx, session.socket)
+		received, size, err := readFrame(ctx, session.socket)
 		if err != nil {
 			return err
 		}
 		if received.Type == frameAnswer && received.Epoch == session.epoch {
-			session.deliver(received)
+			session.deliver(received, size)
+		} else {
+			session.counter.received(routeOf(received), size)
 		}
 	}
 }
 
 // deliver hands an answer to its call. An answer without a call, late or duplicated, is dropped.
-func (session *session) deliver(answer frame) {
+func (session *session) deliver(answer frame, size int) {
 	session.mutex.Lock()
 	queued := session.calls[answer.ID]
 	delete(session.calls, answer.ID)
 	session.mutex.Unlock()
 	if queued != nil {
+		session.counter.received(routeOf(queued.frame), size)
 		queued.answer <- answer
 	}
 }
--- a/internal/messenger/traffic_test.go
+++ b/internal/messenger/traffic_test.go
@@ -91,3 +91,42 @@
 		}
 	})
 }
+
+// Guards against answers that are counted under no kind or under another one than their calls, and against
+// messages that only one side counts.
+func TestTrafficByKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b *Messenger
+		a, _ := startPair(t, func(messenger *Messenger) {
+			b = messenger
+			b.Handle("g", "echo", func(_ context.Context, _ scheduler.VMName, body []byte) ([]byte, error) { return body, nil })
+			b.Handle("g", "tell", func(context.Context, scheduler.VMName, []byte) ([]byte, error) { return nil, nil })
+		})
+		for range 3 {
+			if _, err := a.Call(t.Context(), "b", "g", "echo", make([]byte, 100)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a.Send("b", "g", "tell", make([]byte, 10))
+		synctest.Wait()
+		counts := map[scheduler.MessageKind]Traffic{}
+		for _, counted := range a.Traffic() {
+			counts[counted.Kind] = counted
+		}
+		if got := counts["echo"]; got.SentMessages != 3 || got.ReceivedMessages != 3 || got.SentBytes < 300 || got.ReceivedBytes < 300 {
+			t.Errorf("calls: got %+v, want 3 messages of at least 100 bytes in each direction", got)
+		}
+		if got := counts["tell"]; got.SentMessages != 1 || got.ReceivedMessages != 0 {
+			t.Errorf("messages: got %+v, want 1 sent and none received", got)
+		}
+		for _, there := range b.Traffic() {
+			here := counts[there.Kind]
+			if there.Kind == kindHeartbeat {
+				continue
+			}
+			if there.ReceivedBytes != here.SentBytes || there.SentBytes != here.ReceivedBytes {
+				t.Errorf("%s: got %+v at the other side of %+v, want the same bytes", there.Kind, there, here)
+			}
+		}
+	})
+}
