sizer: measure the control processes at several sizes

crocusplank experiment capacity will run one process for each of six VMs, with emulated workers and endpoints of one data centre, and record processor time, memory, and messages and bytes by kind for each process.

The command is not mounted yet.

--- /dev/null
+++ b/internal/sizer/fit.go
@@ -0,0 +1,47 @@
+package sizer
+
+import "math"
+
+// Point is one measured size and its cost.
+type Point struct {
+	X float64
+	Y float64
+}
+
+// Line is a straight line through measured points. Residual is the largest distance of a point from the
+// line, in units of Y.
+type Line struct {
+	Base     float64
+	Slope    float64
+	Residual float64
+}
+
+// Fit returns the line with the least sum of squared distances. It needs at least three points, because a
+// line through two always fits, and two different sizes.
+func Fit(points []Point) (Line, error) {
+	if len(points) < 3 {
+		return Line{}, Error.New("want at least 3 points, got %d", len(points))
+	}
+	var meanX, meanY float64
+	for _, point := range points {
+		meanX += point.X / float64(len(points))
+		meanY += point.Y / float64(len(points))
+	}
+	var products, squares float64
+	for _, point := range points {
+		products += (point.X - meanX) * (point.Y - meanY)
+		squares += (point.X - meanX) * (point.X - meanX)
+	}
+	if squares == 0 {
+		return Line{}, Error.New("all points have the size %g", meanX)
+	}
+	line := Line{Slope: products / squares}
+	line.Base = meanY - line.Slope*meanX
+	for _, point := range points {
+		line.Residual = max(line.Residual, math.Abs(point.Y-line.At(point.X)))
+	}
+	return line, nil
+}
+
+// At returns the line's value at a size.
+func (line Line) At(x float64) float64 { return line.Base + line.Slope*x }
--- /dev/null
+++ b/internal/sizer/measure.go
@@ -0,0 +1,281 @@
+package sizer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/crocusplank/crocusplank/internal/commander"
+	"github.com/crocusplank/crocusplank/internal/composer"
+	"github.com/crocusplank/crocusplank/internal/deployer"
+	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	dataCentre = scheduler.DataCentreName("couva")
+	stepLimit  = 60 * time.Second
+	poll       = 200 * time.Millisecond
+	// phaseSettle is the time between a change of size and its measurement.
+	phaseSettle = 6 * time.Second
+	// largestJob is the limit of the API.
+	largestJob = 10000
+	// shortRunTime keeps the number of short tasks at a few times the start rate.
+	shortRunTime = "2s"
+	longRunTime  = "24h"
+)
+
+// Cell is one measured phase. It is a wire type.
+type Cell struct {
+	Session   string             `json:"session"`
+	Workers   int                `json:"workers"`
+	Endpoints int                `json:"endpoints"`
+	Starts    int                `json:"starts"`
+	Running   int64              `json:"running"`
+	Load      string             `json:"load"`
+	Processes []ProcessFigures   `json:"processes"`
+	Platform  map[string]float64 `json:"platform"`
+}
+
+// ProcessFigures is what one process cost in a phase. It is a wire type. Part is leader, follower or
+// other, for the VMs of the other data centres.
+type ProcessFigures struct {
+	VM             scheduler.VMName `json:"vm"`
+	Part           string           `json:"part"`
+	PercentOfACore float64          `json:"percentOfACore"`
+	Resident       int64            `json:"resident"`
+	Heap           int64            `json:"heap"`
+	Rates          []Rate           `json:"rates"`
+}
+
+func workerName(number int) scheduler.WorkerName {
+	return scheduler.WorkerName(fmt.Sprintf("worker-%d", number))
+}
+
+// system is the deployment of a session.
+type system struct {
+	folder     string
+	deployment *deployer.Deployment
+	processes  []*process
+	jobs       int
+}
+
+// measure runs a session.
+func (plan Plan) measure(ctx context.Context, command *cobra.Command, session Session) ([]Cell, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "crocusplank-capacity-")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	system := &system{folder: folder}
+	defer system.stop()
+	if err := system.start(ctx, command); err != nil {
+		return nil, err
+	}
+	if err := system.configure(session.Workers); err != nil {
+		return nil, err
+	}
+	platform := &platform{gateways: system.deployment.CallerAddresses(dataCentre), media: plan.Media}
+	platform.startWorkers(ctx, session.Workers)
+	if err := system.fill(ctx, platform, session.Workers*plan.Tasks); err != nil {
+		return nil, err
+	}
+	sleep(ctx, plan.Settle-phaseSettle)
+	var cells []Cell
+	for _, phase := range session.Phases {
+		cell, err := plan.measurePhase(ctx, system, platform, phase)
+		if err != nil {
+			return cells, err
+		}
+		cell.Session, cell.Workers = session.Name, session.Workers
+		cells = append(cells, cell)
+		command.PrintErrf("%s: %d workers, %d endpoints, %d starts/s measured\n", session.Name, session.Workers, phase.Endpoints, phase.Starts)
+	}
+	return cells, nil
+}
+
+func (plan Plan) measurePhase(ctx context.Context, system *system, platform *platform, phase Phase) (Cell, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	platform.growTo(context.WithoutCancel(ctx), phase.Endpoints)
+	if phase.Starts > 0 {
+		go system.submitEachSecond(ctx, phase.Starts)
+	}
+	sleep(ctx, phaseSettle)
+	leader, err := system.leader()
+	if err != nil {
+		return Cell{}, err
+	}
+	if _, err := system.samples(); err != nil {
+		return Cell{}, err
+	}
+	first, err := system.samples()
+	if err != nil {
+		return Cell{}, err
+	}
+	before, begin := platform.counts(), time.Now()
+	sleep(ctx, plan.Window)
+	last, err := system.samples()
+	if err != nil {
+		return Cell{}, err
+	}
+	after, seconds := platform.counts(), time.Since(begin).Seconds()
+	cell := Cell{Endpoints: phase.Endpoints, Starts: phase.Starts, Running: platform.running.Load(), Platform: map[string]float64{}, Load: loadAverage()}
+	for name, count := range after {
+		cell.Platform[name] = (count - before[name]) / seconds
+	}
+	for index, process := range system.processes {
+		cell.Processes = append(cell.Processes, figures(process.vm, leader, first[index], last[index]))
+	}
+	return cell, nil
+}
+
+func figures(vm loader.VM, leader scheduler.VMName, first, last Sample) ProcessFigures {
+	part := "other"
+	switch {
+	case vm.Name == leader:
+		part = "leader"
+	case vm.DataCentre == dataCentre:
+		part = "follower"
+	}
+	return ProcessFigures{
+		VM: vm.Name, Part: part, Resident: last.Resident, Heap: last.Heap, Rates: ratesBetween(first, last),
+		PercentOfACore: 100 * (last.Processor - first.Processor).Seconds() / last.At.Sub(first.At).Seconds(),
+	}
+}
+
+// counts returns the counts at the platform's side.
+func (platform *platform) counts() map[string]float64 {
+	counts := map[string]float64{
+		"usageReports": float64(platform.usageReports.Load()),
+		"usageBytes":   float64(platform.usageBytes.Load()),
+		"ended":        float64(platform.ended.Load()),
+	}
+	for name, counted := range map[string]*traffic{"exchange": &platform.exchanges, "announcement": &platform.announcements} {
+		counts[name+"Messages"] = float64(counted.messages.Load())
+		counts[name+"Failed"] = float64(counted.failed.Load())
+		counts[name+"Sent"] = float64(counted.sent.Load())
+		counts[name+"Received"] = float64(counted.received.Load())
+	}
+	return counts
+}
+
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	return first
+}
+
+// start starts a process for each VM and waits until all are ready.
+func (system *system) start(ctx context.Context, command *cobra.Command) error {
+	var err error
+	if system.deployment, err = deployer.New(system.folder, dataCentre, "chaguanas", "claxton-bay"); err != nil {
+		return err
+	}
+	for _, vm := range system.deployment.VMs() {
+		settings, err := loader.Load(system.deployment.SettingsFile(vm.Name))
+		if err != nil {
+			return err
+		}
+		if settings.HasDisk() {
+			if err := composer.Init(settings); err != nil {
+				return err
+			}
+		}
+		started, err := startProcess(ctx, command, vm, system.deployment.SettingsFile(vm.Name))
+		if err != nil {
+			return err
+		}
+		system.processes = append(system.processes, started)
+	}
+	for _, vm := range system.deployment.VMs() {
+		if err := until(ctx, func() bool { return isReady(ctx, vm.CallerAddress.String()) }); err != nil {
+			return Error.New("VM %s is not ready: %v", vm.Name, err)
+		}
+	}
+	return nil
+}
+
+func (system *system) stop() {
+	for _, process := range system.processes {
+		process.stop()
+	}
+}
+
+func isReady(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func until(ctx context.Context, holds func() bool) error {
+	for end := time.Now().Add(stepLimit); !holds(); {
+		if time.Now().After(end) || !sleep(ctx, poll) {
+			return Error.New("nothing changed within %v", stepLimit)
+		}
+	}
+	return nil
+}
+
+// samples asks all processes. The order is the same each time.
+func (system *system) samples() ([]Sample, error) {
+	var samples []Sample
+	for _, process := range system.processes {
+		sample, err := process.sample()
+		if err != nil {
+			return nil, Error.New("VM %s: %v", process.vm.Name, err)
+		}
+		samples = append(samples, sample)
+	}
+	return samples, nil
+}
+
+// cli runs one command of the operators' command line in this process.
+func (system *system) cli(arguments ...string) (string, error) {
+	var stdout, stderr strings.Builder
+	servers := strings.Join(system.deployment.APIAddresses(dataCentre), ",")
+	code := commander.New().Run(append([]string{"--yes", "--server", servers}, arguments...), strings.NewReader(""), &stdout, &stderr)
+	if code != 0 {
+		return "", Error.New("%v ended with exit code %d: %s", arguments, code, stderr.String())
+	}
+	return stdout.String(), nil
+}
+
+func (system *system) leader() (scheduler.VMName, error) {
+	output, err := system.cli("-o", "json", "vm", "show")
+	if err != nil {
+		return "", err
+	}
+	var vm struct {
+		Groups []struct{ Name, Leader string }
+	}
+	if err := json.Unmarshal([]byte(output), &vm); err != nil {
+		return "", Error.Wrap(err)
+	}
+	for _, group := range vm.Groups {
+		if group.Name == string(dataCentre) {
+			return scheduler.VMName(group.Leader), nil
+		}
+	}
+	return "", Error.New("VM shows no group %s", dataCentre)
+}
--- /dev/null
+++ b/internal/sizer/platform.go
@@ -0,0 +1,183 @@
+package sizer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	announcePeriod = time.Second
+	requestTimeout = 2 * time.Second
+	serviceName    = scheduler.ServiceName("charts")
+)
+
+// traffic counts the HTTP exchanges of one kind, with their headers, at the side of the platform.
+type traffic struct {
+	messages atomic.Int64
+	failed   atomic.Int64
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (countedConn countedConn) Read(data []byte) (int, error) {
+	count, err := countedConn.Conn.Read(data)
+	countedConn.traffic.received.Add(int64(count))
+	return count, err
+}
+
+func (countedConn countedConn) Write(data []byte) (int, error) {
+	count, err := countedConn.Conn.Write(data)
+	countedConn.traffic.sent.Add(int64(count))
+	return count, err
+}
+
+// newClient returns a client with its own connection, as each worker and each endpoint has.
+func newClient(counted *traffic) *http.Client {
+	dialer := &net.Dialer{}
+	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return countedConn{Conn: conn, traffic: counted}, nil
+		},
+	}}
+}
+
+// platform is the emulated workers and endpoints of a data centre.
+type platform struct {
+	gateways []string
+	media    string
+
+	exchanges     traffic
+	announcements traffic
+	// usageReports and usageBytes count the usage reports inside the exchanges, encoded in CBOR.
+	usageReports atomic.Int64
+	usageBytes   atomic.Int64
+	ended        atomic.Int64
+	// running is the sum over all workers of what they run.
+	running   atomic.Int64
+	endpoints int
+}
+
+// startWorkers starts workers that spread over the entry VMs, as the platform's balancer would do it.
+func (platform *platform) startWorkers(ctx context.Context, count int) {
+	for number := range count {
+		exchange := emulator.NewHTTPExchange(newClient(&platform.exchanges), "http://"+platform.gateways[number%len(platform.gateways)], platform.media)
+		worker := emulator.NewWorker(workerName(number), platform.watch(exchange))
+		go func() {
+			if sleep(ctx, time.Duration(rand.Int64N(int64(time.Second)))) {
+				worker.Run(ctx)
+			}
+		}()
+	}
+}
+
+// watch counts what an exchange carries.
+func (platform *platform) watch(exchange emulator.Exchange) emulator.Exchange {
+	last := 0
+	return func(ctx context.Context, request *scheduler.SyncRequest) (*scheduler.SyncAnswer, error) {
+		platform.running.Add(int64(len(request.Running) - last))
+		last = len(request.Running)
+		platform.exchanges.messages.Add(1)
+		platform.ended.Add(int64(len(request.Ended)))
+		for _, report := range request.Usage {
+			data, err := cbor.Marshal(report)
+			if err != nil {
+				return nil, Error.Wrap(err)
+			}
+			platform.usageReports.Add(1)
+			platform.usageBytes.Add(int64(len(data)))
+		}
+		answer, err := exchange(ctx, request)
+		if err != nil {
+			platform.exchanges.failed.Add(1)
+		}
+		return answer, err
+	}
+}
+
+// growTo starts endpoints until there are count.
+func (platform *platform) growTo(ctx context.Context, count int) {
+	for ; platform.endpoints < count; platform.endpoints++ {
+		number := platform.endpoints
+		announcement := scheduler.Announcement{
+			Endpoint: scheduler.EndpointName(fmt.Sprintf("desk-%d", number)), Service: serviceName, DataCentre: dataCentre,
+			Address: fmt.Sprintf("127.%d.%d.1:9000", 1+number/250, number%250), Incarnation: 1, Slots: 8, Connections: 64,
+		}
+		go platform.announce(ctx, announcement, platform.gateways[number%len(platform.gateways)])
+	}
+}
+
+// announce repeats an announcement every second. No requests run, so its counts stay empty.
+func (platform *platform) announce(ctx context.Context, announcement scheduler.Announcement, gateway string) {
+	client := newClient(&platform.announcements)
+	sleep(ctx, time.Duration(rand.Int64N(int64(announcePeriod))))
+	ticker := time.NewTicker(announcePeriod)
+	defer ticker.Stop()
+	for {
+		platform.announcements.messages.Add(1)
+		if post(ctx, client, "http://"+gateway+"/v1/endpoints", announcement) != nil && ctx.Err() == nil {
+			platform.announcements.failed.Add(1)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func post(ctx context.Context, client *http.Client, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
+		return Error.New("%s answered %s: %s", url, response.Status, text)
+	}
+	return Error.Wrap(err)
+}
+
+// sleep waits for a duration or until ctx ends, and reports whether the whole duration has passed.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/sizer/process.go
@@ -0,0 +1,181 @@
+package sizer
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/crocusplank/crocusplank/internal/composer"
+	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/messenger"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Sample is what the process of a VM reports about itself. It is a wire type.
+type Sample struct {
+	At        time.Time           `json:"at"`
+	Processor time.Duration       `json:"processor"`
+	Resident  int64               `json:"resident"`
+	Heap      int64               `json:"heap"`
+	Traffic   []messenger.Traffic `json:"traffic"`
+}
+
+// vmCommand returns the command of a VM's process. It answers each line on its input with a sample and
+// ends with its input, so that it does not outlive the process that measures it.
+func vmCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "vm FILE", Short: "Run one VM that reports its own costs", Args: cobra.ExactArgs(1), Hidden: true,
+		RunE: func(command *cobra.Command, arguments []string) error {
+			settings, err := loader.Load(arguments[0])
+			if err != nil {
+				return err
+			}
+			daemon, err := composer.New(settings, composer.NewLogger(settings, command.ErrOrStderr()))
+			if err != nil {
+				return err
+			}
+			if err := daemon.Start(context.Background()); err != nil {
+				return err
+			}
+			return answerSamples(command.InOrStdin(), command.OutOrStdout(), daemon)
+		},
+	}
+}
+
+func answerSamples(in io.Reader, out io.Writer, daemon *composer.Daemon) error {
+	lines := bufio.NewScanner(in)
+	encoder := json.NewEncoder(out)
+	for lines.Scan() {
+		sample, err := takeSample()
+		if err != nil {
+			return err
+		}
+		sample.Traffic = daemon.Traffic()
+		if err := encoder.Encode(sample); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return Error.Wrap(lines.Err())
+}
+
+// takeSample reads the processor time before it collects the garbage for the heap. At the begin of a
+// phase it is called twice, so that the collection does not count.
+func takeSample() (Sample, error) {
+	sample := Sample{At: time.Now()}
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return sample, Error.Wrap(err)
+	}
+	sample.Processor = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	statm, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return sample, Error.Wrap(err)
+	}
+	fields := strings.Fields(string(statm))
+	if len(fields) < 2 {
+		return sample, Error.New("unexpected content of statm: %q", statm)
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return sample, Error.Wrap(err)
+	}
+	sample.Resident = pages * int64(os.Getpagesize())
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	sample.Heap = int64(memory.HeapAlloc) //nolint:gosec // A heap is smaller than 2^63 bytes.
+	return sample, nil
+}
+
+// process is the process of a VM.
+type process struct {
+	vm      loader.VM
+	command *exec.Cmd
+	in      io.WriteCloser
+	out     *json.Decoder
+}
+
+// startProcess runs this program again as the process of a VM.
+func startProcess(ctx context.Context, parent *cobra.Command, vm loader.VM, settingsFile string) (*process, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	arguments := slices.Concat(strings.Fields(parent.CommandPath())[1:], []string{"vm", settingsFile})
+	started := &process{vm: vm, command: exec.CommandContext(ctx, program, arguments...)} //nolint:gosec // It is this program.
+	log, err := os.Create(filepath.Clean(settingsFile + ".log"))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = log.Close() }()
+	started.command.Stderr = log
+	if started.in, err = started.command.StdinPipe(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	out, err := started.command.StdoutPipe()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	started.out = json.NewDecoder(out)
+	return started, Error.Wrap(started.command.Start())
+}
+
+func (process *process) sample() (Sample, error) {
+	var sample Sample
+	if _, err := io.WriteString(process.in, "sample\n"); err != nil {
+		return sample, Error.Wrap(err)
+	}
+	return sample, Error.Wrap(process.out.Decode(&sample))
+}
+
+func (process *process) stop() {
+	_ = process.in.Close()
+	_ = process.command.Wait()
+}
+
+// Rate is a number of messages and bytes a second of one kind. It is a wire type.
+type Rate struct {
+	Group            scheduler.GroupName   `json:"group,omitempty"`
+	Kind             scheduler.MessageKind `json:"kind"`
+	SentMessages     float64               `json:"sentMessages"`
+	SentBytes        float64               `json:"sentBytes"`
+	ReceivedMessages float64               `json:"receivedMessages"`
+	ReceivedBytes    float64               `json:"receivedBytes"`
+}
+
+// ratesBetween divides the growth of each count by the time between two samples.
+func ratesBetween(first, last Sample) []Rate {
+	type key struct {
+		group scheduler.GroupName
+		kind  scheduler.MessageKind
+	}
+	before := map[key]messenger.Traffic{}
+	for _, traffic := range first.Traffic {
+		before[key{traffic.Group, traffic.Kind}] = traffic
+	}
+	seconds := last.At.Sub(first.At).Seconds()
+	var rates []Rate
+	for _, after := range last.Traffic {
+		earlier := before[key{after.Group, after.Kind}]
+		rates = append(rates, Rate{
+			Group: after.Group, Kind: after.Kind,
+			SentMessages:     float64(after.SentMessages-earlier.SentMessages) / seconds,
+			SentBytes:        float64(after.SentBytes-earlier.SentBytes) / seconds,
+			ReceivedMessages: float64(after.ReceivedMessages-earlier.ReceivedMessages) / seconds,
+			ReceivedBytes:    float64(after.ReceivedBytes-earlier.ReceivedBytes) / seconds,
+		})
+	}
+	return rates
+}
