sizer: measure the process of the emulated workers and endpoints

What control costs a worker node was missing. The processor time of the emulated workers, divided by their number, is an upper estimate of it.

--- a/internal/sizer/measure.go
+++ b/internal/sizer/measure.go
@@ -43,8 +43,9 @@
 	Platform  map[string]float64 `json:"platform"`
 }
 
-// ProcessFigures is what one process cost in a phase. It is a wire type. Part is leader, follower or
-// other, for the VMs of the other data centres.
+// ProcessFigures is what one process cost in a phase. It is a wire type. Part is leader, follower, other
+// for the VMs of the other data centres, or platform for this process, which emulates all workers and
+// endpoints.
 type ProcessFigures struct {
 	VM             scheduler.VMName `json:"vm"`
 	Part           string           `json:"part"`
@@ -114,6 +115,7 @@
 	if err != nil {
 		return Cell{}, err
 	}
+	// The garbage that the first samples collect does not count for the phase.
 	if _, err := system.samples(); err != nil {
 		return Cell{}, err
 	}
@@ -133,21 +135,27 @@
 		cell.Platform[name] = (count - before[name]) / seconds
 	}
 	for index, process := range system.processes {
-		cell.Processes = append(cell.Processes, figures(process.vm, leader, first[index], last[index]))
+		cell.Processes = append(cell.Processes, figures(process.vm.Name, system.part(process.vm, leader), first[index], last[index]))
 	}
+	own := len(system.processes)
+	cell.Processes = append(cell.Processes, figures("all", "platform", first[own], last[own]))
 	return cell, nil
 }
 
-func figures(vm loader.VM, leader scheduler.VMName, first, last Sample) ProcessFigures {
-	part := "other"
+func (*system) part(vm loader.VM, leader scheduler.VMName) string {
 	switch {
 	case vm.Name == leader:
-		part = "leader"
+		return "leader"
 	case vm.DataCentre == dataCentre:
-		part = "follower"
+		return "follower"
+	default:
+		return "other"
 	}
+}
+
+func figures(vm scheduler.VMName, part string, first, last Sample) ProcessFigures {
 	return ProcessFigures{
-		VM: vm.Name, Part: part, Resident: last.Resident, Heap: last.Heap, Rates: ratesBetween(first, last),
+		VM: vm, Part: part, Resident: last.Resident, Heap: last.Heap, Rates: ratesBetween(first, last),
 		PercentOfACore: 100 * (last.Processor - first.Processor).Seconds() / last.At.Sub(first.At).Seconds(),
 	}
 }
@@ -237,7 +245,7 @@
 	return nil
 }
 
-// samples asks all processes. The order is the same each time.
+// samples asks all processes, and this one last. The order is the same each time.
 func (system *system) samples() ([]Sample, error) {
 	var samples []Sample
 	for _, process := range system.processes {
@@ -247,7 +255,8 @@
 		}
 		samples = append(samples, sample)
 	}
-	return samples, nil
+	own, err := takeSample()
+	return append(samples, own), err
 }
 
 // cli runs one command of the operators' command line in this process.
--- a/internal/sizer/plot.go
+++ b/internal/sizer/plot.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		for _, process := range cell.Processes {
-			if process.Part != "other" {
+			if process.Part == "leader" || process.Part == "follower" {
 				bars = append(bars, barsOf(cell, process, top+height*len(bars))...)
 			}
 		}
--- a/internal/sizer/series.go
+++ b/internal/sizer/series.go
@@ -60,7 +60,7 @@
 
 func printFits(text *strings.Builder, report Report) {
 	text.WriteString("\n| part | variable | quantity | points | base | slope | largest residual | at a seventh | at the whole |\n|---|---|---|---|---|---|---|---|---|\n")
-	for _, part := range []string{"leader", "follower"} {
+	for _, part := range []string{"leader", "follower", "platform"} {
 		for v, variable := range variables {
 			for q, quantity := range quantities {
 				measured := points(report, v, q, part)
--- a/internal/sizer/table.go
+++ b/internal/sizer/table.go
@@ -57,7 +57,7 @@
 	text.WriteString("\n| workers | endpoints | starts/s | part | kind | sent/s | sent B/s | received/s | received B/s |\n|---|---|---|---|---|---|---|---|---|\n")
 	for _, cell := range report.Cells {
 		for _, process := range cell.Processes {
-			if process.Part == "other" {
+			if process.Part != "leader" && process.Part != "follower" {
 				continue
 			}
 			sums := byKind(process.Rates)
