dispatcher: wait 20 ms for further operations before a proposal

The batcher joined only operations that arrive while a proposal is under way. A proposal takes a few milliseconds, so nearly every exchange that started or ended an attempt was an entry of its own, with a message to and from each voter and a sync at each voter with a disk.

A batch now waits 20 ms for further operations. Exchanges that log something are answered 20 ms later; renewals are not logged and do not wait. Benchmarks of the engine switch the wait off, because it is no processor time.

--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -15,12 +15,17 @@
 	// proposalTimeout bounds one proposal. It is shorter than the margin of a lease, so that a
 	// lost majority is noticed before leases expire.
 	proposalTimeout = 2 * time.Second
+	// batchDelay is how long operations wait for others. Without it nearly every exchange that starts
+	// or ends an attempt is an entry of its own, with a sync at each voter with a disk. It is small
+	// against the period of the exchanges.
+	batchDelay = 20 * time.Millisecond
 )
 
-// batcher joins operations that arrive while a proposal is under way into one command. With 860
+// batcher joins operations that arrive within delay or while a proposal is under way into one command. With 860
 // workers that sync every second, one entry per exchange would cost one disk sync each.
 type batcher struct {
 	group scheduler.Group
+	delay time.Duration
 
 	mutex    sync.Mutex
 	queue    []*waiter
@@ -56,6 +61,7 @@
 // flush proposes until the queue is empty.
 func (batcher *batcher) flush() {
 	for {
+		time.Sleep(batcher.delay)
 		batch := batcher.next()
 		if batch == nil {
 			return
--- a/internal/dispatcher/benchmark_test.go
+++ b/internal/dispatcher/benchmark_test.go
@@ -49,6 +49,8 @@
 	cluster.nodes[0].machine = machine
 	cluster.nodes[0].term = 2
 	engine := NewEngine("couva-1", cluster.nodes[0], machine, fullPlacer{newFirstFit()})
+	// Time spent waiting for further operations is no processor time.
+	engine.batcher.delay = 0
 	if err := engine.takeOver(b.Context(), 2); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -112,7 +112,7 @@
 func NewEngine(vm scheduler.VMName, group scheduler.Group, machine *Machine, placer scheduler.Placer, options ...Option) *Engine {
 	engine := &Engine{
 		vm: vm, group: group, machine: machine, placer: placer, log: zerolog.Nop(),
-		batcher:       &batcher{group: group},
+		batcher:       &batcher{group: group, delay: batchDelay},
 		usage:         func(scheduler.WorkerName, []scheduler.AttemptUsage) {},
 		leaseDuration: defaultLeaseDuration, leaseMargin: defaultLeaseMargin, grace: defaultGrace,
 		victimTimeout: defaultVictimTimeout, tick: defaultTick, replacementRate: defaultReplacementRate,
