--- a/internal/sizer/plot.go
+++ b/internal/sizer/plot.go
@@ -86,12 +86,14 @@
 	Label string
 }
 
-// Plot draws the leader and the follower of the sessions that are named seventh and whole.
+// Plot draws the leader and the follower of the sessions that are named seventh and whole, without starts
+// and at the highest rate.
 func Plot(w io.Writer, report Report) error {
 	const top, height = 36, 16
 	var bars []bar
-	for _, cell := range report.Cells {
-		if cell.Session != "seventh" && cell.Session != "whole" {
+	for index, cell := range report.Cells {
+		last := index+1 == len(report.Cells) || report.Cells[index+1].Session != cell.Session
+		if cell.Session != "seventh" && cell.Session != "whole" || cell.Starts > 0 && !last {
 			continue
 		}
 		for _, process := range cell.Processes {
