scheduler, dispatcher: name the lease of placed tasks and pass on ended attempts

Cause: usage reports name a lease, but a placer was not told the lease of a task, reports had no latency or load, and no part outside the dispatcher learned how attempts ended.

Change: PlacedTask has the lease, AttemptUsage has latency and load, and the engine's option WithEnded passes on the ends that a worker reported, once they are recorded. An end whose proposal has an unknown outcome is not passed on, since the next exchange finds it recorded.

Conclusion: interference and quarantine can be joined to the engine.

--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -45,6 +45,7 @@
 	log             zerolog.Logger
 	batcher         *batcher
 	usage           func(worker scheduler.WorkerName, reports []scheduler.AttemptUsage)
+	ended           func(worker scheduler.WorkerName, attempts []scheduler.EndedAttempt)
 	leaseDuration   time.Duration
 	leaseMargin     time.Duration
 	grace           time.Duration
@@ -97,6 +98,12 @@
 	return func(engine *Engine) { engine.usage = usage }
 }
 
+// WithEnded sets the function that gets the ends of attempts that workers reported, once each is
+// recorded. It gets none whose outcome of the proposal stayed unknown. It must not block.
+func WithEnded(ended func(worker scheduler.WorkerName, attempts []scheduler.EndedAttempt)) Option {
+	return func(engine *Engine) { engine.ended = ended }
+}
+
 // WithLease sets the duration of leases at the worker and the leader's margin on top of it.
 func WithLease(duration, margin time.Duration) Option {
 	return func(engine *Engine) { engine.leaseDuration, engine.leaseMargin = duration, margin }
@@ -114,6 +121,7 @@
 		vm: vm, group: group, machine: machine, placer: placer, log: zerolog.Nop(),
 		batcher:       &batcher{group: group},
 		usage:         func(scheduler.WorkerName, []scheduler.AttemptUsage) {},
+		ended:         func(scheduler.WorkerName, []scheduler.EndedAttempt) {},
 		leaseDuration: defaultLeaseDuration, leaseMargin: defaultLeaseMargin, grace: defaultGrace,
 		victimTimeout: defaultVictimTimeout, tick: defaultTick, replacementRate: defaultReplacementRate,
 	}
--- a/internal/dispatcher/sync.go
+++ b/internal/dispatcher/sync.go
@@ -30,6 +30,9 @@
 				return nil, Error.Wrap(scheduler.ErrNotRun.New("%s", result.Reason))
 			}
 		}
+		if ended := recorded(operations, results); len(ended) > 0 {
+			engine.ended(request.Worker, ended)
+		}
 	}
 	if len(request.Usage) > 0 {
 		engine.usage(request.Worker, request.Usage)
@@ -37,6 +40,17 @@
 	return engine.answer(request, term)
 }
 
+// recorded returns the ends of attempts that the operations have recorded.
+func recorded(operations []Operation, results []Result) []scheduler.EndedAttempt {
+	var ended []scheduler.EndedAttempt
+	for i, operation := range operations {
+		if end := operation.End; end != nil && results[i].Outcome == ResultDone {
+			ended = append(ended, scheduler.EndedAttempt{Lease: end.Lease, Outcome: end.Outcome, Message: end.Message})
+		}
+	}
+	return ended
+}
+
 // hear refuses requests that came late or to the wrong VM.
 func (engine *Engine) hear(request *scheduler.SyncRequest) (scheduler.Term, error) {
 	engine.mutex.Lock()
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -110,7 +110,7 @@
 		}
 		placed := scheduler.PlacedTask{
 			Task: task.ID, Job: task.job.ID, Team: task.job.Team, Spec: *task.spec(), Started: time.UnixMilli(task.Since),
-			Throttled: throttled(task.Lease),
+			Lease: task.Lease, Throttled: throttled(task.Lease),
 		}
 		if task.Saved != 0 {
 			placed.LastCheckpoint = time.UnixMilli(task.Saved)
--- a/pkg/scheduler/lease.go
+++ b/pkg/scheduler/lease.go
@@ -70,6 +70,11 @@
 	Age      time.Duration `json:"age" cbor:"age"`
 	Interval time.Duration `json:"interval" cbor:"interval"`
 	Used     Resources     `json:"used" cbor:"used"`
+	// Latency is the 99th percentile of the answers' latency, zero for batch tasks and for
+	// services without requests in the interval.
+	Latency time.Duration `json:"latency,omitempty" cbor:"latency,omitempty"`
+	// Load is the share of the task's capacity in use, from 0 to 1. It is zero for batch tasks.
+	Load float64 `json:"load,omitempty" cbor:"load,omitempty"`
 }
 
 // SyncAnswer is the answer to an exchange. It is a wire type. The worker ignores it when the term is
--- a/pkg/scheduler/work.go
+++ b/pkg/scheduler/work.go
@@ -82,7 +82,9 @@
 
 // PlacedTask is a task that occupies a worker, whatever state it is in.
 type PlacedTask struct {
-	Task    TaskID
+	Task TaskID
+	// Lease is that of the attempt that occupies the worker. Usage reports name it.
+	Lease   LeaseNumber
 	Job     JobID
 	Team    TeamName
 	Spec    TaskSpec
