emulator: report usage per worker interval, with latency and load

Cause: every attempt had intervals of its own, so the usage of two tasks in the same time could not be matched, the last part of an attempt was never reported, and services reported no latency.

The fault FailKind fails the attempts of one kind on every worker that has it.

Conclusion: the control loop can be tried against emulated workers.

--- a/internal/emulator/attempt.go
+++ b/internal/emulator/attempt.go
@@ -23,18 +23,9 @@
 	saves      uint32
 	nextSave   time.Duration
 	lastStep   time.Duration
-	nextUsage  time.Duration
+	started    time.Duration
 }
 
-// usage is a report that is sent once it is due.
-type usage struct {
-	until  time.Duration
-	report scheduler.AttemptUsage
-}
-
-// usageInterval is what one usage report covers.
-const usageInterval = 10 * time.Second
-
 // start runs a new attempt, unless the worker has had this lease or a higher one of the task.
 func (worker *Worker) start(command scheduler.WorkerCommand, sent, duration time.Duration) {
 	if _, refused := worker.refused[command.Lease]; refused || command.Lease <= worker.highest[command.Task] || command.Spec == nil {
@@ -50,9 +41,9 @@
 	worker.executions = append(worker.executions, execution)
 	worker.attempts[command.Lease] = &attempt{
 		execution: execution, spec: *command.Spec, renewed: sent, leaseEnd: sent + duration,
-		lastStep: now, nextSave: now + worker.saveEach, nextUsage: now + usageInterval,
+		lastStep: now, started: now, nextSave: now + worker.saveEach,
 	}
-	if worker.faults.FailStarts {
+	if kind := worker.faults.FailKind; worker.faults.FailStarts || kind != "" && kind == command.Spec.Kind {
 		worker.end(worker.attempts[command.Lease], scheduler.AttemptFailed, "exit status 1")
 	}
 }
@@ -69,6 +60,7 @@
 	for _, lease := range slices.Sorted(maps.Keys(worker.attempts)) {
 		worker.advance(worker.attempts[lease], now)
 	}
+	worker.measure(now)
 }
 
 // endUnrenewed ends the attempts whose leases have run out by the worker's clock. They have had no
@@ -106,12 +98,6 @@
 		attempt.nextSave = now + worker.saveEach
 		worker.save(attempt)
 	}
-	if now >= attempt.nextUsage {
-		attempt.nextUsage = now + usageInterval
-		worker.usage = append(worker.usage, usage{until: now, report: scheduler.AttemptUsage{
-			Lease: execution.Lease, Interval: usageInterval, Used: attempt.spec.Request,
-		}})
-	}
 }
 
 func (worker *Worker) save(attempt *attempt) {
@@ -126,6 +112,10 @@
 func (worker *Worker) end(attempt *attempt, outcome scheduler.AttemptOutcome, message string) {
 	execution := attempt.execution
 	execution.Outcome = outcome
+	now := worker.now()
+	if used := worker.used(attempt, now); used.report.Interval > 0 {
+		worker.endedUsage = append(worker.endedUsage, used)
+	}
 	delete(worker.attempts, execution.Lease)
 	ended := scheduler.EndedAttempt{Lease: execution.Lease, Outcome: outcome, Message: message}
 	if execution.Saved > 0 {
@@ -134,19 +124,6 @@
 	worker.ended[execution.Lease] = ended
 }
 
-// dueUsage takes the usage reports that are old enough to be sent. They are sent once; lost ones stay
-// lost, as with real workers.
-func (worker *Worker) dueUsage(now time.Duration) []scheduler.AttemptUsage {
-	var due []scheduler.AttemptUsage
-	for len(worker.usage) > 0 && now-worker.usage[0].until >= usageDelay {
-		report := worker.usage[0].report
-		report.Age = now - worker.usage[0].until
-		due = append(due, report)
-		worker.usage = worker.usage[1:]
-	}
-	return due
-}
-
 func formatCheckpoint(execution *Execution) string {
 	return fmt.Sprintf("%s@%d", execution.Task, execution.Saved.Milliseconds())
 }
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -36,6 +36,8 @@
 	Frozen bool
 	// FailStarts makes every attempt fail right after its start.
 	FailStarts bool
+	// FailKind makes every attempt of tasks of this kind fail right after its start.
+	FailKind string
 	// IgnoreStop makes the worker ignore stop commands; it still obeys its leases.
 	IgnoreStop bool
 	// LoseAnswers drops the answers of exchanges that have reached the system.
@@ -73,6 +75,8 @@
 	// rate is how fast the worker's clock runs, 1 for a correct one.
 	rate     float64
 	saveEach time.Duration
+	// interference is what the worker reports of its services, nil for no latencies.
+	interference *Interference
 
 	mutex       sync.Mutex
 	faults      Faults
@@ -85,10 +89,13 @@
 	// start command starts an attempt again.
 	highest map[scheduler.TaskID]scheduler.LeaseNumber
 	// refused holds leases that were told to stop before they were started.
-	refused    map[scheduler.LeaseNumber]struct{}
-	ended      map[scheduler.LeaseNumber]scheduler.EndedAttempt
-	saved      []scheduler.Checkpoint
-	usage      []usage
+	refused map[scheduler.LeaseNumber]struct{}
+	ended   map[scheduler.LeaseNumber]scheduler.EndedAttempt
+	saved   []scheduler.Checkpoint
+	usage   []usage
+	// endedUsage is of attempts that have ended in the current interval, which ends at nextUsage.
+	endedUsage []usage
+	nextUsage  time.Duration
 	executions []*Execution
 }
 
@@ -121,7 +128,8 @@
 	worker.highest = map[scheduler.TaskID]scheduler.LeaseNumber{}
 	worker.refused = map[scheduler.LeaseNumber]struct{}{}
 	worker.ended = map[scheduler.LeaseNumber]scheduler.EndedAttempt{}
-	worker.saved, worker.usage = nil, nil
+	worker.saved, worker.usage, worker.endedUsage = nil, nil, nil
+	worker.nextUsage = worker.now() + usageInterval
 }
 
 // now returns the time since the worker was created, by the worker's own clock.
