--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -122,6 +122,14 @@
 	delete(controller.workers, worker)
 }
 
+// Acted tells that an action on a worker has had its effect now, later than Decide returned it. Reports
+// from before do not count.
+func (controller *Controller) Acted(worker scheduler.WorkerName, now time.Time) {
+	if w := controller.workers[worker]; w != nil {
+		w.acted, w.excess, w.calm = now, w.excess[:0], time.Time{}
+	}
+}
+
 // Observe takes over a report. Reports from before the last action on the worker, and reports older
 // than one already seen, do not count: they cannot show what the action did.
 func (controller *Controller) Observe(report scheduler.UsageReport) {
