composer: place through the governor and show its gauges

Cause: the scheduler role placed by placer.New() alone.

Change: the role builds the governor, gives it usage, ended attempts and the teams of the configuration in force, and runs its actions. New gauges: tasks_throttled, workers_quarantined, evictions by cause, team_share by team.

Conclusion: the daemon uses all parts of placement that stand.

--- a/internal/composer/coordinator.go
+++ b/internal/composer/coordinator.go
@@ -13,10 +13,10 @@
 
 	"github.com/crocusplank/crocusplank/internal/configurator"
 	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/governor"
 	"github.com/crocusplank/crocusplank/internal/kernel"
 	"github.com/crocusplank/crocusplank/internal/loader"
 	"github.com/crocusplank/crocusplank/internal/multiplexer"
-	"github.com/crocusplank/crocusplank/internal/placer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -44,6 +44,7 @@
 	environment *environment
 	replicas    *replicaRole
 	engine      *dispatcher.Engine
+	governor    *governor.Governor
 	group       *multiplexer.Member
 	distributor *configurator.Distributor
 	cancel      context.CancelFunc
@@ -55,17 +56,18 @@
 	if replicas == nil {
 		return nil, Error.New("the role scheduler needs the role replica")
 	}
-	placing, err := placer.New()
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
 	home := environment.homeGroup()
 	coordinator := &coordinator{
 		environment: environment, replicas: replicas,
 		group: replicas.member(home, machineDispatcher),
 	}
 	log := environment.log.With().Str("role", loader.RoleScheduler).Logger()
-	coordinator.engine = dispatcher.NewEngine(environment.settings.VM, coordinator.group, replicas.jobs, placing, dispatcher.WithLogger(log))
+	var err error
+	if coordinator.governor, err = governor.New(coordinator.group, governor.WithLogger(log)); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	coordinator.engine = dispatcher.NewEngine(environment.settings.VM, coordinator.group, replicas.jobs, coordinator.governor,
+		dispatcher.WithLogger(log), dispatcher.WithUsage(coordinator.governor.Usage), dispatcher.WithEnded(coordinator.governor.Ended))
 	coordinator.distributor = configurator.NewDistributor(replicas.global, replicas.local,
 		replicas.member(home, machineConfiguration), configurator.WithLogger(log))
 	environment.transport.Handle(home, kindWorkerSync, coordinator.handleSync)
@@ -89,6 +91,12 @@
 		coordinator.engine.FollowInventory(ctx, coordinator.replicas.local.InForce, changes.Changed())
 	})
 	coordinator.workers.Go(func() { coordinator.engine.MoveJobs(ctx, coordinator.deliver) })
+	coordinator.workers.Go(func() { coordinator.governor.Run(ctx, coordinator.engine) })
+	teams := coordinator.replicas.local.Subscribe()
+	coordinator.workers.Go(func() {
+		defer teams.Close()
+		coordinator.governor.FollowTeams(ctx, coordinator.replicas.local.InForce, teams.Changed())
+	})
 	return nil
 }
 
--- a/internal/composer/metrics.go
+++ b/internal/composer/metrics.go
@@ -14,6 +14,9 @@
 	if replicas := replicasOf(daemon.kernel); replicas != nil {
 		replicas.measure(scope)
 	}
+	if coordinator, ok := daemon.kernel.Lookup(serviceCoordinator).(*coordinator); ok {
+		coordinator.measure(scope)
+	}
 	if daemon.gateway != nil {
 		daemon.gateway.measure(scope)
 	}
@@ -54,6 +57,20 @@
 	scope.Gauge("capacity_milli_cores").Update(float64(counts.Capacity.MilliCores))
 }
 
+// measure sets the gauges of placement. They are those of the group's leader and zero elsewhere, but
+// for the evictions, which each VM counts from its start.
+func (coordinator *coordinator) measure(scope tally.Scope) {
+	figures := coordinator.governor.Figures()
+	scope.Gauge("tasks_throttled").Update(float64(figures.Throttled))
+	scope.Gauge("workers_quarantined").Update(float64(figures.Quarantined))
+	for cause, count := range figures.Evictions {
+		scope.Tagged(map[string]string{"cause": string(cause)}).Gauge("evictions").Update(float64(count))
+	}
+	for team, share := range figures.Shares {
+		scope.Tagged(map[string]string{"team": string(team)}).Gauge("team_share").Update(share)
+	}
+}
+
 func (gatewayRole *gatewayRole) measure(scope tally.Scope) {
 	for _, service := range gatewayRole.registrar.Services() {
 		tagged := scope.Tagged(map[string]string{"service": string(service)})
