--- a/internal/governor/cluster_test.go
+++ b/internal/governor/cluster_test.go
@@ -24,6 +24,8 @@
 	workers map[scheduler.WorkerName]*emulator.Worker
 	config  scheduler.Configuration
 	ctx     context.Context
+	// saveEach is the period of the tasks' checkpoints, 0 for none.
+	saveEach time.Duration
 }
 
 // vm is one VM and its view of the group.
@@ -34,8 +36,8 @@
 	engine   *dispatcher.Engine
 	governor *Governor
 	// throttles and releases count what the governor asked for; reasons are those of its evictions.
-	throttles, releases int
-	reasons             []string
+	throttles, releases, saves int
+	reasons                    []string
 }
 
 func (vm *vm) Name() scheduler.GroupName { return "couva" }
@@ -80,7 +82,12 @@
 	vm.engine.Throttle(lease, throttled)
 }
 
-func (vm *vm) SaveCheckpoint(lease scheduler.LeaseNumber) { vm.engine.SaveCheckpoint(lease) }
+func (vm *vm) SaveCheckpoint(lease scheduler.LeaseNumber) {
+	vm.system.mutex.Lock()
+	vm.saves++
+	vm.system.mutex.Unlock()
+	vm.engine.SaveCheckpoint(lease)
+}
 
 func (vm *vm) Evict(ctx context.Context, task scheduler.TaskID, reason string) error {
 	vm.system.mutex.Lock()
@@ -115,7 +122,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		system := &system{term: 1, workers: map[scheduler.WorkerName]*emulator.Worker{}, ctx: ctx}
+		system := &system{term: 1, workers: map[scheduler.WorkerName]*emulator.Worker{}, ctx: ctx, saveEach: 30 * time.Second}
 		defer func() {
 			cancel()
 			time.Sleep(time.Hour) // Exchanges under way end before the bubble does.
@@ -159,7 +166,7 @@
 func (system *system) start(names string) {
 	for name := range strings.FieldsSeq(names) {
 		worker := emulator.NewWorker(scheduler.WorkerName(name), system.exchange,
-			emulator.WithInterference(table), emulator.WithCheckpointPeriod(30*time.Second))
+			emulator.WithInterference(table), emulator.WithCheckpointPeriod(system.saveEach))
 		system.workers[scheduler.WorkerName(name)] = worker
 		go worker.Run(system.ctx)
 	}
--- a/internal/governor/interference_test.go
+++ b/internal/governor/interference_test.go
@@ -36,13 +36,17 @@
 		count                int
 		milliCores           int64
 		throttles, evictions int
+		saveEach             time.Duration
+		saves                int
 	}{
-		"throttling is enough":        {1, 2000, 1, 0},
-		"throttling is not enough":    {1, 4000, 1, 1},
-		"moving one of two is enough": {2, 2900, 2, 1},
+		"throttling is enough":        {1, 2000, 1, 0, 30 * time.Second, 0},
+		"throttling is not enough":    {1, 4000, 1, 1, 30 * time.Second, 1},
+		"moving one of two is enough": {2, 2900, 2, 1, 30 * time.Second, 1},
+		"nothing can be saved":        {1, 4000, 1, 1, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			try(t, "a b c", nil, func(t *testing.T, system *system) {
+				system.saveEach = test.saveEach
 				noisyPair(t, system, test.count, test.milliCores)
 				// Two actions need 60 s of reports each. A release comes 2 minutes after calm at the earliest.
 				time.Sleep(200 * time.Second)
@@ -50,6 +54,9 @@
 				if throttles != test.throttles || len(reasons) != test.evictions {
 					t.Fatalf("got %d throttles and evictions %q, want %d and %d", throttles, reasons, test.throttles, test.evictions)
 				}
+				if got := system.leading().saves; got != test.saves {
+					t.Errorf("got %d checkpoints asked for, want %d", got, test.saves)
+				}
 				if got := system.running("noisy"); got != test.count {
 					t.Errorf("got %d running tasks, want %d", got, test.count)
 				}
@@ -145,3 +152,43 @@
 		})
 	}
 }
+
+// Guards against late usage of a task that has ended being lost or credited without it, and against a
+// memory of leases that grows without bound.
+func TestUsageOfEndedTasks(t *testing.T) {
+	try(t, "", nil, func(t *testing.T, system *system) {
+		governor := system.leading().governor
+		task := func(lease scheduler.LeaseNumber, kind string, class scheduler.Class) scheduler.PlacedTask {
+			return scheduler.PlacedTask{
+				Lease: lease, Task: scheduler.TaskID(kind), Spec: scheduler.TaskSpec{Kind: kind, Class: class},
+			}
+		}
+		desk, noisy := task(1, "desk", scheduler.ClassLatencyCritical), task(2, "noisy", scheduler.ClassBatch)
+		state := scheduler.WorkerState{Worker: scheduler.Worker{Name: "a", Capacity: capacity}}
+		state.Tasks = []scheduler.PlacedTask{desk, noisy}
+		governor.Update(state)
+		time.Sleep(10 * time.Second)
+		state.Tasks = state.Tasks[:1]
+		governor.Update(state)
+		report := func(neighbour scheduler.LeaseNumber) int {
+			governor.Usage("a", []scheduler.AttemptUsage{
+				{Lease: 1, Age: 20 * time.Second, Interval: 10 * time.Second, Latency: time.Second, Load: 0.8},
+				{Lease: neighbour, Age: 20 * time.Second, Interval: 10 * time.Second, Used: capacity},
+			})
+			return len(governor.estimator.Coefficients())
+		}
+		if got := report(3); got != 0 {
+			t.Errorf("got %d pairings from a report with an unknown lease, want none", got)
+		}
+		time.Sleep(keptLeases - time.Minute)
+		if got := report(2); got != 1 {
+			t.Errorf("got %d pairings from a report with an ended task, want 1", got)
+		}
+		time.Sleep(2 * time.Minute)
+		governor.mutex.Lock()
+		defer governor.mutex.Unlock()
+		if got := len(governor.ledger.leases); got != 1 {
+			t.Errorf("got %d leases in memory, want that of the running task only", got)
+		}
+	})
+}
