governor: take over unchanged leases without map writes

Cause: every Update wrote three maps for each task of the worker, and all live leases were searched each second for attempts that have survived.

Change: only new and returning leases are entered; the search runs every 10 s.

--- a/internal/governor/ledger.go
+++ b/internal/governor/ledger.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -19,6 +20,8 @@
 	live map[scheduler.TaskID]scheduler.LeaseNumber
 	// ended holds the leases that have ended, oldest first.
 	ended []scheduler.LeaseNumber
+	// surveyed is when the live leases were last searched for attempts that have survived.
+	surveyed time.Time
 }
 
 // entry is one lease.
@@ -45,20 +48,22 @@
 	old := ledger.states[state.Worker.Name]
 	ledger.states[state.Worker.Name] = state
 	governor.quotas.resize(old.Worker.Capacity, state.Worker.Capacity)
-	listed := map[scheduler.LeaseNumber]bool{}
 	for _, task := range state.Tasks {
-		listed[task.Lease] = true
 		known := ledger.leases[task.Lease]
 		if known == nil {
-			known = &entry{worker: state.Worker.Name, first: now}
+			known = &entry{worker: state.Worker.Name, first: now, until: now}
 			ledger.leases[task.Lease] = known
 		}
-		known.task, known.until = task, time.Time{}
-		ledger.live[task.Task] = task.Lease
-		governor.quotas.charge(now, task.Task, task.Team, task.Spec.Request)
+		known.task = task
+		if !known.until.IsZero() {
+			known.until = time.Time{}
+			ledger.live[task.Task] = task.Lease
+			governor.quotas.charge(now, task.Task, task.Team, task.Spec.Request)
+		}
 	}
 	for _, task := range old.Tasks {
-		if !listed[task.Lease] {
+		listed := func(other scheduler.PlacedTask) bool { return other.Lease == task.Lease }
+		if !slices.ContainsFunc(state.Tasks, listed) {
 			governor.close(task, now)
 		}
 	}
--- a/internal/governor/quarantine.go
+++ b/internal/governor/quarantine.go
@@ -12,6 +12,8 @@
 	// survivedAfter is how long an attempt must have run to speak for its worker. A worker that
 	// fails what it starts does so sooner.
 	survivedAfter = time.Minute
+	// surveyPeriod limits how often all live leases, 18,700 in two years, are looked at.
+	surveyPeriod = 10 * time.Second
 	// keptFailures is how long the failures of a job count. It is also how long a hopeless job is
 	// not tried, so that a fault outside the system that has passed does not hold it for ever.
 	keptFailures = 30 * time.Minute
@@ -48,8 +50,12 @@
 	})
 }
 
-// quarantines tells the engine which workers have changed their state.
-func (governor *Governor) quarantines(now time.Time) []command {
+// survey counts the attempts that have survived.
+func (governor *Governor) survey(now time.Time) {
+	if now.Sub(governor.ledger.surveyed) < surveyPeriod {
+		return
+	}
+	governor.ledger.surveyed = now
 	for _, lease := range governor.ledger.live {
 		known := governor.ledger.leases[lease]
 		if !known.survived && now.Sub(known.first) >= survivedAfter {
@@ -57,6 +63,11 @@
 			governor.testify(now, known, quarantiner.OutcomeSurvived)
 		}
 	}
+}
+
+// quarantines tells the engine which workers have changed their state.
+func (governor *Governor) quarantines(now time.Time) []command {
+	governor.survey(now)
 	for job, at := range governor.failures {
 		if now.Sub(at) >= keptFailures {
 			delete(governor.failures, job)
