governor: borrowed room returns as tasks end

Change: the governor's reclaim is gone. Before: the tree did not build. After: go test -race -count=2 ./internal/governor passes, 37 s.

--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -10,6 +10,7 @@
 	"github.com/crocusplank/crocusplank/internal/demonstrator"
 	"github.com/crocusplank/crocusplank/internal/emulator"
 	"github.com/crocusplank/crocusplank/internal/experimenter"
+	"github.com/crocusplank/crocusplank/internal/sizer"
 	"github.com/crocusplank/crocusplank/internal/versioner"
 )
 
@@ -28,6 +29,6 @@
 
 func experimentCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "experiment", Short: "Run experiments on stand-ins"}
-	parent.AddCommand(experimenter.Command())
+	parent.AddCommand(experimenter.Command(), sizer.Command())
 	return parent
 }
--- a/internal/governor/control.go
+++ b/internal/governor/control.go
@@ -33,8 +33,6 @@
 	CauseUrgent Cause = "urgent"
 	// CauseInterference protects a latency-critical service.
 	CauseInterference Cause = "interference"
-	// CauseReclaim gives borrowed resources back to a team within its quota.
-	CauseReclaim Cause = "reclaim"
 )
 
 // Engine is what the governor asks of the dispatcher's engine.
@@ -95,8 +93,6 @@
 			commands = append(commands, governor.act(now, action)...)
 		}
 	}
-	commands = append(commands, governor.reclaims...)
-	governor.reclaims = nil
 	return commands
 }
 
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -50,7 +50,6 @@
 	// failures holds the time of the last failure of each job, for the sweep of the quarantiner.
 	failures map[scheduler.JobID]time.Time
 	removals map[scheduler.WorkerName]*removal
-	reclaims []command
 }
 
 var _ scheduler.Placer = (*Governor)(nil)
@@ -104,7 +103,6 @@
 	governor.ledger = newLedger()
 	governor.failures = map[scheduler.JobID]time.Time{}
 	governor.removals = map[scheduler.WorkerName]*removal{}
-	governor.reclaims = nil
 	return nil
 }
 
--- a/internal/governor/quota.go
+++ b/internal/governor/quota.go
@@ -3,20 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/quotakeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-const (
-	// reclaimPeriod limits how often the running tasks are searched for borrowed resources.
-	reclaimPeriod = 5 * time.Second
-	// followPeriod is how soon a missed change of the configuration is noticed.
-	followPeriod = time.Second
-)
+// followPeriod is how soon a missed change of the configuration is noticed.
+const followPeriod = time.Second
 
 // quotas counts what the teams use.
 type quotas struct {
@@ -25,8 +19,7 @@
 	used     map[scheduler.TeamName]scheduler.Resources
 	charged  map[scheduler.TaskID]charge
 	// assigned holds the tasks that Place assigned and no Update has listed yet.
-	assigned  map[scheduler.WorkerName][]scheduler.TaskID
-	reclaimed time.Time
+	assigned map[scheduler.WorkerName][]scheduler.TaskID
 }
 
 type charge struct {
@@ -143,7 +136,6 @@
 			refusals = append(refusals, refusal)
 		}
 	}
-	governor.reclaim(now, pending)
 	return assignments, refusals
 }
 
@@ -167,24 +159,3 @@
 	}
 	return fmt.Sprintf("team %s would be beyond quota", task.Team)
 }
-
-// reclaim has borrowed resources given back to tasks within quota that have waited for long.
-func (governor *Governor) reclaim(now time.Time, pending []scheduler.PendingTask) {
-	if len(pending) == 0 || now.Sub(governor.quotas.reclaimed) < reclaimPeriod {
-		return
-	}
-	governor.quotas.reclaimed = now
-	var running []scheduler.PlacedTask
-	for _, name := range slices.Sorted(maps.Keys(governor.ledger.states)) {
-		running = append(running, governor.ledger.states[name].Tasks...)
-	}
-	for _, id := range governor.quotas.keeper.Reclaim(now, pending, running) {
-		lease, live := governor.ledger.live[id]
-		if !live {
-			continue
-		}
-		team := governor.ledger.leases[lease].task.Team
-		reason := fmt.Sprintf("team %s is beyond quota and gives back what it borrowed to a team within its quota", team)
-		governor.reclaims = append(governor.reclaims, governor.evict(id, lease, CauseReclaim, reason))
-	}
-}
