--- a/internal/demonstrator/steps.go
+++ b/internal/demonstrator/steps.go
@@ -21,7 +21,7 @@
       {"name": "worker-2", "dataCentre": "couva", "rack": "rack-1", "capacity": {"milliCores": 4000, "memoryBytes": 8000000000}},
       {"name": "worker-3", "dataCentre": "couva", "rack": "rack-2", "capacity": {"milliCores": 4000, "memoryBytes": 8000000000}}
     ],
-    "teams": [{"name": "cutting", "quota": {"milliCores": 8000, "memoryBytes": 16000000000}}],
+    "teams": [{"name": "cutting", "quota": {"milliCores": 12000, "memoryBytes": 24000000000}}],
     "services": [{"name": "charts", "class": "latencyCritical", "team": "cutting"}],
     "rules": [{"name": "charts-stay-prompt", "service": "charts", "class": "latencyCritical"}]
   }
