encoder, waiter: one place for CBOR modes and interruptible waits

Cause: the CBOR modes stood in configurator and dispatcher, and the same wait in five packages (duplicates). Change: internal/encoder and internal/waiter; no change of behaviour.

--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -233,12 +232,3 @@
 		}
 	}
 }
-
-// Guards against a wait that survives the end of its command.
-func TestPauseEndsWithContext(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if pause(ctx, waitInterval) {
-		t.Error("pause: got true after the context ended, want false")
-	}
-}
--- a/internal/commander/job.go
+++ b/internal/commander/job.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/crocusplank/crocusplank/gen/jobs"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 )
 
 const waitInterval = time.Second
@@ -229,7 +230,7 @@
 				return commander.printJob(command, job)
 			}
 		}
-		if !pause(command.Context(), waitInterval) {
+		if !waiter.Sleep(command.Context(), waitInterval) {
 			return Error.Wrap(command.Context().Err())
 		}
 	}
@@ -247,17 +248,6 @@
 	return fmt.Sprintf("job %s: %s, tasks %v %s", job.ID, job.State, counts, text(job.Reason))
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func optional(value string) *string {
 	if value == "" {
 		return nil
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -18,6 +18,7 @@
 	"github.com/crocusplank/crocusplank/internal/loader"
 	"github.com/crocusplank/crocusplank/internal/messenger"
 	"github.com/crocusplank/crocusplank/internal/reporter"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -185,7 +186,7 @@
 // and then the listeners close. When ctx ends first, what is left is cut.
 func (daemon *Daemon) Stop(ctx context.Context) error {
 	if daemon.environment.inService.Swap(false) {
-		wait(ctx, balancerDelay)
+		waiter.Sleep(ctx, balancerDelay)
 	}
 	err := daemon.kernel.Stop(ctx)
 	daemon.cancel()
@@ -199,16 +200,6 @@
 	return Error.Wrap(err)
 }
 
-// wait returns after a duration or when ctx ends.
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // ready reports whether the platform's balancer may send requests to this VM, with the reason if not.
 func (daemon *Daemon) ready() (bool, string) {
 	if !daemon.environment.inService.Load() {
--- a/internal/composer/replica.go
+++ b/internal/composer/replica.go
@@ -15,6 +15,7 @@
 	"github.com/crocusplank/crocusplank/internal/loader"
 	"github.com/crocusplank/crocusplank/internal/multiplexer"
 	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -192,7 +193,7 @@
 			return
 		}
 		replicaRole.environment.log.Debug().Str("event", "configuration.notRead").Err(err).Msg("no majority answers yet")
-		wait(ctx, readyRetryPause)
+		waiter.Sleep(ctx, readyRetryPause)
 	}
 }
 
--- a/internal/configurator/difference.go
+++ b/internal/configurator/difference.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -58,7 +59,7 @@
 	}
 	for _, encoded := range change.Put {
 		var element T
-		if err := decoding.Unmarshal(encoded, &element); err != nil {
+		if err := encoder.Unmarshal(encoded, &element); err != nil {
 			return nil, Error.Wrap(err)
 		}
 		key := list.key(&element)
--- a/internal/configurator/distributor.go
+++ b/internal/configurator/distributor.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/rs/zerolog"
 )
@@ -102,7 +103,7 @@
 }
 
 func (distributor *Distributor) propose(ctx context.Context, command Copy) (result CopyResult, err error) {
-	encoded, err := encoding.Marshal(command)
+	encoded, err := encoder.Marshal(command)
 	if err != nil {
 		return result, Error.Wrap(err)
 	}
@@ -110,5 +111,5 @@
 	if err != nil {
 		return result, Error.Wrap(err)
 	}
-	return result, Error.Wrap(decoding.Unmarshal(answer, &result))
+	return result, Error.Wrap(encoder.Unmarshal(answer, &result))
 }
--- a/internal/configurator/distributor_test.go
+++ b/internal/configurator/distributor_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -38,7 +39,7 @@
 			firstDigest, _ := Digest(first)
 			local.Apply(1, encodeResult(Copy{Revision: 5, Digest: firstDigest, Document: first}))
 			var got CopyResult
-			if err := decoding.Unmarshal(local.Apply(2, encodeResult(test.command)), &got); err != nil {
+			if err := encoder.Unmarshal(local.Apply(2, encodeResult(test.command)), &got); err != nil {
 				t.Fatal(err)
 			}
 			got.Reason = ""
--- a/internal/configurator/global.go
+++ b/internal/configurator/global.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -99,7 +100,7 @@
 // Apply decides on an encoded Change and returns an encoded ChangeResult.
 func (global *Global) Apply(index scheduler.Index, command []byte) []byte {
 	var change Change
-	if err := decoding.Unmarshal(command, &change); err != nil {
+	if err := encoder.Unmarshal(command, &change); err != nil {
 		return encodeResult(ChangeResult{Outcome: ChangeRefused, Reason: "unreadable change: " + err.Error()})
 	}
 	global.mutex.Lock()
@@ -112,7 +113,7 @@
 }
 
 func encodeResult(result any) []byte {
-	encoded, err := encoding.Marshal(result)
+	encoded, err := encoder.Marshal(result)
 	if err != nil {
 		panic(err) // The result types have no field that the encoder can refuse.
 	}
@@ -244,7 +245,7 @@
 	document := global.document
 	for i := len(global.history) - 1; i >= 0 && global.history[i].Revision > revision; i-- {
 		var undo Delta
-		if err := decoding.Unmarshal(global.history[i].Undo, &undo); err != nil {
+		if err := encoder.Unmarshal(global.history[i].Undo, &undo); err != nil {
 			return nil, false
 		}
 		earlier, err := undo.Patch(document)
@@ -280,7 +281,7 @@
 	for _, key := range global.order {
 		state.Decisions = append(state.Decisions, global.changes[key])
 	}
-	return Error.Wrap(encoding.NewEncoder(w).Encode(state))
+	return Error.Wrap(encoder.NewEncoder(w).Encode(state))
 }
 
 // Restore replaces the state. An empty reader restores the empty state.
--- a/internal/configurator/global_test.go
+++ b/internal/configurator/global_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -101,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			var got ChangeResult
 			global := NewGlobal()
-			if err := decoding.Unmarshal(global.Apply(1, encodeResult(change)), &got); err != nil {
+			if err := encoder.Unmarshal(global.Apply(1, encodeResult(change)), &got); err != nil {
 				t.Fatal(err)
 			}
 			if got.Outcome != ChangeRefused || got.Reason == "" || got.Revision != 0 {
@@ -110,7 +111,7 @@
 		})
 	}
 	var got ChangeResult
-	if err := decoding.Unmarshal(NewGlobal().Apply(1, []byte{0xff}), &got); err != nil || got.Outcome != ChangeRefused {
+	if err := encoder.Unmarshal(NewGlobal().Apply(1, []byte{0xff}), &got); err != nil || got.Outcome != ChangeRefused {
 		t.Errorf("got %+v, %v, want a refusal", got, err)
 	}
 }
--- a/internal/configurator/local.go
+++ b/internal/configurator/local.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -62,7 +63,7 @@
 // returns an encoded CopyResult.
 func (local *Local) Apply(_ scheduler.Index, command []byte) []byte {
 	var wanted Copy
-	if err := decoding.Unmarshal(command, &wanted); err != nil {
+	if err := encoder.Unmarshal(command, &wanted); err != nil {
 		return encodeResult(CopyResult{Outcome: CopyRefused, Reason: err.Error()})
 	}
 	local.mutex.Lock()
@@ -132,7 +133,7 @@
 // Snapshot writes the whole state.
 func (local *Local) Snapshot(w io.Writer) error {
 	revision, document, _ := local.InForce()
-	return Error.Wrap(encoding.NewEncoder(w).Encode(localState{Revision: revision, Document: document}))
+	return Error.Wrap(encoder.NewEncoder(w).Encode(localState{Revision: revision, Document: document}))
 }
 
 // Restore replaces the state. An empty reader restores the empty state. A snapshot with a lower
--- a/internal/configurator/notifier.go
+++ b/internal/configurator/notifier.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/crocusplank/crocusplank/internal/encoder"
 )
 
 // notifier tells subscribers that something newer can be read. It carries no value: a subscriber
@@ -54,7 +56,7 @@
 
 // decodeState decodes a snapshot and leaves state as it is when the reader is empty.
 func decodeState(r io.Reader, state any) error {
-	if err := decoding.NewDecoder(r).Decode(state); err != nil && !errors.Is(err, io.EOF) {
+	if err := encoder.NewDecoder(r).Decode(state); err != nil && !errors.Is(err, io.EOF) {
 		return Error.New("unreadable snapshot: %w", err)
 	}
 	return nil
--- a/internal/configurator/section.go
+++ b/internal/configurator/section.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -164,7 +165,7 @@
 		if ok && reflect.DeepEqual(*old, elements[i]) {
 			continue
 		}
-		encoded, err := encoding.Marshal(elements[i])
+		encoded, err := encoder.Marshal(elements[i])
 		if err != nil {
 			return change, Error.Wrap(err)
 		}
@@ -189,7 +190,7 @@
 	}
 	for _, encoded := range change.Put {
 		var element T
-		if err := decoding.Unmarshal(encoded, &element); err != nil {
+		if err := encoder.Unmarshal(encoded, &element); err != nil {
 			return Error.New("element of %s: %w", list.name, err)
 		}
 		index[list.key(&element)] = &element
--- a/internal/configurator/submitter.go
+++ b/internal/configurator/submitter.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -82,7 +83,7 @@
 
 func (submitter *Submitter) propose(ctx context.Context, change *Change) (result ChangeResult, err error) {
 	change.AtUnixMilli = time.Now().UnixMilli()
-	encoded, err := encoding.Marshal(change)
+	encoded, err := encoder.Marshal(change)
 	if err != nil {
 		return result, Error.Wrap(err)
 	}
@@ -90,5 +91,5 @@
 	if err != nil {
 		return result, Error.Wrap(err)
 	}
-	return result, Error.Wrap(decoding.Unmarshal(answer, &result))
+	return result, Error.Wrap(encoder.Unmarshal(answer, &result))
 }
--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -107,7 +108,7 @@
 	for _, waiter := range batch {
 		command.Operations = append(command.Operations, waiter.operations...)
 	}
-	encoded, err := encoding.Marshal(command)
+	encoded, err := encoder.Marshal(command)
 	if err != nil {
 		return nil, Error.Wrap(scheduler.ErrNotRun.Wrap(err))
 	}
@@ -116,7 +117,7 @@
 		return nil, Error.Wrap(err)
 	}
 	var results []Result
-	if err := decoding.Unmarshal(answer, &results); err != nil {
+	if err := encoder.Unmarshal(answer, &results); err != nil {
 		return nil, Error.Wrap(scheduler.ErrUnknown.Wrap(err))
 	}
 	if len(results) != len(command.Operations) {
--- a/internal/dispatcher/benchmark_test.go
+++ b/internal/dispatcher/benchmark_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -78,7 +79,7 @@
 			report := scheduler.AttemptUsage{Lease: 11000, Age: 20 * time.Second, Interval: 10 * time.Second, Used: batchSpec(1000).Request}
 			for name, message := range map[string]any{"request": request, "answer": answer, "report": report} {
 				text, _ := json.Marshal(message)
-				binary, _ := encoding.Marshal(message)
+				binary, _ := encoder.Marshal(message)
 				b.ReportMetric(float64(len(text)), "B/"+name+"JSON")
 				b.ReportMetric(float64(len(binary)), "B/"+name+"CBOR")
 			}
@@ -101,16 +102,16 @@
 			for seconds := 0; b.Loop(); seconds++ {
 				for _, request := range requests {
 					request.Sequence++
-					encoded, _ := encoding.Marshal(request)
+					encoded, _ := encoder.Marshal(request)
 					var received scheduler.SyncRequest
-					if err := decoding.Unmarshal(encoded, &received); err != nil {
+					if err := encoder.Unmarshal(encoded, &received); err != nil {
 						b.Fatal(err)
 					}
 					answer, err := engine.Sync(b.Context(), &received)
 					if err != nil {
 						b.Fatal(err)
 					}
-					_, _ = encoding.Marshal(answer)
+					_, _ = encoder.Marshal(answer)
 				}
 				// The benchmark runs faster than the clock.
 				engine.expiredAt = time.Time{}
--- a/internal/dispatcher/command.go
+++ b/internal/dispatcher/command.go
@@ -6,30 +6,12 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 )
 
 // Error is the class of errors that this package returns.
 var Error = errs.Class("dispatcher")
 
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // Only a fault in the constant options can cause it.
-	}
-	return mode
-}()
-
-// decoding allows bursts larger than the library's default of 131,072 list elements.
-var decoding = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 22}.DecMode()
-	if err != nil {
-		panic(err) // Only a fault in the constant options can cause it.
-	}
-	return mode
-}()
-
 // Command is a batch of operations for the state machine. It is a wire type. The operations have
 // their effects one after another; one that is refused does not affect the others.
 type Command struct {
--- a/internal/dispatcher/failure_test.go
+++ b/internal/dispatcher/failure_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/configurator"
 	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/internal/multiplexer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -40,7 +41,7 @@
 
 func (mutant *mutant) Apply(index scheduler.Index, command []byte) []byte {
 	var batch Command
-	if err := decoding.Unmarshal(command, &batch); err != nil {
+	if err := encoder.Unmarshal(command, &batch); err != nil {
 		return mutant.Machine.Apply(index, command)
 	}
 	var ends []Operation
@@ -55,10 +56,10 @@
 			}
 		}
 	}
-	encoded, _ := encoding.Marshal(batch)
+	encoded, _ := encoder.Marshal(batch)
 	results := mutant.Machine.Apply(index, encoded)
 	if len(ends) > 0 {
-		encoded, _ = encoding.Marshal(Command{AtUnixMilli: batch.AtUnixMilli, Operations: ends})
+		encoded, _ = encoder.Marshal(Command{AtUnixMilli: batch.AtUnixMilli, Operations: ends})
 		mutant.Machine.Apply(index, encoded)
 	}
 	return results
--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -19,7 +20,7 @@
 	if reason := checkSubmission(submission); reason != "" {
 		return refused(reason)
 	}
-	encoded, err := encoding.Marshal(submission)
+	encoded, err := encoder.Marshal(submission)
 	if err != nil {
 		return refused(err.Error())
 	}
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -79,7 +80,7 @@
 func (machine *Machine) Apply(index scheduler.Index, command []byte) []byte {
 	var batch Command
 	results := []Result{}
-	if err := decoding.Unmarshal(command, &batch); err == nil {
+	if err := encoder.Unmarshal(command, &batch); err == nil {
 		machine.mutex.Lock()
 		for i := range batch.Operations {
 			operation := &batch.Operations[i]
@@ -89,7 +90,7 @@
 		}
 		machine.mutex.Unlock()
 	}
-	encoded, err := encoding.Marshal(results)
+	encoded, err := encoder.Marshal(results)
 	if err != nil {
 		panic(err) // The type has no field that the encoder can refuse.
 	}
--- a/internal/dispatcher/machine_test.go
+++ b/internal/dispatcher/machine_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -34,12 +35,12 @@
 	bench.t.Helper()
 	bench.index++
 	bench.at += 1000
-	encoded, err := encoding.Marshal(Command{AtUnixMilli: bench.at, Operations: operations})
+	encoded, err := encoder.Marshal(Command{AtUnixMilli: bench.at, Operations: operations})
 	if err != nil {
 		bench.t.Fatal(err)
 	}
 	var results []Result
-	if err := decoding.Unmarshal(bench.Apply(bench.index, encoded), &results); err != nil {
+	if err := encoder.Unmarshal(bench.Apply(bench.index, encoded), &results); err != nil {
 		bench.t.Fatal(err)
 	}
 	return results
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -73,7 +74,7 @@
 // accept creates the job as the old home recorded it; its tasks go on with their next attempts.
 func (machine *Machine) accept(accept *Accept) Result {
 	moved := &job{}
-	if err := decoding.Unmarshal(accept.Record, moved); err != nil {
+	if err := encoder.Unmarshal(accept.Record, moved); err != nil {
 		return refused("unreadable record: " + err.Error())
 	}
 	if moved.State != JobMoved || moved.MovingTo != scheduler.DataCentreName(machine.group) {
@@ -121,7 +122,7 @@
 	if !known || job.State != JobMoved {
 		return nil, "", false
 	}
-	record, err := encoding.Marshal(job)
+	record, err := encoder.Marshal(job)
 	return record, job.MovingTo, err == nil
 }
 
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -25,7 +26,7 @@
 func (machine *Machine) Snapshot(w io.Writer) error {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
-	encoder := encoding.NewEncoder(w)
+	encoder := encoder.NewEncoder(w)
 	header := snapshotHeader{
 		Term: machine.term, LastLease: machine.lastLease, LastJob: machine.lastJob, Revision: machine.revision,
 		Audit: machine.audit, Workers: len(machine.workers), Jobs: len(machine.jobs),
@@ -52,7 +53,7 @@
 	machine.mutex.Lock()
 	defer machine.mutex.Unlock()
 	machine.reset()
-	decoder := decoding.NewDecoder(r)
+	decoder := encoder.NewDecoder(r)
 	var header snapshotHeader
 	if err := decoder.Decode(&header); errors.Is(err, io.EOF) {
 		return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -217,15 +216,3 @@
 func (asked *request) keyRequest() scheduler.KeyRequest {
 	return scheduler.KeyRequest{Key: asked.key, Digest: asked.digest(), Deadline: asked.deadline}
 }
-
-// pause waits. It returns false when the request's context ends first.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/forwarder"
 	"github.com/crocusplank/crocusplank/internal/limiter"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -130,7 +131,7 @@
 		}
 		asked.tried[endpoint.Endpoint] = true
 		length, again := asked.retry.Retry(result.Outcome)
-		if again && asked.replayable() && pause(asked.incoming.Context(), length) {
+		if again && asked.replayable() && waiter.Sleep(asked.incoming.Context(), length) {
 			continue
 		}
 		found = failure(asked, result)
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -100,15 +99,3 @@
 	counter.sent(counted, len(data))
 	return Error.Wrap(socket.Write(ctx, websocket.MessageBinary, data))
 }
-
-// sleep waits for a duration or until ctx ends, and reports whether the whole duration has passed.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -38,7 +39,7 @@
 		socket, epoch, err := link.dial(ctx)
 		if err != nil {
 			// Jitter keeps the VMs of a healed data centre from dialling all at once.
-			if !sleep(ctx, pause/2+rand.N(pause/2)) {
+			if !waiter.Sleep(ctx, pause/2+rand.N(pause/2)) {
 				return
 			}
 			pause = min(2*pause, lastRedial)
@@ -46,7 +47,7 @@
 		}
 		pause = firstRedial
 		link.serve(ctx, newSession(socket, epoch, link.messenger.counter))
-		sleep(ctx, firstRedial)
+		waiter.Sleep(ctx, firstRedial)
 	}
 }
 
--- a/internal/sizer/measure.go
+++ b/internal/sizer/measure.go
@@ -15,6 +15,7 @@
 	"github.com/crocusplank/crocusplank/internal/composer"
 	"github.com/crocusplank/crocusplank/internal/deployer"
 	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -89,7 +90,7 @@
 	if err := system.fill(ctx, platform, session.Workers*plan.Tasks); err != nil {
 		return nil, err
 	}
-	sleep(ctx, plan.Settle-phaseSettle)
+	waiter.Sleep(ctx, plan.Settle-phaseSettle)
 	var cells []Cell
 	for _, phase := range session.Phases {
 		cell, err := plan.measurePhase(ctx, system, platform, phase)
@@ -110,7 +111,7 @@
 	if phase.Starts > 0 {
 		go system.submitEachSecond(ctx, phase.Starts)
 	}
-	sleep(ctx, phaseSettle)
+	waiter.Sleep(ctx, phaseSettle)
 	leader, err := system.leader()
 	if err != nil {
 		return Cell{}, err
@@ -124,7 +125,7 @@
 		return Cell{}, err
 	}
 	before, begin := platform.counts(), time.Now()
-	sleep(ctx, plan.Window)
+	waiter.Sleep(ctx, plan.Window)
 	last, err := system.samples()
 	if err != nil {
 		return Cell{}, err
@@ -238,7 +239,7 @@
 
 func until(ctx context.Context, holds func() bool) error {
 	for end := time.Now().Add(stepLimit); !holds(); {
-		if time.Now().After(end) || !sleep(ctx, poll) {
+		if time.Now().After(end) || !waiter.Sleep(ctx, poll) {
 			return Error.New("nothing changed within %v", stepLimit)
 		}
 	}
--- a/internal/sizer/platform.go
+++ b/internal/sizer/platform.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -86,7 +87,7 @@
 		exchange := emulator.NewHTTPExchange(newClient(&platform.exchanges), "http://"+platform.gateways[number%len(platform.gateways)], platform.media)
 		worker := emulator.NewWorker(workerName(number), platform.watch(exchange))
 		go func() {
-			if sleep(ctx, time.Duration(rand.Int64N(int64(time.Second)))) {
+			if waiter.Sleep(ctx, time.Duration(rand.Int64N(int64(time.Second)))) {
 				worker.Run(ctx)
 			}
 		}()
@@ -132,7 +133,7 @@
 // announce repeats an announcement every second. No requests run, so its counts stay empty.
 func (platform *platform) announce(ctx context.Context, announcement scheduler.Announcement, gateway string) {
 	client := newClient(&platform.announcements)
-	sleep(ctx, time.Duration(rand.Int64N(int64(announcePeriod))))
+	waiter.Sleep(ctx, time.Duration(rand.Int64N(int64(announcePeriod))))
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
@@ -169,15 +170,3 @@
 	}
 	return Error.Wrap(err)
 }
-
-// sleep waits for a duration or until ctx ends, and reports whether the whole duration has passed.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/waiter/waiter_test.go
@@ -0,0 +1,35 @@
+package waiter
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a wait that survives the end of what it waits for.
+func TestSleep(t *testing.T) {
+	tests := map[string]struct {
+		limit     time.Duration
+		want      bool
+		wantAfter time.Duration
+	}{
+		"whole duration":      {limit: time.Hour, want: true, wantAfter: time.Minute},
+		"context ends before": {limit: time.Second, want: false, wantAfter: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), test.limit)
+				defer cancel()
+				start := time.Now()
+				if got := Sleep(ctx, time.Minute); got != test.want {
+					t.Errorf("got %v, want %v", got, test.want)
+				}
+				if got := time.Since(start); got != test.wantAfter {
+					t.Errorf("returned after %v, want %v", got, test.wantAfter)
+				}
+			})
+		})
+	}
+}
