server: operators' rules give jobs their class

Cause: rules were checked and stored, and nothing acted on them, although they are how operators say what must stay prompt and what may wait. Change: a rule for a job's kind, then one for its team, decides the class at submission. Before: no effect. After: TestRulesGiveTheClass, 6 cases.

--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -118,24 +118,47 @@
 		}
 		submission.DeadlineUnixMilli = deadline.UnixMilli()
 	}
+	document, failure := jobService.documentFor(submission.Team)
+	if failure != nil {
+		return submission, failure
+	}
+	task.Class = classOf(document, submission.Team, task)
 	submission.Tasks = []dispatcher.TaskGroup{{Count: spec.Tasks, Spec: task}}
-	return submission, jobService.checkTeam(submission.Team)
+	return submission, nil
+}
+
+// classOf returns the class that the operators' rules give to a task: a rule for its kind goes before one
+// for its team, and the class that the submitter declared holds without either.
+func classOf(document *scheduler.Configuration, team scheduler.TeamName, task scheduler.TaskSpec) scheduler.Class {
+	class := task.Class
+	if document == nil {
+		return class
+	}
+	for _, rule := range document.Rules {
+		switch {
+		case rule.Kind != "" && rule.Kind == task.Kind:
+			return rule.Class
+		case rule.Team != "" && rule.Team == team:
+			class = rule.Class
+		}
+	}
+	return class
 }
 
-// checkTeam refuses teams that the configuration in force does not name, so that a misspelt team does
-// not escape its quota.
-func (jobService *jobService) checkTeam(team scheduler.TeamName) *failure {
+// documentFor returns the configuration in force, nil when this VM keeps none. It refuses teams that the
+// configuration does not name, so that a misspelt team does not escape its quota.
+func (jobService *jobService) documentFor(team scheduler.TeamName) (*scheduler.Configuration, *failure) {
 	if jobService.parts.Local == nil {
-		return nil
+		return nil, nil
 	}
 	_, document, ok := jobService.parts.Local.InForce()
 	if !ok {
-		return notRun("try again", "this VM has not read the configuration in force yet")
+		return nil, notRun("try again", "this VM has not read the configuration in force yet")
 	}
 	if document == nil || slices.ContainsFunc(document.Teams, func(known scheduler.Team) bool { return known.Name == team }) {
-		return nil
+		return document, nil
 	}
-	return invalid("add the team to the configuration", "team %q is not in the configuration in force", team)
+	return nil, invalid("add the team to the configuration", "team %q is not in the configuration in force", team)
 }
 
 // Show implements the view of a job.
--- a/internal/server/jobs_test.go
+++ b/internal/server/jobs_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"testing"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // Guards against a refusal whose reasons run together in one line, or lose a class of workers.
@@ -28,3 +30,30 @@
 		})
 	}
 }
+
+// Guards against operators' rules that do not decide which work must stay prompt and which may wait.
+func TestRulesGiveTheClass(t *testing.T) {
+	byKind := scheduler.Rule{Name: "a", Kind: "fit-record", Class: scheduler.ClassBatch}
+	byTeam := scheduler.Rule{Name: "b", Team: "cutting", Class: scheduler.ClassLatencyCritical}
+	tests := map[string]struct {
+		rules    []scheduler.Rule
+		declared scheduler.Class
+		want     scheduler.Class
+	}{
+		"no rule":                     {nil, scheduler.ClassBatch, scheduler.ClassBatch},
+		"rule for the kind":           {[]scheduler.Rule{byKind}, scheduler.ClassLatencyCritical, scheduler.ClassBatch},
+		"rule for the team":           {[]scheduler.Rule{byTeam}, scheduler.ClassBatch, scheduler.ClassLatencyCritical},
+		"kind before team":            {[]scheduler.Rule{byTeam, byKind}, scheduler.ClassLatencyCritical, scheduler.ClassBatch},
+		"rules for others":            {[]scheduler.Rule{{Name: "c", Kind: "x", Class: scheduler.ClassLatencyCritical}, {Name: "d", Service: "charts", Class: scheduler.ClassLatencyCritical}}, scheduler.ClassBatch, scheduler.ClassBatch},
+		"kind before team, any order": {[]scheduler.Rule{byKind, byTeam}, scheduler.ClassLatencyCritical, scheduler.ClassBatch},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			task := scheduler.TaskSpec{Class: test.declared, Kind: "fit-record"}
+			got := classOf(&scheduler.Configuration{Rules: test.rules}, "cutting", task)
+			if got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
