all: one form of log events, usual names

Cause: some log lines had their event name in the message, some in the field event, with dots or in camel case, so that a reader could not search for them; three names were not the usual terms.

--- a/internal/composer/access.go
+++ b/internal/composer/access.go
@@ -49,7 +49,7 @@
 func newAccess(settings *loader.Settings, log zerolog.Logger) (*access, error) {
 	access := &access{log: log, recorded: map[string]time.Time{}}
 	if settings.Tokens.APITokensFile == "" {
-		log.Warn().Str("event", "api.open").Msg("no file of API tokens is set; everyone who reaches the API is an operator")
+		log.Warn().Str("event", "apiOpen").Msg("no file of API tokens is set; everyone who reaches the API is an operator")
 		return access, nil
 	}
 	tokens, err := authenticator.Open(settings.Tokens.APITokensFile)
@@ -160,10 +160,10 @@
 	if !access.isDue(who + "|" + action + "|" + host) {
 		return
 	}
-	access.log.Warn().Str("event", "platform.refused").Str("who", who).Str("action", action).Str("from", host).Msg(reason)
+	access.log.Warn().Str("event", "platformRefused").Str("who", who).Str("action", action).Str("from", host).Msg(reason)
 	record := scheduler.AuditRecord{Who: who, Action: action, Outcome: scheduler.AuditRefused, Detail: reason + ", from " + host}
 	if err := access.record(record); err != nil {
-		access.log.Error().Str("event", "audit.failed").Err(err).Msg("refusal not recorded")
+		access.log.Error().Str("event", "auditFailed").Err(err).Msg("refusal not recorded")
 	}
 }
 
--- a/internal/composer/composer.go
+++ b/internal/composer/composer.go
@@ -157,7 +157,7 @@
 	}
 	daemon.metrics.Run(daemon.context, daemon.measure)
 	daemon.environment.inService.Store(true)
-	daemon.environment.log.Info().Str("event", "daemon.started").Str("vm", string(settings.VM)).
+	daemon.environment.log.Info().Str("event", "daemonStarted").Str("vm", string(settings.VM)).
 		Strs("roles", settings.Roles).Msg("daemon started")
 	return nil
 }
@@ -176,7 +176,7 @@
 	daemon.servers = append(daemon.servers, server)
 	go func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed { //nolint:errorlint // Serve returns it unwrapped.
-			daemon.environment.log.Error().Str("event", "listener.failed").Str("listener", name).Err(err).Msg("listener ended")
+			daemon.environment.log.Error().Str("event", "listenerFailed").Str("listener", name).Err(err).Msg("listener ended")
 		}
 	}()
 	return nil
@@ -196,7 +196,7 @@
 	}
 	daemon.messenger.Close()
 	daemon.metrics.Close()
-	daemon.environment.log.Info().Str("event", "daemon.stopped").Err(err).Msg("daemon stopped")
+	daemon.environment.log.Info().Str("event", "daemonStopped").Err(err).Msg("daemon stopped")
 	return Error.Wrap(err)
 }
 
--- a/internal/composer/gateway.go
+++ b/internal/composer/gateway.go
@@ -174,12 +174,12 @@
 	gatewayRole.workers.Go(func() {
 		// Requests of earlier lives are settled by their deadlines if this fails.
 		if err := gatewayRole.keys.Start(running); err != nil && running.Err() == nil {
-			gatewayRole.environment.log.Warn().Str("event", "keys.notSettled").Err(err).Msg("requests of earlier starts wait for their deadlines")
+			gatewayRole.environment.log.Warn().Str("event", "keysNotSettled").Err(err).Msg("requests of earlier starts wait for their deadlines")
 		}
 	})
 	gatewayRole.workers.Go(func() {
 		if err := gatewayRole.gateway.Serve(listener); err != nil {
-			gatewayRole.environment.log.Error().Str("event", "listener.failed").Str("listener", "caller").Err(err).Msg("listener ended")
+			gatewayRole.environment.log.Error().Str("event", "listenerFailed").Str("listener", "caller").Err(err).Msg("listener ended")
 		}
 	})
 	return nil
--- a/internal/composer/main.go
+++ b/internal/composer/main.go
@@ -141,12 +141,12 @@
 		return err
 	}
 	received := <-signals
-	log.Info().Str("event", "daemon.stopping").Str("signal", received.String()).Msg("planned stop begins")
+	log.Info().Str("event", "daemonStopping").Str("signal", received.String()).Msg("planned stop begins")
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout)
 	defer cancel()
 	go func() {
 		<-signals
-		log.Warn().Str("event", "daemon.stopNow").Msg("second signal; requests in progress are cut")
+		log.Warn().Str("event", "daemonStopNow").Msg("second signal; requests in progress are cut")
 		cancel()
 	}()
 	return daemon.Stop(ctx)
--- a/internal/composer/recorder.go
+++ b/internal/composer/recorder.go
@@ -117,7 +117,7 @@
 		}
 		if err != nil {
 			// A failed trail stays failed, so retrying every second would only fill the log.
-			recorder.log.Error().Str("event", "audit.failed").Err(err).Msg("the audit trail takes no further records")
+			recorder.log.Error().Str("event", "auditFailed").Err(err).Msg("the audit trail takes no further records")
 			return
 		}
 		select {
--- a/internal/composer/replica.go
+++ b/internal/composer/replica.go
@@ -188,11 +188,11 @@
 		err := replicaRole.local.AwaitReady(ctx, home)
 		if err == nil {
 			revision, _, _ := replicaRole.local.InForce()
-			replicaRole.environment.log.Info().Str("event", "configuration.read").Uint64("revision", uint64(revision)).
+			replicaRole.environment.log.Info().Str("event", "configurationRead").Uint64("revision", uint64(revision)).
 				Msg("configuration in force read from the data centre's group")
 			return
 		}
-		replicaRole.environment.log.Debug().Str("event", "configuration.notRead").Err(err).Msg("no majority answers yet")
+		replicaRole.environment.log.Debug().Str("event", "configurationNotRead").Err(err).Msg("no majority answers yet")
 		waiter.Sleep(ctx, readyRetryPause)
 	}
 }
@@ -204,7 +204,7 @@
 			select {
 			case <-ctx.Done():
 			case <-replica.replicator.Failed():
-				replicaRole.environment.log.Error().Str("event", "replica.failed").Str("group", string(name)).
+				replicaRole.environment.log.Error().Str("event", "replicaFailed").Str("group", string(name)).
 					Err(replica.replicator.Err()).Msg("this VM has left the group")
 			}
 		})
--- a/internal/configurator/distributor.go
+++ b/internal/configurator/distributor.go
@@ -52,8 +52,8 @@
 	defer ticker.Stop()
 	for {
 		if err := distributor.Distribute(ctx); err != nil && ctx.Err() == nil {
-			distributor.log.Warn().Err(err).Str("group", string(distributor.group.Name())).
-				Msg("configurationNotDistributed")
+			distributor.log.Warn().Str("event", "configurationNotDistributed").Err(err).Str("group", string(distributor.group.Name())).
+				Msg("configuration not distributed")
 		}
 		select {
 		case <-ctx.Done():
@@ -97,8 +97,8 @@
 	if result.Outcome != CopyInForce && result.Outcome != CopyNotNewer {
 		return Error.New("revision %d: %s: %s", revision, result.Outcome, result.Reason)
 	}
-	distributor.log.Info().Uint64("revision", uint64(result.Revision)).Str("outcome", string(result.Outcome)).
-		Str("group", string(distributor.group.Name())).Msg("configurationDistributed")
+	distributor.log.Info().Str("event", "configurationDistributed").Uint64("revision", uint64(result.Revision)).Str("outcome", string(result.Outcome)).
+		Str("group", string(distributor.group.Name())).Msg("configuration distributed")
 	return nil
 }
 
--- a/internal/dispatcher/engine.go
+++ b/internal/dispatcher/engine.go
@@ -151,7 +151,7 @@
 		case <-ticker.C:
 		}
 		if err := engine.step(ctx); err != nil && ctx.Err() == nil {
-			engine.log.Warn().Err(err).Str("group", string(engine.group.Name())).Msg("dispatcherStepFailed")
+			engine.log.Warn().Str("event", "dispatcherStepFailed").Err(err).Str("group", string(engine.group.Name())).Msg("dispatcher step failed")
 		}
 	}
 }
@@ -208,8 +208,8 @@
 	}
 	engine.machine.markAllChanged()
 	engine.term = term
-	engine.log.Info().Uint64("term", uint64(term)).Int("leases", len(engine.leases)).
-		Str("group", string(engine.group.Name())).Msg("dispatcherTookOver")
+	engine.log.Info().Str("event", "dispatcherTookOver").Uint64("term", uint64(term)).Int("leases", len(engine.leases)).
+		Str("group", string(engine.group.Name())).Msg("dispatcher took over")
 	return nil
 }
 
@@ -228,7 +228,7 @@
 	for _, lease := range expired {
 		operations = append(operations, Operation{Term: term, End: &End{Lease: lease, Outcome: scheduler.AttemptExpired}})
 	}
-	engine.log.Warn().Int("leases", len(expired)).Str("group", string(engine.group.Name())).Msg("leasesExpired")
+	engine.log.Warn().Str("event", "leasesExpired").Int("leases", len(expired)).Str("group", string(engine.group.Name())).Msg("leases expired")
 	_, err := engine.batcher.propose(ctx, operations)
 	return err
 }
--- a/internal/dispatcher/follower.go
+++ b/internal/dispatcher/follower.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		if err := engine.SetInventory(ctx, revision, document.Workers); err != nil && ctx.Err() == nil {
-			engine.log.Warn().Err(err).Uint64("revision", uint64(revision)).Msg("inventoryNotFollowed")
+			engine.log.Warn().Str("event", "inventoryNotFollowed").Err(err).Uint64("revision", uint64(revision)).Msg("inventory not followed")
 		}
 	}
 }
@@ -65,7 +65,7 @@
 		}
 		for _, job := range engine.machine.MovedJobs() {
 			if err := engine.moveJob(ctx, job, deliver); err != nil && ctx.Err() == nil {
-				engine.log.Warn().Err(err).Str("job", string(job)).Msg("jobNotMoved")
+				engine.log.Warn().Str("event", "jobNotMoved").Err(err).Str("job", string(job)).Msg("job not moved")
 			}
 		}
 	}
@@ -84,6 +84,6 @@
 	if err := engine.Forget(ctx, job); err != nil {
 		return err
 	}
-	engine.log.Info().Str("job", string(job)).Str("dataCentre", string(to)).Msg("jobMoved")
+	engine.log.Info().Str("event", "jobMoved").Str("job", string(job)).Str("dataCentre", string(to)).Msg("job moved")
 	return nil
 }
--- a/internal/dispatcher/offer.go
+++ b/internal/dispatcher/offer.go
@@ -8,8 +8,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// pacedReason is why a task of a lost worker waits although there may be room.
-const pacedReason = "re-placement after lost workers is paced"
+// rateLimitedReason is why a task of a lost worker waits although there may be room.
+const rateLimitedReason = "re-placement after lost workers is rate-limited"
 
 const (
 	// maxOffered bounds the important tasks that the placer looks at in one step; when there are
@@ -152,9 +152,9 @@
 
 // offer returns the important tasks and those of batch that the placer may look at now, most
 // important first, and new reasons why others wait. Tasks in back-off have their reason from the
-// failure. paced leaves out the tasks of lost workers.
+// failure. rateLimited leaves out the tasks of lost workers.
 func (machine *Machine) offer(
-	now time.Time, claims map[scheduler.TaskID]claim, batch []scheduler.TaskID, paced bool, turn int,
+	now time.Time, claims map[scheduler.TaskID]claim, batch []scheduler.TaskID, rateLimited bool, turn int,
 ) ([]candidate, []Wait) {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
@@ -169,8 +169,8 @@
 		reason := ""
 		if nowhere := task.job.Groups[task.Group].Nowhere; nowhere != "" {
 			reason = "can run nowhere at present: " + nowhere
-		} else if paced && task.Replaced {
-			reason = pacedReason
+		} else if rateLimited && task.Replaced {
+			reason = rateLimitedReason
 		}
 		switch reason {
 		case "":
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -95,8 +95,8 @@
 		}
 		engine.machine.markChanged(operation.Assign.Worker)
 		if err == nil {
-			engine.log.Warn().Str("task", string(operation.Assign.Task)).Str("worker", string(operation.Assign.Worker)).
-				Str("reason", results[i].Reason).Msg("assignmentRefused")
+			engine.log.Warn().Str("event", "assignmentRefused").Str("task", string(operation.Assign.Task)).Str("worker", string(operation.Assign.Worker)).
+				Str("reason", results[i].Reason).Msg("assignment refused")
 		}
 	}
 	return err
--- a/internal/governor/control.go
+++ b/internal/governor/control.go
@@ -104,8 +104,8 @@
 	}
 	task := governor.ledger.leases[lease].task
 	reason := fmt.Sprintf("%s; neighbour %s of kind %s on %s", action.Reason, action.Task, task.Spec.Kind, action.Worker)
-	governor.log.Info().Str("action", string(action.Kind)).Str("task", string(action.Task)).
-		Str("worker", string(action.Worker)).Str("reason", reason).Msg("interferenceAction")
+	governor.log.Info().Str("event", "interferenceAction").Str("action", string(action.Kind)).Str("task", string(action.Task)).
+		Str("worker", string(action.Worker)).Str("reason", reason).Msg("interference action")
 	switch action.Kind {
 	case controller.ActionThrottle, controller.ActionRelease:
 		throttled := action.Kind == controller.ActionThrottle
@@ -156,7 +156,7 @@
 		governor.mutex.Lock()
 		defer governor.mutex.Unlock()
 		if err != nil {
-			governor.log.Warn().Err(err).Str("task", string(task)).Msg("evictionFailed")
+			governor.log.Warn().Str("event", "evictionFailed").Err(err).Str("task", string(task)).Msg("eviction failed")
 			return
 		}
 		governor.evictions[cause]++
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if err := governor.reset(term); err != nil {
-		governor.log.Error().Err(err).Msg("governorNotReset")
+		governor.log.Error().Str("event", "governorNotReset").Err(err).Msg("governor not reset")
 	}
 }
 
--- a/internal/governor/usage.go
+++ b/internal/governor/usage.go
@@ -64,8 +64,8 @@
 	for _, usage := range window.usage {
 		known := governor.ledger.leases[usage.Lease]
 		if known == nil || known.worker != state.Worker.Name {
-			governor.log.Debug().Uint64("lease", uint64(usage.Lease)).
-				Str("worker", string(state.Worker.Name)).Msg("usageNotCredited")
+			governor.log.Debug().Str("event", "usageNotCredited").Uint64("lease", uint64(usage.Lease)).
+				Str("worker", string(state.Worker.Name)).Msg("usage not credited")
 			return
 		}
 		task := scheduler.TaskUsage{
@@ -82,7 +82,7 @@
 	}
 	governor.placer.Observe(measured)
 	if err := governor.estimator.Observe(report, state.Worker.Capacity.MilliCores); err != nil {
-		governor.log.Warn().Err(err).Str("worker", string(state.Worker.Name)).Msg("usageRefused")
+		governor.log.Warn().Str("event", "usageRefused").Err(err).Str("worker", string(state.Worker.Name)).Msg("usage refused")
 		return
 	}
 	if !report.From.Before(governor.since) {
--- a/internal/messenger/accepted.go
+++ b/internal/messenger/accepted.go
@@ -68,7 +68,7 @@
 	select {
 	case connection.sends <- received:
 	default:
-		connection.messenger.log.Warn().Str("event", "message.dropped").Str("from", string(connection.from)).
+		connection.messenger.log.Warn().Str("event", "messageDropped").Str("from", string(connection.from)).
 			Str("kind", string(received.Kind)).Msg("handlers are too slow")
 	}
 }
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -76,7 +76,7 @@
 
 // serve runs a session until it ends.
 func (link *link) serve(ctx context.Context, session *session) {
-	link.messenger.log.Info().Str("event", "peer.connected").Str("peer", string(link.peer)).Msg("connected to peer")
+	link.messenger.log.Info().Str("event", "peerConnected").Str("peer", string(link.peer)).Msg("connected to peer")
 	link.setSession(session)
 	ctx, cancel := context.WithCancel(ctx)
 	var writer sync.WaitGroup
@@ -90,7 +90,7 @@
 	writer.Wait()
 	link.setSession(nil)
 	session.end()
-	link.messenger.log.Info().Str("event", "peer.disconnected").Str("peer", string(link.peer)).Err(err).Msg("connection to peer ended")
+	link.messenger.log.Info().Str("event", "peerDisconnected").Str("peer", string(link.peer)).Err(err).Msg("connection to peer ended")
 }
 
 func (link *link) setSession(session *session) {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -162,7 +162,7 @@
 func (messenger *Messenger) Send(to scheduler.VMName, group scheduler.GroupName, kind scheduler.MessageKind, body []byte) {
 	link := messenger.links[to]
 	if link == nil {
-		messenger.log.Debug().Str("event", "message.dropped").Str("to", string(to)).Msg("unknown peer")
+		messenger.log.Debug().Str("event", "messageDropped").Str("to", string(to)).Msg("unknown peer")
 		return
 	}
 	link.send(frame{Type: frameSend, Kind: kind, Group: group, Body: body})
@@ -188,7 +188,7 @@
 // ServeHTTP accepts the WebSocket connection of a peer and serves it until it ends.
 func (messenger *Messenger) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if !messenger.authorized(request) {
-		messenger.log.Warn().Str("event", "peer.refused").Str("address", request.RemoteAddr).Msg("wrong peer key")
+		messenger.log.Warn().Str("event", "peerRefused").Str("address", request.RemoteAddr).Msg("wrong peer key")
 		http.Error(writer, "wrong peer key", http.StatusUnauthorized)
 		return
 	}
@@ -199,7 +199,7 @@
 	}
 	socket, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
-		messenger.log.Warn().Str("event", "peer.refused").Err(err).Msg("no WebSocket handshake")
+		messenger.log.Warn().Str("event", "peerRefused").Err(err).Msg("no WebSocket handshake")
 		return
 	}
 	socket.SetReadLimit(maxFrameSize)
--- a/internal/registrar/handler.go
+++ b/internal/registrar/handler.go
@@ -123,7 +123,7 @@
 			return refuse(http.StatusTooManyRequests, "tableFull")
 		}
 	}
-	if !registrar.newcomers.AllowN(now, 1) {
+	if !registrar.admission.AllowN(now, 1) {
 		return refuse(http.StatusTooManyRequests, "tooManyNew")
 	}
 	return nil
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -47,7 +47,7 @@
 	gateways    func() []scheduler.Gateway
 	free        func(service scheduler.ServiceName) int
 	log         zerolog.Logger
-	newcomers   *rate.Limiter
+	admission   *rate.Limiter
 	tableSize   int
 
 	asking sync.WaitGroup
@@ -72,9 +72,9 @@
 	return func(registrar *Registrar) { registrar.tableSize = size }
 }
 
-// WithNewcomers sets how many unknown endpoints are admitted per second, and how many at once.
-func WithNewcomers(perSecond float64, burst int) Option {
-	return func(registrar *Registrar) { registrar.newcomers = rate.NewLimiter(rate.Limit(perSecond), burst) }
+// WithAdmissionRate sets how many unknown endpoints are admitted per second, and how many at once.
+func WithAdmissionRate(perSecond float64, burst int) Option {
+	return func(registrar *Registrar) { registrar.admission = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
 // WithFree sets the source of the free slots per service that summaries report. Without it they
@@ -98,7 +98,7 @@
 		self: self, incarnation: incarnation, transport: transport, gateways: gateways,
 		free:      func(scheduler.ServiceName) int { return 0 },
 		log:       zerolog.Nop(),
-		newcomers: rate.NewLimiter(defaultNewRate, defaultNewBurst),
+		admission: rate.NewLimiter(defaultNewRate, defaultNewBurst),
 		tableSize: defaultTableSize,
 		table:     newTable(),
 		peers:     map[scheduler.VMName]*peer{},
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -267,7 +267,7 @@
 // TestFlood guards against a flood of new names that fills the memory or stops known endpoints.
 func TestFlood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		registrar := start(t, newNetwork(), WithTableSize(100), WithNewcomers(50, 90))[0]
+		registrar := start(t, newNetwork(), WithTableSize(100), WithAdmissionRate(50, 90))[0]
 		codes := map[string]int{}
 		for range 3 {
 			for number := range 5000 {
--- a/internal/replicator/append.go
+++ b/internal/replicator/append.go
@@ -57,7 +57,7 @@
 	if node.leader != from {
 		node.follower = followerState{}
 		node.leader = from
-		node.logger.Info().Uint64("term", uint64(term)).Str("leader", string(from)).Msg("leaderFollowed")
+		node.logger.Info().Str("event", "leaderFollowed").Uint64("term", uint64(term)).Str("leader", string(from)).Msg("leader followed")
 	}
 	now := node.clock.now()
 	node.heardLeader = now
--- a/internal/replicator/change.go
+++ b/internal/replicator/change.go
@@ -77,8 +77,8 @@
 		request.finish(outcomeNotRun, reason, nil)
 		return nil
 	}
-	node.logger.Info().Str("change", request.change.Kind).Str("member", string(request.change.Member.VM)).
-		Msg("membershipChangeStarted")
+	node.logger.Info().Str("event", "membershipChangeStarted").Str("change", request.change.Kind).Str("member", string(request.change.Member.VM)).
+		Msg("membership change started")
 	entry := scheduler.Entry{Kind: scheduler.EntryMembership, Data: next.encode()}
 	return node.appendFor([]*call{request}, []scheduler.Entry{entry})
 }
@@ -216,7 +216,8 @@
 		if name == "" || node.safetyReason(next, now) != "" {
 			continue
 		}
-		node.logger.Info().Str("change", name).Str("member", string(member.VM)).Msg("membershipChangeStarted")
+		node.logger.Info().Str("event", "membershipChangeStarted").Str("change", name).Str("member", string(member.VM)).
+			Msg("membership change started")
 		return node.appendOwn([]scheduler.Entry{{Kind: scheduler.EntryMembership, Data: next.encode()}})
 	}
 	return nil
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -16,7 +16,7 @@
 func (node *node) isCandidateAllowed(now time.Duration) bool {
 	member, found := node.log.membership().find(node.self.VM)
 	return found && !member.Learner && member.Incarnation == node.self.Incarnation &&
-		(node.standsForElection() || now < node.caretakerUntil) &&
+		(node.standsForElection() || now < node.temporaryCandidateUntil) &&
 		!node.isInstalling() && !node.stall.isStalled(now)
 }
 
@@ -31,7 +31,7 @@
 func (node *node) startPreVote() error {
 	node.role, node.leader = rolePreCandidate, ""
 	node.votes = map[scheduler.VMName]bool{node.self.VM: true}
-	node.logger.Debug().Uint64("term", uint64(node.term)).Msg("preVoteStarted")
+	node.logger.Debug().Str("event", "preVoteStarted").Uint64("term", uint64(node.term)).Msg("pre vote started")
 	if node.hasVoteMajority() {
 		return node.startElection(false)
 	}
@@ -62,7 +62,7 @@
 	}
 	node.resetElectionDeadline(node.clock.now())
 	node.votes = map[scheduler.VMName]bool{node.self.VM: true}
-	node.logger.Info().Uint64("term", uint64(node.term)).Msg("electionStarted")
+	node.logger.Info().Str("event", "electionStarted").Uint64("term", uint64(node.term)).Msg("election started")
 	if node.hasVoteMajority() {
 		return node.becomeLeader()
 	}
@@ -176,7 +176,7 @@
 // stepDown makes this VM a follower of an unknown leader. A higher term is stored first.
 func (node *node) stepDown(term scheduler.Term, reason string) error {
 	if node.role == roleLeader {
-		node.logger.Info().Uint64("term", uint64(node.term)).Str("reason", reason).Msg("leaderSteppedDown")
+		node.logger.Info().Str("event", "leaderSteppedDown").Uint64("term", uint64(node.term)).Str("reason", reason).Msg("leader stepped down")
 		node.waiting.orphan(node.clock.now() + orphanTimeout)
 		node.waiting.failReads(Error.New("leader %s stepped down", node.self.VM))
 		node.leading = leaderState{}
@@ -199,7 +199,7 @@
 	now := node.clock.now()
 	node.role, node.leader = roleLeader, node.self.VM
 	node.leading = newLeaderState(now)
-	node.logger.Info().Uint64("term", uint64(node.term)).Msg("leaderElected")
+	node.logger.Info().Str("event", "leaderElected").Uint64("term", uint64(node.term)).Msg("leader elected")
 	if elected := node.settings.hooks.electedLeader; elected != nil {
 		elected(node.self.identity(), uint64(node.term))
 	}
@@ -231,11 +231,11 @@
 		node.log.isUpToDate(message.LastIndex, message.LastTerm) {
 		return
 	}
-	if now >= node.caretakerUntil {
-		node.logger.Info().Uint64("term", uint64(node.term)).Str("reason", "candidateBehind").Msg("caretakerAllowed")
+	if now >= node.temporaryCandidateUntil {
+		node.logger.Info().Str("event", "temporaryCandidacyAllowed").Uint64("term", uint64(node.term)).Str("reason", "candidateBehind").Msg("temporary candidacy allowed")
 		node.electionDeadline = min(node.electionDeadline, now+heartbeatInterval)
 	}
-	node.caretakerUntil = now + maxElectionTimeout
+	node.temporaryCandidateUntil = now + maxElectionTimeout
 }
 
 // considerSilence is called when the election time-out has passed.
@@ -243,6 +243,6 @@
 	if node.standsForElection() || now < node.heardLeader+silenceTimeout {
 		return
 	}
-	node.logger.Info().Uint64("term", uint64(node.term)).Str("reason", "noLeader").Msg("caretakerAllowed")
-	node.caretakerUntil = now + maxElectionTimeout
+	node.logger.Info().Str("event", "temporaryCandidacyAllowed").Uint64("term", uint64(node.term)).Str("reason", "noLeader").Msg("temporary candidacy allowed")
+	node.temporaryCandidateUntil = now + maxElectionTimeout
 }
--- a/internal/replicator/handler.go
+++ b/internal/replicator/handler.go
@@ -28,8 +28,8 @@
 		func(_ context.Context, from scheduler.VMName, body []byte) ([]byte, error) {
 			message, err := decode[T](body)
 			if err != nil {
-				node.logger.Warn().Err(err).Str("peer", string(from)).Str("kind", string(kind)).
-					Msg("messageNotDecoded")
+				node.logger.Warn().Str("event", "messageNotDecoded").Err(err).Str("peer", string(from)).Str("kind", string(kind)).
+					Msg("message not decoded")
 				return nil, err
 			}
 			select {
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -75,8 +75,8 @@
 	transferred bool
 	// askedVotes is when votes were last asked for.
 	askedVotes time.Duration
-	// caretakerUntil is until when a voter that normally does not stand for election may do so.
-	caretakerUntil time.Duration
+	// temporaryCandidateUntil is until when a voter that normally does not stand for election may do so.
+	temporaryCandidateUntil time.Duration
 
 	follower followerState
 	leading  leaderState
@@ -152,7 +152,7 @@
 	node.stopOnce.Do(func() {
 		if failure != nil {
 			node.failure.Store(&failure)
-			node.logger.Error().Err(failure).Msg("groupLeftAfterFailure")
+			node.logger.Error().Str("event", "groupLeftAfterFailure").Err(failure).Msg("group left after failure")
 		}
 		last := *node.view.Load()
 		last.leaseUntil = 0
--- a/internal/replicator/replicate.go
+++ b/internal/replicator/replicate.go
@@ -193,8 +193,8 @@
 	case known == nil || incarnation < known.incarnation:
 		return nil
 	case incarnation > known.incarnation:
-		node.logger.Info().Str("peer", string(from)).Uint64("incarnation", uint64(incarnation)).
-			Msg("newIncarnationSeen")
+		node.logger.Info().Str("event", "newIncarnationSeen").Str("peer", string(from)).Uint64("incarnation", uint64(incarnation)).
+			Msg("new incarnation seen")
 		known = newProgress(incarnation, node.log.last+1)
 		node.leading.peers[from] = known
 	}
--- a/internal/replicator/snapshot.go
+++ b/internal/replicator/snapshot.go
@@ -85,7 +85,7 @@
 	}
 	node.snapshot.index = max(node.snapshot.index, saved.index)
 	node.log.dropMembershipsBefore(saved.index)
-	node.logger.Info().Uint64("index", uint64(saved.index)).Msg("snapshotSaved")
+	node.logger.Info().Str("event", "snapshotSaved").Uint64("index", uint64(saved.index)).Msg("snapshot saved")
 	return nil
 }
 
--- a/internal/replicator/snapshot_receiver.go
+++ b/internal/replicator/snapshot_receiver.go
@@ -78,8 +78,8 @@
 	if err := node.removeContradicting(part.Index, part.IndexTerm); err != nil {
 		return err
 	}
-	node.logger.Info().Uint64("index", uint64(part.Index)).Int("bytes", len(node.snapshot.incoming.data)).
-		Msg("snapshotReceived")
+	node.logger.Info().Str("event", "snapshotReceived").Uint64("index", uint64(part.Index)).Int("bytes", len(node.snapshot.incoming.data)).
+		Msg("snapshot received")
 	node.snapshot.install = &scheduler.SnapshotMeta{
 		Index: part.Index, Term: part.IndexTerm, Membership: part.Membership,
 	}
@@ -123,7 +123,7 @@
 	node.setApplied(meta.Index)
 	node.waiting.passOver(meta.Index)
 	node.follower.verified = max(node.follower.verified, meta.Index)
-	node.logger.Info().Uint64("index", uint64(meta.Index)).Msg("snapshotInstalled")
+	node.logger.Info().Str("event", "snapshotInstalled").Uint64("index", uint64(meta.Index)).Msg("snapshot installed")
 	if node.role == roleFollower && node.leader != "" {
 		node.answerAppend(node.leader, appendAnswer{Match: node.durableMatch()})
 	}
--- a/internal/replicator/snapshot_sender.go
+++ b/internal/replicator/snapshot_sender.go
@@ -42,8 +42,8 @@
 
 func (node *node) beginTransfer(vm scheduler.VMName, progress *progress, source *snapshotSource, now time.Duration) {
 	progress.transfer = snapshotTransfer{source: source}
-	node.logger.Info().Str("peer", string(vm)).Uint64("index", uint64(source.meta.Index)).
-		Int("bytes", len(source.data)).Msg("snapshotTransferStarted")
+	node.logger.Info().Str("event", "snapshotTransferStarted").Str("peer", string(vm)).Uint64("index", uint64(source.meta.Index)).
+		Int("bytes", len(source.data)).Msg("snapshot transfer started")
 	node.sendSnapshotPart(vm, progress, now)
 }
 
@@ -54,7 +54,7 @@
 	}
 	meta, reader, found, err := node.journal.OpenSnapshot()
 	if err != nil || !found {
-		node.logger.Warn().Err(err).Msg("snapshotNotFound")
+		node.logger.Warn().Str("event", "snapshotNotFound").Err(err).Msg("snapshot not found")
 		return
 	}
 	node.snapshot.loading = true
@@ -70,7 +70,7 @@
 func (node *node) handleSnapshotLoaded(loaded snapshotLoaded) {
 	node.snapshot.loading = false
 	if loaded.err != nil {
-		node.logger.Warn().Err(loaded.err).Msg("snapshotNotRead")
+		node.logger.Warn().Str("event", "snapshotNotRead").Err(loaded.err).Msg("snapshot not read")
 		return
 	}
 	if node.role != roleLeader {
--- a/internal/replicator/transfer.go
+++ b/internal/replicator/transfer.go
@@ -71,7 +71,7 @@
 	node.leading.leaseRevoked = true
 	node.leading.transferUntil = now + transferTimeout
 	node.publish()
-	node.logger.Info().Uint64("term", uint64(node.term)).Str("target", string(target)).Msg("leadershipTransferred")
+	node.logger.Info().Str("event", "leadershipTransferred").Uint64("term", uint64(node.term)).Str("target", string(target)).Msg("leadership transferred")
 	node.transport.Send(target, node.name, kindTransfer, encode(transferMessage{Term: node.term}))
 }
 
--- a/internal/server/access.go
+++ b/internal/server/access.go
@@ -69,10 +69,10 @@
 // auditRefusal records a refused request. A trail that cannot be written must not turn a refusal into
 // an answer, so its failure is only logged.
 func (server *Server) auditRefusal(who, action, reason string) {
-	server.log.Warn().Str("event", "api.refused").Str("who", who).Str("action", action).Msg(reason)
+	server.log.Warn().Str("event", "apiRefused").Str("who", who).Str("action", action).Msg(reason)
 	record := scheduler.AuditRecord{Who: who, Action: clip(action), Outcome: scheduler.AuditRefused, Detail: reason}
 	if err := server.record(record); err != nil {
-		server.log.Error().Str("event", "audit.failed").Err(err).Msg("refusal not recorded")
+		server.log.Error().Str("event", "auditFailed").Err(err).Msg("refusal not recorded")
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -78,7 +78,7 @@
 	mux := goahttp.NewMuxer()
 	decoder, encoder := goahttp.RequestDecoder, goahttp.ResponseEncoder
 	failed := func(_ context.Context, _ http.ResponseWriter, err error) {
-		server.log.Warn().Str("event", "api.responseFailed").Err(err).Msg("response not sent")
+		server.log.Warn().Str("event", "apiResponseFailed").Err(err).Msg("response not sent")
 	}
 	jobsserver.Mount(mux, jobsserver.New(jobs.NewEndpoints(&jobService{server}), mux, decoder, encoder, failed, formatError))
 	configurationserver.Mount(mux, configurationserver.New(configuration.NewEndpoints(&configurationService{server}), mux, decoder, encoder, failed, formatError))
