--- a/cmd/crocusplankd/cut_off_test.go
+++ b/cmd/crocusplankd/cut_off_test.go
@@ -84,7 +84,7 @@
 	endTraffic()
 	traffic.Wait()
 	cancel()
-	checkPromises(t, workers, endpoints, callers)
+	checkPromises(t, workers, endpoints, callers, 5)
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	for _, fault := range watch.faults {
--- a/cmd/crocusplankd/deployment_test.go
+++ b/cmd/crocusplankd/deployment_test.go
@@ -310,7 +310,7 @@
 	endTraffic()
 	traffic.Wait()
 	cancel()
-	checkPromises(t, workers, endpoints, callers)
+	checkPromises(t, workers, endpoints, callers, 5)
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	for _, fault := range watch.faults {
@@ -383,8 +383,9 @@
 	system.until(vm+" is not a voter again", func() bool { return slices.Contains(groupOf(system, "couva").Voters, vm) })
 }
 
-// checkPromises compares what workers, endpoints and callers saw with the invariants.
-func checkPromises(t *testing.T, workers []*emulator.Worker, endpoints []*emulator.Endpoint, callers *emulator.Callers) {
+// checkPromises compares what workers, endpoints and callers saw with the invariants. leastExecutions is the
+// number of the job's tasks and of the evictions that the test caused.
+func checkPromises(t *testing.T, workers []*emulator.Worker, endpoints []*emulator.Endpoint, callers *emulator.Callers, leastExecutions int) {
 	t.Helper()
 	var executions []emulator.Execution
 	for _, worker := range workers {
@@ -394,8 +395,8 @@
 	for _, fault := range emulator.CheckExecutions(executions, map[scheduler.WorkerName]scheduler.Resources{"worker-1": capacity, "worker-2": capacity}) {
 		t.Errorf("tasks: %s", fault)
 	}
-	if len(executions) < 5 {
-		t.Errorf("executions: got %d, want at least 5, since one of 4 tasks was evicted", len(executions))
+	if len(executions) < leastExecutions {
+		t.Errorf("executions: got %d, want at least %d", len(executions), leastExecutions)
 	}
 	runs := map[string]int{}
 	for _, endpoint := range endpoints {
--- a/internal/emulator/callers.go
+++ b/internal/emulator/callers.go
@@ -18,6 +18,9 @@
 // callTimeout is above the gateways' usual deadline for a request that waits for a slot.
 const callTimeout = 10 * time.Second
 
+// keyPeriod makes every fourth request non-idempotent.
+const keyPeriod = 4
+
 // readyTimeout is how long the emulated balancer waits for a VM's readiness.
 const readyTimeout = time.Second
 
@@ -80,13 +83,11 @@
 	if !ok {
 		return
 	}
-	if number%4 != 0 {
+	if number%keyPeriod != 0 {
 		callers.send(ctx, address, http.MethodGet, number, "")
 		return
 	}
-	callers.mutex.Lock()
-	key := fmt.Sprintf("%scaller-%d", callers.prefix, number)
-	callers.mutex.Unlock()
+	key := callers.key(number)
 	callers.send(ctx, address, http.MethodPost, number, key)
 	callers.send(ctx, address, http.MethodPost, number, key)
 }
@@ -162,6 +163,25 @@
 	}
 }
 
+// Resend sends every non-idempotent request so far once more, under the same key.
+func (callers *Callers) Resend(ctx context.Context) {
+	callers.mutex.Lock()
+	last := callers.next
+	callers.mutex.Unlock()
+	for number := keyPeriod; number <= last; number += keyPeriod {
+		if address, ok := callers.ready(ctx, number); ok {
+			callers.send(ctx, address, http.MethodPost, number, callers.key(number))
+		}
+	}
+}
+
+// key returns the key of a non-idempotent request.
+func (callers *Callers) key(number int) string {
+	callers.mutex.Lock()
+	defer callers.mutex.Unlock()
+	return fmt.Sprintf("%scaller-%d", callers.prefix, number)
+}
+
 // SetKeyHome has the keys of later requests name the data centre that keeps their records.
 func (callers *Callers) SetKeyHome(dataCentre scheduler.DataCentreName) {
 	callers.mutex.Lock()
--- a/internal/governor/quarantine.go
+++ b/internal/governor/quarantine.go
@@ -40,11 +40,11 @@
 		default:
 			continue
 		}
-		governor.testify(now, known, outcome)
+		governor.addEvidence(now, known, outcome)
 	}
 }
 
-func (governor *Governor) testify(now time.Time, known *entry, outcome quarantiner.Outcome) {
+func (governor *Governor) addEvidence(now time.Time, known *entry, outcome quarantiner.Outcome) {
 	governor.quarantiner.Observe(quarantiner.Attempt{
 		Job: known.task.Job, Worker: known.worker, Started: known.first, Ended: now, Outcome: outcome,
 	})
@@ -60,7 +60,7 @@
 		known := governor.ledger.leases[lease]
 		if !known.survived && now.Sub(known.first) >= survivedAfter {
 			known.survived = true
-			governor.testify(now, known, quarantiner.OutcomeSurvived)
+			governor.addEvidence(now, known, quarantiner.OutcomeSurvived)
 		}
 	}
 }
