deployer, crocusplankd: run the deployment tests from examples/couva

Cause: the tests of separate processes ran settings that the deployer made, so the examples that users copy were loaded by tests and never run by them. Change: deployer.FromExamples writes the example's files with free ports and a folder of the test's own.

--- a/cmd/crocusplankd/deployment_test.go
+++ b/cmd/crocusplankd/deployment_test.go
@@ -59,7 +59,7 @@
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, output)
 	}
-	deployment, err := deployer.New(system.folder, "couva", "chaguanas", "claxton-bay")
+	deployment, err := deployer.FromExamples(system.folder, filepath.Join("..", "..", "examples", "couva"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/deployer/examples.go
@@ -0,0 +1,69 @@
+package deployer
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/crocusplank/crocusplank/internal/loader"
+)
+
+// addressPattern finds the loopback addresses in the text of a settings file.
+var addressPattern = regexp.MustCompile(`127\.0\.\d+\.\d+:\d+`)
+
+// FromExamples writes the settings files of an example into a folder, with free ports in place of the
+// example's addresses and with the folder in place of its paths. Comments and everything else stay, so
+// that the example itself is what runs.
+func FromExamples(folder, examples string) (*Deployment, error) {
+	paths, err := filepath.Glob(filepath.Join(examples, "*.jsonc"))
+	if err != nil || len(paths) == 0 {
+		return nil, Error.New("no settings files in %s", examples)
+	}
+	slices.Sort(paths)
+	texts := map[string]string{}
+	var addresses []string
+	for _, path := range paths {
+		text, err := os.ReadFile(path) //nolint:gosec // The caller names the folder.
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		texts[path] = string(text)
+		addresses = append(addresses, addressPattern.FindAllString(texts[path], -1)...)
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	ports, err := freePorts(len(addresses))
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "peer.key"), []byte("loopback\n"), 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	deployment := &Deployment{folder: folder}
+	for _, path := range paths {
+		settings, err := deployment.writeExample(filepath.Base(path), texts[path], addresses, ports)
+		if err != nil {
+			return nil, err
+		}
+		deployment.vms = settings.VMs
+	}
+	return deployment, nil
+}
+
+func (deployment *Deployment) writeExample(name, text string, addresses []string, ports []netip.AddrPort) (*loader.Settings, error) {
+	text = addressPattern.ReplaceAllStringFunc(text, func(address string) string {
+		index, _ := slices.BinarySearch(addresses, address)
+		return ports[index].String()
+	})
+	text = strings.ReplaceAll(text, `"data/`, `"`+deployment.folder+"/")
+	text = strings.ReplaceAll(text, `"peer.key"`, `"`+filepath.Join(deployment.folder, "peer.key")+`"`)
+	path := filepath.Join(deployment.folder, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	settings, err := loader.Load(path)
+	return settings, Error.Wrap(err)
+}
