deployer, crocusplankd, kernel: remove repeated and unused code

Cause: a last reading found the peer key written in two places, the set-up and report of the revision watch in two tests, the skip of short runs in three, and kernel.Names, reporter.Scope and scheduler.Error without a caller. No behaviour and no check is changed.

--- a/cmd/crocusplankd/cut_off_test.go
+++ b/cmd/crocusplankd/cut_off_test.go
@@ -22,14 +22,10 @@
 // Guards against a data centre that stops serving, loses work or accepts a configuration change when the
 // other data centres fall silent, and against changes that come back after they were refused.
 func TestDataCentreCutOff(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	system := startSystem(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	watch := &revisionWatch{highest: map[string]uint64{}}
-	go watch.run(ctx, system)
+	watch := watchRevisions(ctx, system)
 	workers, endpoints, callers := startPlatform(ctx, t, system)
 	callers.SetKeyHome("couva")
 	first := system.writeFile("first.jsonc", fmt.Sprintf(deploymentConfiguration, 0, 8000))
@@ -85,11 +81,7 @@
 	traffic.Wait()
 	cancel()
 	checkPromises(t, workers, endpoints, callers, 5)
-	watch.mutex.Lock()
-	defer watch.mutex.Unlock()
-	for _, fault := range watch.faults {
-		t.Errorf("configuration: %s", fault)
-	}
+	watch.report(t)
 }
 
 // moveGlobalLeader freezes the leaders of the global group until a VM leads it.
--- a/cmd/crocusplankd/deployment_test.go
+++ b/cmd/crocusplankd/deployment_test.go
@@ -53,6 +53,9 @@
 // startSystem builds both programs and starts a daemon for each VM.
 func startSystem(t *testing.T) *system {
 	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
 	system := &system{t: t, folder: t.TempDir(), processes: map[scheduler.VMName]*exec.Cmd{}}
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", system.folder, "./cmd/crocusplankd", "./cmd/crocusplank")
 	build.Dir = filepath.Join("..", "..")
@@ -214,6 +217,23 @@
 	faults  []string
 }
 
+// watchRevisions reads the revisions of all VMs until ctx ends.
+func watchRevisions(ctx context.Context, system *system) *revisionWatch {
+	watch := &revisionWatch{highest: map[string]uint64{}}
+	go watch.run(ctx, system)
+	return watch
+}
+
+// report fails the test for every step back.
+func (watch *revisionWatch) report(t *testing.T) {
+	t.Helper()
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	for _, fault := range watch.faults {
+		t.Errorf("configuration: %s", fault)
+	}
+}
+
 func (watch *revisionWatch) run(ctx context.Context, system *system) {
 	for ctx.Err() == nil {
 		for _, vm := range system.deployment.VMs() {
@@ -257,14 +277,10 @@
 // Guards against promises that hold only while every process is well: it kills a daemon, freezes the
 // leader of the data centre's group and lets it wake up, under requests, a job and configuration changes.
 func TestDeploymentUnderFailures(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	system := startSystem(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	watch := &revisionWatch{highest: map[string]uint64{}}
-	go watch.run(ctx, system)
+	watch := watchRevisions(ctx, system)
 	workers, endpoints, callers := startPlatform(ctx, t, system)
 
 	first := system.writeFile("first.jsonc", fmt.Sprintf(deploymentConfiguration, 0, 8000))
@@ -311,11 +327,7 @@
 	traffic.Wait()
 	cancel()
 	checkPromises(t, workers, endpoints, callers, 5)
-	watch.mutex.Lock()
-	defer watch.mutex.Unlock()
-	for _, fault := range watch.faults {
-		t.Errorf("configuration: %s", fault)
-	}
+	watch.report(t)
 }
 
 func startPlatform(ctx context.Context, t *testing.T, system *system) ([]*emulator.Worker, []*emulator.Endpoint, *emulator.Callers) {
--- a/cmd/crocusplankd/restart_test.go
+++ b/cmd/crocusplankd/restart_test.go
@@ -9,9 +9,6 @@
 // Guards against acknowledged changes and jobs that are lost when every process dies at once, and against
 // keys that run again after it.
 func TestAllProcessesDie(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	system := startSystem(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/internal/deployer/deployer.go
+++ b/internal/deployer/deployer.go
@@ -48,8 +48,8 @@
 			ports = append(ports[4:], ports[3])
 		}
 	}
-	if err := os.WriteFile(filepath.Join(folder, "peer.key"), []byte("loopback\n"), 0o600); err != nil {
-		return nil, Error.Wrap(err)
+	if err := deployment.writePeerKey(); err != nil {
+		return nil, err
 	}
 	groups := groupsOf(dataCentres)
 	for index, vm := range deployment.vms {
@@ -61,6 +61,14 @@
 	return deployment, nil
 }
 
+func (deployment *Deployment) peerKeyFile() string {
+	return filepath.Join(deployment.folder, "peer.key")
+}
+
+func (deployment *Deployment) writePeerKey() error {
+	return Error.Wrap(os.WriteFile(deployment.peerKeyFile(), []byte("loopback\n"), 0o600))
+}
+
 // freePorts returns loopback addresses with ports that are free now.
 func freePorts(count int) ([]netip.AddrPort, error) {
 	var ports []netip.AddrPort
@@ -120,7 +128,7 @@
 		Roles:     []string{loader.RoleReplica, loader.RoleScheduler, loader.RoleGateway},
 		Addresses: loader.Addresses{Peer: vm.PeerAddress, Caller: vm.CallerAddress, API: vm.APIAddress, Metrics: metrics},
 		Groups:    groups, VMs: deployment.vms,
-		Tokens: map[string]string{"peerKeyFile": filepath.Join(deployment.folder, "peer.key")},
+		Tokens: map[string]string{"peerKeyFile": deployment.peerKeyFile()},
 	}
 	if member, _ := groups[0].Member(vm.Name); member.Disk {
 		file.DataFolder = filepath.Join(deployment.folder, string(vm.Name))
--- a/internal/deployer/examples.go
+++ b/internal/deployer/examples.go
@@ -39,10 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(filepath.Join(folder, "peer.key"), []byte("loopback\n"), 0o600); err != nil {
-		return nil, Error.Wrap(err)
-	}
 	deployment := &Deployment{folder: folder}
+	if err := deployment.writePeerKey(); err != nil {
+		return nil, err
+	}
 	for _, path := range paths {
 		settings, err := deployment.writeExample(filepath.Base(path), texts[path], addresses, ports)
 		if err != nil {
@@ -59,7 +59,7 @@
 		return ports[index].String()
 	})
 	text = strings.ReplaceAll(text, `"data/`, `"`+deployment.folder+"/")
-	text = strings.ReplaceAll(text, `"peer.key"`, `"`+filepath.Join(deployment.folder, "peer.key")+`"`)
+	text = strings.ReplaceAll(text, `"peer.key"`, `"`+deployment.peerKeyFile()+`"`)
 	path := filepath.Join(deployment.folder, name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, Error.Wrap(err)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -54,18 +54,6 @@
 	registry[name] = Plugin{name: name, after: after, build: build}
 }
 
-// Names returns the names of the registered roles in alphabetical order.
-func Names() []string {
-	registryMutex.Lock()
-	defer registryMutex.Unlock()
-	names := make([]string, 0, len(registry))
-	for name := range registry {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Kernel runs a set of roles: Build, Start and Stop are called in this order from one goroutine; the
 // other methods are safe for concurrent use.
 type Kernel struct {
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -42,9 +42,6 @@
 	return &Reporter{scope: scope, closer: closer, served: served}
 }
 
-// Scope returns the scope under which metrics are created.
-func (reporter *Reporter) Scope() tally.Scope { return reporter.scope }
-
 // Handler serves the metrics.
 func (reporter *Reporter) Handler() http.Handler { return reporter.served.HTTPHandler() }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -2,11 +2,6 @@
 // of what varies; implementations are in the packages under internal/.
 package scheduler
 
-import "github.com/zeebo/errs"
-
-// Error is the class of errors that this package returns.
-var Error = errs.Class("scheduler")
-
 // VMName is the name of a VM in the inventory, for example "couva-1".
 type VMName string
 
