internal: put packages into folders by family

Cause: 39 packages stood side by side, and only a table of the README told which belong together. Change: state, jobs, placement, requests, operating, trials and basics; package names stay.

--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -6,12 +6,12 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/crocusplank/crocusplank/internal/commander"
-	"github.com/crocusplank/crocusplank/internal/demonstrator"
-	"github.com/crocusplank/crocusplank/internal/emulator"
-	"github.com/crocusplank/crocusplank/internal/experimenter"
-	"github.com/crocusplank/crocusplank/internal/sizer"
-	"github.com/crocusplank/crocusplank/internal/versioner"
+	"github.com/crocusplank/crocusplank/internal/operating/commander"
+	"github.com/crocusplank/crocusplank/internal/operating/versioner"
+	"github.com/crocusplank/crocusplank/internal/trials/demonstrator"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
+	"github.com/crocusplank/crocusplank/internal/trials/experimenter"
+	"github.com/crocusplank/crocusplank/internal/trials/sizer"
 )
 
 func main() {
--- a/cmd/crocusplank/main_test.go
+++ b/cmd/crocusplank/main_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/crocusplank/crocusplank/internal/composer"
+	"github.com/crocusplank/crocusplank/internal/operating/composer"
 )
 
 const commandsPage = "../../docs/operating/commands.md"
--- a/cmd/crocusplankd/deployment_test.go
+++ b/cmd/crocusplankd/deployment_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/deployer"
-	"github.com/crocusplank/crocusplank/internal/emulator"
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/trials/deployer"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/cmd/crocusplankd/main.go
+++ b/cmd/crocusplankd/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/crocusplank/crocusplank/internal/composer"
+	"github.com/crocusplank/crocusplank/internal/operating/composer"
 )
 
 func main() {
--- a/internal/dispatcher/batcher.go
+++ b/internal/jobs/dispatcher/batcher.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/dispatcher/benchmark_test.go
+++ b/internal/jobs/dispatcher/benchmark_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/dispatcher/engine_test.go
+++ b/internal/jobs/dispatcher/engine_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/dispatcher/failure_test.go
+++ b/internal/jobs/dispatcher/failure_test.go
@@ -11,10 +11,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/emulator"
-	"github.com/crocusplank/crocusplank/internal/encoder"
-	"github.com/crocusplank/crocusplank/internal/multiplexer"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/multiplexer"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/dispatcher/move.go
+++ b/internal/jobs/dispatcher/move.go
@@ -5,7 +5,7 @@
 	"context"
 	"slices"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/fxamacker/cbor/v2"
 )
--- a/internal/commander/inventory.go
+++ b/internal/operating/commander/inventory.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/crocusplank/crocusplank/gen/configuration"
-	"github.com/crocusplank/crocusplank/internal/importer"
+	"github.com/crocusplank/crocusplank/internal/operating/importer"
 )
 
 func (commander *Commander) inventoryCommand() *cobra.Command {
--- a/internal/commander/job.go
+++ b/internal/operating/commander/job.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/crocusplank/crocusplank/gen/jobs"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 )
 
 const waitInterval = time.Second
--- a/internal/composer/access.go
+++ b/internal/operating/composer/access.go
@@ -11,8 +11,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/crocusplank/crocusplank/internal/authenticator"
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/access_test.go
+++ b/internal/operating/composer/access_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/crocusplank/crocusplank/internal/auditor"
-	"github.com/crocusplank/crocusplank/internal/authenticator"
-	"github.com/crocusplank/crocusplank/internal/deployer"
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/auditor"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/trials/deployer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/api.go
+++ b/internal/operating/composer/api.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"net/http/pprof"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/replicator"
-	"github.com/crocusplank/crocusplank/internal/server"
-	"github.com/crocusplank/crocusplank/internal/versioner"
+	"github.com/crocusplank/crocusplank/internal/operating/server"
+	"github.com/crocusplank/crocusplank/internal/operating/versioner"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/composer.go
+++ b/internal/operating/composer/composer.go
@@ -13,12 +13,12 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
-	"github.com/crocusplank/crocusplank/internal/journaler"
-	"github.com/crocusplank/crocusplank/internal/kernel"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/messenger"
-	"github.com/crocusplank/crocusplank/internal/reporter"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/operating/kernel"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/reporter"
+	"github.com/crocusplank/crocusplank/internal/state/journaler"
+	"github.com/crocusplank/crocusplank/internal/state/messenger"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/coordinator.go
+++ b/internal/operating/composer/coordinator.go
@@ -11,12 +11,12 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
-	"github.com/crocusplank/crocusplank/internal/governor"
-	"github.com/crocusplank/crocusplank/internal/kernel"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/multiplexer"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/operating/kernel"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/placement/governor"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/multiplexer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/environment.go
+++ b/internal/operating/composer/environment.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/crocusplank/crocusplank/internal/kernel"
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/kernel"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/main.go
+++ b/internal/operating/composer/main.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"github.com/crocusplank/crocusplank/internal/authenticator"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/versioner"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/versioner"
 )
 
 // Exit codes of the daemon.
--- a/internal/composer/proposer.go
+++ b/internal/operating/composer/proposer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/crocusplank/crocusplank/internal/multiplexer"
+	"github.com/crocusplank/crocusplank/internal/state/multiplexer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/recorder.go
+++ b/internal/operating/composer/recorder.go
@@ -9,9 +9,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/crocusplank/crocusplank/internal/auditor"
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/operating/auditor"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/replica.go
+++ b/internal/operating/composer/replica.go
@@ -7,15 +7,15 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/deduplicator"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
-	"github.com/crocusplank/crocusplank/internal/journaler"
-	"github.com/crocusplank/crocusplank/internal/kernel"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/multiplexer"
-	"github.com/crocusplank/crocusplank/internal/replicator"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/operating/kernel"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/requests/deduplicator"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/journaler"
+	"github.com/crocusplank/crocusplank/internal/state/multiplexer"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/composer/tls.go
+++ b/internal/operating/composer/tls.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 )
 
 // certificateCheckInterval is how often the certificate file's time is looked at.
--- a/internal/composer/tls_test.go
+++ b/internal/operating/composer/tls_test.go
@@ -17,7 +17,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 )
 
 // authority is a CA of a test.
--- a/internal/importer/convert.go
+++ b/internal/operating/importer/convert.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/importer/importer_test.go
+++ b/internal/operating/importer/importer_test.go
@@ -174,7 +174,7 @@
 
 // Guards against an example that the command refuses.
 func TestExampleIsValid(t *testing.T) {
-	for _, name := range []string{"../../examples/couva/inventory.csv", "../../examples/bramble/inventory.json"} {
+	for _, name := range []string{"../../../examples/couva/inventory.csv", "../../../examples/bramble/inventory.json"} {
 		data, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/loader/load_test.go
+++ b/internal/operating/loader/load_test.go
@@ -11,7 +11,7 @@
 
 func readExample(t testing.TB) string {
 	t.Helper()
-	data, err := os.ReadFile(filepath.Join("..", "..", "examples", "couva", "couva-1.jsonc"))
+	data, err := os.ReadFile(filepath.Join("..", "..", "..", "examples", "couva", "couva-1.jsonc"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -20,7 +20,7 @@
 
 // TestExamples guards against examples that the daemon would refuse.
 func TestExamples(t *testing.T) {
-	names, err := filepath.Glob(filepath.Join("..", "..", "examples", "*", "*.jsonc"))
+	names, err := filepath.Glob(filepath.Join("..", "..", "..", "examples", "*", "*.jsonc"))
 	if err != nil || len(names) != 12 {
 		t.Fatalf("got %d examples, %v, want 12", len(names), err)
 	}
--- a/internal/server/access.go
+++ b/internal/operating/server/access.go
@@ -6,7 +6,7 @@
 
 	goa "goa.design/goa/v3/pkg"
 
-	"github.com/crocusplank/crocusplank/internal/authenticator"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/access_test.go
+++ b/internal/operating/server/access_test.go
@@ -15,9 +15,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
-	"github.com/crocusplank/crocusplank/internal/auditor"
-	"github.com/crocusplank/crocusplank/internal/authenticator"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/operating/auditor"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -237,7 +237,7 @@
 
 // Guards against a new method of the API that the table of TestAccess does not have.
 func TestAccessTableIsComplete(t *testing.T) {
-	data, err := os.ReadFile(filepath.Join("..", "..", "docs", "openapi.json"))
+	data, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "openapi.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/configuration.go
+++ b/internal/operating/server/configuration.go
@@ -9,7 +9,7 @@
 	"goa.design/goa/v3/security"
 
 	"github.com/crocusplank/crocusplank/gen/configuration"
-	"github.com/crocusplank/crocusplank/internal/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/failure.go
+++ b/internal/operating/server/failure.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/crocusplank/crocusplank/internal/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/jobs.go
+++ b/internal/operating/server/jobs.go
@@ -9,7 +9,7 @@
 	"goa.design/goa/v3/security"
 
 	"github.com/crocusplank/crocusplank/gen/jobs"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/replicas.go
+++ b/internal/operating/server/replicas.go
@@ -7,7 +7,7 @@
 
 	"github.com/crocusplank/crocusplank/gen/health"
 	"github.com/crocusplank/crocusplank/gen/replicas"
-	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/server.go
+++ b/internal/operating/server/server.go
@@ -23,10 +23,10 @@
 	"github.com/crocusplank/crocusplank/gen/jobs"
 	"github.com/crocusplank/crocusplank/gen/replicas"
 	"github.com/crocusplank/crocusplank/gen/state"
-	"github.com/crocusplank/crocusplank/internal/authenticator"
-	"github.com/crocusplank/crocusplank/internal/configurator"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
-	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/server/state.go
+++ b/internal/operating/server/state.go
@@ -9,8 +9,8 @@
 	"goa.design/goa/v3/security"
 
 	"github.com/crocusplank/crocusplank/gen/state"
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
-	"github.com/crocusplank/crocusplank/internal/replicator"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/cluster_test.go
+++ b/internal/placement/governor/cluster_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
-	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/control.go
+++ b/internal/placement/governor/control.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/controller"
+	"github.com/crocusplank/crocusplank/internal/placement/controller"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/governor.go
+++ b/internal/placement/governor/governor.go
@@ -10,11 +10,11 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
-	"github.com/crocusplank/crocusplank/internal/controller"
-	"github.com/crocusplank/crocusplank/internal/estimator"
-	"github.com/crocusplank/crocusplank/internal/placer"
-	"github.com/crocusplank/crocusplank/internal/quarantiner"
-	"github.com/crocusplank/crocusplank/internal/quotakeeper"
+	"github.com/crocusplank/crocusplank/internal/placement/controller"
+	"github.com/crocusplank/crocusplank/internal/placement/estimator"
+	"github.com/crocusplank/crocusplank/internal/placement/placer"
+	"github.com/crocusplank/crocusplank/internal/placement/quarantiner"
+	"github.com/crocusplank/crocusplank/internal/placement/quotakeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/interference_test.go
+++ b/internal/placement/governor/interference_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/dispatcher"
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/quarantine.go
+++ b/internal/placement/governor/quarantine.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/quarantiner"
+	"github.com/crocusplank/crocusplank/internal/placement/quarantiner"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/governor/quota.go
+++ b/internal/placement/governor/quota.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/quotakeeper"
+	"github.com/crocusplank/crocusplank/internal/placement/quotakeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/requests/gateway/gateway_test.go
@@ -14,11 +14,11 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/crocusplank/crocusplank/internal/balancer"
-	"github.com/crocusplank/crocusplank/internal/deduplicator"
-	"github.com/crocusplank/crocusplank/internal/forwarder"
-	"github.com/crocusplank/crocusplank/internal/limiter"
-	"github.com/crocusplank/crocusplank/internal/retrier"
+	"github.com/crocusplank/crocusplank/internal/requests/balancer"
+	"github.com/crocusplank/crocusplank/internal/requests/deduplicator"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/limiter"
+	"github.com/crocusplank/crocusplank/internal/requests/retrier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/gateway/reply.go
+++ b/internal/requests/gateway/reply.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/gateway/request.go
+++ b/internal/requests/gateway/request.go
@@ -14,9 +14,9 @@
 	"strings"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/forwarder"
-	"github.com/crocusplank/crocusplank/internal/limiter"
-	"github.com/crocusplank/crocusplank/internal/retrier"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/limiter"
+	"github.com/crocusplank/crocusplank/internal/requests/retrier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/gateway/serve.go
+++ b/internal/requests/gateway/serve.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/forwarder"
-	"github.com/crocusplank/crocusplank/internal/limiter"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/limiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/gateway/spill.go
+++ b/internal/requests/gateway/spill.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/crocusplank/crocusplank/internal/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/configurator/codec.go
+++ b/internal/state/configurator/codec.go
@@ -5,7 +5,7 @@
 import (
 	"crypto/sha256"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/zeebo/errs"
 )
--- a/internal/configurator/difference.go
+++ b/internal/state/configurator/difference.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/configurator/distributor_test.go
+++ b/internal/state/configurator/distributor_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/configurator/global_test.go
+++ b/internal/state/configurator/global_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/configurator/notifier.go
+++ b/internal/state/configurator/notifier.go
@@ -5,7 +5,7 @@
 	"io"
 	"sync"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 )
 
 // notifier tells subscribers that something newer can be read. It carries no value: a subscriber
--- a/internal/configurator/submitter.go
+++ b/internal/state/configurator/submitter.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/messenger/link.go
+++ b/internal/state/messenger/link.go
@@ -9,7 +9,7 @@
 
 	"github.com/coder/websocket"
 
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/demonstrator/steps.go
+++ b/internal/trials/demonstrator/steps.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/emulator"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/deployer/deployer.go
+++ b/internal/trials/deployer/deployer.go
@@ -12,7 +12,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/deployer/examples.go
+++ b/internal/trials/deployer/examples.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/crocusplank/crocusplank/internal/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
 )
 
 // addressPattern finds the loopback addresses in the text of a settings file.
--- a/internal/experimenter/ablation.go
+++ b/internal/trials/experimenter/ablation.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/estimator"
-	"github.com/crocusplank/crocusplank/internal/placer"
+	"github.com/crocusplank/crocusplank/internal/placement/estimator"
+	"github.com/crocusplank/crocusplank/internal/placement/placer"
 )
 
 // without returns the policy controlled with changed options of the placer.
--- a/internal/experimenter/controlled.go
+++ b/internal/trials/experimenter/controlled.go
@@ -1,9 +1,9 @@
 package experimenter
 
 import (
-	"github.com/crocusplank/crocusplank/internal/controller"
-	"github.com/crocusplank/crocusplank/internal/estimator"
-	"github.com/crocusplank/crocusplank/internal/placer"
+	"github.com/crocusplank/crocusplank/internal/placement/controller"
+	"github.com/crocusplank/crocusplank/internal/placement/estimator"
+	"github.com/crocusplank/crocusplank/internal/placement/placer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/experimenter/fair.go
+++ b/internal/trials/experimenter/fair.go
@@ -1,7 +1,7 @@
 package experimenter
 
 import (
-	"github.com/crocusplank/crocusplank/internal/quotakeeper"
+	"github.com/crocusplank/crocusplank/internal/placement/quotakeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/experimenter/learned.go
+++ b/internal/trials/experimenter/learned.go
@@ -5,8 +5,8 @@
 	"math"
 	"slices"
 
-	"github.com/crocusplank/crocusplank/internal/estimator"
-	"github.com/crocusplank/crocusplank/internal/placer"
+	"github.com/crocusplank/crocusplank/internal/placement/estimator"
+	"github.com/crocusplank/crocusplank/internal/placement/placer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/experimenter/policy.go
+++ b/internal/trials/experimenter/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/placer"
+	"github.com/crocusplank/crocusplank/internal/placement/placer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/experimenter/predicting.go
+++ b/internal/trials/experimenter/predicting.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/predictor"
+	"github.com/crocusplank/crocusplank/internal/placement/predictor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/experimenter/quarantined.go
+++ b/internal/trials/experimenter/quarantined.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/quarantiner"
+	"github.com/crocusplank/crocusplank/internal/placement/quarantiner"
 )
 
 // survival is the age from which a running attempt counts as a success.
--- a/internal/measurer/gateways.go
+++ b/internal/trials/measurer/gateways.go
@@ -9,12 +9,12 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/allocator"
-	"github.com/crocusplank/crocusplank/internal/balancer"
-	"github.com/crocusplank/crocusplank/internal/forwarder"
-	"github.com/crocusplank/crocusplank/internal/gateway"
-	"github.com/crocusplank/crocusplank/internal/limiter"
-	"github.com/crocusplank/crocusplank/internal/retrier"
+	"github.com/crocusplank/crocusplank/internal/requests/allocator"
+	"github.com/crocusplank/crocusplank/internal/requests/balancer"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/gateway"
+	"github.com/crocusplank/crocusplank/internal/requests/limiter"
+	"github.com/crocusplank/crocusplank/internal/requests/retrier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/measurer/model.go
+++ b/internal/trials/measurer/model.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/sizer/measure.go
+++ b/internal/trials/sizer/measure.go
@@ -11,11 +11,11 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/crocusplank/crocusplank/internal/commander"
-	"github.com/crocusplank/crocusplank/internal/composer"
-	"github.com/crocusplank/crocusplank/internal/deployer"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/operating/commander"
+	"github.com/crocusplank/crocusplank/internal/operating/composer"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/trials/deployer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/sizer/page_test.go
+++ b/internal/trials/sizer/page_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	root = "../.."
+	root = "../../.."
 	// page is the capacity page of the design.
 	page = root + "/docs/CAPACITY.md"
 )
--- a/internal/sizer/platform.go
+++ b/internal/trials/sizer/platform.go
@@ -14,8 +14,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/crocusplank/crocusplank/internal/emulator"
-	"github.com/crocusplank/crocusplank/internal/waiter"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/sizer/process.go
+++ b/internal/trials/sizer/process.go
@@ -17,9 +17,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/crocusplank/crocusplank/internal/composer"
-	"github.com/crocusplank/crocusplank/internal/loader"
-	"github.com/crocusplank/crocusplank/internal/messenger"
+	"github.com/crocusplank/crocusplank/internal/operating/composer"
+	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/state/messenger"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
--- a/internal/sizer/sizer_test.go
+++ b/internal/trials/sizer/sizer_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/messenger"
+	"github.com/crocusplank/crocusplank/internal/state/messenger"
 )
 
 // Guards against fits whose slope or residual is wrong, and against lines through so few points that they
