--- /dev/null
+++ b/internal/jobs/clerk/courier.go
@@ -0,0 +1,225 @@
+package clerk
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// KindRequest carries a Request between VMs.
+const KindRequest scheduler.MessageKind = "domainRequest"
+
+const (
+	// statusInterval is how often a Courier asks whether the domain can be served.
+	statusInterval = 500 * time.Millisecond
+	// statusTimeout bounds that question.
+	statusTimeout = 700 * time.Millisecond
+	// reachableFor is for how long an answer shows that the domain can be served.
+	reachableFor = 1500 * time.Millisecond
+	// hops bounds how often one request is passed on to the VM that the last answer named.
+	hops = 3
+)
+
+// Network is what a Courier needs of the connections between VMs.
+type Network interface {
+	scheduler.Transport
+	// AddPeer adds a VM that is reached at an address.
+	AddPeer(name scheduler.VMName, address string)
+	// Connected reports whether the connection to a VM is up.
+	Connected(name scheduler.VMName) bool
+}
+
+// Serve registers the handler of requests from other VMs with a transport.
+func Serve(transport scheduler.Transport, group scheduler.GroupName, clerk *Clerk) {
+	transport.Handle(group, KindRequest, func(ctx context.Context, _ scheduler.VMName, body []byte) ([]byte, error) {
+		var request Request
+		if err := encoder.Unmarshal(body, &request); err != nil {
+			return nil, scheduler.ErrNotRun.Wrap(Error.Wrap(err))
+		}
+		return encoder.Marshal(clerk.Answer(ctx, &request))
+	})
+}
+
+// Courier passes requests to the VM that leads the domain. It is safe for concurrent use.
+type Courier struct {
+	network Network
+	group   scheduler.GroupName
+	// local is nil on a VM that holds no state.
+	local  *Clerk
+	logger zerolog.Logger
+
+	mutex   sync.Mutex
+	members []scheduler.VMName
+	leader  scheduler.VMName
+	// answered is when the leader last answered, limits and version what it told.
+	answered time.Time
+	limits   scheduler.RequestLimits
+	version  uint64
+}
+
+// NewCourier returns a Courier that starts from the VMs named seeds. local is nil on a VM that holds no
+// state.
+func NewCourier(network Network, group scheduler.GroupName, seeds []scheduler.VMName, local *Clerk, logger zerolog.Logger) *Courier {
+	return &Courier{network: network, group: group, members: slices.Clone(seeds), local: local, logger: logger}
+}
+
+// Run keeps track of the leader until ctx ends.
+func (courier *Courier) Run(ctx context.Context) {
+	reachable := false
+	for ctx.Err() == nil {
+		courier.ask(ctx)
+		if now := courier.Reachable(); now != reachable {
+			reachable = now
+			courier.logger.Info().Str("event", "domainReachable").Bool("reachable", reachable).Str("leader", string(courier.Leader())).
+				Msg("reachability of the domain changed")
+		}
+		waiter.Sleep(ctx, statusInterval)
+	}
+}
+
+func (courier *Courier) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	courier.Ask(ctx, &Request{Status: &StatusRequest{}})
+}
+
+// Reachable reports whether the leader has answered recently.
+func (courier *Courier) Reachable() bool {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return !courier.answered.IsZero() && time.Since(courier.answered) < reachableFor
+}
+
+// Leader returns the VM that led when it was last heard of, empty if none is known.
+func (courier *Courier) Leader() scheduler.VMName {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return courier.leader
+}
+
+// Limits returns the limits of requests and the version of the configuration as the leader last told.
+func (courier *Courier) Limits() (scheduler.RequestLimits, uint64) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return courier.limits, courier.version
+}
+
+// Members returns the VMs that may lead.
+func (courier *Courier) Members() []scheduler.VMName {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return slices.Clone(courier.members)
+}
+
+// Ask passes a request to the leader and returns its answer. Without one, the answer tells whether the
+// request surely had no effect.
+func (courier *Courier) Ask(ctx context.Context, request *Request) Answer {
+	body, err := encoder.Marshal(request)
+	if err != nil {
+		return refusal(StatusInvalid, err.Error(), 0)
+	}
+	tried := map[scheduler.VMName]bool{}
+	for range hops {
+		vm, found := courier.next(tried)
+		if !found {
+			break
+		}
+		tried[vm] = true
+		answer := courier.askVM(ctx, vm, request, body)
+		if answer.Status != StatusNotLeader {
+			courier.note(vm, request, &answer)
+			return answer
+		}
+		courier.redirect(vm, answer.Leader, tried)
+	}
+	return refusal(StatusUnavailable, "no VM that leads the domain can be reached", leaderRetry)
+}
+
+// next returns the VM to ask: the leader if it is known and reachable, otherwise any other one.
+func (courier *Courier) next(tried map[scheduler.VMName]bool) (scheduler.VMName, bool) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	if courier.leader != "" && !tried[courier.leader] && courier.mayReach(courier.leader) {
+		return courier.leader, true
+	}
+	if self := courier.network.Self(); courier.local != nil && !tried[self] {
+		return self, true
+	}
+	for _, member := range courier.members {
+		if !tried[member] && courier.mayReach(member) {
+			return member, true
+		}
+	}
+	return "", false
+}
+
+func (courier *Courier) mayReach(vm scheduler.VMName) bool {
+	return courier.local != nil && vm == courier.network.Self() || courier.network.Connected(vm)
+}
+
+func (courier *Courier) askVM(ctx context.Context, vm scheduler.VMName, request *Request, body []byte) Answer {
+	if courier.local != nil && vm == courier.network.Self() {
+		return courier.local.Answer(ctx, request)
+	}
+	data, err := courier.network.Call(ctx, vm, courier.group, KindRequest, body)
+	if scheduler.ErrNotRun.Has(err) {
+		return refusal(StatusNotLeader, err.Error(), leaderRetry)
+	}
+	if err != nil {
+		return refusal(StatusUnknown, err.Error(), 0)
+	}
+	var answer Answer
+	if err := encoder.Unmarshal(data, &answer); err != nil {
+		return refusal(StatusUnknown, err.Error(), 0)
+	}
+	return answer
+}
+
+// redirect notes that a VM does not lead and which one it names.
+func (courier *Courier) redirect(vm, leader scheduler.VMName, tried map[scheduler.VMName]bool) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	if leader != "" && !tried[leader] {
+		courier.learn([]scheduler.VMName{leader})
+		courier.leader = leader
+		return
+	}
+	if courier.leader == vm {
+		courier.leader = ""
+	}
+}
+
+// note keeps what the leader told.
+func (courier *Courier) note(vm scheduler.VMName, request *Request, answer *Answer) {
+	if answer.Status == StatusUnknown {
+		return
+	}
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	courier.leader = vm
+	courier.answered = time.Now()
+	if request.Status != nil && answer.Status == StatusDone {
+		courier.limits, courier.version = answer.Limits, answer.Version
+		courier.learn(answer.Members)
+	}
+}
+
+// learn adds VMs that may lead. The mutex is held.
+func (courier *Courier) learn(members []scheduler.VMName) {
+	for _, member := range members {
+		if slices.Contains(courier.members, member) {
+			continue
+		}
+		courier.members = append(courier.members, member)
+		if member != courier.network.Self() {
+			courier.network.AddPeer(member, string(member))
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/clerk/message.go
@@ -0,0 +1,120 @@
+package clerk
+
+import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Request is what callers, operators and workers ask of a domain. It is a wire type; exactly one of the
+// pointers is set.
+type Request struct {
+	Submit    *SubmitRequest                `cbor:"1,keyasint,omitempty"`
+	Cancel    *JobRequest                   `cbor:"2,keyasint,omitempty"`
+	State     *JobRequest                   `cbor:"3,keyasint,omitempty"`
+	Queue     *PlaceRequest                 `cbor:"4,keyasint,omitempty"`
+	Configure *scheduler.QueueConfiguration `cbor:"5,keyasint,omitempty"`
+	Read      *ReadRequest                  `cbor:"6,keyasint,omitempty"`
+	Beat      *scheduler.WorkerBeat         `cbor:"7,keyasint,omitempty"`
+	Leave     *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
+	Status    *StatusRequest                `cbor:"9,keyasint,omitempty"`
+	Wave      *jobkeeper.Wave               `cbor:"10,keyasint,omitempty"`
+	WaveState *WaveRequest                  `cbor:"11,keyasint,omitempty"`
+}
+
+// PlaceRequest names the place at which a request arrived; it selects the queue.
+type PlaceRequest struct {
+	_    struct{} `cbor:",toarray"`
+	Host string
+	Path string
+}
+
+// SubmitRequest submits a job.
+type SubmitRequest struct {
+	_        struct{} `cbor:",toarray"`
+	Place    PlaceRequest
+	Job      scheduler.JobID
+	Workflow scheduler.Workflow
+}
+
+// JobRequest names a job.
+type JobRequest struct {
+	_     struct{} `cbor:",toarray"`
+	Place PlaceRequest
+	Job   scheduler.JobID
+}
+
+// ReadRequest reads the configuration in force.
+type ReadRequest struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// StatusRequest asks whether the domain can be served.
+type StatusRequest struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// LeaveRequest tells that a worker ends now.
+type LeaveRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Worker scheduler.WorkerName
+}
+
+// WaveRequest names a maintenance wave.
+type WaveRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Number int64
+}
+
+// Status tells what became of a request.
+type Status string
+
+// Values of Status.
+const (
+	// StatusDone means that the request took effect, or had done so before.
+	StatusDone Status = "done"
+	// StatusRefused means that the request had no effect and that the domain has no room for it now.
+	StatusRefused Status = "refused"
+	// StatusUnavailable means that the request had no effect because the domain cannot be served now.
+	StatusUnavailable Status = "unavailable"
+	// StatusUnknown means that the request may or may not have had an effect.
+	StatusUnknown Status = "unknown"
+	// StatusNoQueue means that no queue is configured for the place.
+	StatusNoQueue Status = "noQueue"
+	// StatusNoJob means that there is no such job.
+	StatusNoJob Status = "noJob"
+	// StatusInvalid means that the request is not valid and had no effect.
+	StatusInvalid Status = "invalid"
+	// StatusNotLeader means that another VM leads; the request had no effect.
+	StatusNotLeader Status = "notLeader"
+)
+
+// Answer is the answer to a Request. It is a wire type.
+type Answer struct {
+	Status Status `cbor:"1,keyasint"`
+	// Reason explains any status but StatusDone.
+	Reason string `cbor:"2,keyasint,omitempty"`
+	// RetryAfter is when the caller should try again, zero for no advice.
+	RetryAfter time.Duration           `cbor:"3,keyasint,omitempty"`
+	State      scheduler.WorkflowState `cbor:"4,keyasint,omitempty"`
+	// Waiting is the number of accepted jobs of a queue that have not begun.
+	Waiting int `cbor:"5,keyasint,omitempty"`
+	// Leader is the VM that leads the domain, if it is known.
+	Leader scheduler.VMName `cbor:"6,keyasint,omitempty"`
+	// Source is the configuration as the operator sent it.
+	Source []byte `cbor:"7,keyasint,omitempty"`
+	// Limits bounds what callers may send; it is set in the answer to a StatusRequest.
+	Limits scheduler.RequestLimits `cbor:"8,keyasint,omitempty"`
+	// Members are the VMs that hold the state; they are set in the answer to a StatusRequest.
+	Members []scheduler.VMName `cbor:"9,keyasint,omitempty"`
+	// Version is that of the configuration in force, 0 without one.
+	Version uint64 `cbor:"10,keyasint,omitempty"`
+	// Completed is true when a wave has completed.
+	Completed bool `cbor:"11,keyasint,omitempty"`
+}
+
+// refusal returns an answer that tells why a request had no effect.
+func refusal(status Status, reason string, retryAfter time.Duration) Answer {
+	return Answer{Status: status, Reason: reason, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/jobs/jobkeeper/apply.go
@@ -0,0 +1,381 @@
+package jobkeeper
+
+import (
+	"slices"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+func (state *State) apply(command *Command) Result {
+	switch {
+	case command.Configure != nil:
+		return Result{Answer: state.configure(command.Configure)}
+	case command.Submit != nil:
+		return Result{Answer: state.submit(command.Submit)}
+	case command.Cancel != nil:
+		return Result{Answer: state.cancel(*command.Cancel)}
+	case command.Repeat != nil:
+		return Result{Answer: state.repeat(command.Repeat)}
+	case command.Place != nil:
+		return Result{Answer: AnswerDone, Attempts: state.place(command.Place)}
+	case command.End != nil:
+		for _, end := range command.End {
+			state.end(end)
+		}
+		return Result{Answer: AnswerDone}
+	case command.Wave != nil:
+		return Result{Answer: state.startWave(command.Wave)}
+	case command.Maintain != nil:
+		return Result{Answer: state.maintained(command.Maintain)}
+	}
+	return Result{Answer: AnswerInvalid}
+}
+
+// configure takes over a configuration if its version is higher than the one in force. Jobs that are
+// under way follow the changes of their queue; those of a removed queue keep its last form.
+func (state *State) configure(configuration *scheduler.QueueConfiguration) Answer {
+	if configuration.Validate() != nil {
+		return AnswerInvalid
+	}
+	if state.configuration != nil && configuration.Version <= state.configuration.Version {
+		return AnswerUnchanged
+	}
+	state.configuration = configuration
+	queues := map[scheduler.QueueName]scheduler.Queue{}
+	for _, queue := range configuration.Queues {
+		queues[queue.Name] = queue
+	}
+	for _, job := range state.jobs {
+		if queue, found := queues[job.queue.Name]; found && !job.state.Ended() {
+			job.queue = queue
+		}
+	}
+	return AnswerDone
+}
+
+// submit stores a job. A job that is known already stays as it is: the same submission arrives again when
+// its answer was lost.
+func (state *State) submit(submit *Submit) Answer {
+	if _, known := state.jobs[submit.Job]; known {
+		return AnswerDone
+	}
+	queue, found := state.queue(submit.Queue)
+	if !found {
+		return AnswerUnknownQueue
+	}
+	if submit.Workflow.Validate() != nil {
+		return AnswerInvalid
+	}
+	state.order++
+	job := &Job{
+		id: submit.Job, queue: queue, workflow: submit.Workflow, accepted: submit.Accepted, order: state.order,
+		state: scheduler.WorkflowQueued, occurrences: map[int]*Occurrence{},
+	}
+	state.jobs[job.id] = job
+	state.queued[queue.Name]++
+	if job.workflow.Repeat != nil {
+		state.repeated[job.id] = job
+		return AnswerDone
+	}
+	state.begin(job)
+	return AnswerDone
+}
+
+func (state *State) queue(name scheduler.QueueName) (scheduler.Queue, bool) {
+	if state.configuration == nil {
+		return scheduler.Queue{}, false
+	}
+	for _, queue := range state.configuration.Queues {
+		if queue.Name == name {
+			return queue, true
+		}
+	}
+	return scheduler.Queue{}, false
+}
+
+// begin starts the next occurrence of a job.
+func (state *State) begin(job *Job) {
+	occurrence := newOccurrence(job, job.begun)
+	job.occurrences[occurrence.number] = occurrence
+	job.begun++
+	if job.begun >= job.times() {
+		delete(state.repeated, job.id)
+	}
+	for _, step := range occurrence.steps {
+		state.noteStep(step)
+	}
+}
+
+func (state *State) repeat(repeat *Repeat) Answer {
+	job, found := state.jobs[repeat.Job]
+	if !found {
+		return AnswerUnknownJob
+	}
+	if job.state.Ended() || job.begun != repeat.Occurrence || job.begun >= job.times() {
+		return AnswerUnchanged
+	}
+	state.begin(job)
+	return AnswerDone
+}
+
+func (state *State) cancel(id scheduler.JobID) Answer {
+	job, found := state.jobs[id]
+	if !found {
+		return AnswerUnknownJob
+	}
+	if !job.state.Ended() {
+		state.finish(job, scheduler.WorkflowCancelled)
+	}
+	return AnswerDone
+}
+
+// finish gives a job its final state. Attempts that still run are stopped by the leader.
+func (state *State) finish(job *Job, final scheduler.WorkflowState) {
+	state.changeState(job, final)
+	delete(state.repeated, job.id)
+	for _, occurrence := range job.occurrences {
+		for _, step := range occurrence.steps {
+			state.noteStep(step)
+		}
+	}
+	state.compact(job)
+}
+
+func (state *State) changeState(job *Job, next scheduler.WorkflowState) {
+	if job.state == scheduler.WorkflowQueued {
+		state.queued[job.queue.Name]--
+	}
+	job.state = next
+}
+
+// compact drops what is no longer needed of a job that has ended.
+func (state *State) compact(job *Job) {
+	if !job.state.Ended() || job.runs > 0 {
+		return
+	}
+	job.occurrences = nil
+	job.workflow = scheduler.Workflow{}
+}
+
+// task returns a task of a job that is under way.
+func (state *State) task(id scheduler.StepTaskID) (*Task, bool) {
+	job, found := state.jobs[id.Job]
+	if !found {
+		return nil, false
+	}
+	occurrence, found := job.occurrences[id.Occurrence]
+	if !found || id.Step < 0 || id.Step >= len(occurrence.steps) {
+		return nil, false
+	}
+	tasks := occurrence.steps[id.Step].tasks
+	if id.Index < 0 || id.Index >= len(tasks) {
+		return nil, false
+	}
+	return tasks[id.Index], true
+}
+
+// place gives tasks their next attempts and returns the numbers, 0 for those that are refused.
+func (state *State) place(placements []Placement) []scheduler.AttemptNumber {
+	attempts := make([]scheduler.AttemptNumber, len(placements))
+	gangs := map[*StepState]scheduler.AttemptNumber{}
+	for position, placement := range placements {
+		task, found := state.task(placement.Task)
+		if !found || !task.mayBePlaced(placement.Copy, gangs) {
+			continue
+		}
+		attempts[position] = state.placeTask(task, placement, gangs)
+	}
+	for step := range gangs {
+		state.noteStep(step)
+	}
+	return attempts
+}
+
+func (task *Task) mayBePlaced(isCopy bool, gangs map[*StepState]scheduler.AttemptNumber) bool {
+	if !task.IsWanted() {
+		return false
+	}
+	spec := task.step.Spec()
+	switch {
+	case isCopy:
+		return spec.Speculative && len(task.runs) == 1
+	case spec.Gang:
+		_, placing := gangs[task.step]
+		return len(task.runs) == 0 && (placing || task.step.isIdle())
+	}
+	return len(task.runs) == 0
+}
+
+func (state *State) placeTask(task *Task, placement Placement, gangs map[*StepState]scheduler.AttemptNumber) scheduler.AttemptNumber {
+	if task.step.Spec().Gang {
+		if _, placing := gangs[task.step]; !placing {
+			task.step.attempt++
+			gangs[task.step] = task.step.attempt
+		}
+		task.attempt = task.step.attempt
+	} else {
+		task.attempt++
+	}
+	run := &Run{task: task, attempt: task.attempt, worker: placement.Worker, life: placement.Life}
+	task.runs = append(task.runs, run)
+	state.addRun(run)
+	job := task.step.occurrence.job
+	if job.state == scheduler.WorkflowQueued {
+		state.changeState(job, scheduler.WorkflowActive)
+	}
+	state.note(task)
+	return run.attempt
+}
+
+func (state *State) addRun(run *Run) {
+	onWorker := state.runs[run.worker]
+	if onWorker == nil {
+		onWorker = map[scheduler.RunID]*Run{}
+		state.runs[run.worker] = onWorker
+	}
+	onWorker[run.ID()] = run
+	state.reserved[run.worker] = state.reserved[run.worker].Plus(run.task.step.Spec().Reserved())
+	run.task.step.occurrence.job.runs++
+}
+
+func (state *State) removeRun(run *Run) {
+	onWorker := state.runs[run.worker]
+	delete(onWorker, run.ID())
+	delete(state.unwanted, run)
+	state.reserved[run.worker] = state.reserved[run.worker].Minus(run.task.step.Spec().Reserved())
+	if len(onWorker) == 0 {
+		delete(state.runs, run.worker)
+		delete(state.reserved, run.worker)
+	}
+	run.task.runs = slices.DeleteFunc(run.task.runs, func(other *Run) bool { return other == run })
+	run.task.step.occurrence.job.runs--
+}
+
+// end records the end of an attempt. An attempt that is not known has ended before.
+func (state *State) end(end End) {
+	task, found := state.task(end.Run.Task)
+	if !found {
+		return
+	}
+	position := slices.IndexFunc(task.runs, func(run *Run) bool { return run.attempt == end.Run.Attempt })
+	if position < 0 {
+		return
+	}
+	job := task.step.occurrence.job
+	state.removeRun(task.runs[position])
+	task.saveCheckpoint(end.Checkpoint)
+	if !job.state.Ended() && !task.finished {
+		switch end.Kind {
+		case scheduler.EndFinished:
+			state.finishTask(task, end.Run.Attempt)
+		case scheduler.EndFailed:
+			state.failTask(task)
+		default:
+		}
+	}
+	if job.occurrences != nil && !job.state.Ended() {
+		state.noteAround(task)
+	}
+	state.compact(job)
+}
+
+// saveCheckpoint keeps the progress of an attempt. That of one member is valid for the whole gang.
+func (task *Task) saveCheckpoint(checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	task.checkpoint = checkpoint
+	if !task.step.Spec().Gang {
+		return
+	}
+	for _, member := range task.step.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
+// finishTask records that a task has finished. The end of one member of a gang stands for all of them.
+func (state *State) finishTask(task *Task, attempt scheduler.AttemptNumber) {
+	if task.step.Spec().LongRunning {
+		return // A task that runs until its job is cancelled starts again however it ends.
+	}
+	finished := []*Task{task}
+	if task.step.Spec().Gang {
+		finished = slices.Clone(task.step.tasks)
+	}
+	for _, member := range finished {
+		if member.finished {
+			continue
+		}
+		for _, run := range slices.Clone(member.runs) {
+			if task.step.Spec().Gang && run.attempt == attempt {
+				state.removeRun(run)
+			}
+		}
+		member.finished = true
+		member.step.open--
+		state.note(member)
+	}
+	if task.step.open == 0 {
+		state.finishStep(task.step)
+	}
+}
+
+func (state *State) finishStep(step *StepState) {
+	occurrence := step.occurrence
+	occurrence.open--
+	for _, later := range occurrence.steps {
+		if !slices.Contains(later.Spec().DependsOn, step.number) {
+			continue
+		}
+		for _, before := range later.Spec().DependsOn {
+			if before == step.number {
+				later.blocked--
+			}
+		}
+		state.noteStep(later)
+	}
+	if occurrence.open > 0 {
+		return
+	}
+	job := occurrence.job
+	job.finished++
+	if job.finished >= job.times() {
+		state.finish(job, scheduler.WorkflowCompleted)
+	}
+}
+
+// failTask counts a failure and ends the job when its queue allows no further one. Tasks that run until
+// the job is cancelled have no such limit.
+func (state *State) failTask(task *Task) {
+	spec := task.step.Spec()
+	if spec.LongRunning {
+		return
+	}
+	task.failures++
+	failures := task.failures
+	if spec.Gang {
+		task.step.failures++
+		failures = task.step.failures
+	}
+	job := task.step.occurrence.job
+	if limit := job.queue.MaxAttempts; limit > 0 && failures >= limit {
+		state.finish(job, scheduler.WorkflowFailed)
+	}
+}
+
+func (state *State) startWave(wave *Wave) Answer {
+	if _, known := state.waves[wave.Number]; known {
+		return AnswerUnchanged
+	}
+	state.waves[wave.Number] = &WaveState{wave: *wave, begun: map[scheduler.VMName]bool{}}
+	return AnswerDone
+}
+
+func (state *State) maintained(maintained *Maintained) Answer {
+	wave, known := state.waves[maintained.Wave]
+	if !known || !slices.Contains(wave.wave.VMs, maintained.VM) {
+		return AnswerUnchanged
+	}
+	wave.begun[maintained.VM] = true
+	return AnswerDone
+}
--- /dev/null
+++ b/internal/jobs/jobkeeper/command.go
@@ -0,0 +1,110 @@
+package jobkeeper
+
+import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Command is one change of the replicated state. It is a wire type; exactly one field is set.
+type Command struct {
+	Configure *scheduler.QueueConfiguration `cbor:"1,keyasint,omitempty"`
+	Submit    *Submit                       `cbor:"2,keyasint,omitempty"`
+	Cancel    *scheduler.JobID              `cbor:"3,keyasint,omitempty"`
+	Repeat    *Repeat                       `cbor:"4,keyasint,omitempty"`
+	Place     []Placement                   `cbor:"5,keyasint,omitempty"`
+	End       []End                         `cbor:"6,keyasint,omitempty"`
+	Wave      *Wave                         `cbor:"7,keyasint,omitempty"`
+	Maintain  *Maintained                   `cbor:"8,keyasint,omitempty"`
+}
+
+// Submit stores a job.
+type Submit struct {
+	_        struct{} `cbor:",toarray"`
+	Job      scheduler.JobID
+	Queue    scheduler.QueueName
+	Workflow scheduler.Workflow
+	// Accepted is when the job was submitted, by the leader's wall clock.
+	Accepted time.Time
+}
+
+// Repeat starts the next occurrence of a repeated job, which must be the numbered one.
+type Repeat struct {
+	_          struct{} `cbor:",toarray"`
+	Job        scheduler.JobID
+	Occurrence int
+}
+
+// Placement gives a task its next attempt on one life of a worker. The members of a gang that are placed
+// by one command get the same attempt number.
+type Placement struct {
+	_      struct{} `cbor:",toarray"`
+	Task   scheduler.StepTaskID
+	Worker scheduler.WorkerName
+	Life   scheduler.Incarnation
+	// Copy is true for an additional attempt of a task that runs already.
+	Copy bool
+}
+
+// End records the end of an attempt.
+type End struct {
+	_          struct{} `cbor:",toarray"`
+	Run        scheduler.RunID
+	Kind       scheduler.EndKind
+	Checkpoint string
+}
+
+// Wave asks for the maintenance of VMs with at most Limit of them down at once, until Deadline.
+type Wave struct {
+	_        struct{} `cbor:",toarray"`
+	Number   int64
+	VMs      []scheduler.VMName
+	Limit    int
+	Deadline time.Time
+}
+
+// Maintained records that the maintenance of a VM in a wave has begun, or need not.
+type Maintained struct {
+	_    struct{} `cbor:",toarray"`
+	Wave int64
+	VM   scheduler.VMName
+}
+
+// Answer tells what became of a command.
+type Answer string
+
+// Values of Answer.
+const (
+	// AnswerDone means that the command took effect or had done so before.
+	AnswerDone Answer = "done"
+	// AnswerUnchanged means that the state was newer than the command.
+	AnswerUnchanged Answer = "unchanged"
+	// AnswerUnknownQueue means that no such queue is configured.
+	AnswerUnknownQueue Answer = "unknownQueue"
+	// AnswerUnknownJob means that there is no such job.
+	AnswerUnknownJob Answer = "unknownJob"
+	// AnswerInvalid means that the command cannot be read.
+	AnswerInvalid Answer = "invalid"
+)
+
+// Result is the result of a command. It is a wire type.
+type Result struct {
+	_      struct{} `cbor:",toarray"`
+	Answer Answer
+	// Attempts holds the attempt of each placement, 0 for one that was refused.
+	Attempts []scheduler.AttemptNumber
+}
+
+// Encode returns the form of a command in the log.
+func (command Command) Encode() ([]byte, error) {
+	data, err := encoder.Marshal(command)
+	return data, Error.Wrap(err)
+}
+
+// DecodeResult reads the result of a command.
+func DecodeResult(data []byte) (Result, error) {
+	var result Result
+	err := encoder.Unmarshal(data, &result)
+	return result, Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -0,0 +1,205 @@
+package jobkeeper
+
+import (
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// snapshotFormat is the version of the snapshot's form.
+const snapshotFormat = 1
+
+// The types below are the form of a snapshot. Lists are in a fixed order, so that equal states have equal
+// snapshots.
+type storedState struct {
+	_             struct{} `cbor:",toarray"`
+	Format        int
+	Configuration *scheduler.QueueConfiguration
+	Order         uint64
+	Jobs          []storedJob
+	Waves         []storedWave
+}
+
+type storedJob struct {
+	_           struct{} `cbor:",toarray"`
+	ID          scheduler.JobID
+	Queue       scheduler.Queue
+	Workflow    scheduler.Workflow
+	Accepted    time.Time
+	Order       uint64
+	State       scheduler.WorkflowState
+	Begun       int
+	Finished    int
+	Occurrences []storedOccurrence
+}
+
+type storedOccurrence struct {
+	_      struct{} `cbor:",toarray"`
+	Number int
+	Steps  []storedStep
+}
+
+type storedStep struct {
+	_        struct{} `cbor:",toarray"`
+	Failures int
+	Attempt  scheduler.AttemptNumber
+	Tasks    []storedTask
+}
+
+type storedTask struct {
+	_          struct{} `cbor:",toarray"`
+	Finished   bool
+	Failures   int
+	Attempt    scheduler.AttemptNumber
+	Checkpoint string
+	Runs       []storedRun
+}
+
+type storedRun struct {
+	_       struct{} `cbor:",toarray"`
+	Attempt scheduler.AttemptNumber
+	Worker  scheduler.WorkerName
+	Life    scheduler.Incarnation
+}
+
+type storedWave struct {
+	_     struct{} `cbor:",toarray"`
+	Wave  Wave
+	Begun []scheduler.VMName
+}
+
+// Snapshot writes the whole state. See scheduler.StateMachine.
+func (keeper *Keeper) Snapshot(w io.Writer) error {
+	keeper.mutex.RLock()
+	defer keeper.mutex.RUnlock()
+	return Error.Wrap(encoder.NewEncoder(w).Encode(keeper.state.store()))
+}
+
+// Restore replaces the state by one that Snapshot wrote.
+func (keeper *Keeper) Restore(r io.Reader) error {
+	var stored storedState
+	if err := encoder.NewDecoder(r).Decode(&stored); err != nil {
+		return Error.Wrap(err)
+	}
+	if stored.Format != snapshotFormat {
+		return Error.New("snapshot has format %d, want %d", stored.Format, snapshotFormat)
+	}
+	state := stored.restore()
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.state = state
+	keeper.notify()
+	return nil
+}
+
+func (state *State) store() storedState {
+	stored := storedState{Format: snapshotFormat, Configuration: state.configuration, Order: state.order}
+	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
+		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
+	}
+	for _, number := range slices.Sorted(maps.Keys(state.waves)) {
+		wave := state.waves[number]
+		stored.Waves = append(stored.Waves, storedWave{Wave: wave.wave, Begun: slices.Sorted(maps.Keys(wave.begun))})
+	}
+	return stored
+}
+
+func (job *Job) store() storedJob {
+	stored := storedJob{
+		ID: job.id, Queue: job.queue, Workflow: job.workflow, Accepted: job.accepted, Order: job.order,
+		State: job.state, Begun: job.begun, Finished: job.finished,
+	}
+	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
+		occurrence := storedOccurrence{Number: number}
+		for _, step := range job.occurrences[number].steps {
+			occurrence.Steps = append(occurrence.Steps, step.store())
+		}
+		stored.Occurrences = append(stored.Occurrences, occurrence)
+	}
+	return stored
+}
+
+func (stepState *StepState) store() storedStep {
+	stored := storedStep{Failures: stepState.failures, Attempt: stepState.attempt}
+	for _, task := range stepState.tasks {
+		kept := storedTask{Finished: task.finished, Failures: task.failures, Attempt: task.attempt, Checkpoint: task.checkpoint}
+		for _, run := range task.runs {
+			kept.Runs = append(kept.Runs, storedRun{Attempt: run.attempt, Worker: run.worker, Life: run.life})
+		}
+		stored.Tasks = append(stored.Tasks, kept)
+	}
+	return stored
+}
+
+func (stored *storedState) restore() *State {
+	state := newState()
+	state.configuration, state.order = stored.Configuration, stored.Order
+	for position := range stored.Jobs {
+		state.restoreJob(&stored.Jobs[position])
+	}
+	for _, storedWave := range stored.Waves {
+		wave := &WaveState{wave: storedWave.Wave, begun: map[scheduler.VMName]bool{}}
+		for _, vm := range storedWave.Begun {
+			wave.begun[vm] = true
+		}
+		state.waves[wave.wave.Number] = wave
+	}
+	return state
+}
+
+func (state *State) restoreJob(stored *storedJob) {
+	job := &Job{
+		id: stored.ID, queue: stored.Queue, workflow: stored.Workflow, accepted: stored.Accepted, order: stored.Order,
+		state: stored.State, begun: stored.Begun, finished: stored.Finished, occurrences: map[int]*Occurrence{},
+	}
+	state.jobs[job.id] = job
+	if job.state == scheduler.WorkflowQueued {
+		state.queued[job.queue.Name]++
+	}
+	if job.workflow.Repeat != nil && !job.state.Ended() && job.begun < job.times() {
+		state.repeated[job.id] = job
+	}
+	for _, storedOccurrence := range stored.Occurrences {
+		state.restoreOccurrence(job, storedOccurrence)
+	}
+}
+
+func (state *State) restoreOccurrence(job *Job, stored storedOccurrence) {
+	occurrence := newOccurrence(job, stored.Number)
+	job.occurrences[stored.Number] = occurrence
+	for position, storedStep := range stored.Steps {
+		state.restoreStep(occurrence.steps[position], storedStep)
+	}
+	for _, step := range occurrence.steps {
+		step.blocked = 0
+		for _, before := range step.Spec().DependsOn {
+			if occurrence.steps[before].open > 0 {
+				step.blocked++
+			}
+		}
+		state.noteStep(step)
+	}
+}
+
+func (state *State) restoreStep(step *StepState, stored storedStep) {
+	step.failures, step.attempt = stored.Failures, stored.Attempt
+	for index, kept := range stored.Tasks {
+		task := step.tasks[index]
+		task.finished, task.failures, task.attempt, task.checkpoint = kept.Finished, kept.Failures, kept.Attempt, kept.Checkpoint
+		if task.finished {
+			step.open--
+		}
+		for _, storedRun := range kept.Runs {
+			run := &Run{task: task, attempt: storedRun.Attempt, worker: storedRun.Worker, life: storedRun.Life}
+			task.runs = append(task.runs, run)
+			state.addRun(run)
+		}
+	}
+	if step.open == 0 {
+		step.occurrence.open--
+	}
+}
--- /dev/null
+++ b/internal/jobs/overseer/option.go
@@ -0,0 +1,77 @@
+package overseer
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// leaseCheckInterval is how often a VM looks whether it leads.
+	leaseCheckInterval = 20 * time.Millisecond
+	// planPause collects what happens within a few milliseconds into one decision.
+	planPause = 4 * time.Millisecond
+	// planInterval bounds the time between two decisions, for work that becomes due by time alone.
+	planInterval = 100 * time.Millisecond
+	// orderTimeout bounds one order to a worker. It is a multiple of the round trip between data centres.
+	orderTimeout = 700 * time.Millisecond
+	// renewSlack is added to the time for which a worker may hold its answer back.
+	renewSlack = time.Second
+	// firstRetry and lastRetry bound the pause before an unanswered order is repeated.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// proposeTimeout bounds the wait for a majority. It covers a change of the leader.
+	proposeTimeout = 3 * time.Second
+	// refusalPause is for how long a worker that has refused an order gets no new work.
+	refusalPause = 300 * time.Millisecond
+	// unhealthyPause is for how long a worker that says it is unhealthy gets no new work.
+	unhealthyPause = 2 * time.Second
+	// beatsUntilSilent is after how many missing beats a worker gets no new work.
+	beatsUntilSilent = 2.5
+	// maxWait is the longest time for which a worker is asked to hold an answer back.
+	maxWait = 2 * time.Second
+	// watchWait is the same where serving tasks share the worker with fill tasks, whose harm must be seen.
+	watchWait = 500 * time.Millisecond
+)
+
+// Option changes a setting of an Overseer.
+type Option func(overseer *Overseer)
+
+// WithLogger sets the logger. The default logs nothing.
+func WithLogger(logger zerolog.Logger) Option {
+	return func(overseer *Overseer) { overseer.logger = logger }
+}
+
+// WithScope sets where metrics go. The default drops them.
+func WithScope(scope tally.Scope) Option {
+	return func(overseer *Overseer) { overseer.metrics = newMetrics(scope) }
+}
+
+// WithLease sets the longest lease of a worker and by how much its clock may be slow, 10 s and 0.02 by
+// default.
+func WithLease(duration time.Duration, drift float64) Option {
+	return func(overseer *Overseer) { overseer.leaseDuration, overseer.drift = duration, drift }
+}
+
+// WithBeatInterval sets how often workers send beats, 1 s by default.
+func WithBeatInterval(interval time.Duration) Option {
+	return func(overseer *Overseer) { overseer.beatInterval = interval }
+}
+
+// WithStopTime sets how long a worker takes at most to stop an attempt, 1 s by default.
+func WithStopTime(stopTime time.Duration) Option {
+	return func(overseer *Overseer) { overseer.stopTime = stopTime }
+}
+
+// WithApprover sets the service that approves workers. Without one, queues that need approval wait.
+func WithApprover(approver scheduler.Approver) Option {
+	return func(overseer *Overseer) { overseer.approver = approver }
+}
+
+// WithSuspension counts the time for which the VM is suspended, see replicator.WithSuspension.
+func WithSuspension() Option {
+	return func(overseer *Overseer) { overseer.countSuspension = true }
+}
--- /dev/null
+++ b/internal/jobs/overseer/overseer.go
@@ -0,0 +1,131 @@
+// Package overseer runs the jobs of a domain from the VM that leads its group: it knows the workers from
+// their beats, chooses workers for tasks, sends orders, renews leases and records how attempts end.
+//
+// Lock order: reign, then jobkeeper.Keeper. No lock is held during an order or a proposal.
+package overseer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Error is the class of errors that this package returns.
+var Error = errs.Class("overseer")
+
+// Overseer acts for a domain while its VM leads the group. It is safe for concurrent use.
+type Overseer struct {
+	group    scheduler.Group
+	keeper   *jobkeeper.Keeper
+	client   scheduler.WorkerClient
+	approver scheduler.Approver
+	logger   zerolog.Logger
+	metrics  *metrics
+
+	leaseDuration   time.Duration
+	drift           float64
+	beatInterval    time.Duration
+	stopTime        time.Duration
+	countSuspension bool
+	watch           stopwatch.Stopwatch
+
+	current atomic.Pointer[reign]
+}
+
+// New returns an Overseer that does nothing before Run.
+func New(group scheduler.Group, keeper *jobkeeper.Keeper, client scheduler.WorkerClient, options ...Option) *Overseer {
+	overseer := &Overseer{
+		group: group, keeper: keeper, client: client, logger: zerolog.Nop(), metrics: newMetrics(tally.NoopScope),
+		leaseDuration: 10 * time.Second, drift: 0.02, beatInterval: time.Second, stopTime: time.Second,
+	}
+	for _, option := range options {
+		option(overseer)
+	}
+	overseer.watch = stopwatch.Start()
+	if overseer.countSuspension {
+		overseer.watch = stopwatch.StartBoot()
+	}
+	return overseer
+}
+
+// Run acts whenever this VM leads, until ctx ends.
+func (overseer *Overseer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if overseer.group.HoldsLeaderLease() {
+			overseer.lead(ctx, overseer.group.Status().Term())
+		}
+		waiter.Sleep(ctx, leaseCheckInterval)
+	}
+}
+
+// lead acts for one term, until the VM loses the leader lease for good or ctx ends.
+func (overseer *Overseer) lead(ctx context.Context, term scheduler.Term) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reign := newReign(ctx, overseer, term)
+	overseer.logger.Info().Str("event", "leadershipTaken").Uint64("term", uint64(term)).Msg("this VM acts for the domain")
+	overseer.current.Store(reign)
+	reign.workers.Go(reign.plan)
+	for ctx.Err() == nil && overseer.leads(term) && !reign.deposed.Load() {
+		waiter.Sleep(ctx, leaseCheckInterval)
+	}
+	overseer.current.Store(nil)
+	cancel()
+	reign.workers.Wait()
+	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).Msg("this VM no longer acts for the domain")
+}
+
+// leads reports whether this VM is still the leader of a term. A lease that has lapsed for a moment stops
+// orders, but does not end the term.
+func (overseer *Overseer) leads(term scheduler.Term) bool {
+	status := overseer.group.Status()
+	return status.Role() == scheduler.GroupLeader && status.Term() == term
+}
+
+// Leads reports whether this VM may answer for the domain now.
+func (overseer *Overseer) Leads() bool {
+	return overseer.current.Load() != nil && overseer.group.HoldsLeaderLease()
+}
+
+// Beat takes what a worker has stated about itself. It returns an error of class scheduler.ErrNotRun when
+// this VM does not lead.
+func (overseer *Overseer) Beat(beat scheduler.WorkerBeat) error {
+	reign := overseer.current.Load()
+	if reign == nil || !overseer.group.HoldsLeaderLease() {
+		return scheduler.ErrNotRun.New("this VM does not lead the domain")
+	}
+	reign.beat(beat)
+	return nil
+}
+
+// Leave takes the statement of a worker that it ends now. See Beat.
+func (overseer *Overseer) Leave(worker scheduler.WorkerName) error {
+	reign := overseer.current.Load()
+	if reign == nil || !overseer.group.HoldsLeaderLease() {
+		return scheduler.ErrNotRun.New("this VM does not lead the domain")
+	}
+	reign.leave(worker)
+	return nil
+}
+
+// Propose replicates a command and returns its result.
+func (overseer *Overseer) Propose(ctx context.Context, command jobkeeper.Command) (jobkeeper.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return jobkeeper.Result{}, scheduler.ErrNotRun.Wrap(err)
+	}
+	answer, err := overseer.group.Propose(ctx, data)
+	if err != nil {
+		return jobkeeper.Result{}, Error.Wrap(err)
+	}
+	return jobkeeper.DecodeResult(answer)
+}
--- /dev/null
+++ b/internal/jobs/overseer/plan.go
@@ -0,0 +1,260 @@
+package overseer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// adoptInterval is how often the log is searched for attempts that this reign does not know. Placements are
+// proposed by the same goroutine, so none is under way then.
+const adoptInterval = time.Second
+
+// plan places waiting tasks and stops unwanted attempts until the term ends.
+func (reign *reign) plan() {
+	timer := time.NewTicker(planInterval)
+	defer timer.Stop()
+	adopted := reign.now()
+	for {
+		changed := reign.overseer.keeper.Changed()
+		if now := reign.now(); now > adopted+adoptInterval {
+			adopted = now
+			reign.adoptAll()
+		}
+		reign.planOnce()
+		select {
+		case <-reign.context.Done():
+			return
+		case <-changed:
+		case <-reign.planning:
+		case <-timer.C:
+		}
+		reign.pause(planPause)
+	}
+}
+
+func (reign *reign) planOnce() {
+	if !reign.mayAct() {
+		return
+	}
+	began := reign.now()
+	reign.beginDue()
+	reign.stopUnwanted()
+	reign.emptyDraining()
+	placements := reign.choose()
+	if len(placements) > 0 {
+		reign.place(placements)
+	}
+	reign.overseer.metrics.planTime.RecordDuration(reign.now() - began)
+}
+
+// beginDue begins the occurrences of repeated jobs that are due.
+func (reign *reign) beginDue() {
+	now := time.Now()
+	var due []jobkeeper.Repeat
+	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+		state.Repeated(func(job *jobkeeper.Job) {
+			if occurrence, at, ok := job.NextDue(); ok && !now.Before(at) {
+				due = append(due, jobkeeper.Repeat{Job: job.ID(), Occurrence: occurrence})
+			}
+		})
+	})
+	for _, repeat := range due {
+		if _, err := reign.propose(jobkeeper.Command{Repeat: &repeat}); err != nil {
+			reign.logger.Warn().Str("event", "occurrenceNotBegun").Str("job", string(repeat.Job)).Int("occurrence", repeat.Occurrence).
+				Err(err).Msg("the occurrence will be begun later")
+			return
+		}
+	}
+}
+
+// stopUnwanted stops the attempts of jobs that have ended and of tasks that have finished.
+func (reign *reign) stopUnwanted() {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+		state.Unwanted(func(run *jobkeeper.Run) {
+			if life := reign.lives[run.Worker()]; life != nil && life.known {
+				reign.stopAttempt(life, run.ID(), "no longer wanted")
+			}
+		})
+	})
+}
+
+// drainReserve is how long before a draining worker may leave its last attempts are stopped, so that their
+// progress is saved and reported.
+const drainReserve = time.Second
+
+// emptyDraining moves attempts off workers that leave: long-running ones at once, others shortly before the
+// worker may end.
+func (reign *reign) emptyDraining() {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	now := reign.now()
+	for _, life := range reign.lives {
+		if !life.known || life.beat.Phase != scheduler.WorkerDraining {
+			continue
+		}
+		last := now-life.heard > life.beat.DrainRemaining-drainReserve
+		for id, attempt := range life.attempts {
+			if last || attempt.spec.LongRunning {
+				reign.stopAttempt(life, id, "the worker leaves")
+			}
+		}
+	}
+}
+
+// choose decides where waiting tasks go.
+func (reign *reign) choose() []jobkeeper.Placement {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	var placements []jobkeeper.Placement
+	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+		reign.overseer.metrics.ready.Update(float64(state.ReadyCount()))
+		if state.ReadyCount() == 0 {
+			return
+		}
+		pools := reign.freeWorkers(state)
+		for _, candidate := range waitingSteps(state) {
+			workers := pools[candidate.step.Job().Queue().Pool]
+			group := reign.group(candidate)
+			for _, choice := range packer.Pack(workers, []packer.Group{group}) {
+				placements = append(placements, jobkeeper.Placement{
+					Task: choice.Task, Worker: choice.Worker, Life: reign.lives[choice.Worker].life,
+				})
+			}
+		}
+	})
+	return placements
+}
+
+// freeWorkers returns the workers that take new work, by pool.
+func (reign *reign) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
+	now := reign.now()
+	silence := time.Duration(beatsUntilSilent * float64(reign.overseer.beatInterval))
+	pools := map[scheduler.PoolName][]*packer.Worker{}
+	for _, name := range slices.Sorted(maps.Keys(reign.lives)) {
+		life := reign.lives[name]
+		if !life.mayTakeWork(now, silence) || !life.synced {
+			continue
+		}
+		free := life.beat.Capacity.Minus(state.Reserved(name))
+		serving, slack := life.load()
+		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
+			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
+			Free: free, Slack: slack, Serving: serving,
+		})
+	}
+	return pools
+}
+
+// load returns how many serving tasks a worker has and how much processor time its tasks leave unused.
+func (worker *worker) load() (serving int, slack int64) {
+	slack = worker.beat.Capacity.MilliCores
+	for _, attempt := range worker.attempts {
+		if attempt.spec.LatencyTarget > 0 {
+			serving++
+		}
+		slack -= attempt.spec.Request.MilliCores
+	}
+	return serving, slack
+}
+
+// waitingStep is a step with tasks that wait for an attempt.
+type waitingStep struct {
+	step    *jobkeeper.StepState
+	tasks   []*jobkeeper.Task
+	urgency packer.Urgency
+}
+
+// waitingSteps returns the steps with waiting tasks, the most urgent one first.
+func waitingSteps(state *jobkeeper.State) []*waitingStep {
+	steps := map[*jobkeeper.StepState]*waitingStep{}
+	state.Ready(func(task *jobkeeper.Task) {
+		waiting := steps[task.Step()]
+		if waiting == nil {
+			waiting = &waitingStep{step: task.Step(), urgency: urgencyOf(task.Step())}
+			steps[task.Step()] = waiting
+		}
+		waiting.tasks = append(waiting.tasks, task)
+	})
+	sorted := slices.SortedFunc(maps.Values(steps), func(a, b *waitingStep) int {
+		return cmp.Or(a.urgency.Compare(b.urgency), cmp.Compare(a.step.Job().Order(), b.step.Job().Order()),
+			cmp.Compare(a.step.Occurrence(), b.step.Occurrence()), cmp.Compare(a.step.Number(), b.step.Number()))
+	})
+	for _, waiting := range sorted {
+		slices.SortFunc(waiting.tasks, func(a, b *jobkeeper.Task) int { return cmp.Compare(a.ID().Index, b.ID().Index) })
+	}
+	return sorted
+}
+
+func urgencyOf(step *jobkeeper.StepState) packer.Urgency {
+	job := step.Job()
+	due := job.Accepted()
+	if repeat := job.Workflow().Repeat; repeat != nil {
+		due = repeat.Due(step.Occurrence())
+	}
+	return packer.Urgency{Priority: job.Queue().Priority, Due: float64(due.UnixMilli())}
+}
+
+// group returns the packer's view of a step.
+func (reign *reign) group(waiting *waitingStep) packer.Group {
+	group := packer.Group{Step: waiting.step.Spec()}
+	for _, task := range waiting.tasks {
+		group.Tasks = append(group.Tasks, task.ID())
+	}
+	if group.Step.MaxPerWorker > 0 {
+		group.OnWorker = map[scheduler.WorkerName]int{}
+		for _, task := range waiting.step.Tasks() {
+			for _, run := range task.Runs() {
+				group.OnWorker[run.Worker()]++
+			}
+		}
+	}
+	return group
+}
+
+// place replicates placements and then sends the starts of those that were accepted.
+func (reign *reign) place(placements []jobkeeper.Placement) {
+	result, err := reign.propose(jobkeeper.Command{Place: placements})
+	if err != nil {
+		reign.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
+			Msg("tasks will be placed again")
+		return
+	}
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	for position, placement := range placements {
+		if position >= len(result.Attempts) || result.Attempts[position] == 0 {
+			continue
+		}
+		run := scheduler.RunID{Task: placement.Task, Attempt: result.Attempts[position]}
+		reign.launch(placement, run)
+	}
+}
+
+// launch sends the start of a placed attempt. The mutex is held.
+func (reign *reign) launch(placement jobkeeper.Placement, id scheduler.RunID) {
+	var spec scheduler.Step
+	found := false
+	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+		if run, known := state.Run(placement.Worker, id); known {
+			spec, found = *run.Task().Step().Spec(), true
+		}
+	})
+	if !found {
+		return
+	}
+	life := reign.lives[placement.Worker]
+	if life == nil || life.life != placement.Life {
+		reign.lose(id, placement.Worker, placement.Life) // The life ended between the decision and its record.
+		return
+	}
+	life.attempts[id] = &attempt{state: attemptStarting, spec: spec, share: fullShare}
+	reign.workers.Go(func() { reign.start(life, id) })
+}
--- /dev/null
+++ b/internal/jobs/overseer/reign.go
@@ -0,0 +1,252 @@
+package overseer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// reign is what an Overseer knows and does during one term.
+type reign struct {
+	overseer *Overseer
+	term     scheduler.Term
+	context  context.Context
+	logger   zerolog.Logger
+	workers  sync.WaitGroup
+	// deposed is set when a worker has seen a higher fencing token.
+	deposed atomic.Bool
+	// planning is signalled when there may be something to place.
+	planning chan struct{}
+
+	mutex sync.Mutex
+	// lives holds the current life of each worker.
+	lives map[scheduler.WorkerName]*worker
+	// began is when the term began on this VM.
+	began time.Duration
+}
+
+func newReign(ctx context.Context, overseer *Overseer, term scheduler.Term) *reign {
+	reign := &reign{
+		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
+		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
+		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(),
+	}
+	reign.adoptAll()
+	return reign
+}
+
+// adoptAll takes over attempts that this reign has not placed: those of earlier leaders, and those of a
+// proposal whose answer was lost. Their leases may have been renewed until just now, so a worker that is not
+// heard from is waited for during a whole lease.
+func (reign *reign) adoptAll() {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	var outlived []*jobkeeper.Run
+	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+		for _, name := range state.Workers() {
+			state.Runs(name, func(run *jobkeeper.Run) {
+				if !reign.adopt(run) {
+					outlived = append(outlived, run)
+				}
+			})
+		}
+	})
+	for _, run := range outlived {
+		reign.lose(run.ID(), run.Worker(), run.Life())
+	}
+}
+
+// adopt adds an attempt to the life of its worker. It returns false when a later life is known.
+func (reign *reign) adopt(run *jobkeeper.Run) bool {
+	life := reign.lives[run.Worker()]
+	if life == nil {
+		life = newWorker(run.Worker(), run.Life())
+		life.leaseUntil = reign.fullLease(reign.now())
+		reign.lives[run.Worker()] = life
+	}
+	switch {
+	case life.life > run.Life():
+		return false
+	case life.life < run.Life():
+		reign.endLife(life, "attempts of a later life are in the log")
+		return reign.adopt(run)
+	case life.attempts[run.ID()] == nil:
+		life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare}
+		life.synced = false
+		reign.watchWorker(life)
+	}
+	return true
+}
+
+// lose records the end of an attempt on a life that is over.
+func (reign *reign) lose(id scheduler.RunID, worker scheduler.WorkerName, life scheduler.Incarnation) {
+	ended := newWorker(worker, life)
+	reign.workers.Go(func() { reign.record(ended, []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}) })
+}
+
+// fullShare is the percentage of an attempt that is not throttled.
+const fullShare = 100
+
+// fullLease returns when a lease that was renewed at a time has ended for sure.
+func (reign *reign) fullLease(from time.Duration) time.Duration {
+	overseer := reign.overseer
+	return from + time.Duration(float64(overseer.leaseDuration)/(1-overseer.drift)) + leaseMargin
+}
+
+func (reign *reign) now() time.Duration { return reign.overseer.watch.Elapsed() }
+
+// mayAct reports whether orders may be sent now.
+func (reign *reign) mayAct() bool {
+	return reign.context.Err() == nil && !reign.deposed.Load() && reign.overseer.group.HoldsLeaderLease()
+}
+
+// replan asks for a new decision.
+func (reign *reign) replan() {
+	select {
+	case reign.planning <- struct{}{}:
+	default:
+	}
+}
+
+func (reign *reign) propose(command jobkeeper.Command) (jobkeeper.Result, error) {
+	ctx, cancel := context.WithTimeout(reign.context, proposeTimeout)
+	defer cancel()
+	return reign.overseer.Propose(ctx, command)
+}
+
+// beat takes what a worker states about itself. A beat of an earlier life, or one that was overtaken by a
+// later one, changes nothing.
+func (reign *reign) beat(beat scheduler.WorkerBeat) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	now := reign.now()
+	life := reign.lives[beat.Worker]
+	switch {
+	case life != nil && beat.Life < life.life, life != nil && life.known && beat.Life == life.life && beat.Sequence <= life.beat.Sequence:
+		return
+	case life != nil && life.life < beat.Life:
+		reign.endLife(life, "a later life of the worker sends beats")
+		life = nil
+	}
+	reign.endOthersAt(beat)
+	if life == nil {
+		life = newWorker(beat.Worker, beat.Life)
+		life.synced = true // No leader has sent orders to this life: its attempts would be in the log.
+		reign.lives[beat.Worker] = life
+	}
+	if !life.known || life.beat.Phase != beat.Phase {
+		reign.logger.Info().Str("event", "workerHeard").Str("worker", string(beat.Worker)).Uint64("life", uint64(beat.Life)).
+			Str("phase", string(beat.Phase)).Dur("remaining", beat.DrainRemaining).Str("dataCentre", string(beat.DataCentre)).
+			Str("address", beat.Address).Msg("worker state changed")
+		reign.replan()
+	}
+	life.known, life.beat, life.heard = true, beat, now
+	life.noteClock(beat.Clock, now)
+	reign.watchWorker(life)
+}
+
+// endOthersAt ends the lives of other workers on the same VM or at the same address that began before.
+func (reign *reign) endOthersAt(beat scheduler.WorkerBeat) {
+	for _, other := range reign.lives {
+		if other.name == beat.Worker || !other.known || other.over || other.life >= beat.Life {
+			continue
+		}
+		if other.beat.Address == beat.Address || beat.VM != "" && other.beat.VM == beat.VM {
+			reign.endLife(other, "another worker runs in its place")
+		}
+	}
+}
+
+// leave takes the statement of a draining worker that it ends now. One of an earlier life, which arrives
+// late, finds a worker that does not drain.
+func (reign *reign) leave(name scheduler.WorkerName) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	life := reign.lives[name]
+	if life == nil || life.over || life.beat.Phase != scheduler.WorkerDraining {
+		return
+	}
+	life.restedUntil = reign.now() + time.Hour
+	reign.workers.Go(func() {
+		select {
+		case <-reign.context.Done():
+			return
+		case <-time.After(leaveDelay):
+		}
+		reign.mutex.Lock()
+		defer reign.mutex.Unlock()
+		if !life.over {
+			reign.endLife(life, "the worker has left")
+		}
+	})
+}
+
+// leaveDelay is how long after its last statement a worker that leaves has ended for sure.
+const leaveDelay = time.Second
+
+// endLife records that a life of a worker is over: nothing that was placed on it runs any more. The mutex
+// is held.
+func (reign *reign) endLife(life *worker, reason string) {
+	if life.over {
+		return
+	}
+	life.over = true
+	life.signal()
+	delete(reign.lives, life.name)
+	reign.logger.Info().Str("event", "workerLifeOver").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
+		Int("attempts", len(life.attempts)).Str("reason", reason).Msg("attempts on the worker are lost")
+	var ends []jobkeeper.End
+	for id, attempt := range life.attempts {
+		attempt.ending = true
+		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndLost})
+	}
+	if len(ends) > 0 {
+		reign.workers.Go(func() { reign.record(life, ends) })
+	}
+	reign.replan()
+}
+
+// record replicates ends until it succeeds or the term ends.
+func (reign *reign) record(life *worker, ends []jobkeeper.End) bool {
+	for failures := 1; reign.context.Err() == nil; failures++ {
+		_, err := reign.propose(jobkeeper.Command{End: ends})
+		if err == nil {
+			reign.forget(life, ends)
+			return true
+		}
+		reign.logger.Warn().Str("event", "endsNotRecorded").Str("worker", string(life.name)).Int("ends", len(ends)).
+			Err(err).Msg("ends of attempts will be proposed again")
+		reign.pause(retryPause(failures))
+	}
+	return false
+}
+
+func (reign *reign) pause(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-reign.context.Done():
+	}
+}
+
+// forget removes attempts whose ends are recorded.
+func (reign *reign) forget(life *worker, ends []jobkeeper.End) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	for _, end := range ends {
+		delete(life.attempts, end.Run)
+		reign.overseer.metrics.ended.Inc(1)
+		if end.Kind != scheduler.EndFinished {
+			reign.logger.Info().Str("event", "attemptEnded").Stringer("run", end.Run).Str("worker", string(life.name)).
+				Str("kind", string(end.Kind)).Bool("checkpoint", end.Checkpoint != "").Msg("attempt ended without result")
+		}
+	}
+	reign.replan()
+}
--- /dev/null
+++ b/internal/jobs/overseer/renewal.go
@@ -0,0 +1,247 @@
+package overseer
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// watchWorker starts the renewal of a worker if it has attempts, or if it has not answered and may have
+// ends to report. The mutex is held.
+func (reign *reign) watchWorker(life *worker) {
+	if life.renewing || life.over || !life.known || len(life.attempts) == 0 && life.failing == 0 {
+		return
+	}
+	life.renewing = true
+	reign.workers.Go(func() { reign.renew(life) })
+}
+
+// renew keeps the lease of a worker while it has attempts, and records the ends that it reports.
+func (reign *reign) renew(life *worker) {
+	for first := true; reign.context.Err() == nil; first = false {
+		if !reign.mayAct() {
+			reign.pause(leaseCheckInterval)
+			continue
+		}
+		order, more := reign.nextRenewal(life, first)
+		if !more {
+			return
+		}
+		reign.renewOnce(life, order)
+	}
+}
+
+// nextRenewal returns the next order, or ends the renewal when the worker has nothing left to report. A
+// worker without attempts that does not answer is tried once for each of its beats.
+func (reign *reign) nextRenewal(life *worker, first bool) (order scheduler.RenewOrder, more bool) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	if life.over || len(life.attempts) == 0 && (life.failing > 0 && !first || life.reported()) {
+		life.renewing = false
+		return scheduler.RenewOrder{}, false
+	}
+	now := reign.now()
+	if now > life.leaseUntil && life.leaseUntil > 0 && life.failing > 0 {
+		reign.expire(life)
+	}
+	order = scheduler.RenewOrder{
+		LeaseEnd: life.leaseEnd(now, reign.overseer.leaseDuration), Token: reign.term,
+		Acknowledged: life.acknowledged, Wait: life.renewWait(),
+	}
+	life.extendLease(order.LeaseEnd, reign.overseer.drift)
+	return order, true
+}
+
+// reported reports whether the last recorded ends have been acknowledged to the worker.
+func (worker *worker) reported() bool { return worker.acknowledged == worker.confirmed }
+
+// renewWait returns for how long the worker may hold its answer back.
+func (worker *worker) renewWait() time.Duration {
+	if !worker.synced || worker.failing > 0 || len(worker.attempts) == 0 {
+		return 0
+	}
+	serving, fill := false, false
+	for _, attempt := range worker.attempts {
+		if attempt.state == attemptStopping || attempt.state == attemptStopped || attempt.state == attemptUnknown {
+			return stopLook
+		}
+		serving = serving || attempt.spec.LatencyTarget > 0
+		fill = fill || attempt.spec.Fill
+	}
+	if serving && fill {
+		return watchWait
+	}
+	return maxWait
+}
+
+// stopLook is how soon the worker is looked at again while the fate of an attempt is open.
+const stopLook = 150 * time.Millisecond
+
+func (reign *reign) renewOnce(life *worker, order scheduler.RenewOrder) {
+	ctx, cancel := context.WithTimeout(reign.context, order.Wait+renewSlack)
+	defer cancel()
+	sent := reign.now()
+	report, err := reign.overseer.client.Renew(ctx, life.ref(), order)
+	if err != nil {
+		reign.renewFailed(life, err)
+		return
+	}
+	ends, accepted := reign.takeReport(life, order, report, sent)
+	if !accepted {
+		reign.pause(firstRetry)
+		return
+	}
+	if len(ends) == 0 || reign.record(life, ends) {
+		reign.acknowledge(life, report)
+	}
+}
+
+func (reign *reign) renewFailed(life *worker, err error) {
+	reign.mutex.Lock()
+	life.failing++
+	failures := life.failing
+	reign.mutex.Unlock()
+	if failures == 1 {
+		reign.logger.Warn().Str("event", "workerSilent").Str("worker", string(life.name)).Err(err).Msg("no answer from the worker")
+	}
+	reign.pause(retryPause(failures))
+}
+
+// expire records that the lease of a worker that does not answer has run out. The mutex is held.
+func (reign *reign) expire(life *worker) {
+	var ends []jobkeeper.End
+	for id, attempt := range life.attempts {
+		if !attempt.ending {
+			attempt.ending = true
+			ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndExpired})
+		}
+	}
+	if len(ends) == 0 {
+		return
+	}
+	reign.overseer.metrics.expired.Inc(int64(len(ends)))
+	reign.logger.Warn().Str("event", "leaseExpired").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
+		Int("attempts", len(ends)).Dur("silent", reign.now()-life.answered).Msg("the lease of a silent worker has run out")
+	reign.workers.Go(func() { reign.record(life, ends) })
+}
+
+// takeReport compares what a worker runs with what it should run. It returns the ends to be recorded.
+func (reign *reign) takeReport(life *worker, order scheduler.RenewOrder, report scheduler.WorkerReport, sent time.Duration) (ends []jobkeeper.End, accepted bool) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	if !reign.acceptReport(life, report) {
+		return nil, false
+	}
+	life.confirmed = order.Acknowledged
+	listed := map[scheduler.RunID]bool{}
+	ends = life.listEnds(report.Ended, listed)
+	for _, running := range report.Running {
+		listed[running.Run] = true
+		reign.noteRunning(life, running)
+	}
+	ends = append(ends, reign.missing(life, listed, sent)...)
+	life.synced = true
+	reign.control(life)
+	return ends, true
+}
+
+// acceptReport reports whether a report comes from this life of the worker and is answered in full.
+func (reign *reign) acceptReport(life *worker, report scheduler.WorkerReport) bool {
+	now := reign.now()
+	switch {
+	case life.over:
+		return false
+	case report.Verdict == scheduler.OrderOtherLife || report.Life != 0 && report.Life != life.life:
+		reign.endLife(life, "another life answers at its address")
+		return false
+	case report.Verdict == scheduler.OrderFenced:
+		reign.fenced(life)
+		return false
+	case report.Verdict != scheduler.OrderAccepted:
+		life.failing++
+		return false
+	}
+	life.noteAnswered(now)
+	life.noteClock(report.Clock, now)
+	return true
+}
+
+// fenced ends the term: another leader has sent orders to a worker. The mutex is held.
+func (reign *reign) fenced(life *worker) {
+	if !reign.deposed.Swap(true) {
+		reign.logger.Warn().Str("event", "tokenOutdated").Str("worker", string(life.name)).
+			Msg("a worker has seen a higher fencing token")
+	}
+}
+
+// listEnds returns the ends that are not recorded yet.
+func (worker *worker) listEnds(ended []scheduler.AttemptEnd, listed map[scheduler.RunID]bool) []jobkeeper.End {
+	var ends []jobkeeper.End
+	for _, end := range ended {
+		listed[end.Run] = true
+		attempt := worker.attempts[end.Run]
+		if attempt == nil || attempt.ending {
+			continue
+		}
+		attempt.ending = true
+		ends = append(ends, jobkeeper.End{Run: end.Run, Kind: end.Kind, Checkpoint: end.Checkpoint})
+	}
+	return ends
+}
+
+// noteRunning notes an attempt that the worker runs. One that is not in the log, because its lease had
+// run out, is stopped.
+func (reign *reign) noteRunning(life *worker, running scheduler.RunningAttempt) {
+	known := life.attempts[running.Run]
+	if known == nil {
+		reign.logger.Warn().Str("event", "unknownAttempt").Stringer("run", running.Run).Str("worker", string(life.name)).
+			Msg("the worker runs an attempt that is not in the log; it will be stopped")
+		reign.workers.Go(func() { reign.stopStray(life, running.Run) })
+		return
+	}
+	known.running = running
+	if known.state == attemptUnknown || known.state == attemptStarting {
+		known.state = attemptRunning
+		if running.Share > 0 {
+			known.share = running.Share
+		}
+	}
+}
+
+// missing looks at attempts that a worker lists neither as running nor as ended. One whose last order was
+// answered before the worker was asked does not run and will not start. The start of an attempt of an
+// earlier leader is repeated, because the order may never have been sent.
+func (reign *reign) missing(life *worker, listed map[scheduler.RunID]bool, sent time.Duration) []jobkeeper.End {
+	var ends []jobkeeper.End
+	for id, attempt := range life.attempts {
+		if listed[id] || attempt.ending {
+			continue
+		}
+		switch attempt.state {
+		case attemptUnknown:
+			attempt.state = attemptStarting
+			reign.workers.Go(func() { reign.start(life, id) })
+		case attemptRunning, attemptStopped:
+			if attempt.settled < sent && !attempt.exposed {
+				attempt.ending = true
+				ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndLost})
+			}
+		case attemptStarting, attemptStopping:
+		}
+	}
+	return ends
+}
+
+// acknowledge lets the next renewal acknowledge the ends of a report, which are recorded now.
+func (reign *reign) acknowledge(life *worker, report scheduler.WorkerReport) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	for _, end := range report.Ended {
+		if attempt := life.attempts[end.Run]; attempt != nil {
+			return // Not recorded: the worker reports it again.
+		}
+		life.acknowledged = max(life.acknowledged, end.Number)
+	}
+}
--- /dev/null
+++ b/internal/jobs/overseer/worker.go
@@ -0,0 +1,143 @@
+package overseer
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// rackPrefix begins the label that names a worker's rack.
+const rackPrefix = "r"
+
+// worker is what a reign knows of one life of a worker. The reign's mutex guards it.
+type worker struct {
+	name scheduler.WorkerName
+	life scheduler.Incarnation
+	// known is false while the worker is only known from attempts in the log.
+	known bool
+	beat  scheduler.WorkerBeat
+	// heard is when the last beat came, answered when the worker last answered an order.
+	heard    time.Duration
+	answered time.Duration
+	// clock was the worker's clock at, or before, clockRead.
+	clock     time.Duration
+	clockRead time.Duration
+	// leaseUntil is when the worker's lease has ended at the latest, whatever order arrives late.
+	leaseUntil time.Duration
+	// restedUntil is until when the worker gets no new work.
+	restedUntil time.Duration
+	// failing counts successive orders without an answer.
+	failing int
+	// synced is true once the worker has answered a renewal of this term. Only then is it known what it
+	// runs, and orders of earlier leaders are fenced off.
+	synced bool
+	// acknowledged is the number of the last end that is recorded, confirmed that of the last end that the
+	// worker has been told about.
+	acknowledged uint64
+	confirmed    uint64
+	attempts     map[scheduler.RunID]*attempt
+	renewing     bool
+	wake         chan struct{}
+	over         bool
+}
+
+// attempt is what a reign knows of an attempt on a worker.
+type attempt struct {
+	state attemptState
+	// settled is when the last order about the attempt was answered.
+	settled time.Duration
+	// exposed is true when a start was sent and may still take effect.
+	exposed bool
+	// unanswered is true when a start got no answer, so that it may still take effect later.
+	unanswered bool
+	// ending is true while the end of the attempt is being recorded.
+	ending bool
+	spec   scheduler.Step
+	// approval is the proof of the approval service, empty without one.
+	approval string
+	// share is the percentage at which the attempt was last told to work.
+	share int
+	running   scheduler.RunningAttempt
+}
+
+// attemptState is how far the orders about an attempt have come.
+type attemptState string
+
+const (
+	// attemptUnknown is an attempt of an earlier leader about which the worker has not answered yet.
+	attemptUnknown  attemptState = "unknown"
+	attemptStarting attemptState = "starting"
+	attemptRunning  attemptState = "running"
+	attemptStopping attemptState = "stopping"
+	attemptStopped  attemptState = "stopped"
+)
+
+func newWorker(name scheduler.WorkerName, life scheduler.Incarnation) *worker {
+	return &worker{name: name, life: life, attempts: map[scheduler.RunID]*attempt{}, wake: make(chan struct{}, 1)}
+}
+
+func (worker *worker) ref() scheduler.WorkerRef {
+	return scheduler.WorkerRef{Worker: worker.name, Life: worker.life, Address: worker.beat.Address}
+}
+
+// rack returns the label that names the rack, empty if there is none.
+func (worker *worker) rack() string {
+	for _, label := range worker.beat.Labels {
+		if strings.HasPrefix(label, rackPrefix) && len(label) > len(rackPrefix) {
+			return label
+		}
+	}
+	return ""
+}
+
+// noteClock takes a reading of the worker's clock that was made at read or before.
+func (worker *worker) noteClock(clock, read time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	if worker.clock == 0 || clock > worker.clock+(read-worker.clockRead) {
+		worker.clock, worker.clockRead = clock, read
+	}
+}
+
+// leaseEnd returns the end of a full lease from now on, by the worker's clock.
+func (worker *worker) leaseEnd(now, duration time.Duration) time.Duration {
+	return worker.clock + (now - worker.clockRead) + duration
+}
+
+// extendLease notes that the worker may hold a lease until its clock reaches end. drift is by how much that
+// clock may be slow.
+func (worker *worker) extendLease(end time.Duration, drift float64) {
+	remaining := time.Duration(float64(end-worker.clock) / (1 - drift))
+	worker.leaseUntil = max(worker.leaseUntil, worker.clockRead+remaining+leaseMargin)
+}
+
+// leaseMargin covers the time that a worker takes to end its attempts when the lease has run out.
+const leaseMargin = 200 * time.Millisecond
+
+// mayTakeWork reports whether new work may be placed on the worker.
+func (worker *worker) mayTakeWork(now, silence time.Duration) bool {
+	return worker.known && !worker.over && worker.beat.Phase == scheduler.WorkerReady && worker.clock > 0 &&
+		now >= worker.restedUntil && worker.failing == 0 && now-max(worker.heard, worker.answered) < silence
+}
+
+// noteAnswered notes that the worker has answered an order.
+func (worker *worker) noteAnswered(now time.Duration) {
+	worker.answered, worker.failing = now, 0
+}
+
+// retryPause returns how long to wait after a number of unanswered orders.
+func retryPause(failures int) time.Duration {
+	pause := time.Duration(float64(firstRetry) * math.Pow(2, float64(min(failures, 10)-1)))
+	return min(max(pause, firstRetry), lastRetry)
+}
+
+// signal wakes the renewal of the worker.
+func (worker *worker) signal() {
+	select {
+	case worker.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/operating/reporter/reporter.go
+++ b/internal/operating/reporter/reporter.go
@@ -42,6 +42,9 @@
 	return &Reporter{scope: scope, closer: closer, served: served}
 }
 
+// Scope returns where counters, gauges and histograms are made.
+func (reporter *Reporter) Scope() tally.Scope { return reporter.scope }
+
 // Handler serves the metrics.
 func (reporter *Reporter) Handler() http.Handler { return reporter.served.HTTPHandler() }
 
--- a/internal/state/messenger/link.go
+++ b/internal/state/messenger/link.go
@@ -23,17 +23,20 @@
 	messenger *Messenger
 	peer      scheduler.VMName
 	address   string
+	context   context.Context
+	cancel    context.CancelFunc
 
 	mutex   sync.Mutex
 	session *session // nil while the connection is down
 }
 
 func newLink(messenger *Messenger, peer scheduler.VMName, address string) *link {
-	return &link{messenger: messenger, peer: peer, address: address}
+	ctx, cancel := context.WithCancel(messenger.context)
+	return &link{messenger: messenger, peer: peer, address: address, context: ctx, cancel: cancel}
 }
 
 func (link *link) run() {
-	ctx := link.messenger.context
+	ctx := link.context
 	pause := firstRedial
 	for ctx.Err() == nil {
 		socket, epoch, err := link.dial(ctx)
--- a/internal/state/messenger/messenger.go
+++ b/internal/state/messenger/messenger.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -34,7 +35,7 @@
 	// writeLimit ends a write that the peer does not read. It is below silenceLimit so that the
 	// writer notices first and knows which frame was cut.
 	writeLimit   = 1500 * time.Millisecond
-	dialLimit    = 2 * time.Second
+	dialLimit    = time.Second
 	maxFrameSize = 16 << 20
 	queueLength  = 4096
 	// concurrentCalls bounds the handlers of one connection that run at once.
@@ -62,6 +63,9 @@
 	links    map[scheduler.VMName]*link
 	accepted map[*acceptedConnection]struct{}
 	counter  *counter
+	// discovers is true when peers may appear that New did not name.
+	discovers bool
+	started   bool
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -81,6 +85,12 @@
 	return func(messenger *Messenger) { messenger.peerKey = key }
 }
 
+// WithDiscovery accepts connections from VMs that New did not name. A VM whose name is an IP:port pair
+// becomes a peer when it connects, and that pair is its address.
+func WithDiscovery() Option {
+	return func(messenger *Messenger) { messenger.discovers = true }
+}
+
 // WithDialer sets how connections are opened. The default is a net.Dialer.
 func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(messenger *Messenger) {
@@ -141,11 +151,57 @@
 
 // Start dials the peers and keeps dialling until Close.
 func (messenger *Messenger) Start() {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	messenger.started = true
 	for _, link := range messenger.links {
 		messenger.workers.Go(link.run)
 	}
 }
 
+// AddPeer adds a peer, which is dialled from now on, or from Start on. A peer that is known keeps its
+// address.
+func (messenger *Messenger) AddPeer(name scheduler.VMName, address string) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if name == messenger.self || messenger.links[name] != nil || messenger.context.Err() != nil {
+		return
+	}
+	link := newLink(messenger, name, address)
+	messenger.links[name] = link
+	if messenger.started {
+		messenger.workers.Go(link.run)
+	}
+}
+
+// RemovePeer forgets a peer and closes the connection to it.
+func (messenger *Messenger) RemovePeer(name scheduler.VMName) {
+	messenger.mutex.Lock()
+	link := messenger.links[name]
+	delete(messenger.links, name)
+	messenger.mutex.Unlock()
+	if link != nil {
+		link.cancel()
+	}
+}
+
+// Peers returns the names of the peers, in no order.
+func (messenger *Messenger) Peers() []scheduler.VMName {
+	messenger.mutex.RLock()
+	defer messenger.mutex.RUnlock()
+	names := make([]scheduler.VMName, 0, len(messenger.links))
+	for name := range messenger.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (messenger *Messenger) link(name scheduler.VMName) *link {
+	messenger.mutex.RLock()
+	defer messenger.mutex.RUnlock()
+	return messenger.links[name]
+}
+
 // Close ends all connections and waits for their goroutines.
 func (messenger *Messenger) Close() {
 	messenger.cancel()
@@ -160,7 +216,7 @@
 // Send queues a message without waiting. It is dropped when the queue is full, the connection is
 // down or the peer is unknown. A message to the local VM goes straight to its handler.
 func (messenger *Messenger) Send(to scheduler.VMName, group scheduler.GroupName, kind scheduler.MessageKind, body []byte) {
-	link := messenger.links[to]
+	link := messenger.link(to)
 	if link == nil {
 		messenger.log.Debug().Str("event", "messageDropped").Str("to", string(to)).Msg("unknown peer")
 		return
@@ -172,7 +228,7 @@
 // scheduler.ErrNotRun when no byte of the request was written, and of class scheduler.ErrUnknown
 // when the connection broke or ctx ended after that. An error of the remote handler keeps its class.
 func (messenger *Messenger) Call(ctx context.Context, to scheduler.VMName, group scheduler.GroupName, kind scheduler.MessageKind, body []byte) ([]byte, error) {
-	link := messenger.links[to]
+	link := messenger.link(to)
 	if link == nil {
 		return nil, scheduler.ErrNotRun.Wrap(Error.New("unknown peer %q", to))
 	}
@@ -181,7 +237,7 @@
 
 // Connected reports whether the connection to a peer is up now.
 func (messenger *Messenger) Connected(to scheduler.VMName) bool {
-	link := messenger.links[to]
+	link := messenger.link(to)
 	return link != nil && link.connected()
 }
 
@@ -193,7 +249,7 @@
 		return
 	}
 	from := scheduler.VMName(request.Header.Get(headerFrom))
-	if _, known := messenger.links[from]; !known {
+	if !messenger.admits(from) {
 		http.Error(writer, "unknown peer", http.StatusForbidden)
 		return
 	}
@@ -212,6 +268,21 @@
 	connection.serve()
 }
 
+// admits reports whether a VM may connect. A discovered VM with an address becomes a peer, so that
+// messages can be sent back to it.
+func (messenger *Messenger) admits(from scheduler.VMName) bool {
+	if messenger.link(from) != nil {
+		return true
+	}
+	if !messenger.discovers || from == "" {
+		return false
+	}
+	if _, err := netip.ParseAddrPort(string(from)); err == nil {
+		messenger.AddPeer(from, string(from))
+	}
+	return true
+}
+
 func (messenger *Messenger) authorized(request *http.Request) bool {
 	// The header is trimmed on the way, so the scheme may arrive without the space after it.
 	given := strings.TrimSpace(strings.TrimPrefix(request.Header.Get("Authorization"), "Bearer"))
--- a/internal/state/replicator/clock.go
+++ b/internal/state/replicator/clock.go
@@ -1,19 +1,28 @@
 package replicator
 
-import "time"
+import (
+	"time"
 
-// clock measures time since its creation by the runtime's monotonic clock, so that steps of the wall
-// clock have no effect. Tests set a rate other than 1 to model drift.
+	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
+)
+
+// clock measures time since its creation by a clock that the steps of the wall clock do not move. Tests
+// set a rate other than 1 to model drift.
 type clock struct {
-	base time.Time
-	rate float64
+	stopwatch stopwatch.Stopwatch
+	rate      float64
 }
 
-func newClock(rate float64) clock { return clock{base: time.Now(), rate: rate} }
+func newClock(rate float64, countSuspension bool) clock {
+	if countSuspension {
+		return clock{stopwatch: stopwatch.StartBoot(), rate: rate}
+	}
+	return clock{stopwatch: stopwatch.Start(), rate: rate}
+}
 
 // now starts at one minute, so that zero can mean "never".
 func (clock clock) now() time.Duration {
-	elapsed := time.Since(clock.base)
+	elapsed := clock.stopwatch.Elapsed()
 	if clock.rate != 1 {
 		elapsed = time.Duration(float64(elapsed) * clock.rate)
 	}
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -26,6 +26,8 @@
 	members []Member
 	// settled is true when the newest membership is committed.
 	settled bool
+	// answering holds the members that the leader hears from, nil on other VMs.
+	answering map[scheduler.VMName]bool
 	// leaseUntil is zero while the node has no leader lease.
 	leaseUntil time.Duration
 }
@@ -94,7 +96,7 @@
 	return &node{
 		name: name, self: self, journal: journal, transport: transport, settings: settings,
 		logger: settings.logger.With().Str("group", string(name)).Str("vm", string(self.VM)).Logger(),
-		clock:  newClock(settings.clockRate), random: newRandom(settings.seed),
+		clock:  newClock(settings.clockRate, settings.countSuspension), random: newRandom(settings.seed),
 		inbox: make(chan inbound, inboxLength), proposals: make(chan *call, proposalLength),
 		reads: make(chan *readCall, proposalLength), changed: make(chan struct{}, 1),
 		leave: make(chan struct{}, 1), left: make(chan struct{}), stopped: make(chan struct{}),
@@ -319,7 +321,7 @@
 		current.voterNames())
 	node.view.Store(&view{
 		status: status, members: current.Members, settled: current.index <= node.commit,
-		leaseUntil: node.leaseUntil(),
+		leaseUntil: node.leaseUntil(), answering: node.answering(),
 	})
 	select {
 	case node.changed <- struct{}{}:
@@ -327,6 +329,21 @@
 	}
 }
 
+// answering returns the members that answer now, nil unless this VM leads.
+func (node *node) answering() map[scheduler.VMName]bool {
+	if node.role != roleLeader {
+		return nil
+	}
+	now := node.clock.now()
+	answering := map[scheduler.VMName]bool{node.self.VM: true}
+	for vm, progress := range node.leading.peers {
+		if progress.isAnswering(now) {
+			answering[vm] = true
+		}
+	}
+	return answering
+}
+
 // saveHardState stores term, vote and incarnation before they have any effect outside this VM.
 func (node *node) saveHardState() error {
 	return node.journal.SaveHardState(scheduler.HardState{
--- a/internal/state/replicator/option.go
+++ b/internal/state/replicator/option.go
@@ -55,7 +55,9 @@
 	snapshotKeep int
 	seed         uint64
 	clockRate    float64
-	hooks        hooks
+	// countSuspension is true when the time for which the VM is suspended counts.
+	countSuspension bool
+	hooks           hooks
 }
 
 // hooks change the behaviour in tests only. The mutations prove that the failure tests detect faults.
@@ -108,6 +110,12 @@
 	}
 }
 
+// WithSuspension counts the time for which the VM is suspended, so that a leader that wakes up knows that
+// its lease has ended. The default is the runtime's clock, which tests can pause.
+func WithSuspension() Option {
+	return func(settings *settings) { settings.countSuspension = true }
+}
+
 func withSeed(seed uint64) Option { return func(settings *settings) { settings.seed = seed } }
 
 func withClockRate(rate float64) Option {
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -123,6 +123,14 @@
 	return append([]Member(nil), replicator.node.view.Load().members...)
 }
 
+// Answering reports which members the leader hears from. It is nil on a VM that does not lead.
+func (replicator *Replicator) Answering() map[scheduler.VMName]bool {
+	return replicator.node.view.Load().answering
+}
+
+// Self returns this VM's identity in the group.
+func (replicator *Replicator) Self() Member { return replicator.node.self }
+
 // HoldsLeaderLease reports whether this VM is the leader, its leader lease is valid now, and its state
 // machine has applied every entry of earlier leaders.
 func (replicator *Replicator) HoldsLeaderLease() bool {
