pacer, overseer: hold fill tasks back for the latency of serving tasks

Change: pacer learns the effect of each pair of images, fill tasks are placed where little harm is expected, slowed down, stopped and moved while a serving task is above 0.9 of its target.

--- a/internal/jobs/overseer/control.go
+++ b/internal/jobs/overseer/control.go
@@ -1,4 +1,115 @@
 package overseer
 
-// control reacts to the latencies of the serving tasks on a worker. The mutex is held.
-func (reign *reign) control(_ *worker) {}
+import (
+	"context"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// heldUntilMoved is for how long a fill task may be held back completely before it is moved elsewhere.
+const heldUntilMoved = 1500 * time.Millisecond
+
+// control reacts to the latencies of the serving tasks on a worker: it slows fill tasks down, lets them go
+// on, and moves those that stand still. The mutex is held.
+func (reign *reign) control(life *worker) {
+	sample := life.sample()
+	if len(sample.Fill) == 0 && !life.pace.Held() {
+		return
+	}
+	now := reign.now()
+	for id, share := range life.pace.Decide(sample, reign.pressures) {
+		attempt := life.attempts[id]
+		attempt.wantedShare = share
+		switch {
+		case share > 0:
+			attempt.heldSince = 0
+		case attempt.heldSince == 0:
+			attempt.heldSince = now
+		case now-attempt.heldSince > heldUntilMoved && attempt.spec.Checkpointing:
+			reign.stopAttempt(life, id, "held back for the latency of a serving task")
+		}
+		reign.throttle(life, id, attempt)
+	}
+}
+
+// sample returns what the last report tells about serving and fill tasks.
+func (worker *worker) sample() pacer.Sample {
+	var sample pacer.Sample
+	for id, attempt := range worker.attempts {
+		if attempt.state != attemptRunning || attempt.ending {
+			continue
+		}
+		switch {
+		case attempt.spec.LatencyTarget > 0 && attempt.running.Figure > 0:
+			ratio := attempt.running.Figure / float64(attempt.spec.LatencyTarget.Milliseconds())
+			sample.Serving = append(sample.Serving, pacer.Serving{Image: attempt.spec.Image, Ratio: ratio})
+		case attempt.spec.Fill:
+			sample.Fill = append(sample.Fill, pacer.Fill{Run: id, Image: attempt.spec.Image, Usage: worker.usage(attempt)})
+		}
+	}
+	return sample
+}
+
+// usage returns the part of the worker's processors that a fill task uses. One that has just started has no
+// figure yet and counts with its request.
+func (worker *worker) usage(attempt *attempt) float64 {
+	used := attempt.running.Figure
+	if used <= 0 {
+		used = float64(attempt.spec.Request.MilliCores) * float64(attempt.share) / fullShare
+	}
+	if worker.beat.Capacity.MilliCores <= 0 {
+		return 0
+	}
+	return used / float64(worker.beat.Capacity.MilliCores)
+}
+
+// throttle sends the wanted share of an attempt unless an order about it is under way. The mutex is held.
+func (reign *reign) throttle(life *worker, id scheduler.RunID, attempt *attempt) {
+	if attempt.throttling || attempt.wantedShare == attempt.share || attempt.state != attemptRunning {
+		return
+	}
+	attempt.throttling = true
+	reign.overseer.metrics.throttled.Inc(1)
+	reign.workers.Go(func() { reign.sendShare(life, id, attempt) })
+}
+
+// sendShare sends the wanted share until the worker has taken the newest one.
+func (reign *reign) sendShare(life *worker, id scheduler.RunID, attempt *attempt) {
+	for failures := 0; reign.mayAct(); {
+		share, wanted := reign.nextShare(life, id, attempt)
+		if !wanted {
+			return
+		}
+		ctx, cancel := context.WithTimeout(reign.context, orderTimeout)
+		answer, err := reign.overseer.client.Throttle(ctx, life.ref(), id, share, reign.term)
+		cancel()
+		if err != nil {
+			failures++
+			reign.pause(retryPause(failures))
+			continue
+		}
+		if answer.Verdict == scheduler.OrderAccepted {
+			reign.mutex.Lock()
+			attempt.share = share
+			reign.mutex.Unlock()
+			continue
+		}
+		break
+	}
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	attempt.throttling = false
+}
+
+// nextShare returns the share to be sent, or ends the sending.
+func (reign *reign) nextShare(life *worker, id scheduler.RunID, attempt *attempt) (share int, wanted bool) {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	if life.over || life.attempts[id] != attempt || attempt.state != attemptRunning || attempt.share == attempt.wantedShare {
+		attempt.throttling = false
+		return 0, false
+	}
+	return attempt.wantedShare, true
+}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -144,27 +144,58 @@
 			continue
 		}
 		free := life.beat.Capacity.Minus(state.Reserved(name))
-		serving, slack := life.load()
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: slack, Serving: serving,
+			Free: free, Slack: life.slack(), Harm: reign.harm(life),
 		})
 	}
 	return pools
 }
 
-// load returns how many serving tasks a worker has and how much processor time its tasks leave unused.
-func (worker *worker) load() (serving int, slack int64) {
-	slack = worker.beat.Capacity.MilliCores
+// slack returns how much processor time the tasks on a worker leave unused.
+func (worker *worker) slack() int64 {
+	slack := worker.beat.Capacity.MilliCores
 	for _, attempt := range worker.attempts {
-		if attempt.spec.LatencyTarget > 0 {
-			serving++
-		}
 		slack -= attempt.spec.Request.MilliCores
 	}
-	return serving, slack
+	return slack
 }
 
+// harm returns the function that estimates the latency of the serving tasks on a worker beside further fill
+// tasks. Fill tasks that are there count with their full request, so that several ones that start together
+// are not all placed on a worker that was idle.
+func (reign *reign) harm(life *worker) func(image string, milliCores int64) float64 {
+	var serving []string
+	usage := map[string]float64{}
+	for _, attempt := range life.attempts {
+		switch {
+		case attempt.spec.LatencyTarget > 0:
+			serving = append(serving, attempt.spec.Image)
+		case attempt.spec.Fill:
+			usage[attempt.spec.Image] += float64(attempt.spec.Request.MilliCores) / float64(max(1, life.beat.Capacity.MilliCores))
+		}
+	}
+	if len(serving) == 0 {
+		return nil
+	}
+	held := life.pace.Held()
+	slices.Sort(serving)
+	serving = slices.Compact(serving)
+	return func(image string, milliCores int64) float64 {
+		further := maps.Clone(usage)
+		further[image] += float64(milliCores) / float64(max(1, life.beat.Capacity.MilliCores))
+		expected := reign.pressures.Expect(serving, further)
+		if held {
+			expected += heldHarm
+		}
+		return expected
+	}
+}
+
+// heldHarm is added to the expected latency, as a part of the target, on a worker whose fill tasks are held
+// back.
+const heldHarm = 1.0
+
 // waitingStep is a step with tasks that wait for an attempt.
 type waitingStep struct {
 	step    *jobkeeper.StepState
@@ -255,6 +286,6 @@
 		reign.lose(id, placement.Worker, placement.Life) // The life ended between the decision and its record.
 		return
 	}
-	life.attempts[id] = &attempt{state: attemptStarting, spec: spec, share: fullShare}
+	life.attempts[id] = &attempt{state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare}
 	reign.workers.Go(func() { reign.start(life, id) })
 }
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -27,6 +28,8 @@
 	mutex sync.Mutex
 	// lives holds the current life of each worker.
 	lives map[scheduler.WorkerName]*worker
+	// pressures is what was learned of the effect of fill tasks on serving tasks in this term.
+	pressures *pacer.Pressures
 	// began is when the term began on this VM.
 	began time.Duration
 }
@@ -35,7 +38,7 @@
 	reign := &reign{
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
-		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(),
+		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), pressures: pacer.NewPressures(),
 	}
 	reign.adoptAll()
 	return reign
@@ -77,7 +80,7 @@
 		reign.endLife(life, "attempts of a later life are in the log")
 		return reign.adopt(run)
 	case life.attempts[run.ID()] == nil:
-		life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare}
+		life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, wantedShare: fullShare}
 		life.synced = false
 		reign.watchWorker(life)
 	}
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -204,9 +204,6 @@
 	known.running = running
 	if known.state == attemptUnknown || known.state == attemptStarting {
 		known.state = attemptRunning
-		if running.Share > 0 {
-			known.share = running.Share
-		}
 	}
 }
 
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -41,6 +42,7 @@
 	renewing     bool
 	wake         chan struct{}
 	over         bool
+	pace         pacer.Pace
 }
 
 // attempt is what a reign knows of an attempt on a worker.
@@ -59,7 +61,12 @@
 	approval string
 	// share is the percentage at which the attempt was last told to work.
 	share int
-	running   scheduler.RunningAttempt
+	// wantedShare is the percentage at which it should work, throttling is true while an order about that
+	// is under way, and heldSince is since when it should stand still, zero if it should not.
+	wantedShare int
+	throttling  bool
+	heldSince   time.Duration
+	running     scheduler.RunningAttempt
 }
 
 // attemptState is how far the orders about an attempt have come.
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -20,8 +20,12 @@
 	// Slack is an estimate of the processor time, in thousandths of a core, that the tasks on the worker
 	// leave unused; fill tasks share it.
 	Slack int64
-	// Serving counts the serving tasks on the worker, which fill tasks disturb.
-	Serving int
+	// Harm estimates the highest latency of a serving task on the worker, as a part of its target, beside a
+	// further fill task of an image that uses so many thousandths of a core. It is nil without serving
+	// tasks.
+	Harm func(image string, milliCores int64) float64
+	// placed is the processor time of the fill tasks that this decision has put on the worker.
+	placed int64
 	// Penalty makes a worker less attractive, for example after failures. 0 is usual.
 	Penalty float64
 }
@@ -88,16 +92,16 @@
 func take(worker *Worker, step *scheduler.Step) {
 	worker.Free = worker.Free.Minus(step.Reserved())
 	worker.Slack -= step.Request.MilliCores
-	if step.LatencyTarget > 0 {
-		worker.Serving++
+	if step.Fill {
+		worker.placed += step.Request.MilliCores
 	}
 }
 
 func giveBack(worker *Worker, step *scheduler.Step) {
 	worker.Free = worker.Free.Plus(step.Reserved())
 	worker.Slack += step.Request.MilliCores
-	if step.LatencyTarget > 0 {
-		worker.Serving--
+	if step.Fill {
+		worker.placed -= step.Request.MilliCores
 	}
 }
 
@@ -134,9 +138,10 @@
 	// weightRemote outweighs every difference in load: a task that is far from its data is slower by a
 	// multiple.
 	weightRemote = 10
-	// weightServing keeps fill tasks away from serving ones, one of which weighs as much as a tenth of
-	// the worker's processors.
-	weightServing = 0.1
+	// harmFrom is the expected latency, as a part of the target, from which on a fill task is kept away
+	// from serving tasks, and weightHarm how much a latency beyond that weighs.
+	harmFrom   = 0.6
+	weightHarm = 4
 	// weightScarce keeps work off workers with free accelerators that it does not need.
 	weightScarce = 1
 )
@@ -156,12 +161,21 @@
 		score += weightScarce
 	}
 	if step.Fill {
-		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightServing*float64(worker.Serving)
+		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.harm(step)
 	}
 	left := worker.Free.Minus(step.Reserved())
 	return score + max(share(left.MilliCores, worker.Capacity.MilliCores), share(left.MemoryBytes, worker.Capacity.MemoryBytes))
 }
 
+// harm returns by how much a further fill task would bring the latency of a serving task beyond what is
+// harmless.
+func (worker *Worker) harm(step *scheduler.Step) float64 {
+	if worker.Harm == nil {
+		return 0
+	}
+	return max(0, worker.Harm(step.Image, worker.placed+step.Request.MilliCores)-harmFrom)
+}
+
 func share(amount, of int64) float64 {
 	if of <= 0 {
 		return 0
--- a/pkg/scheduler/calledworker.go
+++ b/pkg/scheduler/calledworker.go
@@ -101,8 +101,9 @@
 type RunningAttempt struct {
 	Run        RunID
 	Checkpoint string
-	// Share is the percentage at which the attempt works now, 100 if it is not throttled.
-	Share int
+	// Progress is the percentage of its work that the attempt has done; that of a long-running task is 100
+	// once it is at work.
+	Progress int
 	// Figure is a rough figure of the last half second: the tail latency of a serving task in milliseconds,
 	// and for any other one the processor time in use in thousandths of a core.
 	Figure float64
