pacer: learn effects as utilisation, place fill tasks where it stays below a limit

Change: latencies are turned into utilisation, in which effects add up; shares follow from the learned effects; all fill tasks stop after two samples above the target; no more fill tasks than fit into what is left; serving tasks of one image are kept together.

--- a/internal/jobs/overseer/control.go
+++ b/internal/jobs/overseer/control.go
@@ -15,11 +15,11 @@
 // on, and moves those that stand still. The mutex is held.
 func (reign *reign) control(life *worker) {
 	sample := life.sample()
-	if len(sample.Fill) == 0 && !life.pace.Held() {
+	if len(sample.Serving) == 0 && len(sample.Fill) == 0 {
 		return
 	}
 	now := reign.now()
-	for id, share := range life.pace.Decide(sample, reign.pressures) {
+	for id, share := range life.pace.Decide(sample, reign.effects) {
 		attempt := life.attempts[id]
 		attempt.wantedShare = share
 		switch {
@@ -44,25 +44,23 @@
 		switch {
 		case attempt.spec.LatencyTarget > 0 && attempt.running.Figure > 0:
 			ratio := attempt.running.Figure / float64(attempt.spec.LatencyTarget.Milliseconds())
-			sample.Serving = append(sample.Serving, pacer.Serving{Image: attempt.spec.Image, Ratio: ratio})
+			sample.Serving = append(sample.Serving, pacer.Serving{Run: id, Image: attempt.spec.Image, Ratio: ratio})
 		case attempt.spec.Fill:
-			sample.Fill = append(sample.Fill, pacer.Fill{Run: id, Image: attempt.spec.Image, Usage: worker.usage(attempt)})
+			sample.Fill = append(sample.Fill, pacer.Fill{
+				Run: id, Image: attempt.spec.Image, Share: attempt.share,
+				Used: worker.part(attempt.running.Figure), Wanted: worker.part(float64(attempt.spec.Request.MilliCores)),
+			})
 		}
 	}
 	return sample
 }
 
-// usage returns the part of the worker's processors that a fill task uses. One that has just started has no
-// figure yet and counts with its request.
-func (worker *worker) usage(attempt *attempt) float64 {
-	used := attempt.running.Figure
-	if used <= 0 {
-		used = float64(attempt.spec.Request.MilliCores) * float64(attempt.share) / fullShare
-	}
+// part returns thousandths of a core as a part of the worker's processors.
+func (worker *worker) part(milliCores float64) float64 {
 	if worker.beat.Capacity.MilliCores <= 0 {
 		return 0
 	}
-	return used / float64(worker.beat.Capacity.MilliCores)
+	return milliCores / float64(worker.beat.Capacity.MilliCores)
 }
 
 // throttle sends the wanted share of an attempt unless an order about it is under way. The mutex is held.
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -33,7 +33,7 @@
 	beatsUntilSilent = 2.5
 	// maxWait is the longest time for which a worker is asked to hold an answer back.
 	maxWait = 2 * time.Second
-	// watchWait is the same where serving tasks share the worker with fill tasks, whose harm must be seen.
+	// watchWait is the same where serving tasks run, whose latency decides about fill tasks.
 	watchWait = 500 * time.Millisecond
 )
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -20,12 +20,17 @@
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
 	adopted := reign.now()
+	logged := adopted
 	for {
 		changed := reign.overseer.keeper.Changed()
 		if now := reign.now(); now > adopted+adoptInterval {
 			adopted = now
 			reign.adoptAll()
 		}
+		if now := reign.now(); now > logged+loadInterval {
+			logged = now
+			reign.logLoad()
+		}
 		reign.planOnce()
 		select {
 		case <-reign.context.Done():
@@ -136,7 +141,7 @@
 // freeWorkers returns the workers that take new work, by pool.
 func (reign *reign) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
 	now := reign.now()
-	silence := time.Duration(beatsUntilSilent * float64(reign.overseer.beatInterval))
+	silence := reign.silence()
 	pools := map[scheduler.PoolName][]*packer.Worker{}
 	for _, name := range slices.Sorted(maps.Keys(reign.lives)) {
 		life := reign.lives[name]
@@ -146,56 +151,66 @@
 		free := life.beat.Capacity.Minus(state.Reserved(name))
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: life.slack(), Harm: reign.harm(life),
+			Free: free, Slack: life.slack(), Utilisation: reign.utilisation(life), Images: life.images(),
 		})
 	}
 	return pools
 }
 
+// silence is after how long without a sign of life a worker gets no new work.
+func (reign *reign) silence() time.Duration {
+	return time.Duration(beatsUntilSilent * float64(reign.overseer.beatInterval))
+}
+
 // slack returns how much processor time the tasks on a worker leave unused.
 func (worker *worker) slack() int64 {
 	slack := worker.beat.Capacity.MilliCores
 	for _, attempt := range worker.attempts {
-		slack -= attempt.spec.Request.MilliCores
+		used := attempt.spec.Request.MilliCores
+		if attempt.spec.LatencyTarget > 0 {
+			used /= servingLoad
+		}
+		slack -= used
 	}
 	return slack
 }
 
-// harm returns the function that estimates the latency of the serving tasks on a worker beside further fill
-// tasks. Fill tasks that are there count with their full request, so that several ones that start together
-// are not all placed on a worker that was idle.
-func (reign *reign) harm(life *worker) func(image string, milliCores int64) float64 {
-	var serving []string
+// servingLoad divides the request of a serving task: it uses about half of it on average.
+const servingLoad = 2
+
+// images counts the serving tasks on a worker by image.
+func (worker *worker) images() map[string]int {
+	images := map[string]int{}
+	for _, attempt := range worker.attempts {
+		if attempt.spec.LatencyTarget > 0 {
+			images[attempt.spec.Image]++
+		}
+	}
+	return images
+}
+
+// utilisation returns the function that estimates the highest utilisation of a serving task on a worker
+// beside further fill tasks, nil without serving tasks. Fill tasks that are there count with their full
+// request, so that several ones that start together are not all placed on a worker that was idle.
+func (reign *reign) utilisation(life *worker) func(image string, milliCores int64) float64 {
 	usage := map[string]float64{}
+	serving := false
 	for _, attempt := range life.attempts {
-		switch {
-		case attempt.spec.LatencyTarget > 0:
-			serving = append(serving, attempt.spec.Image)
-		case attempt.spec.Fill:
-			usage[attempt.spec.Image] += float64(attempt.spec.Request.MilliCores) / float64(max(1, life.beat.Capacity.MilliCores))
+		serving = serving || attempt.spec.LatencyTarget > 0
+		if attempt.spec.Fill {
+			usage[attempt.spec.Image] += life.part(float64(attempt.spec.Request.MilliCores))
 		}
 	}
-	if len(serving) == 0 {
+	if !serving {
 		return nil
 	}
-	held := life.pace.Held()
-	slices.Sort(serving)
-	serving = slices.Compact(serving)
 	return func(image string, milliCores int64) float64 {
 		further := maps.Clone(usage)
-		further[image] += float64(milliCores) / float64(max(1, life.beat.Capacity.MilliCores))
-		expected := reign.pressures.Expect(serving, further)
-		if held {
-			expected += heldHarm
-		}
-		return expected
+		further[image] += life.part(float64(milliCores))
+		return life.pace.Expect(further, reign.effects)
 	}
 }
 
-// heldHarm is added to the expected latency, as a part of the target, on a worker whose fill tasks are held
-// back.
-const heldHarm = 1.0
-
 // waitingStep is a step with tasks that wait for an attempt.
 type waitingStep struct {
 	step    *jobkeeper.StepState
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -28,8 +28,8 @@
 	mutex sync.Mutex
 	// lives holds the current life of each worker.
 	lives map[scheduler.WorkerName]*worker
-	// pressures is what was learned of the effect of fill tasks on serving tasks in this term.
-	pressures *pacer.Pressures
+	// effects is what was learned of the effect of fill tasks on serving tasks in this term.
+	effects *pacer.Effects
 	// began is when the term began on this VM.
 	began time.Duration
 }
@@ -38,7 +38,7 @@
 	reign := &reign{
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
-		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), pressures: pacer.NewPressures(),
+		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
 	}
 	reign.adoptAll()
 	return reign
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -62,18 +62,16 @@
 	if !worker.synced || worker.failing > 0 || len(worker.attempts) == 0 {
 		return 0
 	}
-	serving, fill := false, false
+	wait := maxWait
 	for _, attempt := range worker.attempts {
 		if attempt.state == attemptStopping || attempt.state == attemptStopped || attempt.state == attemptUnknown {
 			return stopLook
 		}
-		serving = serving || attempt.spec.LatencyTarget > 0
-		fill = fill || attempt.spec.Fill
-	}
-	if serving && fill {
-		return watchWait
+		if attempt.spec.LatencyTarget > 0 {
+			wait = watchWait
+		}
 	}
-	return maxWait
+	return wait
 }
 
 // stopLook is how soon the worker is looked at again while the fate of an attempt is open.
--- a/internal/jobs/pacer/pace.go
+++ b/internal/jobs/pacer/pace.go
@@ -1,43 +1,49 @@
 package pacer
 
-import "github.com/crocusplank/crocusplank/pkg/scheduler"
+import (
+	"cmp"
+	"slices"
 
-const (
-	// fullShare and noShare are the bounds of the share of an attempt, in percent.
-	fullShare = 100
-	noShare   = 0
-	// slowShare is the share of fill tasks that are blamed for a latency above the target.
-	slowShare = 25
-	// calmRatio is the latency below which fill tasks may speed up again, and highRatio the one above which
-	// they slow down, as parts of the target. Between the two the shares stay.
-	calmRatio = 0.7
-	highRatio = 0.9
-	// calmSamples is how many calm samples in succession let fill tasks speed up by one level.
-	calmSamples = 2
-	// blamed is the part of the largest blame from which a fill task shares it.
-	blamed = 0.2
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// level is how strictly the fill tasks of a worker are held back.
-type level int
-
 const (
-	// levelFree lets all fill tasks work at full speed.
-	levelFree level = iota
-	// levelSlow slows down those that are blamed.
-	levelSlow
-	// levelHold stops those that are blamed and slows down the others.
-	levelHold
-	// levelStop stops all.
-	levelStop
+	// fullShare is the share of an attempt that is not held back, in percent.
+	fullShare = 100
+	// shareStep is the smallest change of a share, in percent: each change is an order to the worker.
+	shareStep = 20
+	// utilisationLimit is what fill tasks may bring a serving task to. Its target is reached between 0.75
+	// and 0.8 where the target is four to five times the latency of an idle task.
+	utilisationLimit = 0.74
+	// placeLimit is the same for a further fill task, which stays while the load may rise.
+	placeLimit = 0.70
+	// calmRatio is the latency below which fill tasks work again after all were stopped.
+	calmRatio = 0.75
+	// stopAfter is after how many samples in succession above the target all fill tasks are stopped,
+	// whatever was learned.
+	stopAfter = 2
+	// passes is how often the shares are reduced for the serving tasks in turn.
+	passes = 3
 )
 
+// Serving is the latency of a serving task.
+type Serving struct {
+	Run   scheduler.RunID
+	Image string
+	// Ratio is the tail latency as a part of the target, more than 0.
+	Ratio float64
+}
+
 // Fill is a fill task on a worker.
 type Fill struct {
 	Run   scheduler.RunID
 	Image string
-	// Usage is the part of the worker's processors that the task uses.
-	Usage float64
+	// Used is the part of the worker's processors that the task used, and Wanted what it would use at full
+	// speed.
+	Used   float64
+	Wanted float64
+	// Share is the share at which it works, in percent.
+	Share int
 }
 
 // Sample is one look at a worker.
@@ -46,87 +52,136 @@
 	Fill    []Fill
 }
 
-// usage returns what each fill image uses of the worker.
-func (sample Sample) usage() map[string]float64 {
-	usage := map[string]float64{}
-	for _, fill := range sample.Fill {
-		usage[fill.Image] += fill.Usage
-	}
-	return usage
-}
-
-// worst returns the highest latency as a part of the target.
-func (sample Sample) worst() Serving {
-	var worst Serving
-	for _, serving := range sample.Serving {
-		if serving.Ratio > worst.Ratio {
-			worst = serving
-		}
-	}
-	return worst
-}
-
 // Pace decides about the fill tasks of one worker. The zero value is ready to use. It is not safe for
 // concurrent use.
 type Pace struct {
-	level level
-	calm  int
-	// culprit is the serving image that was above its target last.
-	culprit string
+	// tasks holds the serving tasks with the utilisation by their own load.
+	tasks map[scheduler.RunID]servingTask
+	// above counts the samples in succession with a latency above the target.
+	above   int
+	stopped bool
 }
 
-// Held reports whether fill tasks on the worker are held back, so that no further ones should be placed.
-func (pace *Pace) Held() bool { return pace.level > levelFree }
+type servingTask struct {
+	image string
+	load  float64
+}
 
-// Decide learns from a sample and returns the share in percent at which each fill task may work. The
-// level rises with each sample above the target, so that a serving task is above it for no longer than a
-// few samples, whoever is to blame.
-func (pace *Pace) Decide(sample Sample, pressures *Pressures) map[scheduler.RunID]int {
-	usage := sample.usage()
+// Decide learns from a sample and returns the share in percent at which each fill task may work.
+func (pace *Pace) Decide(sample Sample, effects *Effects) map[scheduler.RunID]int {
+	pace.observe(sample, effects)
+	shares := make([]float64, len(sample.Fill))
+	for position := range shares {
+		shares[position] = 1
+	}
+	if pace.stopped {
+		clear(shares)
+	} else {
+		pace.reduce(sample.Fill, shares, effects)
+	}
+	decided := make(map[scheduler.RunID]int, len(shares))
+	for position, fill := range sample.Fill {
+		decided[fill.Run] = round(shares[position], fill.Share)
+	}
+	return decided
+}
+
+// observe brings the loads, the effects and the emergency stop up to date.
+func (pace *Pace) observe(sample Sample, effects *Effects) {
+	usage := map[string]float64{}
+	for _, fill := range sample.Fill {
+		usage[fill.Image] += fill.Used
+	}
+	tasks := make(map[scheduler.RunID]servingTask, len(sample.Serving))
+	worst := 0.0
 	for _, serving := range sample.Serving {
-		pressures.Learn(serving, usage)
+		load := priorLoad
+		if known, found := pace.tasks[serving.Run]; found {
+			load = known.load
+		}
+		load = effects.learn(serving.Image, load, effects.utilisation(serving), usage)
+		tasks[serving.Run] = servingTask{image: serving.Image, load: load}
+		worst = max(worst, serving.Ratio)
 	}
-	worst := sample.worst()
+	pace.tasks = tasks
 	switch {
-	case worst.Ratio > highRatio && len(sample.Fill) > 0:
-		pace.level, pace.calm, pace.culprit = min(pace.level+1, levelStop), 0, worst.Image
-	case worst.Ratio > calmRatio:
-		pace.calm = 0
-	case pace.level > levelFree:
-		pace.relax()
+	case worst > 1:
+		pace.above++
+	default:
+		pace.above = 0
+	}
+	switch {
+	case pace.above >= stopAfter:
+		pace.stopped = true
+	case worst < calmRatio:
+		pace.stopped = false
 	}
-	return pace.shares(sample, pressures)
 }
 
-func (pace *Pace) relax() {
-	pace.calm++
-	if pace.calm >= calmSamples {
-		pace.level, pace.calm = pace.level-1, 0
+// reduce lowers the shares of the fill tasks with the largest effects until every serving task is expected
+// below the limit.
+func (pace *Pace) reduce(fills []Fill, shares []float64, effects *Effects) {
+	for range passes {
+		reduced := false
+		for _, serving := range pace.tasks {
+			reduced = pace.reduceFor(serving, fills, shares, effects) || reduced
+		}
+		if !reduced {
+			return
+		}
 	}
 }
 
-// shares returns the share of each fill task at the current level.
-func (pace *Pace) shares(sample Sample, pressures *Pressures) map[scheduler.RunID]int {
-	largest := 0.0
-	for _, fill := range sample.Fill {
-		largest = max(largest, pressures.Pair(pace.culprit, fill.Image))
+func (pace *Pace) reduceFor(serving servingTask, fills []Fill, shares []float64, effects *Effects) bool {
+	excess := serving.load - utilisationLimit
+	order := make([]int, len(fills))
+	for position, fill := range fills {
+		order[position] = position
+		excess += effects.of(serving.image, fill.Image) * fill.Wanted * shares[position]
 	}
-	shares := make(map[scheduler.RunID]int, len(sample.Fill))
-	for _, fill := range sample.Fill {
-		guilty := pressures.Pair(pace.culprit, fill.Image) >= blamed*largest
-		shares[fill.Run] = pace.level.share(guilty)
+	if excess <= 0 {
+		return false
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(effects.of(serving.image, fills[b].Image), effects.of(serving.image, fills[a].Image)), cmp.Compare(a, b))
+	})
+	for _, position := range order {
+		full := effects.of(serving.image, fills[position].Image) * fills[position].Wanted
+		if excess <= 0 || full <= 0 {
+			break
+		}
+		taken := min(shares[position], excess/full)
+		shares[position] -= taken
+		excess -= taken * full
 	}
-	return shares
+	return true
 }
 
-func (level level) share(guilty bool) int {
-	switch {
-	case level == levelFree:
-		return fullShare
-	case level == levelStop, level == levelHold && guilty:
-		return noShare
-	case level == levelHold, guilty:
-		return slowShare
+// round turns a share into percent in whole steps. The present share stays when the difference is small.
+func round(share float64, present int) int {
+	percent := int(share * fullShare)
+	if percent >= present && percent < present+shareStep && percent < fullShare {
+		return present
+	}
+	return percent / shareStep * shareStep
+}
+
+// Expect returns the highest utilisation that a serving task on the worker is expected to have beside fill
+// tasks that use parts of it by image.
+func (pace *Pace) Expect(usage map[string]float64, effects *Effects) float64 {
+	highest := 0.0
+	for _, serving := range pace.tasks {
+		expected := serving.load
+		for fill, used := range usage {
+			expected += effects.hoped(serving.image, fill) * used
+		}
+		highest = max(highest, expected)
 	}
-	return fullShare
+	if pace.stopped {
+		highest = max(highest, 1)
+	}
+	return highest
 }
+
+// MayPlace reports whether a fill task may be placed where serving tasks are expected to reach a utilisation.
+func MayPlace(expected float64) bool { return expected <= placeLimit }
--- a/internal/jobs/pacer/pressure.go
+++ b/internal/jobs/pacer/pressure.go
@@ -1,38 +1,44 @@
 // Package pacer keeps serving tasks below their latency targets: it learns which fill tasks slow which
 // serving tasks down, and decides at which share of their speed fill tasks may work. It is pure decision
-// code, made for fill tasks that come and go within seconds and whose effect on a serving task is between
-// none and many times its target, depending on the two images.
+// code, made for fill tasks that come and go within seconds beside serving tasks whose load swings.
+//
+// The model is that of a queue: the tail latency is in inverse proportion to what the load and the fill
+// tasks leave of a serving task's speed. Latencies are turned into that utilisation, in which the effects of
+// fill tasks add up; as latencies they do not, since the last few percent multiply them.
 package pacer
 
+import "math"
+
 const (
-	// priorPressure is what is expected of a pair of images that was not seen together: a fill task that
-	// uses a tenth of the worker raises the latency by a third of the target.
-	priorPressure = 3.0
-	// priorBase is the latency without fill tasks that is expected at first, as a part of the target.
-	priorBase = 0.4
-	// learningRate is the share of a prediction's error that one sample corrects.
-	learningRate = 0.5
-	// baseRate is the same for the latency without fill tasks, which moves slowly.
-	baseRate = 0.05
-	// minUsage keeps fill tasks that use next to nothing from taking large blame.
-	minUsage = 0.02
-	// maxRatio bounds a sample, since a latency far above the target says no more than one above it.
-	maxRatio = 8.0
+	// priorEffect is what is expected of a pair of images that was not seen together, as utilisation for
+	// each whole worker that the fill tasks use, and priorDeviation the doubt about it.
+	priorEffect    = 1.0
+	priorDeviation = 1.2
+	// priorLoad is the utilisation by a serving task's own load that is expected at first.
+	priorLoad = 0.4
+	// loadDeviation is by how much the load moves from one sample to the next, and noise the spread of a
+	// sample.
+	loadDeviation = 0.12
+	noise         = 0.07
+	// drift is by how much the variance of an effect grows with each sample, since effects change.
+	drift = 0.0005
+	// maxUtilisation bounds a sample: beyond it, latencies say only that it is too much.
+	maxUtilisation = 0.96
+	// idleShare is the latency of an idle serving task as a part of the lowest one seen.
+	idleShare = 0.8
+	// priorLowest is the lowest latency that is expected at first, as a part of the target.
+	priorLowest = 0.3
+	// optimism is how many deviations below the estimate an effect is taken to be when a task is placed, so
+	// that an image that was blamed for the effect of another is tried again.
+	optimism = 0.5
 )
 
-// Serving is the latency of a serving task.
-type Serving struct {
-	Image string
-	// Ratio is the tail latency as a part of the target.
-	Ratio float64
-}
-
-// Pressures holds what was learned of pairs of images. It is not safe for concurrent use.
-type Pressures struct {
-	base map[string]float64
-	// pairs holds, for a serving and a fill image, by how many targets the latency rises if the fill tasks
-	// use the whole worker.
-	pairs map[pair]float64
+// Effects holds what was learned of pairs of images: a Kalman filter with one coefficient for each pair and
+// no correlations. It is not safe for concurrent use.
+type Effects struct {
+	// lowest holds the lowest latency of each serving image, as a part of the target.
+	lowest map[string]float64
+	pairs  map[pair]*effect
 }
 
 type pair struct {
@@ -40,56 +46,76 @@
 	fill    string
 }
 
-// NewPressures returns Pressures that know nothing.
-func NewPressures() *Pressures {
-	return &Pressures{base: map[string]float64{}, pairs: map[pair]float64{}}
+// effect is by how much the utilisation of a serving image rises if the tasks of a fill image use the whole
+// worker.
+type effect struct {
+	mean     float64
+	variance float64
+}
+
+// NewEffects returns Effects that know nothing.
+func NewEffects() *Effects {
+	return &Effects{lowest: map[string]float64{}, pairs: map[pair]*effect{}}
 }
 
-// Pair returns the learned effect of a fill image on a serving image.
-func (pressures *Pressures) Pair(serving, fill string) float64 {
-	if learned, known := pressures.pairs[pair{serving: serving, fill: fill}]; known {
-		return learned
+// of returns the estimated effect of a fill image on a serving image.
+func (effects *Effects) of(serving, fill string) float64 {
+	if learned, known := effects.pairs[pair{serving: serving, fill: fill}]; known {
+		return learned.mean
 	}
-	return priorPressure
+	return priorEffect
 }
 
-func (pressures *Pressures) baseOf(serving string) float64 {
-	if learned, known := pressures.base[serving]; known {
-		return learned
+// hoped returns the effect that is assumed when a task is placed.
+func (effects *Effects) hoped(serving, fill string) float64 {
+	learned, known := effects.pairs[pair{serving: serving, fill: fill}]
+	if !known {
+		return priorEffect
 	}
-	return priorBase
+	return max(0, learned.mean-optimism*math.Sqrt(learned.variance))
 }
 
-// Learn takes the latency of a serving task and what the fill images beside it used of the worker.
-func (pressures *Pressures) Learn(serving Serving, usage map[string]float64) {
-	ratio := min(serving.Ratio, maxRatio)
-	predicted, squares := pressures.baseOf(serving.Image), 0.0
-	for image, used := range usage {
-		predicted += pressures.Pair(serving.Image, image) * used
-		squares += used * used
+func (effects *Effects) learned(serving, fill string) *effect {
+	key := pair{serving: serving, fill: fill}
+	learned := effects.pairs[key]
+	if learned == nil {
+		learned = &effect{mean: priorEffect, variance: priorDeviation * priorDeviation}
+		effects.pairs[key] = learned
 	}
-	if squares < minUsage*minUsage {
-		base := pressures.baseOf(serving.Image)
-		pressures.base[serving.Image] = base + baseRate*(ratio-base)
-		return
+	return learned
+}
+
+// utilisation turns a latency into the utilisation that explains it, from 0 to maxUtilisation.
+func (effects *Effects) utilisation(serving Serving) float64 {
+	lowest, known := effects.lowest[serving.Image]
+	if !known {
+		lowest = priorLowest
 	}
-	failure := ratio - min(predicted, maxRatio)
-	for image, used := range usage {
-		key := pair{serving: serving.Image, fill: image}
-		pressures.pairs[key] = max(0, pressures.Pair(serving.Image, image)+learningRate*failure*used/squares)
+	if lowest = min(lowest, serving.Ratio); lowest > 0 {
+		effects.lowest[serving.Image] = lowest
 	}
+	return min(max(0, 1-idleShare*lowest/serving.Ratio), maxUtilisation)
 }
 
-// Expect returns the highest latency, as a part of the target, that the serving images on a worker are
-// expected to have beside the given usage.
-func (pressures *Pressures) Expect(serving []string, usage map[string]float64) float64 {
-	highest := 0.0
-	for _, image := range serving {
-		expected := pressures.baseOf(image)
-		for fill, used := range usage {
-			expected += pressures.Pair(image, fill) * used
-		}
-		highest = max(highest, expected)
+// learn takes the utilisation of a serving task and what the fill images beside it used of the worker. It
+// returns the corrected load of the serving task itself.
+func (effects *Effects) learn(image string, load, utilisation float64, usage map[string]float64) float64 {
+	predicted, spread := load, loadDeviation*loadDeviation+noise*noise
+	for fill, used := range usage {
+		learned := effects.learned(image, fill)
+		learned.variance = min(learned.variance+drift, priorDeviation*priorDeviation)
+		predicted += learned.mean * used
+		spread += learned.variance * used * used
+	}
+	failure := utilisation - predicted
+	if utilisation >= maxUtilisation && failure < 0 {
+		return load // The sample is cut off and does not contradict the prediction.
+	}
+	for fill, used := range usage {
+		learned := effects.learned(image, fill)
+		gain := learned.variance * used / spread
+		learned.mean = max(0, learned.mean+gain*failure)
+		learned.variance = max(0, learned.variance*(1-gain*used))
 	}
-	return highest
+	return min(max(0, load+failure*loadDeviation*loadDeviation/spread), 1)
 }
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -20,10 +21,12 @@
 	// Slack is an estimate of the processor time, in thousandths of a core, that the tasks on the worker
 	// leave unused; fill tasks share it.
 	Slack int64
-	// Harm estimates the highest latency of a serving task on the worker, as a part of its target, beside a
-	// further fill task of an image that uses so many thousandths of a core. It is nil without serving
-	// tasks.
-	Harm func(image string, milliCores int64) float64
+	// Utilisation estimates the highest utilisation of a serving task on the worker, 1 for a saturated one,
+	// beside further fill tasks of an image that use so many thousandths of a core. It is nil without
+	// serving tasks.
+	Utilisation func(image string, milliCores int64) float64
+	// Images counts the serving tasks on the worker by image.
+	Images map[string]int
 	// placed is the processor time of the fill tasks that this decision has put on the worker.
 	placed int64
 	// Penalty makes a worker less attractive, for example after failures. 0 is usual.
@@ -95,6 +98,9 @@
 	if step.Fill {
 		worker.placed += step.Request.MilliCores
 	}
+	if step.LatencyTarget > 0 {
+		worker.addImage(step.Image, 1)
+	}
 }
 
 func giveBack(worker *Worker, step *scheduler.Step) {
@@ -103,6 +109,28 @@
 	if step.Fill {
 		worker.placed -= step.Request.MilliCores
 	}
+	if step.LatencyTarget > 0 {
+		worker.addImage(step.Image, -1)
+	}
+}
+
+func (worker *Worker) addImage(image string, count int) {
+	if worker.Images == nil {
+		worker.Images = map[string]int{}
+	}
+	worker.Images[image] += count
+	if worker.Images[image] <= 0 {
+		delete(worker.Images, image)
+	}
+}
+
+// otherImages returns how many images of serving tasks on the worker differ from one.
+func (worker *Worker) otherImages(image string) int {
+	others := len(worker.Images)
+	if worker.Images[image] > 0 {
+		others--
+	}
+	return others
 }
 
 // best returns the worker with the lowest score on which a further task of the group fits.
@@ -129,6 +157,8 @@
 		return false
 	case group.Approved != nil && !group.Approved[worker.Name]:
 		return false
+	case step.Fill && (worker.Slack < step.Request.MilliCores/minFillPart || !pacer.MayPlace(worker.utilisation(step))):
+		return false
 	}
 	return !group.Avoid[worker.Name]
 }
@@ -138,10 +168,14 @@
 	// weightRemote outweighs every difference in load: a task that is far from its data is slower by a
 	// multiple.
 	weightRemote = 10
-	// harmFrom is the expected latency, as a part of the target, from which on a fill task is kept away
-	// from serving tasks, and weightHarm how much a latency beyond that weighs.
-	harmFrom   = 0.6
-	weightHarm = 4
+	// weightHarm is how much the utilisation of serving tasks weighs for a fill task.
+	weightHarm = 1
+	// minFillPart divides the request of a fill task: it waits where less than that part would be left for it.
+	minFillPart = 2
+	// weightMixed keeps serving tasks of different images apart: a fill task must spare all images on its
+	// worker. weightEmpty prefers a worker with the same image to an empty one.
+	weightMixed = 2
+	weightEmpty = 0.5
 	// weightScarce keeps work off workers with free accelerators that it does not need.
 	weightScarce = 1
 )
@@ -161,19 +195,24 @@
 		score += weightScarce
 	}
 	if step.Fill {
-		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.harm(step)
+		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.utilisation(step)
+	}
+	if step.LatencyTarget > 0 {
+		score += weightMixed * float64(worker.otherImages(step.Image))
+		if len(worker.Images) == 0 {
+			score += weightEmpty
+		}
 	}
 	left := worker.Free.Minus(step.Reserved())
 	return score + max(share(left.MilliCores, worker.Capacity.MilliCores), share(left.MemoryBytes, worker.Capacity.MemoryBytes))
 }
 
-// harm returns by how much a further fill task would bring the latency of a serving task beyond what is
-// harmless.
-func (worker *Worker) harm(step *scheduler.Step) float64 {
-	if worker.Harm == nil {
+// utilisation returns the expected utilisation of the worker's serving tasks beside a further fill task.
+func (worker *Worker) utilisation(step *scheduler.Step) float64 {
+	if worker.Utilisation == nil {
 		return 0
 	}
-	return max(0, worker.Harm(step.Image, worker.placed+step.Request.MilliCores)-harmFrom)
+	return worker.Utilisation(step.Image, worker.placed+step.Request.MilliCores)
 }
 
 func share(amount, of int64) float64 {
