--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -13,6 +13,7 @@
 // load is a summary of what the domain's workers do.
 type load struct {
 	workers, usable         int
+	withoutServing          int
 	capacity, reserved      int64
 	serving, running, fills int
 	fillUsage               int64
@@ -26,7 +27,7 @@
 // logLoad writes one line about the load, so that a late job can be explained afterwards.
 func (reign *reign) logLoad() {
 	load := reign.summarise()
-	reign.logger.Info().Str("event", "load").Int("workers", load.workers).Int("usable", load.usable).
+	reign.logger.Info().Str("event", "load").Int("workers", load.workers).Int("usable", load.usable).Int("withoutServing", load.withoutServing).
 		Int64("capacity", load.capacity).Int64("reserved", load.reserved).Int("serving", load.serving).Int("running", load.running).
 		Int("fills", load.fills).Int64("fillUsage", load.fillUsage).Int("held", load.held).Int("readyServing", load.readyServing).
 		Int("readyFill", load.readyFill).Int("ready", load.ready).Int64("readyCores", load.readyCores).Msg("load of the domain")
@@ -47,6 +48,9 @@
 		for _, attempt := range life.attempts {
 			load.add(attempt)
 		}
+		if len(life.images()) == 0 {
+			load.withoutServing++
+		}
 	}
 	reign.overseer.keeper.View(func(state *jobkeeper.State) {
 		state.Ready(func(task *jobkeeper.Task) {
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -151,7 +151,7 @@
 		free := life.beat.Capacity.Minus(state.Reserved(name))
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: life.slack(), Utilisation: reign.utilisation(life), Images: life.images(),
+			Free: free, Slack: life.slack(), Excess: reign.excess(life), Images: life.images(),
 		})
 	}
 	return pools
@@ -189,10 +189,10 @@
 	return images
 }
 
-// utilisation returns the function that estimates the highest utilisation of a serving task on a worker
-// beside further fill tasks, nil without serving tasks. Fill tasks that are there count with their full
+// excess returns the function that estimates the excess of the serving tasks on a worker beside further fill
+// tasks, nil without serving tasks. Fill tasks that are there count with their full
 // request, so that several ones that start together are not all placed on a worker that was idle.
-func (reign *reign) utilisation(life *worker) func(image string, milliCores int64) float64 {
+func (reign *reign) excess(life *worker) func(image string, milliCores int64) float64 {
 	usage := map[string]float64{}
 	serving := false
 	for _, attempt := range life.attempts {
--- a/internal/jobs/pacer/pace.go
+++ b/internal/jobs/pacer/pace.go
@@ -12,11 +12,10 @@
 	fullShare = 100
 	// shareStep is the smallest change of a share, in percent: each change is an order to the worker.
 	shareStep = 20
-	// utilisationLimit is what fill tasks may bring a serving task to. Its target is reached between 0.75
-	// and 0.8 where the target is four to five times the latency of an idle task.
-	utilisationLimit = 0.74
-	// placeLimit is the same for a further fill task, which stays while the load may rise.
-	placeLimit = 0.70
+	// limitRatio is the latency, as a part of the target, to which fill tasks may bring a serving task.
+	limitRatio = 0.85
+	// placeRatio is the same for a further fill task, which stays while the load may rise.
+	placeRatio = 0.7
 	// calmRatio is the latency below which fill tasks work again after all were stopped.
 	calmRatio = 0.75
 	// stopAfter is after how many samples in succession above the target all fill tasks are stopped,
@@ -133,7 +132,7 @@
 }
 
 func (pace *Pace) reduceFor(serving servingTask, fills []Fill, shares []float64, effects *Effects) bool {
-	excess := serving.load - utilisationLimit
+	excess := serving.load - effects.at(serving.image, limitRatio)
 	order := make([]int, len(fills))
 	for position, fill := range fills {
 		order[position] = position
@@ -166,12 +165,13 @@
 	return percent / shareStep * shareStep
 }
 
-// Expect returns the highest utilisation that a serving task on the worker is expected to have beside fill
-// tasks that use parts of it by image.
+// Expect returns by how much the utilisation of a serving task on the worker is expected to exceed what a
+// further fill task may bring it to, beside fill tasks that use parts of the worker by image. It is negative
+// while there is room.
 func (pace *Pace) Expect(usage map[string]float64, effects *Effects) float64 {
-	highest := 0.0
+	highest := -1.0
 	for _, serving := range pace.tasks {
-		expected := serving.load
+		expected := serving.load - effects.at(serving.image, placeRatio)
 		for fill, used := range usage {
 			expected += effects.hoped(serving.image, fill) * used
 		}
@@ -182,6 +182,3 @@
 	}
 	return highest
 }
-
-// MayPlace reports whether a fill task may be placed where serving tasks are expected to reach a utilisation.
-func MayPlace(expected float64) bool { return expected <= placeLimit }
--- a/internal/jobs/pacer/pressure.go
+++ b/internal/jobs/pacer/pressure.go
@@ -94,7 +94,16 @@
 	if lowest = min(lowest, serving.Ratio); lowest > 0 {
 		effects.lowest[serving.Image] = lowest
 	}
-	return min(max(0, 1-idleShare*lowest/serving.Ratio), maxUtilisation)
+	return effects.at(serving.Image, serving.Ratio)
+}
+
+// at returns the utilisation at which the latency of a serving image is a given part of the target.
+func (effects *Effects) at(image string, ratio float64) float64 {
+	lowest, known := effects.lowest[image]
+	if !known {
+		lowest = priorLowest
+	}
+	return min(max(0, 1-idleShare*lowest/ratio), maxUtilisation)
 }
 
 // learn takes the utilisation of a serving task and what the fill images beside it used of the worker. It
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -21,10 +20,10 @@
 	// Slack is an estimate of the processor time, in thousandths of a core, that the tasks on the worker
 	// leave unused; fill tasks share it.
 	Slack int64
-	// Utilisation estimates the highest utilisation of a serving task on the worker, 1 for a saturated one,
-	// beside further fill tasks of an image that use so many thousandths of a core. It is nil without
-	// serving tasks.
-	Utilisation func(image string, milliCores int64) float64
+	// Excess estimates by how much the utilisation of a serving task on the worker exceeds what it may be,
+	// beside further fill tasks of an image that use so many thousandths of a core. It is negative while
+	// there is room, and nil without serving tasks.
+	Excess func(image string, milliCores int64) float64
 	// Images counts the serving tasks on the worker by image.
 	Images map[string]int
 	// placed is the processor time of the fill tasks that this decision has put on the worker.
@@ -157,7 +156,7 @@
 		return false
 	case group.Approved != nil && !group.Approved[worker.Name]:
 		return false
-	case step.Fill && (worker.Slack < step.Request.MilliCores/minFillPart || !pacer.MayPlace(worker.utilisation(step))):
+	case step.Fill && (worker.Slack < step.Request.MilliCores/minFillPart || worker.excess(step) > 0):
 		return false
 	}
 	return !group.Avoid[worker.Name]
@@ -169,7 +168,9 @@
 	// multiple.
 	weightRemote = 10
 	// weightHarm is how much the utilisation of serving tasks weighs for a fill task.
-	weightHarm = 1
+	// weightMarginal is the same for what the task itself adds, which is what it takes from other fill tasks.
+	weightHarm     = 1
+	weightMarginal = 5
 	// minFillPart divides the request of a fill task: it waits where less than that part would be left for it.
 	minFillPart = 2
 	// weightMixed keeps serving tasks of different images apart: a fill task must spare all images on its
@@ -195,7 +196,7 @@
 		score += weightScarce
 	}
 	if step.Fill {
-		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.utilisation(step)
+		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.excess(step) + weightMarginal*worker.marginal(step)
 	}
 	if step.LatencyTarget > 0 {
 		score += weightMixed * float64(worker.otherImages(step.Image))
@@ -207,12 +208,20 @@
 	return score + max(share(left.MilliCores, worker.Capacity.MilliCores), share(left.MemoryBytes, worker.Capacity.MemoryBytes))
 }
 
-// utilisation returns the expected utilisation of the worker's serving tasks beside a further fill task.
-func (worker *Worker) utilisation(step *scheduler.Step) float64 {
-	if worker.Utilisation == nil {
+// excess returns the excess of the worker's serving tasks beside a further fill task.
+func (worker *Worker) excess(step *scheduler.Step) float64 {
+	if worker.Excess == nil {
+		return -1
+	}
+	return worker.Excess(step.Image, worker.placed+step.Request.MilliCores)
+}
+
+// marginal returns what a further fill task adds to the utilisation of the worker's serving tasks.
+func (worker *Worker) marginal(step *scheduler.Step) float64 {
+	if worker.Excess == nil {
 		return 0
 	}
-	return worker.Utilisation(step.Image, worker.placed+step.Request.MilliCores)
+	return worker.excess(step) - worker.Excess(step.Image, worker.placed)
 }
 
 func share(amount, of int64) float64 {
