overseer: attempts survive the rebirth of a worker under its name; random failure schedules

Cause: found by the new schedules (fake workers that lose answers, act late, crash, are reborn, are cut off; leaders that change; proposals whose answer is lost): a start meant for an earlier life of a worker reaches the later one, which has the same name, and the task was started again; a renewal acknowledged ends of the later life by the numbers of the earlier one; attempts whose loss was being recorded were adopted again. Change: attempts that a life has not listed are looked for on the later life; nothing is acknowledged to a worker whose last renewal was not answered; recorded ends are remembered until they are in the log.

--- /dev/null
+++ b/internal/jobs/overseer/failure_test.go
@@ -0,0 +1,334 @@
+package overseer
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+var (
+	seeds     = flag.Int("seeds", 20, "random failure schedules to run")
+	firstSeed = flag.Int("first-seed", 0, "seed of the first schedule")
+	logs      = flag.Bool("schedule-logs", false, "print the decisions of the schedules")
+)
+
+// fakeGroup is one VM's part in a group whose state machine all VMs share, so that a command that was
+// committed is applied everywhere at once.
+type fakeGroup struct {
+	domain *fakeDomain
+	number int
+}
+
+// fakeDomain is the group as a whole. Only one VM leads at a time.
+type fakeDomain struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	keeper *jobkeeper.Keeper
+	leader atomic.Int32
+	term   atomic.Uint64
+	index  scheduler.Index
+}
+
+const noLeader = -1
+
+func (group *fakeGroup) Name() scheduler.GroupName { return "domain" }
+
+func (group *fakeGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	domain := group.domain
+	domain.mutex.Lock()
+	delay := time.Duration(domain.random.Int64N(int64(30 * time.Millisecond)))
+	domain.mutex.Unlock()
+	term := domain.term.Load()
+	select {
+	case <-ctx.Done():
+		return nil, scheduler.ErrNotRun.Wrap(ctx.Err())
+	case <-time.After(delay):
+	}
+	domain.mutex.Lock()
+	defer domain.mutex.Unlock()
+	if int(domain.leader.Load()) != group.number || domain.term.Load() != term {
+		return nil, scheduler.ErrUnknown.New("the leader has changed")
+	}
+	domain.index++
+	result := domain.keeper.Apply(domain.index, command)
+	if domain.random.IntN(50) == 0 {
+		return nil, scheduler.ErrUnknown.New("the answer was lost")
+	}
+	return result, nil
+}
+
+func (group *fakeGroup) ReadBarrier(context.Context) error { return nil }
+
+func (group *fakeGroup) Status() scheduler.GroupStatus {
+	role := scheduler.GroupFollower
+	if group.HoldsLeaderLease() {
+		role = scheduler.GroupLeader
+	}
+	return scheduler.NewGroupStatus(role, scheduler.Term(group.domain.term.Load()), "", 0, 0, nil)
+}
+
+func (group *fakeGroup) HoldsLeaderLease() bool {
+	return int(group.domain.leader.Load()) == group.number
+}
+
+// elect makes a VM the leader of a new term.
+func (domain *fakeDomain) elect(number int) {
+	domain.mutex.Lock()
+	defer domain.mutex.Unlock()
+	domain.leader.Store(noLeader)
+	domain.term.Add(1)
+	domain.leader.Store(int32(number))
+}
+
+// schedule is one run of a domain under random failures.
+type schedule struct {
+	t         *testing.T
+	random    *rand.Rand
+	fleet     *fakeFleet
+	domain    *fakeDomain
+	overseers []*Overseer
+	names     []scheduler.WorkerName
+	lives     map[scheduler.WorkerName]scheduler.Incarnation
+	jobs      int
+}
+
+// processStart is longer than an order is under way.
+const processStart = 100 * time.Millisecond
+
+const (
+	scheduleVMs     = 3
+	scheduleWorkers = 6
+)
+
+func newSchedule(t *testing.T, seed uint64) *schedule {
+	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New()}
+	domain.leader.Store(noLeader)
+	schedule := &schedule{
+		t: t, random: rand.New(rand.NewPCG(seed, 2)), fleet: newFleet(seed), domain: domain, lives: map[scheduler.WorkerName]scheduler.Incarnation{},
+	}
+	for number := range scheduleVMs {
+		schedule.overseers = append(schedule.overseers, New(&fakeGroup{domain: domain, number: number}, domain.keeper, schedule.fleet,
+			WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond), WithLogger(scheduleLogger(number))))
+	}
+	for number := range scheduleWorkers {
+		schedule.names = append(schedule.names, scheduler.WorkerName(fmt.Sprintf("w%d", number)))
+	}
+	return schedule
+}
+
+// scheduleLogger returns the logger of a VM, which writes only if the tests are asked for it.
+func scheduleLogger(number int) zerolog.Logger {
+	if !*logs {
+		return zerolog.Nop()
+	}
+	return zerolog.New(zerolog.ConsoleWriter{Out: os.Stdout, NoColor: true}).With().Timestamp().Int("vm", number).Logger()
+}
+
+// apply commits a command directly, as a caller's request does.
+func (schedule *schedule) apply(command jobkeeper.Command) {
+	schedule.t.Helper()
+	data, err := command.Encode()
+	if err != nil {
+		schedule.t.Fatal(err)
+	}
+	schedule.domain.mutex.Lock()
+	defer schedule.domain.mutex.Unlock()
+	schedule.domain.index++
+	schedule.domain.keeper.Apply(schedule.domain.index, data)
+}
+
+func (schedule *schedule) configure() {
+	schedule.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
+		Version: 1, Pools: []scheduler.Pool{{Name: "pool"}},
+		Queues: []scheduler.Queue{{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second}},
+	}})
+}
+
+func (schedule *schedule) submit() {
+	workflow := &scheduler.Workflow{Steps: []scheduler.Step{
+		{Count: 1 + schedule.random.IntN(4), Request: oneCore, Checkpointing: true},
+		{Count: 1 + schedule.random.IntN(3), Request: oneCore, DependsOn: []int{0}},
+	}}
+	if schedule.random.IntN(6) == 0 {
+		workflow = &scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
+	}
+	id := scheduler.JobID(fmt.Sprintf("job%d", schedule.jobs))
+	schedule.jobs++
+	schedule.fleet.mutex.Lock()
+	schedule.fleet.workflows[id] = workflow
+	schedule.fleet.mutex.Unlock()
+	schedule.apply(jobkeeper.Command{Submit: &jobkeeper.Submit{Job: id, Queue: "queue", Workflow: *workflow, Accepted: time.Now()}})
+}
+
+// rebirth ends a worker's life and begins a later one under the same name after the time that a process
+// takes to start.
+func (schedule *schedule) rebirth(name scheduler.WorkerName) {
+	schedule.fleet.kill(name)
+	time.Sleep(processStart)
+	schedule.lives[name]++
+	schedule.fleet.add(name, scheduler.Incarnation(schedule.lives[name]))
+}
+
+// disturb brings about one random failure, which lasts for a random time.
+func (schedule *schedule) disturb() {
+	name := schedule.names[schedule.random.IntN(len(schedule.names))]
+	switch schedule.random.IntN(6) {
+	case 0:
+		schedule.domain.elect(schedule.random.IntN(scheduleVMs))
+	case 1:
+		schedule.domain.leader.Store(noLeader)
+		time.Sleep(time.Duration(schedule.random.Int64N(int64(3 * time.Second))))
+		schedule.domain.elect(schedule.random.IntN(scheduleVMs))
+	case 2:
+		schedule.rebirth(name)
+	case 3, 4:
+		schedule.setCut(name, true)
+		go func() {
+			time.Sleep(time.Duration(rand.Int64N(int64(15 * time.Second))))
+			schedule.setCut(name, false)
+		}()
+	case 5:
+		if schedule.jobs > 0 {
+			id := scheduler.JobID(fmt.Sprintf("job%d", schedule.random.IntN(schedule.jobs)))
+			schedule.apply(jobkeeper.Command{Cancel: &id})
+		}
+	}
+}
+
+func (schedule *schedule) setCut(name scheduler.WorkerName, cut bool) {
+	schedule.fleet.mutex.Lock()
+	defer schedule.fleet.mutex.Unlock()
+	for _, worker := range schedule.fleet.workers {
+		if worker.name == name {
+			worker.cut = cut
+		}
+	}
+}
+
+// sendBeats lets every worker state itself to the leader.
+func (schedule *schedule) sendBeats() {
+	schedule.fleet.mutex.Lock()
+	var workers []*fakeWorker
+	for _, name := range schedule.names {
+		if worker := schedule.fleet.workers["10.0.0.1:"+string(name)]; worker != nil {
+			workers = append(workers, worker)
+		}
+	}
+	schedule.fleet.mutex.Unlock()
+	for _, worker := range workers {
+		beat, ok := worker.beat()
+		if !ok {
+			continue
+		}
+		for _, overseer := range schedule.overseers {
+			if overseer.Beat(beat) == nil {
+				break
+			}
+		}
+	}
+}
+
+// run plays the schedule and then lets the domain come to rest.
+func (schedule *schedule) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, overseer := range schedule.overseers {
+		running.Go(func() { overseer.Run(ctx) })
+	}
+	running.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			schedule.fleet.tick()
+		}
+	})
+	running.Go(func() {
+		for ctx.Err() == nil {
+			schedule.sendBeats()
+			time.Sleep(time.Second)
+		}
+	})
+	for _, name := range schedule.names {
+		schedule.rebirth(name)
+	}
+	schedule.configure()
+	schedule.domain.elect(0)
+	for range 40 {
+		for range schedule.random.IntN(3) {
+			schedule.submit()
+		}
+		time.Sleep(time.Duration(schedule.random.Int64N(int64(time.Second))))
+		if schedule.random.IntN(3) == 0 {
+			schedule.disturb()
+		}
+	}
+	schedule.domain.elect(0)
+	schedule.rest()
+	cancel()
+	running.Wait()
+}
+
+// rest ends all failures and waits until every job that can finish has done so.
+func (schedule *schedule) rest() {
+	time.Sleep(16 * time.Second)
+	schedule.fleet.mutex.Lock()
+	schedule.fleet.lateShare, schedule.fleet.failShare = 0, 0
+	schedule.fleet.mutex.Unlock()
+	for range 60 {
+		time.Sleep(time.Second)
+		if schedule.open() == 0 {
+			return
+		}
+	}
+}
+
+// open counts the jobs that have not ended and could.
+func (schedule *schedule) open() int {
+	open := 0
+	schedule.domain.keeper.View(func(state *jobkeeper.State) {
+		for number := range schedule.jobs {
+			job, _ := state.Job(scheduler.JobID(fmt.Sprintf("job%d", number)))
+			if job.State().Ended() || job.Workflow().Steps[0].LongRunning {
+				continue
+			}
+			open++
+		}
+	})
+	return open
+}
+
+// Guards against a task that runs twice at a time, that starts again after its finish was acknowledged, or
+// that starts before the steps that it depends on have finished, whatever fails; and against work that is
+// never taken up again.
+func TestRandomFailures(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				schedule := newSchedule(t, uint64(seed))
+				schedule.fleet.lateShare, schedule.fleet.failShare = 0.05, 0.05
+				schedule.run()
+				time.Sleep(20 * time.Second) // Late orders end before the bubble does.
+				for _, breach := range schedule.fleet.breaches {
+					t.Error(breach)
+				}
+				if got := schedule.open(); got != 0 {
+					t.Errorf("got %d jobs that never end, want 0", got)
+				}
+				if schedule.fleet.starts == 0 {
+					t.Error("no task was started")
+				}
+			})
+		})
+	}
+}
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -125,7 +125,7 @@
 		reign.fenced(life)
 		return true
 	case scheduler.OrderOtherLife:
-		reign.endLife(life, "another life answers at its address")
+		reign.endLife(life, "another worker answers at its address")
 		return true
 	}
 	reign.refused(life, id, attempt, answer.Verdict)
@@ -223,7 +223,7 @@
 		reign.fenced(life)
 		return true
 	case scheduler.OrderOtherLife:
-		reign.endLife(life, "another life answers at its address")
+		reign.endLife(life, "another worker answers at its address")
 		return true
 	}
 	return false
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -28,6 +28,8 @@
 	mutex sync.Mutex
 	// lives holds the current life of each worker.
 	lives map[scheduler.WorkerName]*worker
+	// recording holds the attempts whose ends are being recorded for a life that is over.
+	recording map[scheduler.RunID]bool
 	// effects is what was learned of the effect of fill tasks on serving tasks in this term.
 	effects *pacer.Effects
 	// began is when the term began on this VM.
@@ -39,6 +41,7 @@
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
+		recording: map[scheduler.RunID]bool{},
 	}
 	reign.adoptAll()
 	return reign
@@ -50,46 +53,36 @@
 func (reign *reign) adoptAll() {
 	reign.mutex.Lock()
 	defer reign.mutex.Unlock()
-	var outlived []*jobkeeper.Run
 	reign.overseer.keeper.View(func(state *jobkeeper.State) {
 		for _, name := range state.Workers() {
-			state.Runs(name, func(run *jobkeeper.Run) {
-				if !reign.adopt(run) {
-					outlived = append(outlived, run)
-				}
-			})
+			state.Runs(name, reign.adopt)
 		}
 	})
-	for _, run := range outlived {
-		reign.lose(run.ID(), run.Worker(), run.Life())
-	}
 }
 
-// adopt adds an attempt to the life of its worker. It returns false when a later life is known.
-func (reign *reign) adopt(run *jobkeeper.Run) bool {
+// adopt adds an attempt to the latest known life of its worker, where it may be even if it was meant for an
+// earlier one.
+func (reign *reign) adopt(run *jobkeeper.Run) {
 	life := reign.lives[run.Worker()]
-	if life == nil {
+	switch {
+	case life == nil:
 		life = newWorker(run.Worker(), run.Life())
 		life.leaseUntil = reign.fullLease(reign.now())
 		reign.lives[run.Worker()] = life
-	}
-	switch {
-	case life.life > run.Life():
-		return false
+	case life.attempts[run.ID()] != nil || reign.recording[run.ID()]:
+		return
 	case life.life < run.Life():
-		reign.endLife(life, "attempts of a later life are in the log")
-		return reign.adopt(run)
-	case life.attempts[run.ID()] == nil:
-		life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, wantedShare: fullShare}
-		life.synced = false
-		reign.watchWorker(life)
+		life = reign.succeed(life, run.Life())
 	}
-	return true
+	life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, wantedShare: fullShare}
+	life.synced = false
+	reign.watchWorker(life)
 }
 
-// lose records the end of an attempt on a life that is over.
+// lose records the end of an attempt on a life that is over. The mutex is held.
 func (reign *reign) lose(id scheduler.RunID, worker scheduler.WorkerName, life scheduler.Incarnation) {
 	ended := newWorker(worker, life)
+	reign.recording[id] = true
 	reign.workers.Go(func() { reign.record(ended, []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}) })
 }
 
@@ -134,8 +127,7 @@
 	case life != nil && beat.Life < life.life, life != nil && life.known && beat.Life == life.life && beat.Sequence <= life.beat.Sequence:
 		return
 	case life != nil && life.life < beat.Life:
-		reign.endLife(life, "a later life of the worker sends beats")
-		life = nil
+		life = reign.succeed(life, beat.Life)
 	}
 	reign.endOthersAt(beat)
 	if life == nil {
@@ -154,6 +146,25 @@
 	reign.watchWorker(life)
 }
 
+// succeed replaces a life of a worker by a later one of the same name. An order that was meant for the
+// earlier life may have reached the later one, so attempts that the earlier life has not listed are looked
+// for there: the next report shows them, or their start is repeated.
+func (reign *reign) succeed(earlier *worker, life scheduler.Incarnation) *worker {
+	later := newWorker(earlier.name, life)
+	for id, unseen := range earlier.attempts {
+		if unseen.seen || unseen.ending {
+			continue
+		}
+		delete(earlier.attempts, id)
+		later.attempts[id] = &attempt{state: attemptUnknown, spec: unseen.spec, approval: unseen.approval, share: fullShare, wantedShare: fullShare}
+	}
+	later.synced = len(later.attempts) == 0
+	later.leaseUntil = reign.fullLease(reign.now())
+	reign.endLife(earlier, "a later life of the worker has begun")
+	reign.lives[later.name] = later
+	return later
+}
+
 // endOthersAt ends the lives of other workers on the same VM or at the same address that began before.
 func (reign *reign) endOthersAt(beat scheduler.WorkerBeat) {
 	for _, other := range reign.lives {
@@ -207,6 +218,7 @@
 	var ends []jobkeeper.End
 	for id, attempt := range life.attempts {
 		attempt.ending = true
+		reign.recording[id] = true
 		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndLost})
 	}
 	if len(ends) > 0 {
@@ -245,6 +257,7 @@
 	defer reign.mutex.Unlock()
 	for _, end := range ends {
 		delete(life.attempts, end.Run)
+		delete(reign.recording, end.Run)
 		reign.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
 			reign.logger.Info().Str("event", "attemptEnded").Stringer("run", end.Run).Str("worker", string(life.name)).
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -48,12 +48,22 @@
 	}
 	order = scheduler.RenewOrder{
 		LeaseEnd: life.leaseEnd(now, reign.overseer.leaseDuration), Token: reign.term,
-		Acknowledged: life.acknowledged, Wait: life.renewWait(),
+		Acknowledged: life.cursor(), Wait: life.renewWait(),
 	}
 	life.extendLease(order.LeaseEnd, reign.overseer.drift)
 	return order, true
 }
 
+// cursor returns which ends the next renewal acknowledges. A worker that has not answered the last one may
+// have begun a later life under its name, whose ends are numbered anew, so nothing is acknowledged to it. An
+// answer to another order does not tell the life.
+func (worker *worker) cursor() uint64 {
+	if !worker.listed {
+		return 0
+	}
+	return worker.acknowledged
+}
+
 // reported reports whether the last recorded ends have been acknowledged to the worker.
 func (worker *worker) reported() bool { return worker.acknowledged == worker.confirmed }
 
@@ -99,6 +109,7 @@
 func (reign *reign) renewFailed(life *worker, err error) {
 	reign.mutex.Lock()
 	life.failing++
+	life.listed = false
 	failures := life.failing
 	reign.mutex.Unlock()
 	if failures == 1 {
@@ -132,7 +143,7 @@
 	if !reign.acceptReport(life, report) {
 		return nil, false
 	}
-	life.confirmed = order.Acknowledged
+	life.confirmed = max(life.confirmed, order.Acknowledged)
 	listed := map[scheduler.RunID]bool{}
 	ends = life.listEnds(report.Ended, listed)
 	for _, running := range report.Running {
@@ -140,7 +151,7 @@
 		reign.noteRunning(life, running)
 	}
 	ends = append(ends, reign.missing(life, listed, sent)...)
-	life.synced = true
+	life.synced, life.listed = true, true
 	reign.control(life)
 	return ends, true
 }
@@ -151,8 +162,13 @@
 	switch {
 	case life.over:
 		return false
-	case report.Verdict == scheduler.OrderOtherLife || report.Life != 0 && report.Life != life.life:
-		reign.endLife(life, "another life answers at its address")
+	case report.Verdict == scheduler.OrderOtherLife:
+		reign.endLife(life, "another worker answers at its address")
+		return false
+	case report.Life > life.life:
+		reign.succeed(life, report.Life)
+		return false
+	case report.Life != 0 && report.Life < life.life:
 		return false
 	case report.Verdict == scheduler.OrderFenced:
 		reign.fenced(life)
@@ -199,7 +215,7 @@
 		reign.workers.Go(func() { reign.stopStray(life, running.Run) })
 		return
 	}
-	known.running = running
+	known.running, known.seen = running, true
 	if known.state == attemptUnknown || known.state == attemptStarting {
 		known.state = attemptRunning
 	}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -34,6 +34,8 @@
 	// synced is true once the worker has answered a renewal of this term. Only then is it known what it
 	// runs, and orders of earlier leaders are fenced off.
 	synced bool
+	// listed is true while the last renewal was answered.
+	listed bool
 	// acknowledged is the number of the last end that is recorded, confirmed that of the last end that the
 	// worker has been told about.
 	acknowledged uint64
@@ -54,6 +56,8 @@
 	exposed bool
 	// unanswered is true when a start got no answer, so that it may still take effect later.
 	unanswered bool
+	// seen is true once this life of the worker has listed the attempt.
+	seen bool
 	// ending is true while the end of the attempt is being recorded.
 	ending bool
 	spec   scheduler.Step
