overseer: a silent worker's lease ends

Change: a worker that does not answer gets no longer lease than it has; after a rebirth under the same name, orders to the earlier life are waited for 12 s longer.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -164,6 +164,10 @@
 	if schedule.random.IntN(6) == 0 {
 		workflow = &scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
 	}
+	schedule.submitWorkflow(workflow)
+}
+
+func (schedule *schedule) submitWorkflow(workflow *scheduler.Workflow) {
 	id := scheduler.JobID(fmt.Sprintf("job%d", schedule.jobs))
 	schedule.jobs++
 	schedule.fleet.mutex.Lock()
@@ -240,8 +244,8 @@
 	}
 }
 
-// run plays the schedule and then lets the domain come to rest.
-func (schedule *schedule) run() {
+// start begins all parts of the domain and returns a function that ends them.
+func (schedule *schedule) start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, overseer := range schedule.overseers {
@@ -264,6 +268,15 @@
 	}
 	schedule.configure()
 	schedule.domain.elect(0)
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// run plays the schedule and then lets the domain come to rest.
+func (schedule *schedule) run() {
+	stop := schedule.start()
 	for range 40 {
 		for range schedule.random.IntN(3) {
 			schedule.submit()
@@ -275,8 +288,7 @@
 	}
 	schedule.domain.elect(0)
 	schedule.rest()
-	cancel()
-	running.Wait()
+	stop()
 }
 
 // rest ends all failures and waits until every job that can finish has done so.
@@ -308,6 +320,31 @@
 	return open
 }
 
+// Guards against a worker that is gone for good and whose tasks wait for ever, because each renewal that it
+// does not answer might extend its lease.
+func TestTasksOfGoneWorkerStartElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedule := newSchedule(t, 1)
+		stop := schedule.start()
+		for range 10 {
+			schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}})
+		}
+		time.Sleep(3 * time.Second)
+		schedule.fleet.kill(schedule.names[0])
+		time.Sleep(fakeLease + 3*time.Second)
+		waiting, onGone := 0, 0
+		schedule.domain.keeper.View(func(state *jobkeeper.State) {
+			waiting = state.ReadyCount()
+			state.Runs(schedule.names[0], func(*jobkeeper.Run) { onGone++ })
+		})
+		if waiting != 0 || onGone != 0 {
+			t.Errorf("got %d waiting tasks and %d on the gone worker, want none", waiting, onGone)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against a task that runs twice at a time, that starts again after its finish was acknowledged, or
 // that starts before the steps that it depends on have finished, whatever fails; and against work that is
 // never taken up again.
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -36,25 +36,27 @@
 
 // fakeWorker is one life of a worker.
 type fakeWorker struct {
-	fleet     *fakeFleet
-	name      scheduler.WorkerName
-	life      scheduler.Incarnation
-	address   string
-	born      time.Time
-	rate      float64
-	capacity  scheduler.Resources
-	used      scheduler.Resources
-	token     scheduler.Term
-	leaseEnd  time.Duration
-	runs      map[scheduler.RunID]*fakeRun
-	highest   map[scheduler.StepTaskID]scheduler.AttemptNumber
-	ends      []scheduler.AttemptEnd
-	endCount  uint64
-	sequence  uint64
-	cut       bool
-	dead      bool
-	draining  bool
-	endSignal chan struct{}
+	fleet    *fakeFleet
+	name     scheduler.WorkerName
+	life     scheduler.Incarnation
+	address  string
+	born     time.Time
+	rate     float64
+	capacity scheduler.Resources
+	used     scheduler.Resources
+	token    scheduler.Term
+	leaseEnd time.Duration
+	runs     map[scheduler.RunID]*fakeRun
+	highest  map[scheduler.StepTaskID]scheduler.AttemptNumber
+	ends     []scheduler.AttemptEnd
+	endCount uint64
+	// lapsedUpTo is the number of the last end before the lease last ran out: such an end no longer counts.
+	lapsedUpTo uint64
+	sequence   uint64
+	cut        bool
+	dead       bool
+	draining   bool
+	endSignal  chan struct{}
 }
 
 type fakeRun struct {
@@ -148,6 +150,9 @@
 // advance ends what is due: runs that have finished, and all of them when the lease has run out.
 func (worker *fakeWorker) advance() {
 	lapsed := worker.clock() > worker.leaseEnd
+	if lapsed {
+		worker.lapsedUpTo = worker.endCount
+	}
 	for id, run := range worker.runs {
 		switch {
 		case lapsed:
@@ -359,7 +364,7 @@
 			kept = append(kept, end)
 			continue
 		}
-		if end.Kind == scheduler.EndFinished {
+		if end.Kind == scheduler.EndFinished && end.Number > worker.lapsedUpTo {
 			worker.fleet.finished[end.Run.Task] = true
 		}
 	}
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -66,9 +66,8 @@
 	if !plan.wanted {
 		return plan
 	}
-	plan.order.LeaseEnd = life.leaseEnd(reign.now(), reign.overseer.leaseDuration)
+	plan.order.LeaseEnd = life.grantLease(reign.now(), reign.overseer.leaseDuration, reign.overseer.drift)
 	plan.order.Approval = attempt.approval
-	life.extendLease(plan.order.LeaseEnd, reign.overseer.drift)
 	attempt.exposed = true
 	return plan
 }
@@ -88,6 +87,7 @@
 		attempt.unanswered = true
 	}
 	if !life.over {
+		life.failing++
 		reign.watchWorker(life)
 	}
 }
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -159,12 +159,17 @@
 		later.attempts[id] = &attempt{state: attemptUnknown, spec: unseen.spec, approval: unseen.approval, share: fullShare, wantedShare: fullShare}
 	}
 	later.synced = len(later.attempts) == 0
-	later.leaseUntil = reign.fullLease(reign.now())
+	// An order to the earlier life that got no answer may still take effect, and its end of the lease lies far
+	// ahead by the clock of the later life.
+	later.leaseUntil = reign.fullLease(reign.now() + lateOrder)
 	reign.endLife(earlier, "a later life of the worker has begun")
 	reign.lives[later.name] = later
 	return later
 }
 
+// lateOrder is for how long an order that got no answer may still take effect.
+const lateOrder = 12 * time.Second
+
 // endOthersAt ends the lives of other workers on the same VM or at the same address that began before.
 func (reign *reign) endOthersAt(beat scheduler.WorkerBeat) {
 	for _, other := range reign.lives {
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -47,10 +47,9 @@
 		reign.expire(life)
 	}
 	order = scheduler.RenewOrder{
-		LeaseEnd: life.leaseEnd(now, reign.overseer.leaseDuration), Token: reign.term,
+		LeaseEnd: life.grantLease(now, reign.overseer.leaseDuration, reign.overseer.drift), Token: reign.term,
 		Acknowledged: life.cursor(), Wait: life.renewWait(),
 	}
-	life.extendLease(order.LeaseEnd, reign.overseer.drift)
 	return order, true
 }
 
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -27,6 +27,8 @@
 	clockRead time.Duration
 	// leaseUntil is when the worker's lease has ended at the latest, whatever order arrives late.
 	leaseUntil time.Duration
+	// granted is the latest end of a lease that was sent, by the worker's clock.
+	granted time.Duration
 	// restedUntil is until when the worker gets no new work.
 	restedUntil time.Duration
 	// failing counts successive orders without an answer.
@@ -113,16 +115,18 @@
 	}
 }
 
-// leaseEnd returns the end of a full lease from now on, by the worker's clock.
-func (worker *worker) leaseEnd(now, duration time.Duration) time.Duration {
-	return worker.clock + (now - worker.clockRead) + duration
-}
-
-// extendLease notes that the worker may hold a lease until its clock reaches end. drift is by how much that
-// clock may be slow.
-func (worker *worker) extendLease(end time.Duration, drift float64) {
+// grantLease returns the end of a lease from now on, by the worker's clock, and notes until when the worker
+// may hold it. drift is by how much its clock may be slow. A worker that does not answer gets no longer lease
+// than it has: an order without an answer may take effect, and its lease would never end.
+func (worker *worker) grantLease(now, duration time.Duration, drift float64) time.Duration {
+	if worker.failing > 0 && worker.granted > 0 {
+		return worker.granted
+	}
+	end := worker.clock + (now - worker.clockRead) + duration
 	remaining := time.Duration(float64(end-worker.clock) / (1 - drift))
 	worker.leaseUntil = max(worker.leaseUntil, worker.clockRead+remaining+leaseMargin)
+	worker.granted = max(worker.granted, end)
+	return end
 }
 
 // leaseMargin covers the time that a worker takes to end its attempts when the lease has run out.
