journaler: a hole behind the last sync is no damage

Change: each entry states up to where its segment was synced; an invalid record is damage only if a later one states that it was synced. A mark at Close states the same for the last entries. Tests: TestHoleInUnsyncedWrites fails before.

--- a/internal/state/journaler/fault_test.go
+++ b/internal/state/journaler/fault_test.go
@@ -402,3 +402,25 @@
 		}
 	}
 }
+
+// TestHoleInUnsyncedWrites guards against a start that is refused after a loss of power, which keeps or loses
+// each write behind the last sync by itself (seed 102 of deploy/days/freeze-and-clocks.toml on bb-rehome).
+func TestHoleInUnsyncedWrites(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	mustAppend(t, journal, 1, 1, 10)
+	if _, err := journal.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	name := fake.segmentNames()[0]
+	synced := len(fake.now[name].data)
+	for index := scheduler.Index(11); index <= 13; index++ {
+		must(t, journal.Append(entriesOf(1, index, index)))
+	}
+	clear(fake.now[name].data[synced : synced+40])
+	clear(fake.locked)
+	journal, err = open(fake, "/data", testIdentity)
+	must(t, err)
+	wantLog(t, journal, entriesOf(1, 1, 10))
+}
--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -39,7 +39,9 @@
 	// durable is the last index that is synced, syncing the one that a running sync will make
 	// durable. Both are lowered when Append replaces entries.
 	durable, syncing scheduler.Index
-	failed           error
+	// durableSize is up to which offset the current segment is synced.
+	durableSize int64
+	failed      error
 }
 
 var _ scheduler.Journal = (*FolderJournal)(nil)
@@ -152,7 +154,7 @@
 	buffer = folderJournal.buffer[:0]
 	for position := range entries {
 		at := place{number: active.number, offset: active.size + int64(len(buffer))}
-		if buffer, err = appendFrame(buffer, at, record{Entry: &entries[position]}); err != nil {
+		if buffer, err = appendFrame(buffer, at, record{Entry: &entries[position], Synced: folderJournal.durableSize}); err != nil {
 			return nil, err
 		}
 	}
@@ -182,6 +184,7 @@
 	}
 	folderJournal.syncing, folderJournal.unsynced = folderJournal.log.last(), false
 	file, folder := folderJournal.file, folderJournal.folder.name
+	size := folderJournal.segments[len(folderJournal.segments)-1].size
 	folderJournal.mutex.Unlock()
 	err := file.Sync()
 	folderJournal.mutex.Lock()
@@ -192,6 +195,7 @@
 		return 0, folderJournal.failed
 	}
 	folderJournal.durable = max(folderJournal.durable, folderJournal.syncing)
+	folderJournal.durableSize = size // syncMutex keeps the segment from being replaced meanwhile.
 	return folderJournal.durable, nil
 }
 
@@ -239,7 +243,7 @@
 	if err != nil {
 		return finalError("create "+folderJournal.folder.segmentPath(number), err)
 	}
-	folderJournal.file = file
+	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
 	folderJournal.segments = append(folderJournal.segments, segment{number: number, size: int64(len(frame))})
 	return nil
 }
@@ -262,6 +266,20 @@
 	return file, nil
 }
 
+// markSynced writes a record that states that everything before it is synced, so that later damage to the
+// last entries is recognised. The caller holds all mutexes and has synced the file.
+func (folderJournal *FolderJournal) markSynced() error {
+	active := &folderJournal.segments[len(folderJournal.segments)-1]
+	frame, err := appendFrame(nil, place{number: active.number, offset: active.size}, record{Synced: active.size})
+	if err != nil {
+		return err
+	}
+	if _, err := folderJournal.file.Write(frame); err != nil {
+		return finalError("mark "+folderJournal.folder.segmentPath(active.number), err)
+	}
+	return folderJournal.file.Sync()
+}
+
 // Close syncs and closes the files and releases the folder. It never retries a failed sync.
 func (folderJournal *FolderJournal) Close() error {
 	folderJournal.snapshotMutex.Lock()
@@ -274,6 +292,9 @@
 		return nil
 	}
 	_, err := folderJournal.sync()
+	if err == nil {
+		err = folderJournal.markSynced()
+	}
 	err = errors.Join(err, folderJournal.file.Close(), folderJournal.lock.Close())
 	folderJournal.lock = nil
 	if folderJournal.failed == nil {
--- a/internal/state/journaler/frame.go
+++ b/internal/state/journaler/frame.go
@@ -28,10 +28,13 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 )
 
-// record is the payload of a frame. Exactly one field is set.
+// record is the payload of a frame. Exactly one field but Synced is set.
 type record struct {
-	Segment   *segmentHeader       `cbor:"segment,omitempty"`
-	Entry     *scheduler.Entry     `cbor:"entry,omitempty"`
+	Segment *segmentHeader   `cbor:"segment,omitempty"`
+	Entry   *scheduler.Entry `cbor:"entry,omitempty"`
+	// Synced is up to which offset the segment was synced when the entry was written. It tells damage from
+	// a hole: a loss of power keeps or loses each write behind the last sync by itself.
+	Synced    int64                `cbor:"synced,omitempty"`
 	HardState *scheduler.HardState `cbor:"hardState,omitempty"`
 	Identity  *identityRecord      `cbor:"identity,omitempty"`
 	Snapshot  *snapshotHeader      `cbor:"snapshot,omitempty"`
@@ -111,31 +114,39 @@
 	return records, valid, nil
 }
 
-// checkTail decides whether the bytes from an invalid frame on are an incomplete write that was never
-// acknowledged. They are not if a valid frame follows, or if the frame is there in full length, since
-// a crash leaves a write short or leaves whole sectors zero, but does not flip bits.
+// checkTail decides whether the bytes from an invalid frame on are writes that were never acknowledged. They
+// are not if a later frame states that its segment was synced beyond the invalid one. Where no valid frame
+// follows, they are not if the frame is there in full length, since a crash leaves a write short or leaves
+// whole sectors zero, but does not flip bits.
 func checkTail(name string, at place, data []byte) error {
-	if next, found := findFrame(at, data); found {
-		return Error.New("%w: %s: invalid record at offset %d, valid record follows at offset %d",
+	next, synced, found := findFrame(at, data)
+	switch {
+	case found && synced > at.offset:
+		return Error.New("%w: %s: invalid record at offset %d, which was synced, valid record follows at offset %d",
 			ErrDamaged, name, at.offset, next)
-	}
-	if !isTorn(at, data) {
+	case !found && !isTorn(at, data):
 		return Error.New("%w: %s: invalid record at offset %d", ErrDamaged, name, at.offset)
 	}
 	return nil
 }
 
-// findFrame looks for a valid frame behind the one at a place.
-func findFrame(at place, data []byte) (offset int64, found bool) {
-	for offset = at.offset + 1; ; offset++ {
+// findFrame looks for valid frames behind the one at a place. It returns the offset of the first one and the
+// highest offset that any of them states as synced.
+func findFrame(at place, data []byte) (first, synced int64, found bool) {
+	for offset := at.offset + 1; ; offset++ {
 		next := bytes.Index(data[offset:], frameMagic)
 		if next < 0 {
-			return 0, false
+			return first, synced, found
 		}
 		offset += int64(next)
-		if _, _, ok := readFrame(place{number: at.number, offset: offset}, data[offset:]); ok {
-			return offset, true
+		record, _, ok := readFrame(place{number: at.number, offset: offset}, data[offset:])
+		if !ok {
+			continue
+		}
+		if !found {
+			first, found = offset, true
 		}
+		synced = max(synced, record.Synced)
 	}
 }
 
--- a/internal/state/journaler/identity.go
+++ b/internal/state/journaler/identity.go
@@ -10,7 +10,7 @@
 
 // formatVersion is the version of the files that this package writes. A folder with a higher one is
 // refused.
-const formatVersion = 1
+const formatVersion = 2
 
 // groupPattern keeps group names usable as folder names.
 var groupPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -124,6 +124,7 @@
 		return finalError("sync "+name, err)
 	}
 	folderJournal.durable = folderJournal.log.last()
+	folderJournal.durableSize = reader.segments[len(reader.segments)-1].size
 	return nil
 }
 
--- a/internal/state/journaler/segment.go
+++ b/internal/state/journaler/segment.go
@@ -92,6 +92,9 @@
 	}
 	current := segment{number: number}
 	for _, record := range records[1:] {
+		if record.Entry == nil && record.Synced > 0 {
+			continue // A mark of an orderly end.
+		}
 		if record.Entry == nil {
 			return Error.New("%w: %s: record without an entry", ErrDamaged, name)
 		}
