admitter, packer: room for short jobs, and jobs that can be in time go first

Change: a job with long-running tasks is refused at once, with a Retry-After that follows from the release of room, while the room is needed for short jobs; steps are ordered by what their job can still reach.

--- /dev/null
+++ b/internal/jobs/admitter/admitter_test.go
@@ -0,0 +1,85 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+func workflow(count int, milliCores int64, longRunning bool) *scheduler.Workflow {
+	return &scheduler.Workflow{Steps: []scheduler.Step{{
+		Count: count, Request: scheduler.Resources{MilliCores: milliCores}, LongRunning: longRunning,
+	}}}
+}
+
+// Guards against long-running tasks that take the room of short jobs, against refused short jobs, and against
+// long-running tasks that are refused while there is room.
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		load     Load
+		workflow *scheduler.Workflow
+		want     bool
+	}{
+		"room for both":                  {Load{Capacity: 1000, LongRunning: 500, Short: 100}, workflow(1, 300, true), true},
+		"short jobs need the rest":       {Load{Capacity: 1000, LongRunning: 700, Short: 100}, workflow(1, 200, true), false},
+		"no short jobs":                  {Load{Capacity: 1000, LongRunning: 700}, workflow(3, 100, true), true},
+		"larger than what is left":       {Load{Capacity: 1000, LongRunning: 700}, workflow(4, 100, true), false},
+		"short jobs wait in their queue": {Load{Capacity: 1000, LongRunning: 900, Short: 2000}, workflow(9, 100, false), true},
+		"no workers":                     {Load{}, workflow(1, 1, true), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var admitter Admitter
+			admitter.Observe(0, test.load)
+			decision := admitter.Admit(test.workflow)
+			if decision.Admitted() != test.want {
+				t.Errorf("got %v (%s), want %v", decision.Admitted(), decision.Reason(), test.want)
+			}
+			if !decision.Admitted() && (decision.Reason() == "" || decision.RetryAfter() < minRetry || decision.RetryAfter() > maxRetry) {
+				t.Errorf("got refusal %q with retry after %v, want a reason and %v to %v", decision.Reason(), decision.RetryAfter(), minRetry, maxRetry)
+			}
+		})
+	}
+}
+
+// Guards against a burst of submissions that are all admitted to the same room.
+func TestAdmittedJobsCount(t *testing.T) {
+	var admitter Admitter
+	admitter.Observe(0, Load{Capacity: 1000, LongRunning: 500})
+	admitted := 0
+	for range 10 {
+		if job := workflow(1, 200, true); admitter.Admit(job).Admitted() {
+			admitter.Took(job)
+			admitted++
+		}
+	}
+	if want := 2; admitted != want {
+		t.Errorf("got %d admitted, want %d", admitted, want)
+	}
+}
+
+// Guards against advice that does not follow from how fast room becomes free.
+func TestRetryAfterFollowsFromTheRelease(t *testing.T) {
+	var admitter Admitter
+	for second := range 60 {
+		admitter.Observe(time.Duration(second)*time.Second, Load{Capacity: 10000, LongRunning: int64(10000 - 100*second)})
+	}
+	room := int64(5900)
+	got := admitter.Admit(workflow(1, room+500, true)).RetryAfter()
+	if got < 4*time.Second || got > 7*time.Second {
+		t.Errorf("got %v until 500 more are free at 100 a second, want about 5 s", got)
+	}
+}
+
+// Guards against a reserve that follows each ebb of short work at once.
+func TestDemandIsAveraged(t *testing.T) {
+	var admitter Admitter
+	for second := range 30 {
+		admitter.Observe(time.Duration(second)*time.Second, Load{Capacity: 1000, LongRunning: 600, Short: 200})
+	}
+	admitter.Observe(31*time.Second, Load{Capacity: 1000, LongRunning: 600})
+	if admitter.Admit(workflow(1, 300, true)).Admitted() {
+		t.Error("got admitted one second after the short jobs ended, want refused")
+	}
+}
--- a/internal/jobs/clerk/clerk.go
+++ b/internal/jobs/clerk/clerk.go
@@ -88,14 +88,24 @@
 	if err := request.Workflow.Validate(); err != nil {
 		return refusal(StatusInvalid, err.Error(), 0)
 	}
+	if _, known := clerk.job(queue, request.Job); !known {
+		if decision := clerk.overseer.Admit(queue.Pool, &request.Workflow); !decision.Admitted() {
+			clerk.logSubmission(request, queue, StatusRefused, decision.Reason())
+			return refusal(StatusRefused, decision.Reason(), decision.RetryAfter())
+		}
+	}
 	answer = clerk.command(ctx, jobkeeper.Command{Submit: &jobkeeper.Submit{
 		Job: request.Job, Queue: queue.Name, Workflow: request.Workflow, Accepted: time.Now(),
 	}})
-	clerk.logger.Info().Str("event", "jobSubmitted").Str("job", string(request.Job)).Str("queue", string(queue.Name)).
-		Int("steps", len(request.Workflow.Steps)).Str("status", string(answer.Status)).Str("reason", answer.Reason).Msg("job submitted")
+	clerk.logSubmission(request, queue, answer.Status, answer.Reason)
 	return answer
 }
 
+func (clerk *Clerk) logSubmission(request *SubmitRequest, queue *scheduler.Queue, status Status, reason string) {
+	clerk.logger.Info().Str("event", "jobSubmitted").Str("job", string(request.Job)).Str("queue", string(queue.Name)).
+		Int("steps", len(request.Workflow.Steps)).Str("status", string(status)).Str("reason", reason).Msg("job submitted")
+}
+
 func (clerk *Clerk) cancel(ctx context.Context, request *JobRequest) Answer {
 	queue, answer := clerk.find(request.Place)
 	if queue == nil {
--- /dev/null
+++ b/internal/jobs/clerk/courier_test.go
@@ -0,0 +1,110 @@
+package clerk
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// fakeNetwork is a Network whose VMs answer as the test says.
+type fakeNetwork struct {
+	answers map[scheduler.VMName]func() (Answer, error)
+	down    map[scheduler.VMName]bool
+	asked   []scheduler.VMName
+	added   []scheduler.VMName
+}
+
+func (network *fakeNetwork) Self() scheduler.VMName { return "entry" }
+func (network *fakeNetwork) Send(scheduler.VMName, scheduler.GroupName, scheduler.MessageKind, []byte) {
+}
+
+func (network *fakeNetwork) Handle(scheduler.GroupName, scheduler.MessageKind, scheduler.MessageHandler) {
+}
+
+func (network *fakeNetwork) AddPeer(name scheduler.VMName, _ string) {
+	network.added = append(network.added, name)
+}
+
+func (network *fakeNetwork) Connected(name scheduler.VMName) bool { return !network.down[name] }
+
+func (network *fakeNetwork) Call(_ context.Context, to scheduler.VMName, _ scheduler.GroupName, _ scheduler.MessageKind, _ []byte) ([]byte, error) {
+	network.asked = append(network.asked, to)
+	answer, err := network.answers[to]()
+	if err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(answer)
+}
+
+func says(answer Answer) func() (Answer, error) {
+	return func() (Answer, error) { return answer, nil }
+}
+
+func fails(err error) func() (Answer, error) {
+	return func() (Answer, error) { return Answer{}, err }
+}
+
+// Guards against "had no effect" for a request that may have run, against a request that runs on two VMs, and
+// against a leader that is not found.
+func TestAsk(t *testing.T) {
+	done, notLeader := says(Answer{Status: StatusDone}), says(Answer{Status: StatusNotLeader})
+	tests := map[string]struct {
+		answers map[scheduler.VMName]func() (Answer, error)
+		down    map[scheduler.VMName]bool
+		want    Status
+		asked   int
+	}{
+		"the first leads":               {map[scheduler.VMName]func() (Answer, error){"a": done, "b": done}, nil, StatusDone, 1},
+		"the first names the leader":    {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusNotLeader, Leader: "b"}), "b": done}, nil, StatusDone, 2},
+		"the leader is no seed":         {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusNotLeader, Leader: "z"}), "z": done}, nil, StatusDone, 2},
+		"nobody leads":                  {map[scheduler.VMName]func() (Answer, error){"a": notLeader, "b": notLeader}, nil, StatusUnavailable, 2},
+		"nobody is connected":           {nil, map[scheduler.VMName]bool{"a": true, "b": true}, StatusUnavailable, 0},
+		"the request was not sent":      {map[scheduler.VMName]func() (Answer, error){"a": fails(scheduler.ErrNotRun.New("x")), "b": done}, nil, StatusDone, 2},
+		"the answer was lost":           {map[scheduler.VMName]func() (Answer, error){"a": fails(scheduler.ErrUnknown.New("x")), "b": done}, nil, StatusUnknown, 1},
+		"two VMs name each other":       {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusNotLeader, Leader: "b"}), "b": says(Answer{Status: StatusNotLeader, Leader: "a"})}, nil, StatusUnavailable, 2},
+		"a refusal is not asked again":  {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusRefused}), "b": done}, nil, StatusRefused, 1},
+		"an outcome that is not known":  {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusUnknown}), "b": done}, nil, StatusUnknown, 1},
+		"the only connected one leads":  {map[scheduler.VMName]func() (Answer, error){"b": done}, map[scheduler.VMName]bool{"a": true}, StatusDone, 1},
+		"an answer that can't be read":  {map[scheduler.VMName]func() (Answer, error){"a": done, "b": done}, nil, StatusDone, 1},
+		"a queue that is not known":     {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusNoQueue})}, nil, StatusNoQueue, 1},
+		"leadership lost while it runs": {map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusUnavailable}), "b": done}, nil, StatusUnavailable, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			network := &fakeNetwork{answers: test.answers, down: test.down}
+			courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, zerolog.Nop())
+			answer := courier.Ask(t.Context(), &Request{Read: &ReadRequest{}})
+			if answer.Status != test.want || len(network.asked) != test.asked {
+				t.Errorf("got %s after %v, want %s after %d", answer.Status, network.asked, test.want, test.asked)
+			}
+		})
+	}
+}
+
+// Guards against an entry VM that takes requests although the leader does not answer.
+func TestReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answers := map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusDone, Version: 7, Members: []scheduler.VMName{"a", "n"}})}
+		network := &fakeNetwork{answers: answers}
+		courier := NewCourier(network, "domain", []scheduler.VMName{"a"}, nil, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go courier.Run(ctx)
+		time.Sleep(time.Second)
+		if _, version := courier.Limits(); !courier.Reachable() || version != 7 || len(network.added) != 1 {
+			t.Errorf("got reachable %v, version %d, added %v, want true, 7 and one", courier.Reachable(), version, network.added)
+		}
+		answers["a"] = fails(scheduler.ErrUnknown.New("cut off"))
+		answers["n"] = fails(scheduler.ErrUnknown.New("cut off"))
+		time.Sleep(reachableFor + time.Second)
+		if courier.Reachable() {
+			t.Error("got reachable without an answer, want false")
+		}
+	})
+}
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -67,9 +67,6 @@
 	open int
 }
 
-// Steps returns the states of the steps.
-func (occurrence *Occurrence) Steps() []*StepState { return occurrence.steps }
-
 // StepState is how far a step of an occurrence has come.
 type StepState struct {
 	occurrence *Occurrence
@@ -97,6 +94,12 @@
 // Number returns the position of the step in the workflow.
 func (stepState *StepState) Number() int { return stepState.number }
 
+// Finished reports whether all tasks of the step have finished.
+func (stepState *StepState) Finished() bool { return stepState.open == 0 }
+
+// Siblings returns all steps of the step's occurrence.
+func (stepState *StepState) Siblings() []*StepState { return stepState.occurrence.steps }
+
 // Tasks returns the tasks of the step.
 func (stepState *StepState) Tasks() []*Task { return stepState.tasks }
 
--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -182,7 +182,7 @@
 	schedule.fleet.kill(name)
 	time.Sleep(processStart)
 	schedule.lives[name]++
-	schedule.fleet.add(name, scheduler.Incarnation(schedule.lives[name]))
+	schedule.fleet.add(name, schedule.lives[name])
 }
 
 // disturb brings about one random failure, which lasts for a random time.
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -49,6 +49,7 @@
 	}
 	began := reign.now()
 	reign.beginDue()
+	reign.observeLoad()
 	reign.stopUnwanted()
 	reign.emptyDraining()
 	placements := reign.choose()
@@ -220,11 +221,12 @@
 
 // waitingSteps returns the steps with waiting tasks, the most urgent one first.
 func waitingSteps(state *jobkeeper.State) []*waitingStep {
+	now := time.Now()
 	steps := map[*jobkeeper.StepState]*waitingStep{}
 	state.Ready(func(task *jobkeeper.Task) {
 		waiting := steps[task.Step()]
 		if waiting == nil {
-			waiting = &waitingStep{step: task.Step(), urgency: urgencyOf(task.Step())}
+			waiting = &waitingStep{step: task.Step(), urgency: urgencyOf(task.Step(), now)}
 			steps[task.Step()] = waiting
 		}
 		waiting.tasks = append(waiting.tasks, task)
@@ -239,13 +241,23 @@
 	return sorted
 }
 
-func urgencyOf(step *jobkeeper.StepState) packer.Urgency {
+// urgencyOf returns the urgency of a step that waits.
+func urgencyOf(step *jobkeeper.StepState, now time.Time) packer.Urgency {
 	job := step.Job()
-	due := job.Accepted()
-	if repeat := job.Workflow().Repeat; repeat != nil {
-		due = repeat.Due(step.Occurrence())
+	workflow := job.Workflow()
+	work := packer.Work{Queue: job.Queue(), Since: job.Accepted(), LongRunning: step.Spec().LongRunning}
+	if repeat := workflow.Repeat; repeat != nil {
+		work.Since = repeat.Due(step.Occurrence())
 	}
-	return packer.Urgency{Priority: job.Queue().Priority, Due: float64(due.UnixMilli())}
+	work.Chain = packer.Chain(workflow.Steps, func(position int) time.Duration { return workflow.Steps[position].Estimate })
+	siblings := step.Siblings()
+	work.Remaining = packer.Chain(workflow.Steps, func(position int) time.Duration {
+		if siblings[position].Finished() {
+			return 0
+		}
+		return workflow.Steps[position].Estimate
+	})
+	return packer.UrgencyOf(work, now)
 }
 
 // group returns the packer's view of a step.
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -32,6 +33,9 @@
 	recording map[scheduler.RunID]bool
 	// effects is what was learned of the effect of fill tasks on serving tasks in this term.
 	effects *pacer.Effects
+	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
+	admitters map[scheduler.PoolName]*admitter.Admitter
+	observed  time.Duration
 	// began is when the term began on this VM.
 	began time.Duration
 }
@@ -41,7 +45,7 @@
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
-		recording: map[scheduler.RunID]bool{},
+		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	reign.adoptAll()
 	return reign
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -3,7 +3,6 @@
 package packer
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -230,15 +229,3 @@
 	}
 	return float64(amount) / float64(of)
 }
-
-// Urgency orders groups: by the priority of the queue, then serving work, then by Due.
-type Urgency struct {
-	Priority int
-	// Due is when the work must start to meet its objective; the unit is that of the caller.
-	Due float64
-}
-
-// Compare orders two urgencies, the more urgent one first.
-func (urgency Urgency) Compare(other Urgency) int {
-	return cmp.Or(cmp.Compare(urgency.Priority, other.Priority), cmp.Compare(urgency.Due, other.Due))
-}
--- /dev/null
+++ b/internal/jobs/packer/urgency.go
@@ -0,0 +1,86 @@
+package packer
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// lateFactor is how many times its objective a job may take and still be of use to its caller.
+const lateFactor = 3
+
+// Prospect tells what can still be expected of a job.
+type Prospect int
+
+const (
+	// ProspectTimely means that the job can meet its objective.
+	ProspectTimely Prospect = iota
+	// ProspectLate means that it will miss its objective and can still be of use.
+	ProspectLate
+	// ProspectLost means that it will be too late for its caller.
+	ProspectLost
+)
+
+// Urgency orders steps that wait: by the priority of the queue, then by prospect, then by deadline. The order
+// answers a queue that is longer than what can be served in time. First come, first served makes every job
+// late there; this order serves those in time that can be, and the others when there is room.
+type Urgency struct {
+	Priority int
+	Prospect Prospect
+	Deadline time.Time
+}
+
+// Compare orders two urgencies, the more urgent one first.
+func (urgency Urgency) Compare(other Urgency) int {
+	return cmp.Or(cmp.Compare(urgency.Priority, other.Priority), cmp.Compare(urgency.Prospect, other.Prospect),
+		urgency.Deadline.Compare(other.Deadline))
+}
+
+// Work is what the urgency of a step follows from.
+type Work struct {
+	// Queue holds the priority and the objective.
+	Queue scheduler.Queue
+	// Since is when the caller began to wait.
+	Since time.Time
+	// Chain is the estimated time of the longest chain of steps, Remaining that of the part that is left.
+	Chain     time.Duration
+	Remaining time.Duration
+	// LongRunning is true for tasks that run until their job is cancelled and have no objective to miss.
+	LongRunning bool
+}
+
+// UrgencyOf returns the urgency of work at a time.
+func UrgencyOf(work Work, now time.Time) Urgency {
+	urgency := Urgency{Priority: work.Queue.Priority, Deadline: work.Since}
+	if work.LongRunning {
+		return urgency
+	}
+	objective := time.Duration(max(work.Queue.Slowdown, 1)*float64(work.Chain)) + work.Queue.LatencyTarget
+	urgency.Deadline = work.Since.Add(objective)
+	end := now.Add(work.Remaining)
+	switch {
+	case end.After(work.Since.Add(lateFactor * objective)):
+		urgency.Prospect = ProspectLost
+	case end.After(urgency.Deadline):
+		urgency.Prospect = ProspectLate
+		urgency.Deadline = work.Since.Add(lateFactor * objective)
+	}
+	return urgency
+}
+
+// Chain returns the estimated time of the longest chain through the steps of a workflow. weight returns the
+// time of a step, zero for one that has finished.
+func Chain(steps []scheduler.Step, weight func(step int) time.Duration) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(steps))
+	for position := range steps {
+		start := time.Duration(0)
+		for _, before := range steps[position].DependsOn {
+			start = max(start, ends[before])
+		}
+		ends[position] = start + weight(position)
+		longest = max(longest, ends[position])
+	}
+	return longest
+}
