messenger, clerk: a silent leader is given up after a second

Change: heartbeats between the VMs of a domain each 250 ms, given up after four; a leader that has not answered is asked last.

--- a/internal/jobs/clerk/courier.go
+++ b/internal/jobs/clerk/courier.go
@@ -198,11 +198,12 @@
 
 // note keeps what the leader told.
 func (courier *Courier) note(vm scheduler.VMName, request *Request, answer *Answer) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
 	if answer.Status == StatusUnknown {
+		courier.suspect(vm)
 		return
 	}
-	courier.mutex.Lock()
-	defer courier.mutex.Unlock()
 	courier.leader = vm
 	courier.answered = time.Now()
 	if request.Status != nil && answer.Status == StatusDone {
@@ -211,6 +212,16 @@
 	}
 }
 
+// suspect forgets a leader that has not answered, and asks it last from now on. The mutex is held.
+func (courier *Courier) suspect(vm scheduler.VMName) {
+	if courier.leader == vm {
+		courier.leader = ""
+	}
+	if position := slices.Index(courier.members, vm); position >= 0 {
+		courier.members = append(slices.Delete(courier.members, position, position+1), vm)
+	}
+}
+
 // learn adds VMs that may lead. The mutex is held.
 func (courier *Courier) learn(members []scheduler.VMName) {
 	for _, member := range members {
--- a/internal/jobs/clerk/courier_test.go
+++ b/internal/jobs/clerk/courier_test.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Guards against requests that wait for a leader that is cut off while another VM leads already.
+func TestSilentLeaderIsAskedLast(t *testing.T) {
+	network := &fakeNetwork{answers: map[scheduler.VMName]func() (Answer, error){
+		"a": fails(scheduler.ErrUnknown.New("cut off")), "b": says(Answer{Status: StatusDone}),
+	}}
+	courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, zerolog.Nop())
+	if got := courier.Ask(t.Context(), &Request{Read: &ReadRequest{}}).Status; got != StatusUnknown {
+		t.Errorf("got %s, want %s", got, StatusUnknown)
+	}
+	if got := courier.Ask(t.Context(), &Request{Read: &ReadRequest{}}).Status; got != StatusDone || len(network.asked) != 2 {
+		t.Errorf("got %s after %v, want %s after two", got, network.asked, StatusDone)
+	}
+}
+
 // Guards against an entry VM that takes requests although the leader does not answer.
 func TestReachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -33,6 +33,10 @@
 // clockDrift is by how much the clock of a worker may be slow.
 const clockDrift = 0.02
 
+// heartbeat is the interval of heartbeats between VMs. A VM that is cut off is given up after four of them,
+// and requests are refused from then on rather than wait.
+const heartbeat = 250 * time.Millisecond
+
 // memoryShare is the part of the memory limit that Go's collector may fill. The rest is for stacks, for the
 // runtime and for bytes that wait in sockets.
 const memoryShare = 0.8
@@ -79,7 +83,7 @@
 	for _, seed := range settings.seedNames() {
 		peers[seed] = string(seed)
 	}
-	vm.messenger = messenger.New(self, peers, messenger.WithDiscovery(), messenger.WithLogger(parts.Logger))
+	vm.messenger = messenger.New(self, peers, messenger.WithDiscovery(), messenger.WithHeartbeat(heartbeat), messenger.WithLogger(parts.Logger))
 	var local *clerk.Clerk
 	if settings.DataFolder != "" {
 		var err error
--- a/internal/state/messenger/accepted.go
+++ b/internal/state/messenger/accepted.go
@@ -48,7 +48,7 @@
 
 func (connection *acceptedConnection) read(ctx context.Context, workers *sync.WaitGroup) {
 	for {
-		received, size, err := readFrame(ctx, connection.socket)
+		received, size, err := readFrame(ctx, connection.socket, connection.messenger.heartbeat)
 		if err != nil {
 			return
 		}
@@ -121,7 +121,7 @@
 }
 
 func (connection *acceptedConnection) writeAnswers(ctx context.Context) {
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(connection.messenger.heartbeat)
 	defer heartbeat.Stop()
 	for {
 		outgoing := frame{Type: frameHeartbeat}
@@ -131,7 +131,7 @@
 		case <-heartbeat.C:
 		case outgoing = <-connection.answers:
 		}
-		if err := writeFrame(ctx, connection.socket, outgoing, connection.messenger.counter); err != nil {
+		if err := writeFrame(ctx, connection.socket, outgoing, connection.messenger.counter, connection.messenger.heartbeat); err != nil {
 			return
 		}
 	}
--- a/internal/state/messenger/frame.go
+++ b/internal/state/messenger/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -70,9 +71,9 @@
 }
 
 // readFrame returns a frame with its number of bytes.
-func readFrame(ctx context.Context, socket *websocket.Conn) (frame, int, error) {
+func readFrame(ctx context.Context, socket *websocket.Conn, heartbeat time.Duration) (frame, int, error) {
 	// Without a limit a connection that the network has forgotten would block for ever.
-	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit*heartbeat)
 	defer cancel()
 	_, data, err := socket.Read(ctx)
 	if err != nil {
@@ -85,12 +86,12 @@
 	return received, len(data), nil
 }
 
-func writeFrame(ctx context.Context, socket *websocket.Conn, outgoing frame, counter *counter) error {
+func writeFrame(ctx context.Context, socket *websocket.Conn, outgoing frame, counter *counter, heartbeat time.Duration) error {
 	data, err := cbor.Marshal(outgoing)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	ctx, cancel := context.WithTimeout(ctx, writeLimit*heartbeat)
 	defer cancel()
 	counted := routeOf(outgoing)
 	if outgoing.Type == frameAnswer {
--- a/internal/state/messenger/link.go
+++ b/internal/state/messenger/link.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		pause = firstRedial
-		link.serve(ctx, newSession(socket, epoch, link.messenger.counter))
+		link.serve(ctx, newSession(socket, epoch, link.messenger.counter, link.messenger.heartbeat))
 		waiter.Sleep(ctx, firstRedial)
 	}
 }
--- a/internal/state/messenger/messenger.go
+++ b/internal/state/messenger/messenger.go
@@ -28,13 +28,14 @@
 	// Path is where the peer listener serves WebSocket connections.
 	Path = "/v1/peer"
 
+	// heartbeatInterval is the default of WithHeartbeat.
 	heartbeatInterval = 500 * time.Millisecond
-	// silenceLimit is four lost heartbeats. TCP alone would keep a connection that the network
-	// has forgotten for many minutes.
-	silenceLimit = 2 * time.Second
-	// writeLimit ends a write that the peer does not read. It is below silenceLimit so that the
-	// writer notices first and knows which frame was cut.
-	writeLimit   = 1500 * time.Millisecond
+	// silenceLimit is after how many lost heartbeats a connection is given up. TCP alone would keep one
+	// that the network has forgotten for many minutes.
+	silenceLimit = 4
+	// writeLimit ends a write that the peer does not read, in heartbeats. It is below silenceLimit so
+	// that the writer notices first and knows which frame was cut.
+	writeLimit   = 3
 	dialLimit    = time.Second
 	maxFrameSize = 16 << 20
 	queueLength  = 4096
@@ -63,6 +64,8 @@
 	links    map[scheduler.VMName]*link
 	accepted map[*acceptedConnection]struct{}
 	counter  *counter
+	// heartbeat is the interval of heartbeats.
+	heartbeat time.Duration
 	// discovers is true when peers may appear that New did not name.
 	discovers bool
 	started   bool
@@ -91,6 +94,12 @@
 	return func(messenger *Messenger) { messenger.discovers = true }
 }
 
+// WithHeartbeat sets the interval of heartbeats, 500 ms by default. A connection is given up when it has been
+// silent for four of them. It is the same on all VMs.
+func WithHeartbeat(interval time.Duration) Option {
+	return func(messenger *Messenger) { messenger.heartbeat = interval }
+}
+
 // WithDialer sets how connections are opened. The default is a net.Dialer.
 func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(messenger *Messenger) {
@@ -119,8 +128,10 @@
 		links:    map[scheduler.VMName]*link{},
 		accepted: map[*acceptedConnection]struct{}{},
 		counter:  newCounter(),
-		context:  ctx,
-		cancel:   cancel,
+
+		heartbeat: heartbeatInterval,
+		context:   ctx,
+		cancel:    cancel,
 	}
 	for _, option := range options {
 		option(messenger)
--- a/internal/state/messenger/messenger_test.go
+++ b/internal/state/messenger/messenger_test.go
@@ -158,7 +158,7 @@
 		if !scheduler.ErrUnknown.Has(err) {
 			t.Errorf("call over a silent connection: got %v, want class unknown", err)
 		}
-		if got, want := time.Since(start), silenceLimit+heartbeatInterval; got > want {
+		if got, want := time.Since(start), (silenceLimit+1)*heartbeatInterval; got > want {
 			t.Errorf("silence found after %v, want at most %v", got, want)
 		}
 		time.Sleep(time.Second)
--- a/internal/state/messenger/session.go
+++ b/internal/state/messenger/session.go
@@ -16,8 +16,10 @@
 	socket  *websocket.Conn
 	epoch   uint64
 	counter *counter
-	queue   chan *queuedFrame
-	done    chan struct{}
+	// heartbeat is the interval of heartbeats.
+	heartbeat time.Duration
+	queue     chan *queuedFrame
+	done      chan struct{}
 
 	mutex  sync.Mutex
 	nextID uint64
@@ -33,14 +35,16 @@
 	abandoned bool
 }
 
-func newSession(socket *websocket.Conn, epoch uint64, counter *counter) *session {
+func newSession(socket *websocket.Conn, epoch uint64, counter *counter, heartbeat time.Duration) *session {
 	return &session{
 		socket:  socket,
 		epoch:   epoch,
 		counter: counter,
-		queue:   make(chan *queuedFrame, queueLength),
-		done:    make(chan struct{}),
-		calls:   map[uint64]*queuedFrame{},
+
+		heartbeat: heartbeat,
+		queue:     make(chan *queuedFrame, queueLength),
+		done:      make(chan struct{}),
+		calls:     map[uint64]*queuedFrame{},
 	}
 }
 
@@ -117,7 +121,7 @@
 }
 
 func (session *session) write(ctx context.Context) {
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(session.heartbeat)
 	defer heartbeat.Stop()
 	for {
 		var outgoing frame
@@ -132,7 +136,7 @@
 			}
 			outgoing = queued.frame
 		}
-		if err := writeFrame(ctx, session.socket, outgoing, session.counter); err != nil {
+		if err := writeFrame(ctx, session.socket, outgoing, session.counter, session.heartbeat); err != nil {
 			return
 		}
 	}
@@ -141,7 +145,7 @@
 // read delivers answers until the connection ends or has been silent for too long.
 func (session *session) read(ctx context.Context) error {
 	for {
-		received, size, err := readFrame(ctx, session.socket)
+		received, size, err := readFrame(ctx, session.socket, session.heartbeat)
 		if err != nil {
 			return err
 		}
