overseer: approvals of workers, and leases of workers that were never heard of

The race detector showed that the address of a worker was read while a beat replaced it. Change: leases run out by time alone; addresses are read under the mutex. Queues that need approval ask the approval service early, few workers at a time, one question at a time. Maintenance waves are refused, because nothing carries them out yet; what was prepared for them is removed. Tests: TestTasksOfGoneWorkerStartElsewhere with a change of the leader fails before; 60 random schedules under the race detector; tests of platform/.

--- a/internal/jobs/clerk/clerk.go
+++ b/internal/jobs/clerk/clerk.go
@@ -58,10 +58,6 @@
 		return clerk.workerAnswer(clerk.overseer.Leave(request.Leave.Worker))
 	case request.Status != nil:
 		return clerk.status()
-	case request.Wave != nil:
-		return clerk.command(ctx, jobkeeper.Command{Wave: request.Wave})
-	case request.WaveState != nil:
-		return clerk.waveState(request.WaveState)
 	}
 	return refusal(StatusInvalid, "the request is empty", 0)
 }
@@ -190,16 +186,6 @@
 	return answer
 }
 
-func (clerk *Clerk) waveState(request *WaveRequest) Answer {
-	answer := refusal(StatusNoJob, "there is no such wave", 0)
-	clerk.keeper.View(func(state *jobkeeper.State) {
-		if wave, found := state.Wave(request.Number); found {
-			answer = Answer{Status: StatusDone, Completed: wave.Completed()}
-		}
-	})
-	return answer
-}
-
 func (clerk *Clerk) workerAnswer(err error) Answer {
 	if err != nil {
 		return refusal(StatusNotLeader, err.Error(), leaderRetry)
--- a/internal/jobs/clerk/courier_test.go
+++ b/internal/jobs/clerk/courier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,14 @@
 	down    map[scheduler.VMName]bool
 	asked   []scheduler.VMName
 	added   []scheduler.VMName
+	mutex   sync.Mutex
+}
+
+// set changes the answer of a VM while requests are under way.
+func (network *fakeNetwork) set(vm scheduler.VMName, answer func() (Answer, error)) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.answers[vm] = answer
 }
 
 func (network *fakeNetwork) Self() scheduler.VMName { return "entry" }
@@ -34,8 +43,11 @@
 func (network *fakeNetwork) Connected(name scheduler.VMName) bool { return !network.down[name] }
 
 func (network *fakeNetwork) Call(_ context.Context, to scheduler.VMName, _ scheduler.GroupName, _ scheduler.MessageKind, _ []byte) ([]byte, error) {
+	network.mutex.Lock()
 	network.asked = append(network.asked, to)
-	answer, err := network.answers[to]()
+	give := network.answers[to]
+	network.mutex.Unlock()
+	answer, err := give()
 	if err != nil {
 		return nil, err
 	}
@@ -114,8 +126,8 @@
 		if _, version := courier.Limits(); !courier.Reachable() || version != 7 || len(network.added) != 1 {
 			t.Errorf("got reachable %v, version %d, added %v, want true, 7 and one", courier.Reachable(), version, network.added)
 		}
-		answers["a"] = fails(scheduler.ErrUnknown.New("cut off"))
-		answers["n"] = fails(scheduler.ErrUnknown.New("cut off"))
+		network.set("a", fails(scheduler.ErrUnknown.New("cut off")))
+		network.set("n", fails(scheduler.ErrUnknown.New("cut off")))
 		time.Sleep(reachableFor + time.Second)
 		if courier.Reachable() {
 			t.Error("got reachable without an answer, want false")
--- a/internal/jobs/clerk/message.go
+++ b/internal/jobs/clerk/message.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -19,8 +18,6 @@
 	Beat      *scheduler.WorkerBeat         `cbor:"7,keyasint,omitempty"`
 	Leave     *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
 	Status    *StatusRequest                `cbor:"9,keyasint,omitempty"`
-	Wave      *jobkeeper.Wave               `cbor:"10,keyasint,omitempty"`
-	WaveState *WaveRequest                  `cbor:"11,keyasint,omitempty"`
 }
 
 // PlaceRequest names the place at which a request arrived; it selects the queue.
@@ -61,12 +58,6 @@
 	Worker scheduler.WorkerName
 }
 
-// WaveRequest names a maintenance wave.
-type WaveRequest struct {
-	_      struct{} `cbor:",toarray"`
-	Number int64
-}
-
 // Status tells what became of a request.
 type Status string
 
@@ -110,8 +101,6 @@
 	Members []scheduler.VMName `cbor:"9,keyasint,omitempty"`
 	// Version is that of the configuration in force, 0 without one.
 	Version uint64 `cbor:"10,keyasint,omitempty"`
-	// Completed is true when a wave has completed.
-	Completed bool `cbor:"11,keyasint,omitempty"`
 }
 
 // refusal returns an answer that tells why a request had no effect.
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -23,10 +23,6 @@
 			state.end(end)
 		}
 		return Result{Answer: AnswerDone}
-	case command.Wave != nil:
-		return Result{Answer: state.startWave(command.Wave)}
-	case command.Maintain != nil:
-		return Result{Answer: state.maintained(command.Maintain)}
 	}
 	return Result{Answer: AnswerInvalid}
 }
@@ -362,20 +358,3 @@
 		state.finish(job, scheduler.WorkflowFailed)
 	}
 }
-
-func (state *State) startWave(wave *Wave) Answer {
-	if _, known := state.waves[wave.Number]; known {
-		return AnswerUnchanged
-	}
-	state.waves[wave.Number] = &WaveState{wave: *wave, begun: map[scheduler.VMName]bool{}}
-	return AnswerDone
-}
-
-func (state *State) maintained(maintained *Maintained) Answer {
-	wave, known := state.waves[maintained.Wave]
-	if !known || !slices.Contains(wave.wave.VMs, maintained.VM) {
-		return AnswerUnchanged
-	}
-	wave.begun[maintained.VM] = true
-	return AnswerDone
-}
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -15,8 +15,6 @@
 	Repeat    *Repeat                       `cbor:"4,keyasint,omitempty"`
 	Place     []Placement                   `cbor:"5,keyasint,omitempty"`
 	End       []End                         `cbor:"6,keyasint,omitempty"`
-	Wave      *Wave                         `cbor:"7,keyasint,omitempty"`
-	Maintain  *Maintained                   `cbor:"8,keyasint,omitempty"`
 }
 
 // Submit stores a job.
@@ -55,22 +53,6 @@
 	Checkpoint string
 }
 
-// Wave asks for the maintenance of VMs with at most Limit of them down at once, until Deadline.
-type Wave struct {
-	_        struct{} `cbor:",toarray"`
-	Number   int64
-	VMs      []scheduler.VMName
-	Limit    int
-	Deadline time.Time
-}
-
-// Maintained records that the maintenance of a VM in a wave has begun, or need not.
-type Maintained struct {
-	_    struct{} `cbor:",toarray"`
-	Wave int64
-	VM   scheduler.VMName
-}
-
 // Answer tells what became of a command.
 type Answer string
 
--- a/internal/jobs/jobkeeper/keeper.go
+++ b/internal/jobs/jobkeeper/keeper.go
@@ -1,5 +1,5 @@
 // Package jobkeeper holds the replicated state of a scheduling domain: the configuration of its queues,
-// the jobs with their steps and attempts, and the maintenance waves. A Keeper is a scheduler.StateMachine.
+// and the jobs with their steps and attempts. A Keeper is a scheduler.StateMachine.
 package jobkeeper
 
 import (
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -21,7 +21,6 @@
 	Configuration *scheduler.QueueConfiguration
 	Order         uint64
 	Jobs          []storedJob
-	Waves         []storedWave
 }
 
 type storedJob struct {
@@ -66,12 +65,6 @@
 	Life    scheduler.Incarnation
 }
 
-type storedWave struct {
-	_     struct{} `cbor:",toarray"`
-	Wave  Wave
-	Begun []scheduler.VMName
-}
-
 // Snapshot writes the whole state. See scheduler.StateMachine.
 func (keeper *Keeper) Snapshot(w io.Writer) error {
 	keeper.mutex.RLock()
@@ -101,10 +94,6 @@
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
 	}
-	for _, number := range slices.Sorted(maps.Keys(state.waves)) {
-		wave := state.waves[number]
-		stored.Waves = append(stored.Waves, storedWave{Wave: wave.wave, Begun: slices.Sorted(maps.Keys(wave.begun))})
-	}
 	return stored
 }
 
@@ -141,13 +130,6 @@
 	for position := range stored.Jobs {
 		state.restoreJob(&stored.Jobs[position])
 	}
-	for _, storedWave := range stored.Waves {
-		wave := &WaveState{wave: storedWave.Wave, begun: map[scheduler.VMName]bool{}}
-		for _, vm := range storedWave.Begun {
-			wave.begun[vm] = true
-		}
-		state.waves[wave.wave.Number] = wave
-	}
 	return state
 }
 
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -13,7 +13,6 @@
 	jobs          map[scheduler.JobID]*Job
 	// order is that of the job accepted last.
 	order uint64
-	waves map[int64]*WaveState
 
 	// ready holds the tasks that wait for an attempt.
 	ready map[*Task]struct{}
@@ -29,25 +28,9 @@
 	queued map[scheduler.QueueName]int
 }
 
-// WaveState is a maintenance wave and how far it has come.
-type WaveState struct {
-	wave  Wave
-	begun map[scheduler.VMName]bool
-}
-
-// Wave returns what was asked for.
-func (waveState *WaveState) Wave() Wave { return waveState.wave }
-
-// Begun reports whether the maintenance of a VM has begun.
-func (waveState *WaveState) Begun(vm scheduler.VMName) bool { return waveState.begun[vm] }
-
-// Completed reports whether the maintenance of every VM has begun.
-func (waveState *WaveState) Completed() bool { return len(waveState.begun) >= len(waveState.wave.VMs) }
-
 func newState() *State {
 	return &State{
 		jobs:     map[scheduler.JobID]*Job{},
-		waves:    map[int64]*WaveState{},
 		ready:    map[*Task]struct{}{},
 		runs:     map[scheduler.WorkerName]map[scheduler.RunID]*Run{},
 		reserved: map[scheduler.WorkerName]scheduler.Resources{},
@@ -116,21 +99,6 @@
 // Queued returns how many jobs of a queue have been accepted and have no task that has started.
 func (state *State) Queued(queue scheduler.QueueName) int { return state.queued[queue] }
 
-// Wave returns a maintenance wave.
-func (state *State) Wave(number int64) (*WaveState, bool) {
-	wave, found := state.waves[number]
-	return wave, found
-}
-
-// Waves calls visit for each wave that has not completed.
-func (state *State) Waves(visit func(wave *WaveState)) {
-	for _, number := range slices.Sorted(maps.Keys(state.waves)) {
-		if wave := state.waves[number]; !wave.Completed() {
-			visit(wave)
-		}
-	}
-}
-
 // note brings the indexes of a task up to date.
 func (state *State) note(task *Task) {
 	waits := task.IsWanted() && len(task.runs) == 0
--- /dev/null
+++ b/internal/jobs/overseer/approval_test.go
@@ -0,0 +1,88 @@
+package overseer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// fakeApprover approves some workers and counts its calls, of which it takes one at a time.
+type fakeApprover struct {
+	mutex   sync.Mutex
+	allowed []scheduler.WorkerName
+	calls   int
+	asked   int
+	busy    bool
+	failing int
+}
+
+func (approver *fakeApprover) Approve(_ context.Context, _ scheduler.JobID, _, _ int, candidates []scheduler.WorkerName) ([]scheduler.ApprovedWorker, time.Duration, error) {
+	approver.mutex.Lock()
+	if approver.busy {
+		approver.asked = -1000
+	}
+	approver.busy = true
+	approver.calls++
+	approver.asked += len(candidates)
+	fails := approver.calls <= approver.failing
+	approver.mutex.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	approver.mutex.Lock()
+	defer approver.mutex.Unlock()
+	approver.busy = false
+	if fails {
+		return nil, 0, Error.New("the service is not available")
+	}
+	var approved []scheduler.ApprovedWorker
+	for _, candidate := range candidates {
+		if slices.Contains(approver.allowed, candidate) {
+			approved = append(approved, scheduler.ApprovedWorker{Worker: candidate, Proof: "proof"})
+		}
+	}
+	return approved, 3 * time.Second, nil
+}
+
+// Guards against a start on a worker that was not approved, against steps that wait for ever, and against
+// questions that are asked again although their answers still hold.
+func TestOnlyApprovedWorkersRunAStep(t *testing.T) {
+	tests := map[string]struct {
+		failing int
+	}{"the service answers": {}, "the service fails first": {failing: 3}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				schedule := newSchedule(t, 1)
+				approver := &fakeApprover{allowed: schedule.names[4:], failing: test.failing}
+				for _, overseer := range schedule.overseers {
+					overseer.approver = approver
+				}
+				schedule.approval = &scheduler.Approval{Valid: 3 * time.Second}
+				stop := schedule.start()
+				schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore, LongRunning: true}}})
+				time.Sleep(5 * time.Second)
+				running := 0
+				schedule.domain.keeper.View(func(state *jobkeeper.State) {
+					for _, worker := range state.Workers() {
+						state.Runs(worker, func(*jobkeeper.Run) { running++ })
+						if !slices.Contains(approver.allowed, worker) {
+							t.Errorf("got a run on %s, which is not approved", worker)
+						}
+					}
+				})
+				if running != 6 {
+					t.Errorf("got %d runs, want 6", running)
+				}
+				if approver.asked < 0 || approver.calls > 3+test.failing {
+					t.Errorf("got %d calls, %d workers asked for, want at most %d calls, one at a time", approver.calls, approver.asked, 3+test.failing)
+				}
+				stop()
+			})
+		})
+	}
+}
--- a/internal/jobs/overseer/control.go
+++ b/internal/jobs/overseer/control.go
@@ -81,7 +81,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(reign.context, orderTimeout)
-		answer, err := reign.overseer.client.Throttle(ctx, life.ref(), id, share, reign.term)
+		answer, err := reign.overseer.client.Throttle(ctx, reign.ref(life), id, share, reign.term)
 		cancel()
 		if err != nil {
 			failures++
--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -102,6 +102,7 @@
 	names     []scheduler.WorkerName
 	lives     map[scheduler.WorkerName]scheduler.Incarnation
 	jobs      int
+	approval  *scheduler.Approval
 }
 
 // processStart is longer than an order is under way.
@@ -152,7 +153,7 @@
 func (schedule *schedule) configure() {
 	schedule.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
 		Version: 1, Pools: []scheduler.Pool{{Name: "pool"}},
-		Queues: []scheduler.Queue{{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second}},
+		Queues: []scheduler.Queue{{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second, Approval: schedule.approval}},
 	}})
 }
 
@@ -323,6 +324,16 @@
 // Guards against a worker that is gone for good and whose tasks wait for ever, because each renewal that it
 // does not answer might extend its lease.
 func TestTasksOfGoneWorkerStartElsewhere(t *testing.T) {
+	tests := map[string]struct{ newLeader bool }{
+		"the leader stays":   {},
+		"the leader changes": {newLeader: true}, // The new one never hears of the worker.
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { testGoneWorker(t, test.newLeader) })
+	}
+}
+
+func testGoneWorker(t *testing.T, newLeader bool) {
 	synctest.Test(t, func(t *testing.T) {
 		schedule := newSchedule(t, 1)
 		stop := schedule.start()
@@ -331,6 +342,9 @@
 		}
 		time.Sleep(3 * time.Second)
 		schedule.fleet.kill(schedule.names[0])
+		if newLeader {
+			schedule.domain.elect(1)
+		}
 		time.Sleep(fakeLease + 3*time.Second)
 		waiting, onGone := 0, 0
 		schedule.domain.keeper.View(func(state *jobkeeper.State) {
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -75,7 +75,7 @@
 func (reign *reign) sendStart(life *worker, order scheduler.StartOrder) (scheduler.OrderAnswer, error) {
 	ctx, cancel := context.WithTimeout(reign.context, orderTimeout)
 	defer cancel()
-	return reign.overseer.client.Start(ctx, life.ref(), order)
+	return reign.overseer.client.Start(ctx, reign.ref(life), order)
 }
 
 // startUnanswered notes that a start may take effect later, unless it surely was not sent.
@@ -135,11 +135,14 @@
 // refused handles a start that the worker will not run. The mutex is held.
 func (reign *reign) refused(life *worker, id scheduler.RunID, attempt *attempt, verdict scheduler.OrderVerdict) {
 	reign.overseer.metrics.refused.Inc(1)
-	rest := refusalPause
-	if verdict == scheduler.OrderUnhealthy {
-		rest = unhealthyPause
+	switch verdict {
+	case scheduler.OrderNotApproved:
+		reign.dropProof(id.Task, life)
+	case scheduler.OrderUnhealthy:
+		life.restedUntil = max(life.restedUntil, reign.now()+unhealthyPause)
+	default:
+		life.restedUntil = max(life.restedUntil, reign.now()+refusalPause)
 	}
-	life.restedUntil = max(life.restedUntil, reign.now()+rest)
 	reign.logger.Info().Str("event", "startRefused").Stringer("run", id).Str("worker", string(life.name)).
 		Str("verdict", string(verdict)).Int("attempts", len(life.attempts)).Msg("the worker has refused an attempt")
 	reign.withdraw(life, id, attempt)
@@ -199,7 +202,7 @@
 func (reign *reign) stopOnce(life *worker, id scheduler.RunID) (scheduler.OrderAnswer, error) {
 	ctx, cancel := context.WithTimeout(reign.context, orderTimeout)
 	defer cancel()
-	return reign.overseer.client.Stop(ctx, life.ref(), id, reign.term)
+	return reign.overseer.client.Stop(ctx, reign.ref(life), id, reign.term)
 }
 
 // takeStopAnswer notes the answer to a stop. It returns false when the order must be sent again.
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -75,6 +75,9 @@
 	overseer.logger.Info().Str("event", "leadershipTaken").Uint64("term", uint64(term)).Msg("this VM acts for the domain")
 	overseer.current.Store(reign)
 	reign.workers.Go(reign.plan)
+	if overseer.approver != nil {
+		reign.workers.Go(reign.askApprover)
+	}
 	for ctx.Err() == nil && overseer.leads(term) && !reign.deposed.Load() {
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -50,6 +50,7 @@
 	began := reign.now()
 	reign.beginDue()
 	reign.observeLoad()
+	reign.expireSilent()
 	reign.stopUnwanted()
 	reign.emptyDraining()
 	placements := reign.choose()
@@ -126,6 +127,7 @@
 			return
 		}
 		pools := reign.freeWorkers(state)
+		reign.forgetApprovals(state)
 		for _, candidate := range waitingSteps(state) {
 			workers := pools[candidate.step.Job().Queue().Pool]
 			group := reign.group(candidate)
@@ -262,7 +264,7 @@
 
 // group returns the packer's view of a step.
 func (reign *reign) group(waiting *waitingStep) packer.Group {
-	group := packer.Group{Step: waiting.step.Spec()}
+	group := packer.Group{Step: waiting.step.Spec(), Approved: reign.approved(waiting.step, len(waiting.tasks))}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
 	}
@@ -313,6 +315,8 @@
 		reign.lose(id, placement.Worker, placement.Life) // The life ended between the decision and its record.
 		return
 	}
-	life.attempts[id] = &attempt{state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare}
+	life.attempts[id] = &attempt{
+		state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare, approval: reign.proofFor(id.Task, life),
+	}
 	reign.workers.Go(func() { reign.start(life, id) })
 }
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -33,6 +33,9 @@
 	recording map[scheduler.RunID]bool
 	// effects is what was learned of the effect of fill tasks on serving tasks in this term.
 	effects *pacer.Effects
+	// approvals holds the answers of the approval service, questions what it is to be asked.
+	approvals map[stepKey]*approvals
+	questions chan question
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
@@ -40,11 +43,15 @@
 	began time.Duration
 }
 
+// questionQueue bounds the questions that wait for the approval service.
+const questionQueue = 64
+
 func newReign(ctx context.Context, overseer *Overseer, term scheduler.Term) *reign {
 	reign := &reign{
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
+		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	reign.adoptAll()
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -43,9 +43,6 @@
 		return scheduler.RenewOrder{}, false
 	}
 	now := reign.now()
-	if now > life.leaseUntil && life.leaseUntil > 0 && life.failing > 0 {
-		reign.expire(life)
-	}
 	order = scheduler.RenewOrder{
 		LeaseEnd: life.grantLease(now, reign.overseer.leaseDuration, reign.overseer.drift), Token: reign.term,
 		Acknowledged: life.cursor(), Wait: life.renewWait(),
@@ -90,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(reign.context, order.Wait+renewSlack)
 	defer cancel()
 	sent := reign.now()
-	report, err := reign.overseer.client.Renew(ctx, life.ref(), order)
+	report, err := reign.overseer.client.Renew(ctx, reign.ref(life), order)
 	if err != nil {
 		reign.renewFailed(life, err)
 		return
@@ -117,6 +114,19 @@
 	reign.pause(retryPause(failures))
 }
 
+// expireSilent ends the attempts of workers whose leases have run out: of those that do not answer, and of
+// those that this leader has only read of in the log and never heard.
+func (reign *reign) expireSilent() {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	now := reign.now()
+	for _, life := range reign.lives {
+		if len(life.attempts) > 0 && now > life.leaseUntil {
+			reign.expire(life)
+		}
+	}
+}
+
 // expire records that the lease of a worker that does not answer has run out. The mutex is held.
 func (reign *reign) expire(life *worker) {
 	var ends []jobkeeper.End
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -91,8 +91,11 @@
 	return &worker{name: name, life: life, attempts: map[scheduler.RunID]*attempt{}, wake: make(chan struct{}, 1)}
 }
 
-func (worker *worker) ref() scheduler.WorkerRef {
-	return scheduler.WorkerRef{Worker: worker.name, Life: worker.life, Address: worker.beat.Address}
+// ref returns where a life of a worker is reached. Beats change it.
+func (reign *reign) ref(life *worker) scheduler.WorkerRef {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	return scheduler.WorkerRef{Worker: life.name, Life: life.life, Address: life.beat.Address}
 }
 
 // rack returns the label that names the rack, empty if there is none.
