overseer, clerk: a line for each placed step and ended job, counters and latencies of requests

Cause: an accepted job that was late could not be followed from its id to the wait that made it late.

--- a/internal/jobs/clerk/courier.go
+++ b/internal/jobs/clerk/courier.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/internal/basics/waiter"
@@ -54,6 +55,8 @@
 	// local is nil on a VM that holds no state.
 	local  *Clerk
 	logger zerolog.Logger
+	scope  tally.Scope
+	taken  tally.Histogram
 
 	mutex   sync.Mutex
 	members []scheduler.VMName
@@ -65,9 +68,13 @@
 }
 
 // NewCourier returns a Courier that starts from the VMs named seeds. local is nil on a VM that holds no
-// state.
-func NewCourier(network Network, group scheduler.GroupName, seeds []scheduler.VMName, local *Clerk, logger zerolog.Logger) *Courier {
-	return &Courier{network: network, group: group, members: slices.Clone(seeds), local: local, logger: logger}
+// state. Answers are counted by status in scope, with the time that they took.
+func NewCourier(network Network, group scheduler.GroupName, seeds []scheduler.VMName, local *Clerk, scope tally.Scope, logger zerolog.Logger) *Courier {
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+	return &Courier{
+		network: network, group: group, members: slices.Clone(seeds), local: local, logger: logger,
+		scope: scope, taken: scope.Histogram("request_duration", buckets),
+	}
 }
 
 // Run keeps track of the leader until ctx ends.
@@ -121,6 +128,14 @@
 // Ask passes a request to the leader and returns its answer. Without one, the answer tells whether the
 // request surely had no effect.
 func (courier *Courier) Ask(ctx context.Context, request *Request) Answer {
+	began := time.Now()
+	answer := courier.pass(ctx, request)
+	courier.taken.RecordDuration(time.Since(began))
+	courier.scope.Tagged(map[string]string{"status": string(answer.Status)}).Counter("requests").Inc(1)
+	return answer
+}
+
+func (courier *Courier) pass(ctx context.Context, request *Request) Answer {
 	body, err := encoder.Marshal(request)
 	if err != nil {
 		return refusal(StatusInvalid, err.Error(), 0)
--- a/internal/jobs/clerk/courier_test.go
+++ b/internal/jobs/clerk/courier_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -90,7 +91,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			network := &fakeNetwork{answers: test.answers, down: test.down}
-			courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, zerolog.Nop())
+			courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, tally.NoopScope, zerolog.Nop())
 			answer := courier.Ask(t.Context(), &Request{Read: &ReadRequest{}})
 			if answer.Status != test.want || len(network.asked) != test.asked {
 				t.Errorf("got %s after %v, want %s after %d", answer.Status, network.asked, test.want, test.asked)
@@ -104,7 +105,7 @@
 	network := &fakeNetwork{answers: map[scheduler.VMName]func() (Answer, error){
 		"a": fails(scheduler.ErrUnknown.New("cut off")), "b": says(Answer{Status: StatusDone}),
 	}}
-	courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, zerolog.Nop())
+	courier := NewCourier(network, "domain", []scheduler.VMName{"a", "b"}, nil, tally.NoopScope, zerolog.Nop())
 	if got := courier.Ask(t.Context(), &Request{Read: &ReadRequest{}}).Status; got != StatusUnknown {
 		t.Errorf("got %s, want %s", got, StatusUnknown)
 	}
@@ -118,7 +119,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		answers := map[scheduler.VMName]func() (Answer, error){"a": says(Answer{Status: StatusDone, Version: 7, Members: []scheduler.VMName{"a", "n"}})}
 		network := &fakeNetwork{answers: answers}
-		courier := NewCourier(network, "domain", []scheduler.VMName{"a"}, nil, zerolog.Nop())
+		courier := NewCourier(network, "domain", []scheduler.VMName{"a"}, nil, tally.NoopScope, zerolog.Nop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go courier.Run(ctx)
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -128,7 +128,9 @@
 		}
 		pools := reign.freeWorkers(state)
 		reign.forgetApprovals(state)
-		for _, candidate := range waitingSteps(state) {
+		waiting := waitingSteps(state)
+		reign.journal.noteWaiting(reign.now(), waiting)
+		for _, candidate := range waiting {
 			workers := pools[candidate.step.Job().Queue().Pool]
 			group := reign.group(candidate)
 			for _, choice := range packer.Pack(workers, []packer.Group{group}) {
@@ -289,6 +291,7 @@
 	}
 	reign.mutex.Lock()
 	defer reign.mutex.Unlock()
+	reign.logPlaced(placements, result.Attempts)
 	for position, placement := range placements {
 		if position >= len(result.Attempts) || result.Attempts[position] == 0 {
 			continue
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -36,6 +36,7 @@
 	// approvals holds the answers of the approval service, questions what it is to be asked.
 	approvals map[stepKey]*approvals
 	questions chan question
+	journal   journal
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
@@ -52,6 +53,7 @@
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
+		journal:   newJournal(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	reign.adoptAll()
@@ -280,5 +282,6 @@
 				Str("kind", string(end.Kind)).Bool("checkpoint", end.Checkpoint != "").Msg("attempt ended without result")
 		}
 	}
+	reign.logEnded(ends)
 	reign.replan()
 }
--- a/internal/jobs/packer/packer_test.go
+++ b/internal/jobs/packer/packer_test.go
@@ -120,7 +120,7 @@
 	for position, work := range order {
 		urgency := UrgencyOf(work, now)
 		if urgency.Prospect != prospects[position] {
-			t.Errorf("%d: got prospect %d, want %d", position, urgency.Prospect, prospects[position])
+			t.Errorf("%d: got prospect %s, want %s", position, urgency.Prospect, prospects[position])
 		}
 		if position > 0 && UrgencyOf(order[position-1], now).Compare(urgency) >= 0 {
 			t.Errorf("%d comes before %d, want after", position, position-1)
--- a/internal/jobs/packer/urgency.go
+++ b/internal/jobs/packer/urgency.go
@@ -11,17 +11,21 @@
 const lateFactor = 3
 
 // Prospect tells what can still be expected of a job.
-type Prospect int
+type Prospect string
 
+// Values of Prospect.
 const (
 	// ProspectTimely means that the job can meet its objective.
-	ProspectTimely Prospect = iota
+	ProspectTimely Prospect = "timely"
 	// ProspectLate means that it will miss its objective and can still be of use.
-	ProspectLate
+	ProspectLate Prospect = "late"
 	// ProspectLost means that it will be too late for its caller.
-	ProspectLost
+	ProspectLost Prospect = "lost"
 )
 
+// ranks orders the prospects, the most urgent one first.
+var ranks = map[Prospect]int{ProspectTimely: 0, ProspectLate: 1, ProspectLost: 2}
+
 // Urgency orders steps that wait: by the priority of the queue, then by prospect, then by deadline. The order
 // answers a queue that is longer than what can be served in time. First come, first served makes every job
 // late there; this order serves those in time that can be, and the others when there is room.
@@ -33,7 +37,7 @@
 
 // Compare orders two urgencies, the more urgent one first.
 func (urgency Urgency) Compare(other Urgency) int {
-	return cmp.Or(cmp.Compare(urgency.Priority, other.Priority), cmp.Compare(urgency.Prospect, other.Prospect),
+	return cmp.Or(cmp.Compare(urgency.Priority, other.Priority), cmp.Compare(ranks[urgency.Prospect], ranks[other.Prospect]),
 		urgency.Deadline.Compare(other.Deadline))
 }
 
@@ -52,7 +56,7 @@
 
 // UrgencyOf returns the urgency of work at a time.
 func UrgencyOf(work Work, now time.Time) Urgency {
-	urgency := Urgency{Priority: work.Queue.Priority, Deadline: work.Since}
+	urgency := Urgency{Priority: work.Queue.Priority, Prospect: ProspectTimely, Deadline: work.Since}
 	if work.LongRunning {
 		return urgency
 	}
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -91,7 +91,7 @@
 			return nil, err
 		}
 	}
-	vm.courier = clerk.NewCourier(vm.messenger, domainGroup, settings.seedNames(), local, parts.Logger)
+	vm.courier = clerk.NewCourier(vm.messenger, domainGroup, settings.seedNames(), local, parts.Scope, parts.Logger)
 	return vm, nil
 }
 
