--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -33,8 +33,10 @@
 	beatsUntilSilent = 2.5
 	// maxWait is the longest time for which a worker is asked to hold an answer back.
 	maxWait = 2 * time.Second
-	// watchWait is the same where serving tasks run, whose latency decides about fill tasks.
-	watchWait = 500 * time.Millisecond
+	// watchWait is the same where serving tasks run, whose latency decides about fill tasks. lookCost raises
+	// it with the number of workers, so that the leader takes at most a thousand looks a second.
+	watchWait = 300 * time.Millisecond
+	lookCost  = time.Millisecond
 )
 
 // Option changes a setting of an Overseer.
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -45,7 +45,7 @@
 	now := reign.now()
 	order = scheduler.RenewOrder{
 		LeaseEnd: life.grantLease(now, reign.overseer.leaseDuration, reign.overseer.drift), Token: reign.term,
-		Acknowledged: life.cursor(), Wait: life.renewWait(),
+		Acknowledged: life.cursor(), Wait: life.renewWait(len(reign.lives)),
 	}
 	return order, true
 }
@@ -63,8 +63,8 @@
 // reported reports whether the last recorded ends have been acknowledged to the worker.
 func (worker *worker) reported() bool { return worker.acknowledged == worker.confirmed }
 
-// renewWait returns for how long the worker may hold its answer back.
-func (worker *worker) renewWait() time.Duration {
+// renewWait returns for how long the worker, one of a number, may hold its answer back.
+func (worker *worker) renewWait(workers int) time.Duration {
 	if !worker.synced || worker.failing > 0 || len(worker.attempts) == 0 {
 		return 0
 	}
@@ -74,7 +74,7 @@
 			return stopLook
 		}
 		if attempt.spec.LatencyTarget > 0 {
-			wait = watchWait
+			wait = min(maxWait, max(watchWait, time.Duration(workers)*lookCost))
 		}
 	}
 	return wait
