overseer: quarantine of workers that fail everything

Cause: a worker that fails at once is always free and, being nearly full, the first choice: it takes in what waits until jobs have failed as often as their queue allows (30 of 30 jobs in TestWorkerThatFailsEverything).

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -103,6 +103,7 @@
 	lives     map[scheduler.WorkerName]scheduler.Incarnation
 	jobs      int
 	approval  *scheduler.Approval
+	attempts  int
 }
 
 // processStart is longer than an order is under way.
@@ -153,7 +154,7 @@
 func (schedule *schedule) configure() {
 	schedule.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
 		Version: 1, Pools: []scheduler.Pool{{Name: "pool"}},
-		Queues: []scheduler.Queue{{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second, Approval: schedule.approval}},
+		Queues: []scheduler.Queue{{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second, Approval: schedule.approval, MaxAttempts: schedule.attempts}},
 	}})
 }
 
@@ -359,6 +360,39 @@
 	})
 }
 
+// Guards against a worker that fails everything at once, is therefore always free, and takes in all jobs until
+// they have failed as often as their queue allows.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedule := newSchedule(t, 1)
+		schedule.attempts = 3
+		stop := schedule.start()
+		schedule.fleet.mutex.Lock()
+		for _, worker := range schedule.fleet.workers {
+			worker.broken = worker.name == schedule.names[0]
+		}
+		schedule.fleet.mutex.Unlock()
+		for range 30 {
+			schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 3, Request: oneCore}}})
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		failed := 0
+		schedule.domain.keeper.View(func(state *jobkeeper.State) {
+			for number := range schedule.jobs {
+				if job, _ := state.Job(scheduler.JobID(fmt.Sprintf("job%d", number))); job.State() != scheduler.WorkflowCompleted {
+					failed++
+				}
+			}
+		})
+		if failed > 0 {
+			t.Errorf("got %d jobs that have not completed, want none", failed)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against a task that runs twice at a time, that starts again after its finish was acknowledged, or
 // that starts before the steps that it depends on have finished, whatever fails; and against work that is
 // never taken up again.
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -56,7 +56,9 @@
 	cut        bool
 	dead       bool
 	draining   bool
-	endSignal  chan struct{}
+	// broken workers fail all that they start at once.
+	broken    bool
+	endSignal chan struct{}
 }
 
 type fakeRun struct {
@@ -281,7 +283,9 @@
 		}
 	}
 	run := &fakeRun{fails: fleet.random.Float64() < fleet.failShare, checkpoint: order.Checkpoint}
-	if !workflow.Steps[task.Step].LongRunning {
+	if worker.broken {
+		run.fails, run.until = true, time.Now()
+	} else if !workflow.Steps[task.Step].LongRunning {
 		run.until = time.Now().Add(time.Duration(fleet.random.Int64N(int64(fleet.runTime))))
 	}
 	worker.runs[order.Run] = run
--- a/internal/jobs/overseer/journal.go
+++ b/internal/jobs/overseer/journal.go
@@ -66,6 +66,7 @@
 				continue
 			}
 			reign.journal.reported[job.ID()] = true
+			reign.failures.forget(job.ID())
 			reign.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).Str("queue", string(job.Queue().Name)).
 				Str("state", string(job.State())).Dur("took", time.Since(job.Accepted())).Msg("job ended")
 		}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -146,11 +146,11 @@
 // freeWorkers returns the workers that take new work, by pool.
 func (reign *reign) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
 	now := reign.now()
-	silence := reign.silence()
+	silence, wall := reign.silence(), time.Now()
 	pools := map[scheduler.PoolName][]*packer.Worker{}
 	for _, name := range slices.Sorted(maps.Keys(reign.lives)) {
 		life := reign.lives[name]
-		if !life.mayTakeWork(now, silence) || !life.synced {
+		if !life.mayTakeWork(now, silence) || !life.synced || reign.failures.isQuarantined(name, wall) {
 			continue
 		}
 		free := life.beat.Capacity.Minus(state.Reserved(name))
@@ -266,7 +266,9 @@
 
 // group returns the packer's view of a step.
 func (reign *reign) group(waiting *waitingStep) packer.Group {
-	group := packer.Group{Step: waiting.step.Spec(), Approved: reign.approved(waiting.step, len(waiting.tasks))}
+	group := packer.Group{
+		Step: waiting.step.Spec(), Approved: reign.approved(waiting.step, len(waiting.tasks)), Avoid: reign.failures.avoid(waiting.tasks),
+	}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
 	}
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -37,6 +37,7 @@
 	approvals map[stepKey]*approvals
 	questions chan question
 	journal   journal
+	failures  failures
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
@@ -53,7 +54,7 @@
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
-		journal:   newJournal(),
+		journal: newJournal(), failures: newFailures(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	reign.adoptAll()
@@ -155,6 +156,7 @@
 		reign.replan()
 	}
 	life.known, life.beat, life.heard = true, beat, now
+	reign.failures.quarantiner.Add(beat.Worker)
 	life.noteClock(beat.Clock, now)
 	reign.watchWorker(life)
 }
@@ -231,6 +233,7 @@
 	life.over = true
 	life.signal()
 	delete(reign.lives, life.name)
+	reign.failures.quarantiner.Remove(life.name)
 	reign.logger.Info().Str("event", "workerLifeOver").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
 		Int("attempts", len(life.attempts)).Str("reason", reason).Msg("attempts on the worker are lost")
 	var ends []jobkeeper.End
@@ -275,6 +278,7 @@
 	defer reign.mutex.Unlock()
 	for _, end := range ends {
 		delete(life.attempts, end.Run)
+		reign.failures.observe(life, end, time.Now())
 		delete(reign.recording, end.Run)
 		reign.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
--- a/internal/placement/quarantiner/quarantiner.go
+++ b/internal/placement/quarantiner/quarantiner.go
@@ -68,8 +68,10 @@
 // Quarantiner is used from one goroutine at a time.
 type Quarantiner struct {
 	evidence int
-	workers  map[scheduler.WorkerName]*worker
-	jobs     map[scheduler.JobID]*job
+	// first is how long the first quarantine of a worker lasts.
+	first   time.Duration
+	workers map[scheduler.WorkerName]*worker
+	jobs    map[scheduler.JobID]*job
 }
 
 type worker struct {
@@ -94,12 +96,17 @@
 	return func(quarantiner *Quarantiner) { quarantiner.evidence = count }
 }
 
+// WithFirstQuarantine sets how long the first quarantine of a worker lasts, a minute by default.
+func WithFirstQuarantine(length time.Duration) Option {
+	return func(quarantiner *Quarantiner) { quarantiner.first = length }
+}
+
 // New returns a Quarantiner without evidence.
 func New(options ...Option) (*Quarantiner, error) {
 	quarantiner := &Quarantiner{
-		evidence: defaultEvidence,
-		workers:  map[scheduler.WorkerName]*worker{},
-		jobs:     map[scheduler.JobID]*job{},
+		evidence: defaultEvidence, first: firstQuarantine,
+		workers: map[scheduler.WorkerName]*worker{},
+		jobs:    map[scheduler.JobID]*job{},
 	}
 	for _, option := range options {
 		option(quarantiner)
@@ -146,7 +153,7 @@
 		w.length = min(2*w.length, maxQuarantine)
 		w.status, w.until = StatusQuarantined, attempt.Ended.Add(w.length)
 	case w.status == StatusUsable && quarantiner.isSuspect(attempt.Worker, attempt.Ended) && quarantiner.mayQuarantine():
-		w.length = firstQuarantine
+		w.length = quarantiner.first
 		w.status, w.until = StatusQuarantined, attempt.Ended.Add(w.length)
 	}
 }
