packer, pacer: the cost of a decision does not grow with the queue

Change: what found no worker is remembered for the decision; forecasts are made once for each worker; a decision is followed by a pause of twice its duration. Tests: TestLongQueueCostsNoMore (1,000 groups) fails before.

--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -14,6 +14,9 @@
 	leaseCheckInterval = 20 * time.Millisecond
 	// planPause collects what happens within a few milliseconds into one decision.
 	planPause = 4 * time.Millisecond
+	// restFactor is for how many times its own duration a decision is followed by a pause, so that decisions
+	// leave the processor to orders and answers.
+	restFactor = 2
 	// planInterval bounds the time between two decisions, for work that becomes due by time alone.
 	planInterval = 100 * time.Millisecond
 	// orderTimeout bounds one order to a worker. It is a multiple of the round trip between data centres.
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -31,7 +31,7 @@
 			logged = now
 			reign.logLoad()
 		}
-		reign.planOnce()
+		pause := max(planPause, restFactor*reign.planOnce())
 		select {
 		case <-reign.context.Done():
 			return
@@ -39,13 +39,14 @@
 		case <-reign.planning:
 		case <-timer.C:
 		}
-		reign.pause(planPause)
+		reign.pause(pause)
 	}
 }
 
-func (reign *reign) planOnce() {
+// planOnce makes one decision and returns how long that took, without the time until it was recorded.
+func (reign *reign) planOnce() time.Duration {
 	if !reign.mayAct() {
-		return
+		return 0
 	}
 	began := reign.now()
 	reign.beginDue()
@@ -54,10 +55,12 @@
 	reign.stopUnwanted()
 	reign.emptyDraining()
 	placements := reign.choose()
+	took := reign.now() - began
+	reign.overseer.metrics.planTime.RecordDuration(took)
 	if len(placements) > 0 {
 		reign.place(placements)
 	}
-	reign.overseer.metrics.planTime.RecordDuration(reign.now() - began)
+	return took
 }
 
 // beginDue begins the occurrences of repeated jobs that are due.
@@ -130,10 +133,13 @@
 		reign.forgetApprovals(state)
 		waiting := waitingSteps(state)
 		reign.journal.noteWaiting(reign.now(), waiting)
+		groups := map[scheduler.PoolName][]packer.Group{}
 		for _, candidate := range waiting {
-			workers := pools[candidate.step.Job().Queue().Pool]
-			group := reign.group(candidate)
-			for _, choice := range packer.Pack(workers, []packer.Group{group}) {
+			pool := candidate.step.Job().Queue().Pool
+			groups[pool] = append(groups[pool], reign.group(candidate))
+		}
+		for pool, workers := range pools {
+			for _, choice := range packer.Pack(workers, groups[pool]) {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Life: reign.lives[choice.Worker].life,
 				})
@@ -156,7 +162,7 @@
 		free := life.beat.Capacity.Minus(state.Reserved(name))
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: life.slack(), Excess: reign.excess(life), Images: life.images(),
+			Free: free, Slack: life.slack(), Forecast: reign.forecast(life), Images: life.images(),
 		})
 	}
 	return pools
@@ -194,26 +200,19 @@
 	return images
 }
 
-// excess returns the function that estimates the excess of the serving tasks on a worker beside further fill
-// tasks, nil without serving tasks. Fill tasks that are there count with their full
-// request, so that several ones that start together are not all placed on a worker that was idle.
-func (reign *reign) excess(life *worker) func(image string, milliCores int64) float64 {
+// forecast returns the forecast for a worker, nil without serving tasks. Fill tasks that are there count with
+// their full request, so that several ones that start together are not all placed on a worker that was idle.
+func (reign *reign) forecast(life *worker) packer.Forecast {
 	usage := map[string]float64{}
-	serving := false
 	for _, attempt := range life.attempts {
-		serving = serving || attempt.spec.LatencyTarget > 0
 		if attempt.spec.Fill {
 			usage[attempt.spec.Image] += life.part(float64(attempt.spec.Request.MilliCores))
 		}
 	}
-	if !serving {
-		return nil
-	}
-	return func(image string, milliCores int64) float64 {
-		further := maps.Clone(usage)
-		further[image] += life.part(float64(milliCores))
-		return life.pace.Expect(further, reign.effects)
+	if forecast := life.pace.Forecast(usage, reign.effects); forecast != nil {
+		return forecast
 	}
+	return nil
 }
 
 // waitingStep is a step with tasks that wait for an attempt.
--- a/internal/jobs/pacer/pace.go
+++ b/internal/jobs/pacer/pace.go
@@ -165,20 +165,59 @@
 	return percent / shareStep * shareStep
 }
 
-// Expect returns by how much the utilisation of a serving task on the worker is expected to exceed what a
-// further fill task may bring it to, beside fill tasks that use parts of the worker by image. It is negative
-// while there is room.
-func (pace *Pace) Expect(usage map[string]float64, effects *Effects) float64 {
-	highest := -1.0
+// Forecast tells what further fill tasks would do to the serving tasks of a worker. It is made for one
+// decision and is not safe for concurrent use.
+type Forecast struct {
+	effects *Effects
+	stopped bool
+	serving []expectation
+}
+
+// expectation is by how much a serving task is expected to exceed what fill tasks may bring it to.
+type expectation struct {
+	image  string
+	excess float64
+}
+
+// Forecast returns the forecast for a worker on which fill tasks use parts of it by image, nil without serving
+// tasks.
+func (pace *Pace) Forecast(usage map[string]float64, effects *Effects) *Forecast {
+	if len(pace.tasks) == 0 {
+		return nil
+	}
+	forecast := &Forecast{effects: effects, stopped: pace.stopped}
+	// Of the serving tasks of an image, the one with the highest load decides.
+	highest := map[string]float64{}
 	for _, serving := range pace.tasks {
-		expected := serving.load - effects.at(serving.image, placeRatio)
+		highest[serving.image] = max(highest[serving.image], serving.load)
+	}
+	for image, load := range highest {
+		expected := expectation{image: image, excess: load - effects.at(image, placeRatio)}
 		for fill, used := range usage {
-			expected += effects.hoped(serving.image, fill) * used
+			expected.excess += effects.hoped(image, fill) * used
 		}
-		highest = max(highest, expected)
+		forecast.serving = append(forecast.serving, expected)
 	}
-	if pace.stopped {
+	return forecast
+}
+
+// Excess returns by how much the utilisation of a serving task is expected to exceed what a further fill task
+// may bring it to, if that task uses a part of the worker. It is negative while there is room.
+func (forecast *Forecast) Excess(image string, part float64) float64 {
+	highest := -1.0
+	for _, serving := range forecast.serving {
+		highest = max(highest, serving.excess+forecast.effects.hoped(serving.image, image)*part)
+	}
+	if forecast.stopped {
 		highest = max(highest, 1)
 	}
 	return highest
 }
+
+// Add counts a fill task as placed. A negative part takes it back.
+func (forecast *Forecast) Add(image string, part float64) {
+	for position := range forecast.serving {
+		serving := &forecast.serving[position]
+		serving.excess += forecast.effects.hoped(serving.image, image) * part
+	}
+}
--- a/internal/jobs/pacer/pace_test.go
+++ b/internal/jobs/pacer/pace_test.go
@@ -136,7 +136,7 @@
 
 // Guards against a fill task that is placed where serving tasks have no room, and against one that is refused
 // where there is.
-func TestExpect(t *testing.T) {
+func TestForecast(t *testing.T) {
 	tests := map[string]struct {
 		load     float64
 		stopped  bool
@@ -155,7 +155,14 @@
 			effects.pairs[pair{serving: "chart", fill: "light"}] = &effect{mean: 0.1}
 			effects.pairs[pair{serving: "chart", fill: "heavy"}] = &effect{mean: 3}
 			pace := Pace{stopped: test.stopped, tasks: map[scheduler.RunID]servingTask{{}: {image: "chart", load: test.load}}}
-			if got := pace.Expect(test.usage, effects) <= 0; got != test.wantRoom {
+			forecast := pace.Forecast(nil, effects)
+			for image, part := range test.usage {
+				if got := forecast.Excess(image, part) <= 0; got != test.wantRoom {
+					t.Errorf("got room %v before it is placed, want %v", got, test.wantRoom)
+				}
+				forecast.Add(image, part)
+			}
+			if got := forecast.Excess("none", 0) <= 0; got != test.wantRoom {
 				t.Errorf("got room %v, want %v", got, test.wantRoom)
 			}
 		})
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -19,18 +19,23 @@
 	// Slack is an estimate of the processor time, in thousandths of a core, that the tasks on the worker
 	// leave unused; fill tasks share it.
 	Slack int64
-	// Excess estimates by how much the utilisation of a serving task on the worker exceeds what it may be,
-	// beside further fill tasks of an image that use so many thousandths of a core. It is negative while
-	// there is room, and nil without serving tasks.
-	Excess func(image string, milliCores int64) float64
+	// Forecast tells what fill tasks do to the serving tasks on the worker, nil without serving tasks.
+	Forecast Forecast
 	// Images counts the serving tasks on the worker by image.
 	Images map[string]int
-	// placed is the processor time of the fill tasks that this decision has put on the worker.
-	placed int64
 	// Penalty makes a worker less attractive, for example after failures. 0 is usual.
 	Penalty float64
 }
 
+// Forecast tells what fill tasks do to the serving tasks on a worker. Parts are of the worker's processors.
+type Forecast interface {
+	// Excess returns by how much the utilisation of a serving task exceeds what it may be, beside a further
+	// fill task of an image. It is negative while there is room.
+	Excess(image string, part float64) float64
+	// Add counts a fill task as placed. A negative part takes it back.
+	Add(image string, part float64)
+}
+
 func (worker *Worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(worker.Labels, label)
 }
@@ -57,12 +62,54 @@
 // of a gang are placed together or not at all. It changes the workers passed in.
 func Pack(workers []*Worker, groups []Group) []Choice {
 	var choices []Choice
+	var refused refusals
 	for _, group := range groups {
-		choices = append(choices, packGroup(workers, group)...)
+		if refused.cover(&group) {
+			continue
+		}
+		chosen := packGroup(workers, group)
+		if len(chosen) < len(group.Tasks) {
+			refused.note(&group)
+		}
+		choices = append(choices, chosen...)
 	}
 	return choices
 }
 
+// refusals remembers what found no worker in a decision. Room only becomes less in its course, so a task that
+// asks for at least as much need not be tried: a queue of a thousand tasks that wait costs no more than one.
+type refusals struct {
+	steps []*scheduler.Step
+}
+
+// maxRefusals bounds what is remembered, and so what a look-up costs.
+const maxRefusals = 32
+
+// isPlain reports whether only the request decides where a task of the group fits.
+func (group *Group) isPlain() bool {
+	step := group.Step
+	return !step.Gang && step.RequiredLabel == "" && step.MaxPerWorker == 0 && group.Approved == nil && len(group.Avoid) == 0
+}
+
+func (refusals *refusals) note(group *Group) {
+	if group.isPlain() && len(refusals.steps) < maxRefusals {
+		refusals.steps = append(refusals.steps, group.Step)
+	}
+}
+
+// cover reports whether no task of the group can fit. Constraints of the group only make it harder.
+func (refusals *refusals) cover(group *Group) bool {
+	for _, refused := range refusals.steps {
+		if refused.Fill != group.Step.Fill || refused.Fill && refused.Image != group.Step.Image {
+			continue
+		}
+		if refused.Request.Fits(group.Step.Request) {
+			return true
+		}
+	}
+	return false
+}
+
 func packGroup(workers []*Worker, group Group) []Choice {
 	chosen := make([]*Worker, 0, len(group.Tasks))
 	counts := map[scheduler.WorkerName]int{}
@@ -93,8 +140,8 @@
 func take(worker *Worker, step *scheduler.Step) {
 	worker.Free = worker.Free.Minus(step.Reserved())
 	worker.Slack -= step.Request.MilliCores
-	if step.Fill {
-		worker.placed += step.Request.MilliCores
+	if step.Fill && worker.Forecast != nil {
+		worker.Forecast.Add(step.Image, worker.part(step))
 	}
 	if step.LatencyTarget > 0 {
 		worker.addImage(step.Image, 1)
@@ -104,8 +151,8 @@
 func giveBack(worker *Worker, step *scheduler.Step) {
 	worker.Free = worker.Free.Plus(step.Reserved())
 	worker.Slack += step.Request.MilliCores
-	if step.Fill {
-		worker.placed -= step.Request.MilliCores
+	if step.Fill && worker.Forecast != nil {
+		worker.Forecast.Add(step.Image, -worker.part(step))
 	}
 	if step.LatencyTarget > 0 {
 		worker.addImage(step.Image, -1)
@@ -209,18 +256,23 @@
 
 // excess returns the excess of the worker's serving tasks beside a further fill task.
 func (worker *Worker) excess(step *scheduler.Step) float64 {
-	if worker.Excess == nil {
+	if worker.Forecast == nil {
 		return -1
 	}
-	return worker.Excess(step.Image, worker.placed+step.Request.MilliCores)
+	return worker.Forecast.Excess(step.Image, worker.part(step))
 }
 
-// marginal returns what a further fill task adds to the utilisation of the worker's serving tasks.
+// marginal returns what a further fill task adds to the excess.
 func (worker *Worker) marginal(step *scheduler.Step) float64 {
-	if worker.Excess == nil {
+	if worker.Forecast == nil {
 		return 0
 	}
-	return worker.excess(step) - worker.Excess(step.Image, worker.placed)
+	return worker.excess(step) - worker.Forecast.Excess(step.Image, 0)
+}
+
+// part returns the processor time that a task asks for as a part of the worker's.
+func (worker *Worker) part(step *scheduler.Step) float64 {
+	return share(step.Request.MilliCores, worker.Capacity.MilliCores)
 }
 
 func share(amount, of int64) float64 {
--- a/internal/jobs/packer/packer_test.go
+++ b/internal/jobs/packer/packer_test.go
@@ -82,11 +82,55 @@
 // harmed gives each worker an expected excess.
 func harmed(workers []*Worker, excess ...float64) []*Worker {
 	for position, expected := range excess {
-		workers[position].Excess = func(string, int64) float64 { return expected }
+		workers[position].Forecast = &fakeForecast{excess: expected}
 	}
 	return workers
 }
 
+// fakeForecast expects the same excess of every task and counts how often it is asked.
+type fakeForecast struct {
+	excess float64
+	asked  int
+}
+
+func (forecast *fakeForecast) Excess(string, float64) float64 {
+	forecast.asked++
+	return forecast.excess
+}
+
+func (forecast *fakeForecast) Add(string, float64) {}
+
+// Guards against a decision whose cost grows with the queue: with a thousand fill tasks that waited, the leader
+// spent its processor on decisions and placed next to nothing (hunt-2c06-31 of cmgsu-plank).
+func TestLongQueueCostsNoMore(t *testing.T) {
+	list := harmed(workers(8, 8), 0.1, 0.1)
+	var groups []Group
+	for range 1000 {
+		groups = append(groups, group(scheduler.Step{Count: 5, Request: cores(1), Fill: true, Image: "x"}))
+	}
+	larger := group(scheduler.Step{Count: 1, Request: cores(2), Fill: true, Image: "x"})
+	if got := len(Pack(list, append(groups, larger))); got != 0 {
+		t.Errorf("got %d choices, want none", got)
+	}
+	if got, want := list[0].Forecast.(*fakeForecast).asked, 1; got != want {
+		t.Errorf("got %d questions about a worker, want %d", got, want)
+	}
+}
+
+// Guards against a refusal that is taken for one of another kind.
+func TestRefusalsCoverOnlyTheLikes(t *testing.T) {
+	list := workers(2, 2)
+	groups := []Group{
+		group(scheduler.Step{Count: 1, Request: cores(3)}),
+		group(scheduler.Step{Count: 1, Request: cores(2)}),
+		group(scheduler.Step{Count: 1, Request: cores(3), Fill: true}),
+		group(scheduler.Step{Count: 1, Request: cores(1)}),
+	}
+	if got, want := len(Pack(list, groups)), 2; got != want {
+		t.Errorf("got %d choices, want %d", got, want)
+	}
+}
+
 // Guards against choices that together exceed a worker, or that leave room behind after a gang was given up.
 func TestChoicesCountAsReserved(t *testing.T) {
 	list := workers(4)
