overseer, packer: a job of which nothing runs gets a task while half of the pool is free

Change: one task of such a job goes where it harms least, begins at a fifth of its speed and is not moved. Tests: TestStarvedJobGetsOneTask.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -73,6 +73,15 @@
 	admitter.load, admitter.seen = load, now
 }
 
+// Reserved returns the reserved part of the pool, 1 before it was observed or without workers. What waits
+// counts as reserved.
+func (admitter *Admitter) Reserved() float64 {
+	if !admitter.warmed || admitter.load.Capacity <= 0 {
+		return 1
+	}
+	return float64(admitter.load.LongRunning+admitter.load.Short) / float64(admitter.load.Capacity)
+}
+
 // Admit decides about a job. Short jobs and those without a reservation are always admitted: they wait in
 // their queue and end by themselves.
 func (admitter *Admitter) Admit(workflow *scheduler.Workflow) Decision {
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -41,6 +41,9 @@
 // State returns the state as callers see it.
 func (job *Job) State() scheduler.WorkflowState { return job.state }
 
+// Running returns how many attempts of the job have not ended.
+func (job *Job) Running() int { return job.runs }
+
 // NextDue returns when the next occurrence is due. ok is false when none is left or the job has ended.
 func (job *Job) NextDue() (occurrence int, due time.Time, ok bool) {
 	repeat := job.workflow.Repeat
--- a/internal/jobs/overseer/control.go
+++ b/internal/jobs/overseer/control.go
@@ -27,7 +27,7 @@
 			attempt.heldSince = 0
 		case attempt.heldSince == 0:
 			attempt.heldSince = now
-		case now-attempt.heldSince > heldUntilMoved && attempt.spec.Checkpointing:
+		case now-attempt.heldSince > heldUntilMoved && attempt.spec.Checkpointing && !attempt.starved:
 			reign.stopAttempt(life, id, "held back for the latency of a serving task")
 		}
 		reign.throttle(life, id, attempt)
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -111,6 +111,7 @@
 		if attempt.state == attemptStarting {
 			attempt.state = attemptRunning
 		}
+		reign.throttle(life, id, attempt)
 		reign.overseer.metrics.started.Inc(1)
 		reign.watchWorker(life)
 		return true
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -123,6 +123,7 @@
 func (reign *reign) choose() []jobkeeper.Placement {
 	reign.mutex.Lock()
 	defer reign.mutex.Unlock()
+	clear(reign.starved)
 	var placements []jobkeeper.Placement
 	reign.overseer.keeper.View(func(state *jobkeeper.State) {
 		reign.overseer.metrics.ready.Update(float64(state.ReadyCount()))
@@ -136,7 +137,12 @@
 		groups := map[scheduler.PoolName][]packer.Group{}
 		for _, candidate := range waiting {
 			pool := candidate.step.Job().Queue().Pool
-			groups[pool] = append(groups[pool], reign.group(candidate))
+			group := reign.group(candidate)
+			group.Starved = reign.isStarved(candidate, pool)
+			groups[pool] = append(groups[pool], group)
+			if group.Starved {
+				reign.noteStarved(group.Tasks)
+			}
 		}
 		for pool, workers := range pools {
 			for _, choice := range packer.Pack(workers, groups[pool]) {
@@ -149,6 +155,32 @@
 	return placements
 }
 
+const (
+	// starvedAfter is for how long a job may wait with nothing running while its pool is far from full.
+	starvedAfter = 1500 * time.Millisecond
+	// starvedLoad is the reserved part of a pool from which on waiting is in order.
+	starvedLoad = 0.6
+	// starvedShare is the share in percent at which a task works that was placed where it may harm, until its
+	// effect is known.
+	starvedShare = 20
+)
+
+// isStarved reports whether nothing of a job runs although it waits and its pool is far from full.
+func (reign *reign) isStarved(waiting *waitingStep, pool scheduler.PoolName) bool {
+	step, watched := waiting.step, reign.admitters[pool]
+	if !step.Spec().Fill || step.Job().Running() > 0 || watched == nil || watched.Reserved() >= starvedLoad {
+		return false
+	}
+	key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
+	return reign.now()-reign.journal.waiting[key].since > starvedAfter
+}
+
+func (reign *reign) noteStarved(tasks []scheduler.StepTaskID) {
+	for _, task := range tasks {
+		reign.starved[task] = true
+	}
+}
+
 // freeWorkers returns the workers that take new work, by pool.
 func (reign *reign) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
 	now := reign.now()
@@ -322,5 +354,9 @@
 	life.attempts[id] = &attempt{
 		state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare, approval: reign.proofFor(id.Task, life),
 	}
+	if reign.starved[id.Task] {
+		delete(reign.starved, id.Task)
+		life.attempts[id].starved, life.attempts[id].wantedShare = true, starvedShare
+	}
 	reign.workers.Go(func() { reign.start(life, id) })
 }
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/reign.go
@@ -37,7 +37,9 @@
 	approvals map[stepKey]*approvals
 	questions chan question
 	journal   journal
-	failures  failures
+	// starved holds the tasks that were placed where they may harm, because nothing of their job ran.
+	starved  map[scheduler.StepTaskID]bool
+	failures failures
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
@@ -54,7 +56,7 @@
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
-		journal: newJournal(), failures: newFailures(),
+		starved: map[scheduler.StepTaskID]bool{}, journal: newJournal(), failures: newFailures(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	reign.adoptAll()
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -58,6 +58,8 @@
 	exposed bool
 	// unanswered is true when a start got no answer, so that it may still take effect later.
 	unanswered bool
+	// starved is true for a fill task that was placed because nothing of its job ran. It is not moved.
+	starved bool
 	// seen is true once this life of the worker has listed the attempt.
 	seen bool
 	// ending is true while the end of the attempt is being recorded.
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -50,6 +50,9 @@
 	Approved map[scheduler.WorkerName]bool
 	// Avoid holds workers that should not be chosen again soon.
 	Avoid map[scheduler.WorkerName]bool
+	// Starved is true for fill work of a job of which nothing runs although the pool is far from full. One
+	// task may then go where it harms, to work at a small share.
+	Starved bool
 }
 
 // Choice puts a task on a worker.
@@ -64,7 +67,7 @@
 	var choices []Choice
 	var refused refusals
 	for _, group := range groups {
-		if refused.cover(&group) {
+		if !group.Starved && refused.cover(&group) {
 			continue
 		}
 		chosen := packGroup(workers, group)
@@ -116,6 +119,9 @@
 	racks := map[string]bool{}
 	for range group.Tasks {
 		worker := best(workers, group, counts, racks)
+		if worker == nil && group.Starved && len(chosen) == 0 {
+			worker = bestForStarved(workers, group)
+		}
 		if worker == nil {
 			break
 		}
@@ -193,7 +199,32 @@
 	return found
 }
 
+// bestForStarved returns the worker on which a fill task does least harm.
+func bestForStarved(workers []*Worker, group Group) *Worker {
+	var found *Worker
+	var lowest float64
+	for _, worker := range workers {
+		if !group.fits(worker, 0) {
+			continue
+		}
+		if excess := worker.excess(group.Step); found == nil || excess < lowest {
+			found, lowest = worker, excess
+		}
+	}
+	return found
+}
+
+// allows reports whether a further task of the group may go to a worker.
 func (group *Group) allows(worker *Worker, chosen int) bool {
+	step := group.Step
+	if step.Fill && (worker.Slack < step.Request.MilliCores/minFillPart || worker.excess(step) > 0) {
+		return false
+	}
+	return group.fits(worker, chosen)
+}
+
+// fits reports whether a further task of the group can go to a worker.
+func (group *Group) fits(worker *Worker, chosen int) bool {
 	step := group.Step
 	switch {
 	case !step.Reserved().Fits(worker.Free) || !worker.hasLabel(step.RequiredLabel):
@@ -202,8 +233,6 @@
 		return false
 	case group.Approved != nil && !group.Approved[worker.Name]:
 		return false
-	case step.Fill && (worker.Slack < step.Request.MilliCores/minFillPart || worker.excess(step) > 0):
-		return false
 	}
 	return !group.Avoid[worker.Name]
 }
--- a/internal/jobs/packer/packer_test.go
+++ b/internal/jobs/packer/packer_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// Guards against a job of which nothing runs while half of the pool is free, and against more than one task of it
+// where it harms.
+func TestStarvedJobGetsOneTask(t *testing.T) {
+	starved := group(scheduler.Step{Count: 3, Request: cores(1), Fill: true})
+	starved.Starved = true
+	got := Pack(harmed(workers(8, 8), 0.5, 0.2), []Group{group(scheduler.Step{Count: 1, Request: cores(1), Fill: true}), starved})
+	if len(got) != 1 || got[0].Worker != "w1" {
+		t.Errorf("got %v, want one task on w1", got)
+	}
+}
+
 // Guards against a refusal that is taken for one of another kind.
 func TestRefusalsCoverOnlyTheLikes(t *testing.T) {
 	list := workers(2, 2)
