overseer: one place for the answer to an order

Cause: the answers to starts and stops were taken note of in two places with the same lines. Change: noteAnswer. A stop that is asked for again counts from its last answer, as before.

--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -92,19 +92,29 @@
 	}
 }
 
-// takeStartAnswer notes the answer to a start. It returns false when the order must be sent again. An
-// attempt that was refused and of which an earlier order may still arrive is stopped first.
-func (reign *reign) takeStartAnswer(life *worker, id scheduler.RunID, answer scheduler.OrderAnswer) bool {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+// noteAnswer notes that a worker has answered an order about an attempt. It returns nil when the attempt is no
+// longer of interest. The mutex is held.
+func (reign *reign) noteAnswer(life *worker, id scheduler.RunID, answer scheduler.OrderAnswer) *attempt {
 	attempt := life.attempts[id]
 	if attempt == nil || life.over {
-		return true
+		return nil
 	}
 	now := reign.now()
 	life.noteAnswered(now)
 	life.noteClock(answer.Clock, now)
 	attempt.settled = now
+	return attempt
+}
+
+// takeStartAnswer notes the answer to a start. It returns false when the order must be sent again. An
+// attempt that was refused and of which an earlier order may still arrive is stopped first.
+func (reign *reign) takeStartAnswer(life *worker, id scheduler.RunID, answer scheduler.OrderAnswer) bool {
+	reign.mutex.Lock()
+	defer reign.mutex.Unlock()
+	attempt := reign.noteAnswer(life, id, answer)
+	if attempt == nil {
+		return true
+	}
 	switch answer.Verdict {
 	case scheduler.OrderAccepted:
 		attempt.exposed = false
@@ -210,17 +220,14 @@
 func (reign *reign) takeStopAnswer(life *worker, id scheduler.RunID, answer scheduler.OrderAnswer) bool {
 	reign.mutex.Lock()
 	defer reign.mutex.Unlock()
-	attempt := life.attempts[id]
-	if attempt == nil || life.over {
+	attempt := reign.noteAnswer(life, id, answer)
+	if attempt == nil {
 		return true
 	}
-	now := reign.now()
-	life.noteAnswered(now)
-	life.noteClock(answer.Clock, now)
 	switch answer.Verdict {
 	case scheduler.OrderAccepted, scheduler.OrderOutdated:
 		attempt.state, attempt.exposed, attempt.unanswered = attemptStopped, false, false
-		attempt.settled = now + reign.overseer.stopTime
+		attempt.settled += reign.overseer.stopTime
 		reign.watchWorker(life)
 		return true
 	case scheduler.OrderFenced:
