--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -12,26 +12,26 @@
 const observeInterval = 200 * time.Millisecond
 
 // observeLoad tells the admitters the load of their pools.
-func (reign *reign) observeLoad() {
-	now := reign.now()
-	if now < reign.observed+observeInterval {
+func (leadership *leadership) observeLoad() {
+	now := leadership.now()
+	if now < leadership.observed+observeInterval {
 		return
 	}
-	reign.observed = now
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	for pool, load := range reign.poolLoads() {
-		watched := reign.admitters[pool]
+	leadership.observed = now
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	for pool, load := range leadership.poolLoads() {
+		watched := leadership.admitters[pool]
 		if watched == nil {
 			watched = &admitter.Admitter{}
-			reign.admitters[pool] = watched
+			leadership.admitters[pool] = watched
 		}
 		watched.Observe(now, *load)
 	}
 }
 
 // poolLoads returns the load of each pool. The mutex is held.
-func (reign *reign) poolLoads() map[scheduler.PoolName]*admitter.Load {
+func (leadership *leadership) poolLoads() map[scheduler.PoolName]*admitter.Load {
 	loads := map[scheduler.PoolName]*admitter.Load{}
 	of := func(pool scheduler.PoolName) *admitter.Load {
 		if loads[pool] == nil {
@@ -39,7 +39,7 @@
 		}
 		return loads[pool]
 	}
-	for _, life := range reign.lives {
+	for _, life := range leadership.lives {
 		if !life.known || life.beat.Phase != scheduler.WorkerReady {
 			continue
 		}
@@ -49,7 +49,7 @@
 			addTask(load, &attempt.spec)
 		}
 	}
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		state.Ready(func(task *jobkeeper.Task) {
 			addTask(of(task.Step().Job().Queue().Pool), task.Step().Spec())
 		})
@@ -68,13 +68,13 @@
 // Admit decides whether the domain takes on a job for a pool. The decision is only made by the VM that leads;
 // elsewhere the job is refused by the proposal.
 func (overseer *Overseer) Admit(pool scheduler.PoolName, workflow *scheduler.Workflow) admitter.Decision {
-	reign := overseer.current.Load()
-	if reign == nil {
+	leadership := overseer.current.Load()
+	if leadership == nil {
 		return (&admitter.Admitter{}).Admit(workflow)
 	}
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	watched := reign.admitters[pool]
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	watched := leadership.admitters[pool]
 	if watched == nil {
 		return (&admitter.Admitter{}).Admit(workflow)
 	}
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -62,20 +62,20 @@
 
 // approved returns the workers that may run a step now, nil if the queue needs no approval. If they are too
 // few, further ones are asked for. The mutex is held.
-func (reign *reign) approved(step *jobkeeper.StepState, waiting int) map[scheduler.WorkerName]bool {
+func (leadership *leadership) approved(step *jobkeeper.StepState, waiting int) map[scheduler.WorkerName]bool {
 	if step.Job().Queue().Approval == nil {
 		return nil
 	}
 	key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
-	known := reign.approvals[key]
+	known := leadership.approvals[key]
 	if known == nil {
 		known = &approvals{proofs: map[lifeKey]proof{}, asked: map[lifeKey]bool{}}
-		reign.approvals[key] = known
+		leadership.approvals[key] = known
 	}
 	workers := map[scheduler.WorkerName]bool{}
-	now := reign.now()
+	now := leadership.now()
 	for life, proof := range known.proofs {
-		current := reign.lives[life.worker]
+		current := leadership.lives[life.worker]
 		switch {
 		case proof.until < now+approvalReserve:
 			delete(known.proofs, life)
@@ -85,17 +85,17 @@
 		}
 	}
 	if !known.waiting && len(workers) < waiting {
-		reign.askFor(key, known, step, waiting-len(workers)+approvalSpare)
+		leadership.askFor(key, known, step, waiting-len(workers)+approvalSpare)
 	}
 	return workers
 }
 
 // askFor queues a question about the workers with most free room that were not asked about. The mutex is
 // held.
-func (reign *reign) askFor(key stepKey, known *approvals, step *jobkeeper.StepState, count int) {
+func (leadership *leadership) askFor(key stepKey, known *approvals, step *jobkeeper.StepState, count int) {
 	var lives []*worker
-	silence, now := reign.silence(), reign.now()
-	for _, life := range reign.lives {
+	silence, now := leadership.silence(), leadership.now()
+	for _, life := range leadership.lives {
 		if life.beat.Pool == step.Job().Queue().Pool && life.mayTakeWork(now, silence) && !known.asked[life.key()] {
 			lives = append(lives, life)
 		}
@@ -110,7 +110,7 @@
 		question.candidates = append(question.candidates, life.key())
 	}
 	select {
-	case reign.questions <- question:
+	case leadership.questions <- question:
 		known.waiting = true
 	default: // The queue is full; the next decision asks again.
 	}
@@ -119,34 +119,34 @@
 func (worker *worker) key() lifeKey { return lifeKey{worker: worker.name, life: worker.life} }
 
 // askApprover asks one question after the other: the service takes one at a time from a VM.
-func (reign *reign) askApprover() {
+func (leadership *leadership) askApprover() {
 	for {
 		select {
-		case <-reign.context.Done():
+		case <-leadership.context.Done():
 			return
-		case question := <-reign.questions:
-			reign.ask(question)
+		case question := <-leadership.questions:
+			leadership.ask(question)
 		}
 	}
 }
 
-func (reign *reign) ask(question question) {
+func (leadership *leadership) ask(question question) {
 	var names []scheduler.WorkerName
 	for _, candidate := range question.candidates {
 		names = append(names, candidate.worker)
 	}
-	ctx, cancel := context.WithTimeout(reign.context, approvalTimeout)
+	ctx, cancel := context.WithTimeout(leadership.context, approvalTimeout)
 	defer cancel()
-	sent := reign.now()
-	approved, valid, err := reign.overseer.approver.Approve(ctx, question.key.job, question.key.occurrence, question.key.step, names)
+	sent := leadership.now()
+	approved, valid, err := leadership.overseer.approver.Approve(ctx, question.key.job, question.key.occurrence, question.key.step, names)
 	if err != nil {
-		reign.logger.Warn().Str("event", "approvalMissing").Str("job", string(question.key.job)).Int("step", question.key.step).
+		leadership.logger.Warn().Str("event", "approvalMissing").Str("job", string(question.key.job)).Int("step", question.key.step).
 			Int("candidates", len(names)).Err(err).Msg("the approval service has not answered")
-		reign.pause(approvalRetry)
+		leadership.pause(approvalRetry)
 	}
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	known := reign.approvals[question.key]
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	known := leadership.approvals[question.key]
 	if known == nil {
 		return
 	}
@@ -154,7 +154,7 @@
 	if err == nil {
 		known.take(question, approved, sent+valid)
 	}
-	reign.replan()
+	leadership.replan()
 }
 
 // take notes the answer to a question.
@@ -172,26 +172,26 @@
 }
 
 // proofFor returns the proof for a start on a life. The mutex is held.
-func (reign *reign) proofFor(id scheduler.StepTaskID, life *worker) string {
-	if known := reign.approvals[keyOf(id)]; known != nil {
+func (leadership *leadership) proofFor(id scheduler.StepTaskID, life *worker) string {
+	if known := leadership.approvals[keyOf(id)]; known != nil {
 		return known.proofs[life.key()].text
 	}
 	return ""
 }
 
 // dropProof forgets a proof that a worker has refused, so that it is asked for again. The mutex is held.
-func (reign *reign) dropProof(id scheduler.StepTaskID, life *worker) {
-	if known := reign.approvals[keyOf(id)]; known != nil {
+func (leadership *leadership) dropProof(id scheduler.StepTaskID, life *worker) {
+	if known := leadership.approvals[keyOf(id)]; known != nil {
 		delete(known.proofs, life.key())
 		delete(known.asked, life.key())
 	}
 }
 
 // forgetApprovals drops what is known of steps whose jobs have ended. The mutex is held.
-func (reign *reign) forgetApprovals(state *jobkeeper.State) {
-	for key := range reign.approvals {
+func (leadership *leadership) forgetApprovals(state *jobkeeper.State) {
+	for key := range leadership.approvals {
 		if job, found := state.Job(key.job); !found || job.State().Ended() {
-			delete(reign.approvals, key)
+			delete(leadership.approvals, key)
 		}
 	}
 }
--- a/internal/jobs/overseer/control.go
+++ b/internal/jobs/overseer/control.go
@@ -13,13 +13,13 @@
 
 // control reacts to the latencies of the serving tasks on a worker: it slows fill tasks down, lets them go
 // on, and moves those that stand still. The mutex is held.
-func (reign *reign) control(life *worker) {
+func (leadership *leadership) control(life *worker) {
 	sample := life.sample()
 	if len(sample.Serving) == 0 && len(sample.Fill) == 0 {
 		return
 	}
-	now := reign.now()
-	for id, share := range life.pace.Decide(sample, reign.effects) {
+	now := leadership.now()
+	for id, share := range life.pace.Decide(sample, leadership.effects) {
 		attempt := life.attempts[id]
 		attempt.wantedShare = share
 		switch {
@@ -28,9 +28,9 @@
 		case attempt.heldSince == 0:
 			attempt.heldSince = now
 		case now-attempt.heldSince > heldUntilMoved && attempt.spec.Checkpointing && !attempt.starved:
-			reign.stopAttempt(life, id, "held back for the latency of a serving task")
+			leadership.stopAttempt(life, id, "held back for the latency of a serving task")
 		}
-		reign.throttle(life, id, attempt)
+		leadership.throttle(life, id, attempt)
 	}
 }
 
@@ -64,47 +64,47 @@
 }
 
 // throttle sends the wanted share of an attempt unless an order about it is under way. The mutex is held.
-func (reign *reign) throttle(life *worker, id scheduler.RunID, attempt *attempt) {
+func (leadership *leadership) throttle(life *worker, id scheduler.RunID, attempt *attempt) {
 	if attempt.throttling || attempt.wantedShare == attempt.share || attempt.state != attemptRunning {
 		return
 	}
 	attempt.throttling = true
-	reign.overseer.metrics.throttled.Inc(1)
-	reign.workers.Go(func() { reign.sendShare(life, id, attempt) })
+	leadership.overseer.metrics.throttled.Inc(1)
+	leadership.workers.Go(func() { leadership.sendShare(life, id, attempt) })
 }
 
 // sendShare sends the wanted share until the worker has taken the newest one.
-func (reign *reign) sendShare(life *worker, id scheduler.RunID, attempt *attempt) {
-	for failures := 0; reign.mayAct(); {
-		share, wanted := reign.nextShare(life, id, attempt)
+func (leadership *leadership) sendShare(life *worker, id scheduler.RunID, attempt *attempt) {
+	for failures := 0; leadership.mayAct(); {
+		share, wanted := leadership.nextShare(life, id, attempt)
 		if !wanted {
 			return
 		}
-		ctx, cancel := context.WithTimeout(reign.context, orderTimeout)
-		answer, err := reign.overseer.client.Throttle(ctx, reign.ref(life), id, share, reign.term)
+		ctx, cancel := context.WithTimeout(leadership.context, orderTimeout)
+		answer, err := leadership.overseer.client.Throttle(ctx, leadership.ref(life), id, share, leadership.term)
 		cancel()
 		if err != nil {
 			failures++
-			reign.pause(retryPause(failures))
+			leadership.pause(retryPause(failures))
 			continue
 		}
 		if answer.Verdict == scheduler.OrderAccepted {
-			reign.mutex.Lock()
+			leadership.mutex.Lock()
 			attempt.share = share
-			reign.mutex.Unlock()
+			leadership.mutex.Unlock()
 			continue
 		}
 		break
 	}
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	attempt.throttling = false
 }
 
 // nextShare returns the share to be sent, or ends the sending.
-func (reign *reign) nextShare(life *worker, id scheduler.RunID, attempt *attempt) (share int, wanted bool) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) nextShare(life *worker, id scheduler.RunID, attempt *attempt) (share int, wanted bool) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	if life.over || life.attempts[id] != attempt || attempt.state != attemptRunning || attempt.share == attempt.wantedShare {
 		attempt.throttling = false
 		return 0, false
--- a/internal/jobs/overseer/failures.go
+++ b/internal/jobs/overseer/failures.go
@@ -14,7 +14,7 @@
 
 // failures tells workers that fail everything they start from jobs that fail everywhere, and remembers where
 // tasks have failed. A worker that fails at once is always free, and would otherwise take in all that waits.
-// The reign's mutex guards it.
+// The leadership's mutex guards it.
 type failures struct {
 	quarantiner *quarantiner.Quarantiner
 	// failedOn holds the worker on which a task has failed last.
--- a/internal/jobs/overseer/journal.go
+++ b/internal/jobs/overseer/journal.go
@@ -9,7 +9,7 @@
 )
 
 // journal remembers what the log lines about jobs need: since when steps have waited and which jobs have been
-// reported as ended. The reign's mutex guards it.
+// reported as ended. The leadership's mutex guards it.
 type journal struct {
 	waiting  map[stepKey]wait
 	reported map[scheduler.JobID]bool
@@ -39,35 +39,35 @@
 }
 
 // logPlaced writes one line for each step of which tasks were placed. The mutex is held.
-func (reign *reign) logPlaced(placements []jobkeeper.Placement, attempts []scheduler.AttemptNumber) {
+func (leadership *leadership) logPlaced(placements []jobkeeper.Placement, attempts []scheduler.AttemptNumber) {
 	counts := map[stepKey]int{}
 	for position, placement := range placements {
 		if position < len(attempts) && attempts[position] > 0 {
 			counts[keyOf(placement.Task)]++
 		}
 	}
-	now := reign.now()
+	now := leadership.now()
 	for key, count := range counts {
-		wait, known := reign.journal.waiting[key]
+		wait, known := leadership.journal.waiting[key]
 		if !known {
 			wait.since = now
 		}
-		reign.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).Int("occurrence", key.occurrence).Int("step", key.step).
+		leadership.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).Int("occurrence", key.occurrence).Int("step", key.step).
 			Int("tasks", count).Dur("waited", now-wait.since).Str("prospect", string(wait.prospect)).Msg("tasks placed")
 	}
 }
 
 // logEnded writes one line for each job that has ended with the given ends. The mutex is held.
-func (reign *reign) logEnded(ends []jobkeeper.End) {
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+func (leadership *leadership) logEnded(ends []jobkeeper.End) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		for _, end := range ends {
 			job, found := state.Job(end.Run.Task.Job)
-			if !found || !job.State().Ended() || reign.journal.reported[job.ID()] {
+			if !found || !job.State().Ended() || leadership.journal.reported[job.ID()] {
 				continue
 			}
-			reign.journal.reported[job.ID()] = true
-			reign.failures.forget(job.ID())
-			reign.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).Str("queue", string(job.Queue().Name)).
+			leadership.journal.reported[job.ID()] = true
+			leadership.failures.forget(job.ID())
+			leadership.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).Str("queue", string(job.Queue().Name)).
 				Str("state", string(job.State())).Dur("took", time.Since(job.Accepted())).Msg("job ended")
 		}
 	})
--- a/internal/jobs/overseer/reign.go
+++ b/internal/jobs/overseer/leadership.go
@@ -14,8 +14,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// reign is what an Overseer knows and does during one term.
-type reign struct {
+// leadership is what an Overseer knows and does during one term.
+type leadership struct {
 	overseer *Overseer
 	term     scheduler.Term
 	context  context.Context
@@ -43,130 +43,128 @@
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
-	// began is when the term began on this VM.
-	began time.Duration
 }
 
 // questionQueue bounds the questions that wait for the approval service.
 const questionQueue = 64
 
-func newReign(ctx context.Context, overseer *Overseer, term scheduler.Term) *reign {
-	reign := &reign{
+func newLeadership(ctx context.Context, overseer *Overseer, term scheduler.Term) *leadership {
+	leadership := &leadership{
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
-		lives:  map[scheduler.WorkerName]*worker{}, began: overseer.watch.Elapsed(), effects: pacer.NewEffects(),
+		lives:  map[scheduler.WorkerName]*worker{}, effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
 		starved: map[scheduler.StepTaskID]bool{}, journal: newJournal(), failures: newFailures(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
-	reign.adoptAll()
-	return reign
+	leadership.adoptAll()
+	return leadership
 }
 
-// adoptAll takes over attempts that this reign has not placed: those of earlier leaders, and those of a
+// adoptAll takes over attempts that this leadership has not placed: those of earlier leaders, and those of a
 // proposal whose answer was lost. Their leases may have been renewed until just now, so a worker that is not
 // heard from is waited for during a whole lease.
-func (reign *reign) adoptAll() {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+func (leadership *leadership) adoptAll() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		for _, name := range state.Workers() {
-			state.Runs(name, reign.adopt)
+			state.Runs(name, leadership.adopt)
 		}
 	})
 }
 
 // adopt adds an attempt to the latest known life of its worker, where it may be even if it was meant for an
 // earlier one.
-func (reign *reign) adopt(run *jobkeeper.Run) {
-	life := reign.lives[run.Worker()]
+func (leadership *leadership) adopt(run *jobkeeper.Run) {
+	life := leadership.lives[run.Worker()]
 	switch {
 	case life == nil:
 		life = newWorker(run.Worker(), run.Life())
-		life.leaseUntil = reign.fullLease(reign.now())
-		reign.lives[run.Worker()] = life
-	case life.attempts[run.ID()] != nil || reign.recording[run.ID()]:
+		life.leaseUntil = leadership.fullLease(leadership.now())
+		leadership.lives[run.Worker()] = life
+	case life.attempts[run.ID()] != nil || leadership.recording[run.ID()]:
 		return
 	case life.life < run.Life():
-		life = reign.succeed(life, run.Life())
+		life = leadership.succeed(life, run.Life())
 	}
 	life.attempts[run.ID()] = &attempt{state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, wantedShare: fullShare}
 	life.synced = false
-	reign.watchWorker(life)
+	leadership.watchWorker(life)
 }
 
 // lose records the end of an attempt on a life that is over. The mutex is held.
-func (reign *reign) lose(id scheduler.RunID, worker scheduler.WorkerName, life scheduler.Incarnation) {
+func (leadership *leadership) lose(id scheduler.RunID, worker scheduler.WorkerName, life scheduler.Incarnation) {
 	ended := newWorker(worker, life)
-	reign.recording[id] = true
-	reign.workers.Go(func() { reign.record(ended, []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}) })
+	leadership.recording[id] = true
+	leadership.workers.Go(func() { leadership.record(ended, []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}) })
 }
 
 // fullShare is the percentage of an attempt that is not throttled.
 const fullShare = 100
 
 // fullLease returns when a lease that was renewed at a time has ended for sure.
-func (reign *reign) fullLease(from time.Duration) time.Duration {
-	overseer := reign.overseer
+func (leadership *leadership) fullLease(from time.Duration) time.Duration {
+	overseer := leadership.overseer
 	return from + time.Duration(float64(overseer.leaseDuration)/(1-overseer.drift)) + leaseMargin
 }
 
-func (reign *reign) now() time.Duration { return reign.overseer.watch.Elapsed() }
+func (leadership *leadership) now() time.Duration { return leadership.overseer.watch.Elapsed() }
 
 // mayAct reports whether orders may be sent now.
-func (reign *reign) mayAct() bool {
-	return reign.context.Err() == nil && !reign.deposed.Load() && reign.overseer.group.HoldsLeaderLease()
+func (leadership *leadership) mayAct() bool {
+	return leadership.context.Err() == nil && !leadership.deposed.Load() && leadership.overseer.group.HoldsLeaderLease()
 }
 
 // replan asks for a new decision.
-func (reign *reign) replan() {
+func (leadership *leadership) replan() {
 	select {
-	case reign.planning <- struct{}{}:
+	case leadership.planning <- struct{}{}:
 	default:
 	}
 }
 
-func (reign *reign) propose(command jobkeeper.Command) (jobkeeper.Result, error) {
-	ctx, cancel := context.WithTimeout(reign.context, proposeTimeout)
+func (leadership *leadership) propose(command jobkeeper.Command) (jobkeeper.Result, error) {
+	ctx, cancel := context.WithTimeout(leadership.context, proposeTimeout)
 	defer cancel()
-	return reign.overseer.Propose(ctx, command)
+	return leadership.overseer.Propose(ctx, command)
 }
 
 // beat takes what a worker states about itself. A beat of an earlier life, or one that was overtaken by a
 // later one, changes nothing.
-func (reign *reign) beat(beat scheduler.WorkerBeat) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	now := reign.now()
-	life := reign.lives[beat.Worker]
+func (leadership *leadership) beat(beat scheduler.WorkerBeat) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	now := leadership.now()
+	life := leadership.lives[beat.Worker]
 	switch {
 	case life != nil && beat.Life < life.life, life != nil && life.known && beat.Life == life.life && beat.Sequence <= life.beat.Sequence:
 		return
 	case life != nil && life.life < beat.Life:
-		life = reign.succeed(life, beat.Life)
+		life = leadership.succeed(life, beat.Life)
 	}
-	reign.endOthersAt(beat)
+	leadership.endOthersAt(beat)
 	if life == nil {
 		life = newWorker(beat.Worker, beat.Life)
 		life.synced = true // No leader has sent orders to this life: its attempts would be in the log.
-		reign.lives[beat.Worker] = life
+		leadership.lives[beat.Worker] = life
 	}
 	if !life.known || life.beat.Phase != beat.Phase {
-		reign.logger.Info().Str("event", "workerHeard").Str("worker", string(beat.Worker)).Uint64("life", uint64(beat.Life)).
+		leadership.logger.Info().Str("event", "workerHeard").Str("worker", string(beat.Worker)).Uint64("life", uint64(beat.Life)).
 			Str("phase", string(beat.Phase)).Dur("remaining", beat.DrainRemaining).Str("dataCentre", string(beat.DataCentre)).
 			Str("address", beat.Address).Msg("worker state changed")
-		reign.replan()
+		leadership.replan()
 	}
 	life.known, life.beat, life.heard = true, beat, now
-	reign.failures.quarantiner.Add(beat.Worker)
+	leadership.failures.quarantiner.Add(beat.Worker)
 	life.noteClock(beat.Clock, now)
-	reign.watchWorker(life)
+	leadership.watchWorker(life)
 }
 
 // succeed replaces a life of a worker by a later one of the same name. An order that was meant for the
 // earlier life may have reached the later one, so attempts that the earlier life has not listed are looked
 // for there: the next report shows them, or their start is repeated.
-func (reign *reign) succeed(earlier *worker, life scheduler.Incarnation) *worker {
+func (leadership *leadership) succeed(earlier *worker, life scheduler.Incarnation) *worker {
 	later := newWorker(earlier.name, life)
 	for id, unseen := range earlier.attempts {
 		if unseen.seen || unseen.ending {
@@ -178,9 +176,9 @@
 	later.synced = len(later.attempts) == 0
 	// An order to the earlier life that got no answer may still take effect, and its end of the lease lies far
 	// ahead by the clock of the later life.
-	later.leaseUntil = reign.fullLease(reign.now() + lateOrder)
-	reign.endLife(earlier, "a later life of the worker has begun")
-	reign.lives[later.name] = later
+	later.leaseUntil = leadership.fullLease(leadership.now() + lateOrder)
+	leadership.endLife(earlier, "a later life of the worker has begun")
+	leadership.lives[later.name] = later
 	return later
 }
 
@@ -188,37 +186,37 @@
 const lateOrder = 12 * time.Second
 
 // endOthersAt ends the lives of other workers on the same VM or at the same address that began before.
-func (reign *reign) endOthersAt(beat scheduler.WorkerBeat) {
-	for _, other := range reign.lives {
+func (leadership *leadership) endOthersAt(beat scheduler.WorkerBeat) {
+	for _, other := range leadership.lives {
 		if other.name == beat.Worker || !other.known || other.over || other.life >= beat.Life {
 			continue
 		}
 		if other.beat.Address == beat.Address || beat.VM != "" && other.beat.VM == beat.VM {
-			reign.endLife(other, "another worker runs in its place")
+			leadership.endLife(other, "another worker runs in its place")
 		}
 	}
 }
 
 // leave takes the statement of a draining worker that it ends now. One of an earlier life, which arrives
 // late, finds a worker that does not drain.
-func (reign *reign) leave(name scheduler.WorkerName) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	life := reign.lives[name]
+func (leadership *leadership) leave(name scheduler.WorkerName) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	life := leadership.lives[name]
 	if life == nil || life.over || life.beat.Phase != scheduler.WorkerDraining {
 		return
 	}
-	life.restedUntil = reign.now() + time.Hour
-	reign.workers.Go(func() {
+	life.restedUntil = leadership.now() + time.Hour
+	leadership.workers.Go(func() {
 		select {
-		case <-reign.context.Done():
+		case <-leadership.context.Done():
 			return
 		case <-time.After(leaveDelay):
 		}
-		reign.mutex.Lock()
-		defer reign.mutex.Unlock()
+		leadership.mutex.Lock()
+		defer leadership.mutex.Unlock()
 		if !life.over {
-			reign.endLife(life, "the worker has left")
+			leadership.endLife(life, "the worker has left")
 		}
 	})
 }
@@ -228,66 +226,66 @@
 
 // endLife records that a life of a worker is over: nothing that was placed on it runs any more. The mutex
 // is held.
-func (reign *reign) endLife(life *worker, reason string) {
+func (leadership *leadership) endLife(life *worker, reason string) {
 	if life.over {
 		return
 	}
 	life.over = true
 	life.signal()
-	delete(reign.lives, life.name)
-	reign.failures.quarantiner.Remove(life.name)
-	reign.logger.Info().Str("event", "workerLifeOver").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
+	delete(leadership.lives, life.name)
+	leadership.failures.quarantiner.Remove(life.name)
+	leadership.logger.Info().Str("event", "workerLifeOver").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
 		Int("attempts", len(life.attempts)).Str("reason", reason).Msg("attempts on the worker are lost")
 	var ends []jobkeeper.End
 	for id, attempt := range life.attempts {
 		attempt.ending = true
-		reign.recording[id] = true
+		leadership.recording[id] = true
 		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndLost})
 	}
 	if len(ends) > 0 {
-		reign.workers.Go(func() { reign.record(life, ends) })
+		leadership.workers.Go(func() { leadership.record(life, ends) })
 	}
-	reign.replan()
+	leadership.replan()
 }
 
 // record replicates ends until it succeeds or the term ends.
-func (reign *reign) record(life *worker, ends []jobkeeper.End) bool {
-	for failures := 1; reign.context.Err() == nil; failures++ {
-		_, err := reign.propose(jobkeeper.Command{End: ends})
+func (leadership *leadership) record(life *worker, ends []jobkeeper.End) bool {
+	for failures := 1; leadership.context.Err() == nil; failures++ {
+		_, err := leadership.propose(jobkeeper.Command{End: ends})
 		if err == nil {
-			reign.forget(life, ends)
+			leadership.forget(life, ends)
 			return true
 		}
-		reign.logger.Warn().Str("event", "endsNotRecorded").Str("worker", string(life.name)).Int("ends", len(ends)).
+		leadership.logger.Warn().Str("event", "endsNotRecorded").Str("worker", string(life.name)).Int("ends", len(ends)).
 			Err(err).Msg("ends of attempts will be proposed again")
-		reign.pause(retryPause(failures))
+		leadership.pause(retryPause(failures))
 	}
 	return false
 }
 
-func (reign *reign) pause(duration time.Duration) {
+func (leadership *leadership) pause(duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-reign.context.Done():
+	case <-leadership.context.Done():
 	}
 }
 
 // forget removes attempts whose ends are recorded.
-func (reign *reign) forget(life *worker, ends []jobkeeper.End) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) forget(life *worker, ends []jobkeeper.End) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	for _, end := range ends {
 		delete(life.attempts, end.Run)
-		reign.failures.observe(life, end, time.Now())
-		delete(reign.recording, end.Run)
-		reign.overseer.metrics.ended.Inc(1)
+		leadership.failures.observe(life, end, time.Now())
+		delete(leadership.recording, end.Run)
+		leadership.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
-			reign.logger.Info().Str("event", "attemptEnded").Stringer("run", end.Run).Str("worker", string(life.name)).
+			leadership.logger.Info().Str("event", "attemptEnded").Stringer("run", end.Run).Str("worker", string(life.name)).
 				Str("kind", string(end.Kind)).Bool("checkpoint", end.Checkpoint != "").Msg("attempt ended without result")
 		}
 	}
-	reign.logEnded(ends)
-	reign.replan()
+	leadership.logEnded(ends)
+	leadership.replan()
 }
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -25,21 +25,21 @@
 }
 
 // logLoad writes one line about the load, so that a late job can be explained afterwards.
-func (reign *reign) logLoad() {
-	load := reign.summarise()
-	reign.logger.Info().Str("event", "load").Int("workers", load.workers).Int("usable", load.usable).Int("withoutServing", load.withoutServing).
+func (leadership *leadership) logLoad() {
+	load := leadership.summarise()
+	leadership.logger.Info().Str("event", "load").Int("workers", load.workers).Int("usable", load.usable).Int("withoutServing", load.withoutServing).
 		Int64("capacity", load.capacity).Int64("reserved", load.reserved).Int("serving", load.serving).Int("running", load.running).
 		Int("fills", load.fills).Int64("fillUsage", load.fillUsage).Int("held", load.held).Int("readyServing", load.readyServing).
 		Int("readyFill", load.readyFill).Int("ready", load.ready).Int64("readyCores", load.readyCores).Msg("load of the domain")
 }
 
-func (reign *reign) summarise() load {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) summarise() load {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	var load load
-	now := reign.now()
-	silence := reign.silence()
-	for _, life := range reign.lives {
+	now := leadership.now()
+	silence := leadership.silence()
+	for _, life := range leadership.lives {
 		load.workers++
 		if life.mayTakeWork(now, silence) {
 			load.usable++
@@ -52,7 +52,7 @@
 			load.withoutServing++
 		}
 	}
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		state.Ready(func(task *jobkeeper.Task) {
 			load.addReady(task.Step().Spec())
 		})
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -1,7 +1,7 @@
 // Package overseer runs the jobs of a domain from the VM that leads its group: it knows the workers from
 // their beats, chooses workers for tasks, sends orders, renews leases and records how attempts end.
 //
-// Lock order: reign, then jobkeeper.Keeper. No lock is held during an order or a proposal.
+// Lock order: leadership, then jobkeeper.Keeper. No lock is held during an order or a proposal.
 package overseer
 
 import (
@@ -38,7 +38,7 @@
 	countSuspension bool
 	watch           stopwatch.Stopwatch
 
-	current atomic.Pointer[reign]
+	current atomic.Pointer[leadership]
 }
 
 // New returns an Overseer that does nothing before Run.
@@ -71,19 +71,19 @@
 func (overseer *Overseer) lead(ctx context.Context, term scheduler.Term) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reign := newReign(ctx, overseer, term)
+	leadership := newLeadership(ctx, overseer, term)
 	overseer.logger.Info().Str("event", "leadershipTaken").Uint64("term", uint64(term)).Msg("this VM acts for the domain")
-	overseer.current.Store(reign)
-	reign.workers.Go(reign.plan)
+	overseer.current.Store(leadership)
+	leadership.workers.Go(leadership.plan)
 	if overseer.approver != nil {
-		reign.workers.Go(reign.askApprover)
+		leadership.workers.Go(leadership.askApprover)
 	}
-	for ctx.Err() == nil && overseer.leads(term) && !reign.deposed.Load() {
+	for ctx.Err() == nil && overseer.leads(term) && !leadership.deposed.Load() {
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
 	overseer.current.Store(nil)
 	cancel()
-	reign.workers.Wait()
+	leadership.workers.Wait()
 	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).Msg("this VM no longer acts for the domain")
 }
 
@@ -102,21 +102,21 @@
 // Beat takes what a worker has stated about itself. It returns an error of class scheduler.ErrNotRun when
 // this VM does not lead.
 func (overseer *Overseer) Beat(beat scheduler.WorkerBeat) error {
-	reign := overseer.current.Load()
-	if reign == nil || !overseer.group.HoldsLeaderLease() {
+	leadership := overseer.current.Load()
+	if leadership == nil || !overseer.group.HoldsLeaderLease() {
 		return scheduler.ErrNotRun.New("this VM does not lead the domain")
 	}
-	reign.beat(beat)
+	leadership.beat(beat)
 	return nil
 }
 
 // Leave takes the statement of a worker that it ends now. See Beat.
 func (overseer *Overseer) Leave(worker scheduler.WorkerName) error {
-	reign := overseer.current.Load()
-	if reign == nil || !overseer.group.HoldsLeaderLease() {
+	leadership := overseer.current.Load()
+	if leadership == nil || !overseer.group.HoldsLeaderLease() {
 		return scheduler.ErrNotRun.New("this VM does not lead the domain")
 	}
-	reign.leave(worker)
+	leadership.leave(worker)
 	return nil
 }
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -11,63 +11,63 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// adoptInterval is how often the log is searched for attempts that this reign does not know. Placements are
+// adoptInterval is how often the log is searched for attempts that this leadership does not know. Placements are
 // proposed by the same goroutine, so none is under way then.
 const adoptInterval = time.Second
 
 // plan places waiting tasks and stops unwanted attempts until the term ends.
-func (reign *reign) plan() {
+func (leadership *leadership) plan() {
 	timer := time.NewTicker(planInterval)
 	defer timer.Stop()
-	adopted := reign.now()
+	adopted := leadership.now()
 	logged := adopted
 	for {
-		changed := reign.overseer.keeper.Changed()
-		if now := reign.now(); now > adopted+adoptInterval {
+		changed := leadership.overseer.keeper.Changed()
+		if now := leadership.now(); now > adopted+adoptInterval {
 			adopted = now
-			reign.adoptAll()
+			leadership.adoptAll()
 		}
-		if now := reign.now(); now > logged+loadInterval {
+		if now := leadership.now(); now > logged+loadInterval {
 			logged = now
-			reign.logLoad()
+			leadership.logLoad()
 		}
-		pause := max(planPause, restFactor*reign.planOnce())
+		pause := max(planPause, restFactor*leadership.planOnce())
 		select {
-		case <-reign.context.Done():
+		case <-leadership.context.Done():
 			return
 		case <-changed:
-		case <-reign.planning:
+		case <-leadership.planning:
 		case <-timer.C:
 		}
-		reign.pause(pause)
+		leadership.pause(pause)
 	}
 }
 
 // planOnce makes one decision and returns how long that took, without the time until it was recorded.
-func (reign *reign) planOnce() time.Duration {
-	if !reign.mayAct() {
+func (leadership *leadership) planOnce() time.Duration {
+	if !leadership.mayAct() {
 		return 0
 	}
-	began := reign.now()
-	reign.beginDue()
-	reign.observeLoad()
-	reign.expireSilent()
-	reign.stopUnwanted()
-	reign.emptyDraining()
-	placements := reign.choose()
-	took := reign.now() - began
-	reign.overseer.metrics.planTime.RecordDuration(took)
+	began := leadership.now()
+	leadership.beginDue()
+	leadership.observeLoad()
+	leadership.expireSilent()
+	leadership.stopUnwanted()
+	leadership.emptyDraining()
+	placements := leadership.choose()
+	took := leadership.now() - began
+	leadership.overseer.metrics.planTime.RecordDuration(took)
 	if len(placements) > 0 {
-		reign.place(placements)
+		leadership.place(placements)
 	}
 	return took
 }
 
 // beginDue begins the occurrences of repeated jobs that are due.
-func (reign *reign) beginDue() {
+func (leadership *leadership) beginDue() {
 	now := time.Now()
 	var due []jobkeeper.Repeat
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		state.Repeated(func(job *jobkeeper.Job) {
 			if occurrence, at, ok := job.NextDue(); ok && !now.Before(at) {
 				due = append(due, jobkeeper.Repeat{Job: job.ID(), Occurrence: occurrence})
@@ -75,8 +75,8 @@
 		})
 	})
 	for _, repeat := range due {
-		if _, err := reign.propose(jobkeeper.Command{Repeat: &repeat}); err != nil {
-			reign.logger.Warn().Str("event", "occurrenceNotBegun").Str("job", string(repeat.Job)).Int("occurrence", repeat.Occurrence).
+		if _, err := leadership.propose(jobkeeper.Command{Repeat: &repeat}); err != nil {
+			leadership.logger.Warn().Str("event", "occurrenceNotBegun").Str("job", string(repeat.Job)).Int("occurrence", repeat.Occurrence).
 				Err(err).Msg("the occurrence will be begun later")
 			return
 		}
@@ -84,13 +84,13 @@
 }
 
 // stopUnwanted stops the attempts of jobs that have ended and of tasks that have finished.
-func (reign *reign) stopUnwanted() {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+func (leadership *leadership) stopUnwanted() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		state.Unwanted(func(run *jobkeeper.Run) {
-			if life := reign.lives[run.Worker()]; life != nil && life.known {
-				reign.stopAttempt(life, run.ID(), "no longer wanted")
+			if life := leadership.lives[run.Worker()]; life != nil && life.known {
+				leadership.stopAttempt(life, run.ID(), "no longer wanted")
 			}
 		})
 	})
@@ -102,52 +102,52 @@
 
 // emptyDraining moves attempts off workers that leave: long-running ones at once, others shortly before the
 // worker may end.
-func (reign *reign) emptyDraining() {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	now := reign.now()
-	for _, life := range reign.lives {
+func (leadership *leadership) emptyDraining() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	now := leadership.now()
+	for _, life := range leadership.lives {
 		if !life.known || life.beat.Phase != scheduler.WorkerDraining {
 			continue
 		}
 		last := now-life.heard > life.beat.DrainRemaining-drainReserve
 		for id, attempt := range life.attempts {
 			if last || attempt.spec.LongRunning {
-				reign.stopAttempt(life, id, "the worker leaves")
+				leadership.stopAttempt(life, id, "the worker leaves")
 			}
 		}
 	}
 }
 
 // choose decides where waiting tasks go.
-func (reign *reign) choose() []jobkeeper.Placement {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	clear(reign.starved)
+func (leadership *leadership) choose() []jobkeeper.Placement {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	clear(leadership.starved)
 	var placements []jobkeeper.Placement
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
-		reign.overseer.metrics.ready.Update(float64(state.ReadyCount()))
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
 			return
 		}
-		pools := reign.freeWorkers(state)
-		reign.forgetApprovals(state)
+		pools := leadership.freeWorkers(state)
+		leadership.forgetApprovals(state)
 		waiting := waitingSteps(state)
-		reign.journal.noteWaiting(reign.now(), waiting)
+		leadership.journal.noteWaiting(leadership.now(), waiting)
 		groups := map[scheduler.PoolName][]packer.Group{}
 		for _, candidate := range waiting {
 			pool := candidate.step.Job().Queue().Pool
-			group := reign.group(candidate)
-			group.Starved = reign.isStarved(candidate, pool)
+			group := leadership.group(candidate)
+			group.Starved = leadership.isStarved(candidate, pool)
 			groups[pool] = append(groups[pool], group)
 			if group.Starved {
-				reign.noteStarved(group.Tasks)
+				leadership.noteStarved(group.Tasks)
 			}
 		}
 		for pool, workers := range pools {
 			for _, choice := range packer.Pack(workers, groups[pool]) {
 				placements = append(placements, jobkeeper.Placement{
-					Task: choice.Task, Worker: choice.Worker, Life: reign.lives[choice.Worker].life,
+					Task: choice.Task, Worker: choice.Worker, Life: leadership.lives[choice.Worker].life,
 				})
 			}
 		}
@@ -166,43 +166,43 @@
 )
 
 // isStarved reports whether nothing of a job runs although it waits and its pool is far from full.
-func (reign *reign) isStarved(waiting *waitingStep, pool scheduler.PoolName) bool {
-	step, watched := waiting.step, reign.admitters[pool]
+func (leadership *leadership) isStarved(waiting *waitingStep, pool scheduler.PoolName) bool {
+	step, watched := waiting.step, leadership.admitters[pool]
 	if !step.Spec().Fill || step.Job().Running() > 0 || watched == nil || watched.Reserved() >= starvedLoad {
 		return false
 	}
 	key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
-	return reign.now()-reign.journal.waiting[key].since > starvedAfter
+	return leadership.now()-leadership.journal.waiting[key].since > starvedAfter
 }
 
-func (reign *reign) noteStarved(tasks []scheduler.StepTaskID) {
+func (leadership *leadership) noteStarved(tasks []scheduler.StepTaskID) {
 	for _, task := range tasks {
-		reign.starved[task] = true
+		leadership.starved[task] = true
 	}
 }
 
 // freeWorkers returns the workers that take new work, by pool.
-func (reign *reign) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
-	now := reign.now()
-	silence, wall := reign.silence(), time.Now()
+func (leadership *leadership) freeWorkers(state *jobkeeper.State) map[scheduler.PoolName][]*packer.Worker {
+	now := leadership.now()
+	silence, wall := leadership.silence(), time.Now()
 	pools := map[scheduler.PoolName][]*packer.Worker{}
-	for _, name := range slices.Sorted(maps.Keys(reign.lives)) {
-		life := reign.lives[name]
-		if !life.mayTakeWork(now, silence) || !life.synced || reign.failures.isQuarantined(name, wall) {
+	for _, name := range slices.Sorted(maps.Keys(leadership.lives)) {
+		life := leadership.lives[name]
+		if !life.mayTakeWork(now, silence) || !life.synced || leadership.failures.isQuarantined(name, wall) {
 			continue
 		}
 		free := life.beat.Capacity.Minus(state.Reserved(name))
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: life.slack(), Forecast: reign.forecast(life), Images: life.images(),
+			Free: free, Slack: life.slack(), Forecast: leadership.forecast(life), Images: life.images(),
 		})
 	}
 	return pools
 }
 
 // silence is after how long without a sign of life a worker gets no new work.
-func (reign *reign) silence() time.Duration {
-	return time.Duration(beatsUntilSilent * float64(reign.overseer.beatInterval))
+func (leadership *leadership) silence() time.Duration {
+	return time.Duration(beatsUntilSilent * float64(leadership.overseer.beatInterval))
 }
 
 // slack returns how much processor time the tasks on a worker leave unused.
@@ -234,14 +234,14 @@
 
 // forecast returns the forecast for a worker, nil without serving tasks. Fill tasks that are there count with
 // their full request, so that several ones that start together are not all placed on a worker that was idle.
-func (reign *reign) forecast(life *worker) packer.Forecast {
+func (leadership *leadership) forecast(life *worker) packer.Forecast {
 	usage := map[string]float64{}
 	for _, attempt := range life.attempts {
 		if attempt.spec.Fill {
 			usage[attempt.spec.Image] += life.part(float64(attempt.spec.Request.MilliCores))
 		}
 	}
-	if forecast := life.pace.Forecast(usage, reign.effects); forecast != nil {
+	if forecast := life.pace.Forecast(usage, leadership.effects); forecast != nil {
 		return forecast
 	}
 	return nil
@@ -296,9 +296,9 @@
 }
 
 // group returns the packer's view of a step.
-func (reign *reign) group(waiting *waitingStep) packer.Group {
+func (leadership *leadership) group(waiting *waitingStep) packer.Group {
 	group := packer.Group{
-		Step: waiting.step.Spec(), Approved: reign.approved(waiting.step, len(waiting.tasks)), Avoid: reign.failures.avoid(waiting.tasks),
+		Step: waiting.step.Spec(), Approved: leadership.approved(waiting.step, len(waiting.tasks)), Avoid: leadership.failures.avoid(waiting.tasks),
 	}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
@@ -315,30 +315,30 @@
 }
 
 // place replicates placements and then sends the starts of those that were accepted.
-func (reign *reign) place(placements []jobkeeper.Placement) {
-	result, err := reign.propose(jobkeeper.Command{Place: placements})
+func (leadership *leadership) place(placements []jobkeeper.Placement) {
+	result, err := leadership.propose(jobkeeper.Command{Place: placements})
 	if err != nil {
-		reign.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
+		leadership.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
 			Msg("tasks will be placed again")
 		return
 	}
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	reign.logPlaced(placements, result.Attempts)
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.logPlaced(placements, result.Attempts)
 	for position, placement := range placements {
 		if position >= len(result.Attempts) || result.Attempts[position] == 0 {
 			continue
 		}
 		run := scheduler.RunID{Task: placement.Task, Attempt: result.Attempts[position]}
-		reign.launch(placement, run)
+		leadership.launch(placement, run)
 	}
 }
 
 // launch sends the start of a placed attempt. The mutex is held.
-func (reign *reign) launch(placement jobkeeper.Placement, id scheduler.RunID) {
+func (leadership *leadership) launch(placement jobkeeper.Placement, id scheduler.RunID) {
 	var spec scheduler.Step
 	found := false
-	reign.overseer.keeper.View(func(state *jobkeeper.State) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		if run, known := state.Run(placement.Worker, id); known {
 			spec, found = *run.Task().Step().Spec(), true
 		}
@@ -346,17 +346,17 @@
 	if !found {
 		return
 	}
-	life := reign.lives[placement.Worker]
+	life := leadership.lives[placement.Worker]
 	if life == nil || life.life != placement.Life {
-		reign.lose(id, placement.Worker, placement.Life) // The life ended between the decision and its record.
+		leadership.lose(id, placement.Worker, placement.Life) // The life ended between the decision and its record.
 		return
 	}
 	life.attempts[id] = &attempt{
-		state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare, approval: reign.proofFor(id.Task, life),
+		state: attemptStarting, spec: spec, share: fullShare, wantedShare: fullShare, approval: leadership.proofFor(id.Task, life),
 	}
-	if reign.starved[id.Task] {
-		delete(reign.starved, id.Task)
+	if leadership.starved[id.Task] {
+		delete(leadership.starved, id.Task)
 		life.attempts[id].starved, life.attempts[id].wantedShare = true, starvedShare
 	}
-	reign.workers.Go(func() { reign.start(life, id) })
+	leadership.workers.Go(func() { leadership.start(life, id) })
 }
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -10,42 +10,42 @@
 
 // watchWorker starts the renewal of a worker if it has attempts, or if it has not answered and may have
 // ends to report. The mutex is held.
-func (reign *reign) watchWorker(life *worker) {
+func (leadership *leadership) watchWorker(life *worker) {
 	if life.renewing || life.over || !life.known || len(life.attempts) == 0 && life.failing == 0 {
 		return
 	}
 	life.renewing = true
-	reign.workers.Go(func() { reign.renew(life) })
+	leadership.workers.Go(func() { leadership.renew(life) })
 }
 
 // renew keeps the lease of a worker while it has attempts, and records the ends that it reports.
-func (reign *reign) renew(life *worker) {
-	for first := true; reign.context.Err() == nil; first = false {
-		if !reign.mayAct() {
-			reign.pause(leaseCheckInterval)
+func (leadership *leadership) renew(life *worker) {
+	for first := true; leadership.context.Err() == nil; first = false {
+		if !leadership.mayAct() {
+			leadership.pause(leaseCheckInterval)
 			continue
 		}
-		order, more := reign.nextRenewal(life, first)
+		order, more := leadership.nextRenewal(life, first)
 		if !more {
 			return
 		}
-		reign.renewOnce(life, order)
+		leadership.renewOnce(life, order)
 	}
 }
 
 // nextRenewal returns the next order, or ends the renewal when the worker has nothing left to report. A
 // worker without attempts that does not answer is tried once for each of its beats.
-func (reign *reign) nextRenewal(life *worker, first bool) (order scheduler.RenewOrder, more bool) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) nextRenewal(life *worker, first bool) (order scheduler.RenewOrder, more bool) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	if life.over || len(life.attempts) == 0 && (life.failing > 0 && !first || life.reported()) {
 		life.renewing = false
 		return scheduler.RenewOrder{}, false
 	}
-	now := reign.now()
+	now := leadership.now()
 	order = scheduler.RenewOrder{
-		LeaseEnd: life.grantLease(now, reign.overseer.leaseDuration, reign.overseer.drift), Token: reign.term,
-		Acknowledged: life.cursor(), Wait: life.renewWait(len(reign.lives)),
+		LeaseEnd: life.grantLease(now, leadership.overseer.leaseDuration, leadership.overseer.drift), Token: leadership.term,
+		Acknowledged: life.cursor(), Wait: life.renewWait(len(leadership.lives)),
 	}
 	return order, true
 }
@@ -83,52 +83,52 @@
 // stopLook is how soon the worker is looked at again while the fate of an attempt is open.
 const stopLook = 150 * time.Millisecond
 
-func (reign *reign) renewOnce(life *worker, order scheduler.RenewOrder) {
-	ctx, cancel := context.WithTimeout(reign.context, order.Wait+renewSlack)
+func (leadership *leadership) renewOnce(life *worker, order scheduler.RenewOrder) {
+	ctx, cancel := context.WithTimeout(leadership.context, order.Wait+renewSlack)
 	defer cancel()
-	sent := reign.now()
-	report, err := reign.overseer.client.Renew(ctx, reign.ref(life), order)
+	sent := leadership.now()
+	report, err := leadership.overseer.client.Renew(ctx, leadership.ref(life), order)
 	if err != nil {
-		reign.renewFailed(life, err)
+		leadership.renewFailed(life, err)
 		return
 	}
-	ends, accepted := reign.takeReport(life, order, report, sent)
+	ends, accepted := leadership.takeReport(life, order, report, sent)
 	if !accepted {
-		reign.pause(firstRetry)
+		leadership.pause(firstRetry)
 		return
 	}
-	if len(ends) == 0 || reign.record(life, ends) {
-		reign.acknowledge(life, report)
+	if len(ends) == 0 || leadership.record(life, ends) {
+		leadership.acknowledge(life, report)
 	}
 }
 
-func (reign *reign) renewFailed(life *worker, err error) {
-	reign.mutex.Lock()
+func (leadership *leadership) renewFailed(life *worker, err error) {
+	leadership.mutex.Lock()
 	life.failing++
 	life.listed = false
 	failures := life.failing
-	reign.mutex.Unlock()
+	leadership.mutex.Unlock()
 	if failures == 1 {
-		reign.logger.Warn().Str("event", "workerSilent").Str("worker", string(life.name)).Err(err).Msg("no answer from the worker")
+		leadership.logger.Warn().Str("event", "workerSilent").Str("worker", string(life.name)).Err(err).Msg("no answer from the worker")
 	}
-	reign.pause(retryPause(failures))
+	leadership.pause(retryPause(failures))
 }
 
 // expireSilent ends the attempts of workers whose leases have run out: of those that do not answer, and of
 // those that this leader has only read of in the log and never heard.
-func (reign *reign) expireSilent() {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	now := reign.now()
-	for _, life := range reign.lives {
+func (leadership *leadership) expireSilent() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	now := leadership.now()
+	for _, life := range leadership.lives {
 		if len(life.attempts) > 0 && now > life.leaseUntil {
-			reign.expire(life)
+			leadership.expire(life)
 		}
 	}
 }
 
 // expire records that the lease of a worker that does not answer has run out. The mutex is held.
-func (reign *reign) expire(life *worker) {
+func (leadership *leadership) expire(life *worker) {
 	var ends []jobkeeper.End
 	for id, attempt := range life.attempts {
 		if !attempt.ending {
@@ -139,17 +139,17 @@
 	if len(ends) == 0 {
 		return
 	}
-	reign.overseer.metrics.expired.Inc(int64(len(ends)))
-	reign.logger.Warn().Str("event", "leaseExpired").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
-		Int("attempts", len(ends)).Dur("silent", reign.now()-life.answered).Msg("the lease of a silent worker has run out")
-	reign.workers.Go(func() { reign.record(life, ends) })
+	leadership.overseer.metrics.expired.Inc(int64(len(ends)))
+	leadership.logger.Warn().Str("event", "leaseExpired").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
+		Int("attempts", len(ends)).Dur("silent", leadership.now()-life.answered).Msg("the lease of a silent worker has run out")
+	leadership.workers.Go(func() { leadership.record(life, ends) })
 }
 
 // takeReport compares what a worker runs with what it should run. It returns the ends to be recorded.
-func (reign *reign) takeReport(life *worker, order scheduler.RenewOrder, report scheduler.WorkerReport, sent time.Duration) (ends []jobkeeper.End, accepted bool) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
-	if !reign.acceptReport(life, report) {
+func (leadership *leadership) takeReport(life *worker, order scheduler.RenewOrder, report scheduler.WorkerReport, sent time.Duration) (ends []jobkeeper.End, accepted bool) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	if !leadership.acceptReport(life, report) {
 		return nil, false
 	}
 	life.confirmed = max(life.confirmed, order.Acknowledged)
@@ -157,30 +157,30 @@
 	ends = life.listEnds(report.Ended, listed)
 	for _, running := range report.Running {
 		listed[running.Run] = true
-		reign.noteRunning(life, running)
+		leadership.noteRunning(life, running)
 	}
-	ends = append(ends, reign.missing(life, listed, sent)...)
+	ends = append(ends, leadership.missing(life, listed, sent)...)
 	life.synced, life.listed = true, true
-	reign.control(life)
+	leadership.control(life)
 	return ends, true
 }
 
 // acceptReport reports whether a report comes from this life of the worker and is answered in full.
-func (reign *reign) acceptReport(life *worker, report scheduler.WorkerReport) bool {
-	now := reign.now()
+func (leadership *leadership) acceptReport(life *worker, report scheduler.WorkerReport) bool {
+	now := leadership.now()
 	switch {
 	case life.over:
 		return false
 	case report.Verdict == scheduler.OrderOtherLife:
-		reign.endLife(life, "another worker answers at its address")
+		leadership.endLife(life, "another worker answers at its address")
 		return false
 	case report.Life > life.life:
-		reign.succeed(life, report.Life)
+		leadership.succeed(life, report.Life)
 		return false
 	case report.Life != 0 && report.Life < life.life:
 		return false
 	case report.Verdict == scheduler.OrderFenced:
-		reign.fenced(life)
+		leadership.fenced(life)
 		return false
 	case report.Verdict != scheduler.OrderAccepted:
 		life.failing++
@@ -192,9 +192,9 @@
 }
 
 // fenced ends the term: another leader has sent orders to a worker. The mutex is held.
-func (reign *reign) fenced(life *worker) {
-	if !reign.deposed.Swap(true) {
-		reign.logger.Warn().Str("event", "tokenOutdated").Str("worker", string(life.name)).
+func (leadership *leadership) fenced(life *worker) {
+	if !leadership.deposed.Swap(true) {
+		leadership.logger.Warn().Str("event", "tokenOutdated").Str("worker", string(life.name)).
 			Msg("a worker has seen a higher fencing token")
 	}
 }
@@ -216,12 +216,12 @@
 
 // noteRunning notes an attempt that the worker runs. One that is not in the log, because its lease had
 // run out, is stopped.
-func (reign *reign) noteRunning(life *worker, running scheduler.RunningAttempt) {
+func (leadership *leadership) noteRunning(life *worker, running scheduler.RunningAttempt) {
 	known := life.attempts[running.Run]
 	if known == nil {
-		reign.logger.Warn().Str("event", "unknownAttempt").Stringer("run", running.Run).Str("worker", string(life.name)).
+		leadership.logger.Warn().Str("event", "unknownAttempt").Stringer("run", running.Run).Str("worker", string(life.name)).
 			Msg("the worker runs an attempt that is not in the log; it will be stopped")
-		reign.workers.Go(func() { reign.stopStray(life, running.Run) })
+		leadership.workers.Go(func() { leadership.stopStray(life, running.Run) })
 		return
 	}
 	known.running, known.seen = running, true
@@ -233,7 +233,7 @@
 // missing looks at attempts that a worker lists neither as running nor as ended. One whose last order was
 // answered before the worker was asked does not run and will not start. The start of an attempt of an
 // earlier leader is repeated, because the order may never have been sent.
-func (reign *reign) missing(life *worker, listed map[scheduler.RunID]bool, sent time.Duration) []jobkeeper.End {
+func (leadership *leadership) missing(life *worker, listed map[scheduler.RunID]bool, sent time.Duration) []jobkeeper.End {
 	var ends []jobkeeper.End
 	for id, attempt := range life.attempts {
 		if listed[id] || attempt.ending {
@@ -242,7 +242,7 @@
 		switch attempt.state {
 		case attemptUnknown:
 			attempt.state = attemptStarting
-			reign.workers.Go(func() { reign.start(life, id) })
+			leadership.workers.Go(func() { leadership.start(life, id) })
 		case attemptRunning, attemptStopped:
 			if attempt.settled < sent && !attempt.exposed {
 				attempt.ending = true
@@ -255,9 +255,9 @@
 }
 
 // acknowledge lets the next renewal acknowledge the ends of a report, which are recorded now.
-func (reign *reign) acknowledge(life *worker, report scheduler.WorkerReport) {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) acknowledge(life *worker, report scheduler.WorkerReport) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	for _, end := range report.Ended {
 		if attempt := life.attempts[end.Run]; attempt != nil {
 			return // Not recorded: the worker reports it again.
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -12,7 +12,7 @@
 // rackPrefix begins the label that names a worker's rack.
 const rackPrefix = "r"
 
-// worker is what a reign knows of one life of a worker. The reign's mutex guards it.
+// worker is what a leadership knows of one life of a worker. The leadership's mutex guards it.
 type worker struct {
 	name scheduler.WorkerName
 	life scheduler.Incarnation
@@ -49,7 +49,7 @@
 	pace         pacer.Pace
 }
 
-// attempt is what a reign knows of an attempt on a worker.
+// attempt is what a leadership knows of an attempt on a worker.
 type attempt struct {
 	state attemptState
 	// settled is when the last order about the attempt was answered.
@@ -94,9 +94,9 @@
 }
 
 // ref returns where a life of a worker is reached. Beats change it.
-func (reign *reign) ref(life *worker) scheduler.WorkerRef {
-	reign.mutex.Lock()
-	defer reign.mutex.Unlock()
+func (leadership *leadership) ref(life *worker) scheduler.WorkerRef {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
 	return scheduler.WorkerRef{Worker: life.name, Life: life.life, Address: life.beat.Address}
 }
 
