jobkeeper, packer: late results count, and room is held for long-running tasks

Change: a result counts while its task has not been placed again; the room of up to a tenth of the workers is held for long-running tasks that fit nowhere.

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -254,10 +254,11 @@
 		return
 	}
 	position := slices.IndexFunc(task.runs, func(run *Run) bool { return run.attempt == end.Run.Attempt })
+	job := task.step.occurrence.job
 	if position < 0 {
+		state.finishLate(task, end)
 		return
 	}
-	job := task.step.occurrence.job
 	state.removeRun(task.runs[position])
 	task.saveCheckpoint(end.Checkpoint)
 	if !job.state.Ended() && !task.finished {
@@ -275,6 +276,20 @@
 	state.compact(job)
 }
 
+// finishLate takes the result of an attempt that was given up because its worker was silent. It counts as long
+// as the task has not been placed again.
+func (state *State) finishLate(task *Task, end End) {
+	job := task.step.occurrence.job
+	if end.Kind != scheduler.EndFinished || end.Run.Attempt != task.attempt || len(task.runs) > 0 || task.finished || job.state.Ended() {
+		return
+	}
+	if task.step.Spec().Gang && !task.step.isIdle() {
+		return
+	}
+	state.finishTask(task, end.Run.Attempt)
+	state.compact(job)
+}
+
 // saveCheckpoint keeps the progress of an attempt. That of one member is valid for the whole gang.
 func (task *Task) saveCheckpoint(checkpoint string) {
 	if checkpoint == "" {
--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -121,6 +121,25 @@
 			},
 			want: scheduler.WorkflowActive,
 		},
+		"a result that comes after its attempt was given up counts": {
+			steps: []scheduler.Step{one()},
+			act: func(bench *bench) {
+				bench.place("j", 0, 0)
+				bench.end("j", 0, 0, 1, scheduler.EndExpired, "")
+				bench.end("j", 0, 0, 1, scheduler.EndFinished, "")
+			},
+			want: scheduler.WorkflowCompleted,
+		},
+		"a late result does not count once the task is placed again": {
+			steps: []scheduler.Step{one()},
+			act: func(bench *bench) {
+				bench.place("j", 0, 0)
+				bench.end("j", 0, 0, 1, scheduler.EndExpired, "")
+				bench.place("j", 0, 0)
+				bench.end("j", 0, 0, 1, scheduler.EndFinished, "")
+			},
+			want: scheduler.WorkflowActive,
+		},
 		"a lost attempt is no failure of the task": {
 			steps: []scheduler.Step{one()},
 			act: func(bench *bench) {
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -199,16 +199,19 @@
 	}
 }
 
-// listEnds returns the ends that are not recorded yet.
+// listEnds returns the ends that are not recorded yet. A result counts also when its attempt was given up
+// meanwhile, unless the task has been placed again.
 func (worker *worker) listEnds(ended []scheduler.AttemptEnd, listed map[scheduler.RunID]bool) []jobkeeper.End {
 	var ends []jobkeeper.End
 	for _, end := range ended {
 		listed[end.Run] = true
 		attempt := worker.attempts[end.Run]
-		if attempt == nil || attempt.ending {
+		if (attempt == nil || attempt.ending) && end.Kind != scheduler.EndFinished {
 			continue
 		}
-		attempt.ending = true
+		if attempt != nil {
+			attempt.ending = true
+		}
 		ends = append(ends, jobkeeper.End{Run: end.Run, Kind: end.Kind, Checkpoint: end.Checkpoint})
 	}
 	return ends
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -21,6 +21,8 @@
 	Slack int64
 	// Forecast tells what fill tasks do to the serving tasks on the worker, nil without serving tasks.
 	Forecast Forecast
+	// held is true when this decision keeps the worker's room for a long-running task that fits nowhere.
+	held bool
 	// Images counts the serving tasks on the worker by image.
 	Images map[string]int
 	// Penalty makes a worker less attractive, for example after failures. 0 is usual.
@@ -71,14 +73,52 @@
 			continue
 		}
 		chosen := packGroup(workers, group)
-		if len(chosen) < len(group.Tasks) {
+		if missing := len(group.Tasks) - len(chosen); missing > 0 {
 			refused.note(&group)
+			holdRoom(workers, &group, missing)
 		}
 		choices = append(choices, chosen...)
 	}
 	return choices
 }
 
+// maxHeldShare bounds the part of the workers whose room is held back.
+const maxHeldShare = 0.1
+
+// holdRoom keeps room for long-running tasks that fit nowhere: short tasks that end leave gaps, and further short
+// tasks would fill each gap before it is large enough. The workers with most free room are held.
+func holdRoom(workers []*Worker, group *Group, missing int) {
+	if !group.Step.LongRunning {
+		return
+	}
+	held := 0
+	for _, worker := range workers {
+		if worker.held {
+			held++
+		}
+	}
+	for range min(missing, int(maxHeldShare*float64(len(workers)))-held) {
+		worker := roomiest(workers, group)
+		if worker == nil {
+			return
+		}
+		worker.held = true
+	}
+}
+
+// roomiest returns the worker with most free processors that could run a task of the group if it were idle.
+func roomiest(workers []*Worker, group *Group) *Worker {
+	var found *Worker
+	for _, worker := range workers {
+		idle := *worker
+		idle.Free = worker.Capacity
+		if group.fits(&idle, 0) && (found == nil || worker.Free.MilliCores > found.Free.MilliCores) {
+			found = worker
+		}
+	}
+	return found
+}
+
 // refusals remembers what found no worker in a decision. Room only becomes less in its course, so a task that
 // asks for at least as much need not be tried: a queue of a thousand tasks that wait costs no more than one.
 type refusals struct {
@@ -227,6 +267,8 @@
 func (group *Group) fits(worker *Worker, chosen int) bool {
 	step := group.Step
 	switch {
+	case worker.held && !step.Fill:
+		return false
 	case !step.Reserved().Fits(worker.Free) || !worker.hasLabel(step.RequiredLabel):
 		return false
 	case step.MaxPerWorker > 0 && group.OnWorker[worker.Name]+chosen >= step.MaxPerWorker:
--- a/internal/jobs/packer/packer_test.go
+++ b/internal/jobs/packer/packer_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Guards against a long-running task that never finds room because short tasks fill each gap.
+func TestRoomIsHeldForLongRunningTasks(t *testing.T) {
+	list := workers(2, 2, 2, 2, 2, 3, 2, 2, 2, 2)
+	groups := []Group{
+		group(scheduler.Step{Count: 1, Request: cores(4), LongRunning: true}),
+		group(scheduler.Step{Count: 30, Request: cores(1)}),
+	}
+	choices := Pack(list, groups)
+	for _, choice := range choices {
+		if choice.Worker == "w5" {
+			t.Fatal("got a short task on the worker with most room")
+		}
+	}
+	if got, want := len(choices), 18; got != want {
+		t.Errorf("got %d short tasks placed, want %d on the other workers", got, want)
+	}
+}
+
 // Guards against a refusal that is taken for one of another kind.
 func TestRefusalsCoverOnlyTheLikes(t *testing.T) {
 	list := workers(2, 2)
