overseer: a worker that was cut off for longer than its lease returns

A random schedule (1 of 600) showed that an estimate of a worker's clock that only grows runs ahead of a slow clock, and that its lease outlasts the wait of the next leader. Change: a late answer shows that the worker lives, and the next renewal grants a new lease; each answer replaces the reading of the clock. Tests: TestWorkerReturnsAfterItsLease (it passed before as well: the fake worker has other ways back); the schedules answer late now.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -360,6 +360,37 @@
 	})
 }
 
+// Guards against a worker that was cut off for longer than its lease and gets no work ever after, because the
+// leader repeats a renewal whose lease has ended; and against its results, which would be thrown away.
+func TestWorkerReturnsAfterItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		schedule := newSchedule(t, 1)
+		schedule.fleet.runTime = 2 * time.Second
+		stop := schedule.start()
+		for range 8 {
+			schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore}}})
+		}
+		time.Sleep(100 * time.Millisecond)
+		schedule.setCut(schedule.names[0], true)
+		time.Sleep(fakeLease + 5*time.Second)
+		schedule.setCut(schedule.names[0], false)
+		time.Sleep(4 * time.Second)
+		for range 9 {
+			schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore, LongRunning: true}}})
+		}
+		time.Sleep(2 * time.Second)
+		onReturned := 0
+		schedule.domain.keeper.View(func(state *jobkeeper.State) {
+			state.Runs(schedule.names[0], func(*jobkeeper.Run) { onReturned++ })
+		})
+		if onReturned == 0 {
+			t.Error("got no runs on the worker that returned, want some")
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against a worker that fails everything at once, is therefore always free, and takes in all jobs until
 // they have failed as often as their queue allows.
 func TestWorkerThatFailsEverything(t *testing.T) {
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -361,6 +361,9 @@
 		return scheduler.OrderFenced
 	}
 	worker.token = order.Token
+	if worker.clock() > order.LeaseEnd {
+		return scheduler.OrderLate
+	}
 	worker.leaseEnd = max(worker.leaseEnd, min(order.LeaseEnd, worker.clock()+fakeLease))
 	var kept []scheduler.AttemptEnd
 	for _, end := range worker.ends {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -157,7 +157,7 @@
 	}
 	life.known, life.beat, life.heard = true, beat, now
 	leadership.failures.quarantiner.Add(beat.Worker)
-	life.noteClock(beat.Clock, now)
+	life.noteOldClock(beat.Clock, now)
 	leadership.watchWorker(life)
 }
 
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -182,6 +182,11 @@
 	case report.Verdict == scheduler.OrderFenced:
 		leadership.fenced(life)
 		return false
+	case report.Verdict == scheduler.OrderLate:
+		// The lease has ended and the worker answers: the next renewal grants a new one.
+		life.noteAnswered(now)
+		life.noteClock(report.Clock, now)
+		return false
 	case report.Verdict != scheduler.OrderAccepted:
 		life.failing++
 		return false
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -110,13 +110,20 @@
 	return ""
 }
 
-// noteClock takes a reading of the worker's clock that was made at read or before.
+// noteClock takes a reading of the worker's clock from an answer, which was made at read or just before. Each
+// answer replaces the last reading: an estimate that only grew would run ahead of a slow clock, and a lease that
+// is granted by it would outlast what the next leader waits for.
 func (worker *worker) noteClock(clock, read time.Duration) {
-	if clock <= 0 {
-		return
+	if clock > 0 {
+		worker.clock, worker.clockRead = clock, read
 	}
+}
+
+// noteOldClock takes a reading from a beat, which may be seconds old. It only counts if it is ahead of what is
+// known.
+func (worker *worker) noteOldClock(clock, read time.Duration) {
 	if worker.clock == 0 || clock > worker.clock+(read-worker.clockRead) {
-		worker.clock, worker.clockRead = clock, read
+		worker.noteClock(clock, read)
 	}
 }
 
