overseer: ask a worker that answers again until it has listed its results

Change: the renewal goes on until the worker has listed what it holds. Tests: TestWorkerReturnsAfterItsLease looks at the results, too; it does not fail without the change, because the fake worker lists them in another way.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -375,6 +375,11 @@
 		time.Sleep(fakeLease + 5*time.Second)
 		schedule.setCut(schedule.names[0], false)
 		time.Sleep(4 * time.Second)
+		schedule.fleet.mutex.Lock()
+		if got := len(schedule.fleet.workers["10.0.0.1:"+string(schedule.names[0])].ends); got != 0 {
+			t.Errorf("got %d ends that nobody has taken, want none", got)
+		}
+		schedule.fleet.mutex.Unlock()
 		for range 9 {
 			schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore, LongRunning: true}}})
 		}
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -34,11 +34,13 @@
 }
 
 // nextRenewal returns the next order, or ends the renewal when the worker has nothing left to report. A
-// worker without attempts that does not answer is tried once for each of its beats.
+// worker without attempts that does not answer is tried once for each of its beats. One that answers again is
+// asked until it has listed what it holds: results of attempts that were given up count only until their tasks
+// are placed again.
 func (leadership *leadership) nextRenewal(life *worker, first bool) (order scheduler.RenewOrder, more bool) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	if life.over || len(life.attempts) == 0 && (life.failing > 0 && !first || life.reported()) {
+	if life.over || len(life.attempts) == 0 && (life.failing > 0 && !first || life.reported() && life.listed) {
 		life.renewing = false
 		return scheduler.RenewOrder{}, false
 	}
