journaler: each unsynced write may be torn by itself

Cause: after a loss of power one small write was missing (a hole shorter than a sector) and the next one was torn, so no valid record followed the hole. A dump of the bytes showed 102 zeros and then a frame cut off by the end of the file. Change: a frame that begins with a zero, whose payload does, or that ends with one was not stored in full. No flipped bit makes one of these bytes zero, so TestFlippedBitIsNeverRepaired holds as it is.

--- a/internal/state/journaler/fault_test.go
+++ b/internal/state/journaler/fault_test.go
@@ -445,3 +445,32 @@
 		wantLog(t, journal, entriesOf(1, 1, 10))
 	}
 }
+
+// TestEachUnsyncedWriteIsTornByItself guards against a start that is refused after a loss of power that dropped
+// one write and tore the next one: the hole is shorter than a sector, and no valid record follows it (seen on a
+// day of cmgsu-plank-grown: a VM refused to start 105 times).
+func TestEachUnsyncedWriteIsTornByItself(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	mustAppend(t, journal, 1, 1, 10)
+	name := fake.segmentNames()[0]
+	first := len(fake.now[name].data)
+	must(t, journal.Append(entriesOf(1, 11, 11)))
+	second := len(fake.now[name].data)
+	must(t, journal.Append(entriesOf(1, 12, 12)))
+	whole := append([]byte(nil), fake.now[name].data...)
+	for kept := first; kept < second; kept++ {
+		for end := second; end < len(whole); end++ {
+			data := append([]byte(nil), whole[:end]...)
+			clear(data[kept:second])
+			fake.now[name].data = data
+			clear(fake.locked)
+			journal, err = open(fake, "/data", testIdentity)
+			if err != nil {
+				t.Fatalf("got %v with %d bytes of the first write and %d of the second", err, kept-first, end-second)
+			}
+			wantLog(t, journal, entriesOf(1, 1, 10))
+		}
+	}
+}
--- a/internal/state/journaler/frame.go
+++ b/internal/state/journaler/frame.go
@@ -150,18 +150,28 @@
 	}
 }
 
-// isTorn reports whether the bytes from an invalid frame on look like an incomplete write.
+// isTorn reports whether the bytes from an invalid frame on look like writes that a loss of power has dropped or
+// cut short. What was not stored of a write reads as zeros, or the file ends there.
 func isTorn(at place, data []byte) bool {
 	rest := data[at.offset:]
-	if len(rest) < frameHeaderBytes {
+	if len(rest) <= frameHeaderBytes || hasZeroStart(rest) {
 		return true
 	}
-	if length, _, ok := readHeader(at, rest); ok && len(rest)-frameHeaderBytes < length {
-		return true
+	if length, _, ok := readHeader(at, rest); ok {
+		end := frameHeaderBytes + length
+		if len(rest) < end || rest[end-1] == 0 {
+			return true
+		}
 	}
 	return hasZeroEnd(data) || hasZeroSector(at.offset, data)
 }
 
+// hasZeroStart reports whether a frame begins with a zero, or its payload does. Neither frameMagic nor a CBOR map
+// begins with one, and no flipped bit makes one of their first bytes.
+func hasZeroStart(frame []byte) bool {
+	return frame[0] == 0 || frame[frameHeaderBytes] == 0
+}
+
 // hasZeroEnd reports whether the last byte is zero. Each frame ends with endMark, and a write that is torn
 // within a sector leaves zeros behind what it has stored. No flipped bit turns endMark into zero.
 func hasZeroEnd(data []byte) bool {
