packer: look at each worker once for the tasks of a step

Each task of a step looked at each of 490 workers anew, although equal tasks change the score only of the worker that was chosen last. Change: selection rates the workers once for a step and again only the one that was chosen. Penalty, which was never set, is gone. Decisions are the same; the tests of the packer are unchanged.

--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -25,8 +25,6 @@
 	held bool
 	// Images counts the serving tasks on the worker by image.
 	Images map[string]int
-	// Penalty makes a worker less attractive, for example after failures. 0 is usual.
-	Penalty float64
 }
 
 // Forecast tells what fill tasks do to the serving tasks on a worker. Parts are of the worker's processors.
@@ -155,19 +153,18 @@
 
 func packGroup(workers []*Worker, group Group) []Choice {
 	chosen := make([]*Worker, 0, len(group.Tasks))
-	counts := map[scheduler.WorkerName]int{}
-	racks := map[string]bool{}
+	choice := newSelection(workers, &group)
 	for range group.Tasks {
-		worker := best(workers, group, counts, racks)
+		worker := choice.take()
 		if worker == nil && group.Starved && len(chosen) == 0 {
 			worker = bestForStarved(workers, group)
+			if worker != nil {
+				take(worker, group.Step)
+			}
 		}
 		if worker == nil {
 			break
 		}
-		take(worker, group.Step)
-		counts[worker.Name]++
-		racks[worker.Rack] = true
 		chosen = append(chosen, worker)
 	}
 	if group.Step.Gang && len(chosen) < len(group.Tasks) {
@@ -224,21 +221,6 @@
 	return others
 }
 
-// best returns the worker with the lowest score on which a further task of the group fits.
-func best(workers []*Worker, group Group, counts map[scheduler.WorkerName]int, racks map[string]bool) *Worker {
-	var found *Worker
-	var lowest float64
-	for _, worker := range workers {
-		if !group.allows(worker, counts[worker.Name]) {
-			continue
-		}
-		if score := group.score(worker, racks); found == nil || score < lowest {
-			found, lowest = worker, score
-		}
-	}
-	return found
-}
-
 // bestForStarved returns the worker on which a fill task does least harm.
 func bestForStarved(workers []*Worker, group Group) *Worker {
 	var found *Worker
@@ -302,7 +284,7 @@
 // so that room for large tasks remains elsewhere. Fill tasks go where most processor time is unused.
 func (group *Group) score(worker *Worker, racks map[string]bool) float64 {
 	step := group.Step
-	score := worker.Penalty
+	score := 0.0
 	if step.PreferredRack != "" && step.PreferredRack != worker.Rack {
 		score += weightRemote
 	}
