--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -100,7 +100,9 @@
 			lives = append(lives, life)
 		}
 	}
-	slices.SortFunc(lives, func(a, b *worker) int { return cmp.Or(cmp.Compare(b.slack(), a.slack()), cmp.Compare(a.name, b.name)) })
+	slices.SortFunc(lives, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.survey().slack, a.survey().slack), cmp.Compare(a.name, b.name))
+	})
 	lives = lives[:min(len(lives), count, maxCandidates)]
 	if len(lives) == 0 {
 		return
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -231,7 +231,6 @@
 		return
 	}
 	life.over = true
-	life.signal()
 	delete(leadership.lives, life.name)
 	leadership.failures.quarantiner.Remove(life.name)
 	leadership.logger.Info().Str("event", "workerLifeOver").Str("worker", string(life.name)).Uint64("life", uint64(life.life)).
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -48,7 +48,7 @@
 		for _, attempt := range life.attempts {
 			load.add(attempt)
 		}
-		if len(life.images()) == 0 {
+		if len(life.survey().images) == 0 {
 			load.withoutServing++
 		}
 	}
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -250,7 +250,6 @@
 		Str("reason", reason).Msg("attempt is stopped")
 	attempt.state = attemptStopping
 	leadership.workers.Go(func() { leadership.stop(life, id) })
-	life.signal()
 }
 
 // stopStray stops an attempt that is not in the log. If that fails, the next report lists it again.
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -44,7 +44,6 @@
 	confirmed    uint64
 	attempts     map[scheduler.RunID]*attempt
 	renewing     bool
-	wake         chan struct{}
 	over         bool
 	pace         pacer.Pace
 }
@@ -90,7 +89,7 @@
 )
 
 func newWorker(name scheduler.WorkerName, life scheduler.Incarnation) *worker {
-	return &worker{name: name, life: life, attempts: map[scheduler.RunID]*attempt{}, wake: make(chan struct{}, 1)}
+	return &worker{name: name, life: life, attempts: map[scheduler.RunID]*attempt{}}
 }
 
 // ref returns where a life of a worker is reached. Beats change it.
@@ -160,11 +159,3 @@
 	pause := time.Duration(float64(firstRetry) * math.Pow(2, float64(min(failures, 10)-1)))
 	return min(max(pause, firstRetry), lastRetry)
 }
-
-// signal wakes the renewal of the worker.
-func (worker *worker) signal() {
-	select {
-	case worker.wake <- struct{}{}:
-	default:
-	}
-}
