packer, pacer: room for scarce images, least work first, higher limits

In a queue longer than the pool can serve, most jobs were begun just before their deadline. Change: fill tasks avoid workers on which other waiting images could run (demand); among jobs of one prospect the one with least work left goes first; fill tasks may bring serving tasks to 0.92 of their target (placed: 0.8).

--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -100,6 +100,9 @@
 // Finished reports whether all tasks of the step have finished.
 func (stepState *StepState) Finished() bool { return stepState.open == 0 }
 
+// Open returns how many tasks of the step have not finished.
+func (stepState *StepState) Open() int { return stepState.open }
+
 // Siblings returns all steps of the step's occurrence.
 func (stepState *StepState) Siblings() []*StepState { return stepState.occurrence.steps }
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -191,10 +191,11 @@
 		if !life.mayTakeWork(now, silence) || !life.synced || leadership.failures.isQuarantined(name, wall) {
 			continue
 		}
-		free := life.beat.Capacity.Minus(state.Reserved(name))
+		survey := life.survey()
 		pools[life.beat.Pool] = append(pools[life.beat.Pool], &packer.Worker{
 			Name: name, Rack: life.rack(), Labels: life.beat.Labels, Capacity: life.beat.Capacity,
-			Free: free, Slack: life.slack(), Forecast: leadership.forecast(life), Images: life.images(),
+			Free: life.beat.Capacity.Minus(state.Reserved(name)), Slack: survey.slack, Forecast: leadership.forecast(life, survey),
+			Images: survey.images,
 		})
 	}
 	return pools
@@ -205,48 +206,6 @@
 	return time.Duration(beatsUntilSilent * float64(leadership.overseer.beatInterval))
 }
 
-// slack returns how much processor time the tasks on a worker leave unused.
-func (worker *worker) slack() int64 {
-	slack := worker.beat.Capacity.MilliCores
-	for _, attempt := range worker.attempts {
-		used := attempt.spec.Request.MilliCores
-		if attempt.spec.LatencyTarget > 0 {
-			used /= servingLoad
-		}
-		slack -= used
-	}
-	return slack
-}
-
-// servingLoad divides the request of a serving task: it uses about half of it on average.
-const servingLoad = 2
-
-// images counts the serving tasks on a worker by image.
-func (worker *worker) images() map[string]int {
-	images := map[string]int{}
-	for _, attempt := range worker.attempts {
-		if attempt.spec.LatencyTarget > 0 {
-			images[attempt.spec.Image]++
-		}
-	}
-	return images
-}
-
-// forecast returns the forecast for a worker, nil without serving tasks. Fill tasks that are there count with
-// their full request, so that several ones that start together are not all placed on a worker that was idle.
-func (leadership *leadership) forecast(life *worker) packer.Forecast {
-	usage := map[string]float64{}
-	for _, attempt := range life.attempts {
-		if attempt.spec.Fill {
-			usage[attempt.spec.Image] += life.part(float64(attempt.spec.Request.MilliCores))
-		}
-	}
-	if forecast := life.pace.Forecast(usage, leadership.effects); forecast != nil {
-		return forecast
-	}
-	return nil
-}
-
 // waitingStep is a step with tasks that wait for an attempt.
 type waitingStep struct {
 	step    *jobkeeper.StepState
@@ -292,9 +251,20 @@
 		}
 		return workflow.Steps[position].Estimate
 	})
+	work.Load = remainingLoad(siblings)
 	return packer.UrgencyOf(work, now)
 }
 
+// remainingLoad returns the estimated work of the tasks that have not finished, see packer.Urgency.
+func remainingLoad(steps []*jobkeeper.StepState) int64 {
+	var load int64
+	for _, step := range steps {
+		spec := step.Spec()
+		load += int64(step.Open()) * spec.Estimate.Milliseconds() * spec.Request.MilliCores
+	}
+	return load
+}
+
 // group returns the packer's view of a step.
 func (leadership *leadership) group(waiting *waitingStep) packer.Group {
 	group := packer.Group{
--- a/internal/jobs/pacer/pace.go
+++ b/internal/jobs/pacer/pace.go
@@ -13,9 +13,9 @@
 	// shareStep is the smallest change of a share, in percent: each change is an order to the worker.
 	shareStep = 20
 	// limitRatio is the latency, as a part of the target, to which fill tasks may bring a serving task.
-	limitRatio = 0.85
+	limitRatio = 0.92
 	// placeRatio is the same for a further fill task, which stays while the load may rise.
-	placeRatio = 0.7
+	placeRatio = 0.8
 	// calmRatio is the latency below which fill tasks work again after all were stopped.
 	calmRatio = 0.75
 	// stopAfter is after how many samples in succession above the target all fill tasks are stopped,
@@ -179,28 +179,42 @@
 	excess float64
 }
 
-// Forecast returns the forecast for a worker on which fill tasks use parts of it by image, nil without serving
-// tasks.
-func (pace *Pace) Forecast(usage map[string]float64, effects *Effects) *Forecast {
+// Usage is the part of a worker's processors that the fill tasks of an image use.
+type Usage struct {
+	Image string
+	Part  float64
+}
+
+// Forecast returns the forecast for a worker on which fill tasks use parts of it, nil without serving tasks.
+func (pace *Pace) Forecast(usage []Usage, effects *Effects) *Forecast {
 	if len(pace.tasks) == 0 {
 		return nil
 	}
 	forecast := &Forecast{effects: effects, stopped: pace.stopped}
-	// Of the serving tasks of an image, the one with the highest load decides.
-	highest := map[string]float64{}
 	for _, serving := range pace.tasks {
-		highest[serving.image] = max(highest[serving.image], serving.load)
+		forecast.note(serving)
 	}
-	for image, load := range highest {
-		expected := expectation{image: image, excess: load - effects.at(image, placeRatio)}
-		for fill, used := range usage {
-			expected.excess += effects.hoped(image, fill) * used
+	for position := range forecast.serving {
+		expected := &forecast.serving[position]
+		expected.excess -= effects.at(expected.image, placeRatio)
+		for _, fill := range usage {
+			expected.excess += effects.hoped(expected.image, fill.Image) * fill.Part
 		}
-		forecast.serving = append(forecast.serving, expected)
 	}
 	return forecast
 }
 
+// note takes over the load of a serving task. Of the tasks of an image, the one with the highest load decides.
+func (forecast *Forecast) note(serving servingTask) {
+	for position := range forecast.serving {
+		if expected := &forecast.serving[position]; expected.image == serving.image {
+			expected.excess = max(expected.excess, serving.load)
+			return
+		}
+	}
+	forecast.serving = append(forecast.serving, expectation{image: serving.image, excess: serving.load})
+}
+
 // Excess returns by how much the utilisation of a serving task is expected to exceed what a further fill task
 // may bring it to, if that task uses a part of the worker. It is negative while there is room.
 func (forecast *Forecast) Excess(image string, part float64) float64 {
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -21,10 +21,12 @@
 	Slack int64
 	// Forecast tells what fill tasks do to the serving tasks on the worker, nil without serving tasks.
 	Forecast Forecast
+	// suited holds the waiting fill work that could run on the worker, by image.
+	suited demand
 	// held is true when this decision keeps the worker's room for a long-running task that fits nowhere.
 	held bool
 	// Images counts the serving tasks on the worker by image.
-	Images map[string]int
+	Images ImageCounts
 }
 
 // Forecast tells what fill tasks do to the serving tasks on a worker. Parts are of the worker's processors.
@@ -66,6 +68,7 @@
 func Pack(workers []*Worker, groups []Group) []Choice {
 	var choices []Choice
 	var refused refusals
+	noteDemand(workers, groups)
 	for _, group := range groups {
 		if !group.Starved && refused.cover(&group) {
 			continue
@@ -187,7 +190,7 @@
 		worker.Forecast.Add(step.Image, worker.part(step))
 	}
 	if step.LatencyTarget > 0 {
-		worker.addImage(step.Image, 1)
+		worker.Images.Add(step.Image, 1)
 	}
 }
 
@@ -198,29 +201,10 @@
 		worker.Forecast.Add(step.Image, -worker.part(step))
 	}
 	if step.LatencyTarget > 0 {
-		worker.addImage(step.Image, -1)
+		worker.Images.Add(step.Image, -1)
 	}
 }
 
-func (worker *Worker) addImage(image string, count int) {
-	if worker.Images == nil {
-		worker.Images = map[string]int{}
-	}
-	worker.Images[image] += count
-	if worker.Images[image] <= 0 {
-		delete(worker.Images, image)
-	}
-}
-
-// otherImages returns how many images of serving tasks on the worker differ from one.
-func (worker *Worker) otherImages(image string) int {
-	others := len(worker.Images)
-	if worker.Images[image] > 0 {
-		others--
-	}
-	return others
-}
-
 // bestForStarved returns the worker on which a fill task does least harm.
 func bestForStarved(workers []*Worker, group Group) *Worker {
 	var found *Worker
@@ -270,6 +254,8 @@
 	// weightMarginal is the same for what the task itself adds, which is what it takes from other fill tasks.
 	weightHarm     = 1
 	weightMarginal = 5
+	// weightSuited keeps fill tasks off workers on which other images that wait could run.
+	weightSuited = 1
 	// minFillPart divides the request of a fill task: it waits where less than that part would be left for it.
 	minFillPart = 2
 	// weightMixed keeps serving tasks of different images apart: a fill task must spare all images on its
@@ -295,10 +281,10 @@
 		score += weightScarce
 	}
 	if step.Fill {
-		return score - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.excess(step) + weightMarginal*worker.marginal(step)
+		return score + weightSuited*worker.suited.others(step.Image) - share(worker.Slack, worker.Capacity.MilliCores) + weightHarm*worker.excess(step) + weightMarginal*worker.marginal(step)
 	}
 	if step.LatencyTarget > 0 {
-		score += weightMixed * float64(worker.otherImages(step.Image))
+		score += weightMixed * float64(worker.Images.Others(step.Image))
 		if len(worker.Images) == 0 {
 			score += weightEmpty
 		}
--- a/internal/jobs/packer/packer_test.go
+++ b/internal/jobs/packer/packer_test.go
@@ -73,7 +73,7 @@
 func imaged(workers []*Worker, images ...string) []*Worker {
 	for position, image := range images {
 		if image != "" {
-			workers[position].Images = map[string]int{image: 1}
+			workers[position].Images = ImageCounts{{Image: image, Count: 1}}
 		}
 	}
 	return workers
--- a/internal/jobs/packer/urgency.go
+++ b/internal/jobs/packer/urgency.go
@@ -26,19 +26,22 @@
 // ranks orders the prospects, the most urgent one first.
 var ranks = map[Prospect]int{ProspectTimely: 0, ProspectLate: 1, ProspectLost: 2}
 
-// Urgency orders steps that wait: by the priority of the queue, then by prospect, then by deadline. The order
-// answers a queue that is longer than what can be served in time. First come, first served makes every job
-// late there; this order serves those in time that can be, and the others when there is room.
+// Urgency orders steps that wait: by the priority of the queue, then by prospect, then by the work that is left of
+// the job, then by deadline. The order answers a queue that is longer than what can be served in time. First come,
+// first served makes every job late there, and so does the earliest deadline: each job is begun when it is almost
+// too late. Serving the jobs first of which least is left keeps the number of late ones small.
 type Urgency struct {
 	Priority int
 	Prospect Prospect
+	// Load is the work that is left of the job, in thousandths of a core times milliseconds.
+	Load     int64
 	Deadline time.Time
 }
 
 // Compare orders two urgencies, the more urgent one first.
 func (urgency Urgency) Compare(other Urgency) int {
 	return cmp.Or(cmp.Compare(urgency.Priority, other.Priority), cmp.Compare(ranks[urgency.Prospect], ranks[other.Prospect]),
-		urgency.Deadline.Compare(other.Deadline))
+		cmp.Compare(urgency.Load, other.Load), urgency.Deadline.Compare(other.Deadline))
 }
 
 // Work is what the urgency of a step follows from.
@@ -50,6 +53,8 @@
 	// Chain is the estimated time of the longest chain of steps, Remaining that of the part that is left.
 	Chain     time.Duration
 	Remaining time.Duration
+	// Load is the work that is left, see Urgency.
+	Load int64
 	// LongRunning is true for tasks that run until their job is cancelled and have no objective to miss.
 	LongRunning bool
 }
@@ -62,6 +67,7 @@
 	}
 	objective := time.Duration(max(work.Queue.Slowdown, 1)*float64(work.Chain)) + work.Queue.LatencyTarget
 	urgency.Deadline = work.Since.Add(objective)
+	urgency.Load = work.Load
 	end := now.Add(work.Remaining)
 	switch {
 	case end.After(work.Since.Add(lateFactor * objective)):
