admitter: a quarter of a pool is kept free of long-running tasks

Change: besides 1.3 times the mean demand of short work, at least a quarter of a pool is kept from long-running work. Tests: TestShortJobsHaveRoomAfterLosses fails before. In TestAdmit the case 'no short jobs' was wrong: room that is empty now is needed when short jobs come, and long-running tasks keep it for good. It is replaced by a case on each side of the new bound, and one where the demand decides; two other tests have other loads and the same expectation.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -1,6 +1,6 @@
 // Package admitter decides which jobs a domain takes on. It is pure decision code. The load that it answers is
-// a pool that is almost full of long-running tasks while short jobs come: a long-running task that takes the
-// last room keeps it for a minute, in which dozens of short jobs would have been served with it.
+// a pool that fills with long-running tasks before short jobs come or workers are lost: a long-running task that
+// takes the last room keeps it for a minute, in which dozens of short jobs would have been served with it.
 package admitter
 
 import (
@@ -16,6 +16,9 @@
 	// reserve is how much more room than the average demand is kept for short work, because it comes in
 	// bursts and does not pack without gaps.
 	reserve = 1.3
+	// standingReserve is the part of a pool that long-running tasks leave free even while there is no short work:
+	// it comes later, and the room that is left when a rack of workers is lost must still hold both.
+	standingReserve = 0.25
 	// The advice to callers is bounded: earlier than minRetry nothing has changed, and later than maxRetry
 	// nobody waits.
 	minRetry = time.Second
@@ -89,7 +92,8 @@
 	if asked == 0 || !admitter.warmed {
 		return Decision{admitted: true}
 	}
-	room := float64(admitter.load.Capacity) - reserve*admitter.short - float64(admitter.load.LongRunning)
+	capacity := float64(admitter.load.Capacity)
+	room := capacity - max(standingReserve*capacity, reserve*admitter.short) - float64(admitter.load.LongRunning)
 	if float64(asked) <= room {
 		return Decision{admitted: true}
 	}
