--- a/internal/jobs/packer/load_test.go
+++ b/internal/jobs/packer/load_test.go
@@ -16,7 +16,6 @@
 	jobs []*playedJob
 	free int
 	now  time.Time
-	ends []time.Time
 }
 
 type playedJob struct {
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -152,7 +152,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(messenger.Path, vm.messenger)
 	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", vm.settings.Peer.String())
+	listener, err := config.Listen(ctx, "tcp", vm.settings.listenAddress().String())
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -14,7 +14,9 @@
 	// Name identifies the VM in logs.
 	Name string `json:"name"`
 	// Peer is the address for other VMs of the domain. A VM that holds state is named by it.
-	Peer       netip.AddrPort           `json:"peer"`
+	Peer netip.AddrPort `json:"peer"`
+	// Listen is where the VM listens for other VMs, if they reach it through a proxy. Peer by default.
+	Listen     netip.AddrPort           `json:"listen,omitzero"`
 	DataCentre scheduler.DataCentreName `json:"dataCentre"`
 	// Seeds are peer addresses of VMs that hold state, some of which may be down.
 	Seeds []netip.AddrPort `json:"seeds"`
@@ -53,6 +55,14 @@
 	return nil
 }
 
+// listenAddress returns where the VM listens for other VMs.
+func (settings *Settings) listenAddress() netip.AddrPort {
+	if settings.Listen.IsValid() {
+		return settings.Listen
+	}
+	return settings.Peer
+}
+
 // seedNames returns the seeds as names of VMs.
 func (settings *Settings) seedNames() []scheduler.VMName {
 	names := make([]scheduler.VMName, len(settings.Seeds))
