overseer: an attempt whose start was not sent holds no lease

A worker that was idle for longer than its lease and got new attempts had them given up when the next decision came before their starts were sent, which is usual on a leader that is short of processor time. They were placed again: no rule was broken, but the start of each job took longer and every placement cost two records. Change: only attempts that may run, because a start was sent or an earlier leader may have sent one, end with the lease.

--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -131,13 +131,7 @@
 
 // expire records that the lease of a worker that does not answer has run out. The mutex is held.
 func (leadership *leadership) expire(life *worker) {
-	var ends []jobkeeper.End
-	for id, attempt := range life.attempts {
-		if !attempt.ending {
-			attempt.ending = true
-			ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndExpired})
-		}
-	}
+	ends := life.expiredAttempts()
 	if len(ends) == 0 {
 		return
 	}
@@ -147,6 +141,20 @@
 	leadership.workers.Go(func() { leadership.record(life, ends) })
 }
 
+// expiredAttempts marks the attempts that have ended with the lease and returns their ends. An attempt whose start
+// was not sent yet holds no lease: the one that is over is that of earlier attempts.
+func (worker *worker) expiredAttempts() []jobkeeper.End {
+	var ends []jobkeeper.End
+	for id, attempt := range worker.attempts {
+		if attempt.ending || attempt.state == attemptStarting && !attempt.exposed {
+			continue
+		}
+		attempt.ending = true
+		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndExpired})
+	}
+	return ends
+}
+
 // takeReport compares what a worker runs with what it should run. It returns the ends to be recorded.
 func (leadership *leadership) takeReport(life *worker, order scheduler.RenewOrder, report scheduler.WorkerReport, sent time.Duration) (ends []jobkeeper.End, accepted bool) {
 	leadership.mutex.Lock()
--- a/internal/jobs/overseer/renewal_test.go
+++ b/internal/jobs/overseer/renewal_test.go
@@ -35,3 +35,28 @@
 		})
 	}
 }
+
+// Guards against attempts that are given up before their start was sent, because the lease that their worker held
+// for earlier ones is over (seen on inc-31c8 of bb-rehome-grown: 617 leases ran out, most of them on idle workers).
+func TestUnsentAttemptHoldsNoLease(t *testing.T) {
+	tests := map[string]struct {
+		attempt attempt
+		want    int
+	}{
+		"not sent":                {attempt{state: attemptStarting}, 0},
+		"sent, not answered":      {attempt{state: attemptStarting, exposed: true}, 1},
+		"running":                 {attempt{state: attemptRunning}, 1},
+		"of an earlier leader":    {attempt{state: attemptUnknown}, 1},
+		"stopping":                {attempt{state: attemptStopping}, 1},
+		"its end is recorded now": {attempt{state: attemptRunning, ending: true}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := newWorker("w", 1)
+			worker.attempts[scheduler.RunID{}] = &test.attempt
+			if got := len(worker.expiredAttempts()); got != test.want {
+				t.Errorf("got %d expired attempts, want %d", got, test.want)
+			}
+		})
+	}
+}
