messenger: frames that wait share a message, and a handler that panics fails only its message

And a handler that panicked on a message ended the process: it runs in a goroutine of its own, outside the recovery of net/http.

Change: a message is a CBOR sequence of the frames that wait, up to 64 KB; frames are encoded into and read from reused buffers. A message with one frame has the same bytes as before. A panic becomes an error of class unknown and a log line with the stack. 4,096 instead of 256 handlers of a connection may run at once, for calls that wait.

--- a/internal/state/messenger/accepted.go
+++ b/internal/state/messenger/accepted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -47,18 +48,21 @@
 }
 
 func (connection *acceptedConnection) read(ctx context.Context, workers *sync.WaitGroup) {
+	reader := frameReader{socket: connection.socket, heartbeat: connection.messenger.heartbeat}
 	for {
-		received, size, err := readFrame(ctx, connection.socket, connection.messenger.heartbeat)
+		frames, err := reader.next(ctx)
 		if err != nil {
 			return
 		}
-		connection.messenger.counter.received(routeOf(received), size)
-		switch received.Type {
-		case frameSend:
-			connection.queueSend(received)
-		case frameCall:
-			connection.startCall(ctx, received, workers)
-		case frameHeartbeat, frameAnswer:
+		for _, next := range frames {
+			connection.messenger.counter.received(routeOf(next.frame), next.size)
+			switch next.frame.Type {
+			case frameSend:
+				connection.queueSend(next.frame)
+			case frameCall:
+				connection.startCall(ctx, next.frame, workers)
+			case frameHeartbeat, frameAnswer:
+			}
 		}
 	}
 }
@@ -105,7 +109,15 @@
 	})
 }
 
-func (connection *acceptedConnection) handle(ctx context.Context, received frame) ([]byte, error) {
+// handle runs the handler of a message. A handler that panics fails its message, not the VM.
+func (connection *acceptedConnection) handle(ctx context.Context, received frame) (body []byte, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			connection.messenger.log.Error().Str("event", "handlerPanicked").Str("from", string(connection.from)).
+				Str("kind", string(received.Kind)).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("message failed")
+			body, err = nil, scheduler.ErrUnknown.Wrap(Error.New("the handler failed: %v", cause))
+		}
+	}()
 	handler := connection.messenger.handler(received.Group, received.Kind)
 	if handler == nil {
 		return nil, scheduler.ErrNotRun.New("no handler for %s in group %s", received.Kind, received.Group)
@@ -120,19 +132,37 @@
 	}
 }
 
+// writeAnswers sends the answers that are ready, and heartbeats in between.
 func (connection *acceptedConnection) writeAnswers(ctx context.Context) {
 	heartbeat := time.NewTicker(connection.messenger.heartbeat)
 	defer heartbeat.Stop()
+	batch := batch{counter: connection.messenger.counter}
 	for {
-		outgoing := frame{Type: frameHeartbeat}
+		var err error
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-		case outgoing = <-connection.answers:
+			err = batch.add(frame{Type: frameHeartbeat})
+		case answer := <-connection.answers:
+			err = connection.addAnswers(&batch, answer)
 		}
-		if err := writeFrame(ctx, connection.socket, outgoing, connection.messenger.counter, connection.messenger.heartbeat); err != nil {
+		if err != nil || batch.write(ctx, connection.socket, connection.messenger.heartbeat) != nil {
 			return
 		}
 	}
 }
+
+// addAnswers adds an answer and those that wait behind it.
+func (connection *acceptedConnection) addAnswers(batch *batch, answer frame) error {
+	for {
+		if err := batch.add(answer); err != nil || batch.full() {
+			return err
+		}
+		select {
+		case answer = <-connection.answers:
+		default:
+			return nil
+		}
+	}
+}
--- a/internal/state/messenger/frame.go
+++ b/internal/state/messenger/frame.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -70,33 +71,93 @@
 	}
 }
 
-// readFrame returns a frame with its number of bytes.
-func readFrame(ctx context.Context, socket *websocket.Conn, heartbeat time.Duration) (frame, int, error) {
+// maxBatchSize is how many bytes of frames a message carries before it is written. One larger frame is a message
+// of its own.
+const maxBatchSize = 64 << 10
+
+// received is a frame with its number of bytes.
+type received struct {
+	frame frame
+	size  int
+}
+
+// frameReader reads the messages of a connection into one buffer.
+type frameReader struct {
+	socket    *websocket.Conn
+	heartbeat time.Duration
+	buffer    bytes.Buffer
+}
+
+// next returns the frames of the next message, which is a CBOR sequence.
+func (frameReader *frameReader) next(ctx context.Context) ([]received, error) {
 	// Without a limit a connection that the network has forgotten would block for ever.
-	ctx, cancel := context.WithTimeout(ctx, silenceLimit*heartbeat)
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit*frameReader.heartbeat)
 	defer cancel()
-	_, data, err := socket.Read(ctx)
+	_, message, err := frameReader.socket.Reader(ctx)
 	if err != nil {
-		return frame{}, 0, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
-	var received frame
-	if err := cbor.Unmarshal(data, &received); err != nil {
-		return frame{}, 0, Error.New("malformed frame: %v", err)
+	frameReader.buffer.Reset()
+	if _, err := frameReader.buffer.ReadFrom(message); err != nil {
+		return nil, Error.Wrap(err)
 	}
-	return received, len(data), nil
+	return decodeFrames(frameReader.buffer.Bytes())
 }
 
-func writeFrame(ctx context.Context, socket *websocket.Conn, outgoing frame, counter *counter, heartbeat time.Duration) error {
-	data, err := cbor.Marshal(outgoing)
+// decodeFrames returns the frames of a message. They share no memory with it.
+func decodeFrames(data []byte) ([]received, error) {
+	var frames []received
+	for len(data) > 0 {
+		var next frame
+		rest, err := cbor.UnmarshalFirst(data, &next)
+		if err != nil {
+			return nil, Error.New("malformed frame: %v", err)
+		}
+		frames = append(frames, received{frame: next, size: len(data) - len(rest)})
+		data = rest
+	}
+	return frames, nil
+}
+
+// encoding writes frames into the buffer of a batch.
+var encoding = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
 	if err != nil {
+		panic(err) // Only a fault in the constant options can cause it.
+	}
+	return mode
+}()
+
+// batch collects encoded frames that are written as one message, so that many small frames cost one system call.
+type batch struct {
+	buffer  bytes.Buffer
+	counter *counter
+}
+
+// add encodes a frame. A frame that cannot be encoded is an error of its sender and ends the connection.
+func (batch *batch) add(outgoing frame) error {
+	before := batch.buffer.Len()
+	if err := encoding.MarshalToBuffer(outgoing, &batch.buffer); err != nil {
 		return Error.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeLimit*heartbeat)
-	defer cancel()
 	counted := routeOf(outgoing)
 	if outgoing.Type == frameAnswer {
 		counted = outgoing.answers
 	}
-	counter.sent(counted, len(data))
-	return Error.Wrap(socket.Write(ctx, websocket.MessageBinary, data))
+	batch.counter.sent(counted, batch.buffer.Len()-before)
+	return nil
+}
+
+func (batch *batch) full() bool { return batch.buffer.Len() >= maxBatchSize }
+
+// write sends the frames that were added and empties the batch.
+func (batch *batch) write(ctx context.Context, socket *websocket.Conn, heartbeat time.Duration) error {
+	if batch.buffer.Len() == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeLimit*heartbeat)
+	defer cancel()
+	err := socket.Write(ctx, websocket.MessageBinary, batch.buffer.Bytes())
+	batch.buffer.Reset()
+	return Error.Wrap(err)
 }
--- a/internal/state/messenger/messenger.go
+++ b/internal/state/messenger/messenger.go
@@ -39,8 +39,9 @@
 	dialLimit    = time.Second
 	maxFrameSize = 16 << 20
 	queueLength  = 4096
-	// concurrentCalls bounds the handlers of one connection that run at once.
-	concurrentCalls = 256
+	// concurrentCalls bounds the handlers of one connection that run at once. Some wait for seconds, such as a
+	// renewal that a worker holds back.
+	concurrentCalls = 4096
 
 	headerFrom = "Crocusplank-From"
 )
--- a/internal/state/messenger/session.go
+++ b/internal/state/messenger/session.go
@@ -120,39 +120,60 @@
 	return true
 }
 
+// write sends what is queued, and heartbeats in between.
 func (session *session) write(ctx context.Context) {
 	heartbeat := time.NewTicker(session.heartbeat)
 	defer heartbeat.Stop()
+	batch := batch{counter: session.counter}
 	for {
-		var outgoing frame
+		var err error
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-			outgoing = frame{Type: frameHeartbeat}
+			err = batch.add(frame{Type: frameHeartbeat})
 		case queued := <-session.queue:
-			if !session.claim(queued) {
-				continue
-			}
-			outgoing = queued.frame
+			err = session.addQueued(&batch, queued)
 		}
-		if err := writeFrame(ctx, session.socket, outgoing, session.counter, session.heartbeat); err != nil {
+		if err != nil || batch.write(ctx, session.socket, session.heartbeat) != nil {
 			return
 		}
 	}
 }
 
+// addQueued adds a frame and those that wait behind it.
+func (session *session) addQueued(batch *batch, queued *queuedFrame) error {
+	for {
+		if session.claim(queued) {
+			if err := batch.add(queued.frame); err != nil {
+				return err
+			}
+		}
+		if batch.full() {
+			return nil
+		}
+		select {
+		case queued = <-session.queue:
+		default:
+			return nil
+		}
+	}
+}
+
 // read delivers answers until the connection ends or has been silent for too long.
 func (session *session) read(ctx context.Context) error {
+	reader := frameReader{socket: session.socket, heartbeat: session.heartbeat}
 	for {
-		received, size, err := readFrame(ctx, session.socket, session.heartbeat)
+		frames, err := reader.next(ctx)
 		if err != nil {
 			return err
 		}
-		if received.Type == frameAnswer && received.Epoch == session.epoch {
-			session.deliver(received, size)
-		} else {
-			session.counter.received(routeOf(received), size)
+		for _, next := range frames {
+			if next.frame.Type == frameAnswer && next.frame.Epoch == session.epoch {
+				session.deliver(next.frame, next.size)
+			} else {
+				session.counter.received(routeOf(next.frame), next.size)
+			}
 		}
 	}
 }
