relayer, clerk: core VMs that do not lead send orders and take beats for the leader

Cause: the leader called every worker itself, over up to four connections each, and took every beat as a call of its own. At 3,000 workers its descriptors ended (4,995 connections at peak, 4,096 allowed), calls opened 560 new connections a second, leases ran out, and work that was lost was placed again. Ruled out: the decisions themselves (1,000 workers took 48% of the busiest core VM), the entry VMs (3%).

Change: relayer sends an order directly up to 200 workers, otherwise through the other VMs with state, each for an equal part of the workers (rendezvous hashing), and by another way once one has failed. An order carries the leader's token and a permit that ends on the clock of the process that sends it: a VM that was frozen, cut off or restarted sends nothing that the leader has given up, and none sends the order of a former leader after that of the present one. clerk.Collector acknowledges beats that repeat what the leader knows and passes them on together four times a second; changes go at once. A new leader is told all recent beats instead of waiting for the next ones. A worker has three connections, not four. What takes a worker's place is found by its address and VM, not by a search through all workers.

Tests: the random schedules send all orders through other VMs, which freeze for up to 12 s.

--- /dev/null
+++ b/internal/basics/ranker/ranker.go
@@ -0,0 +1,38 @@
+// Package ranker orders candidates for a key by rendezvous hashing.
+package ranker
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Rank returns the candidates in their order for a key. Each candidate comes first for an equal part of all keys, and
+// without one of them only the keys for which it came first have another first one. The order does not depend on that
+// of the arguments.
+func Rank[T ~string](candidates []T, key string) []T {
+	weights := make(map[T]uint64, len(candidates))
+	for _, candidate := range candidates {
+		weights[candidate] = weigh(string(candidate), key)
+	}
+	return slices.SortedFunc(slices.Values(candidates), func(a, b T) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+}
+
+func weigh(candidate, key string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(candidate)) // A hash never fails.
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(key))
+	return mix(hash.Sum64())
+}
+
+// mix spreads the differences of similar texts, which FNV leaves in the low bits, over all bits.
+func mix(hash uint64) uint64 {
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	return hash ^ hash>>33
+}
--- a/internal/jobs/clerk/clerk.go
+++ b/internal/jobs/clerk/clerk.go
@@ -54,6 +54,8 @@
 		return clerk.read()
 	case request.Beat != nil:
 		return clerk.workerAnswer(clerk.overseer.Beat(*request.Beat))
+	case request.Heard != nil:
+		return clerk.heard(request.Heard)
 	case request.Leave != nil:
 		return clerk.workerAnswer(clerk.overseer.Leave(request.Leave.Worker))
 	case request.Status != nil:
@@ -193,6 +195,13 @@
 	return Answer{Status: StatusDone, Leader: clerk.group.Status().Leader()}
 }
 
+func (clerk *Clerk) heard(request *HeardRequest) Answer {
+	unknown, err := clerk.overseer.Heard(request.Workers, request.Beats)
+	answer := clerk.workerAnswer(err)
+	answer.Unknown = unknown
+	return answer
+}
+
 // command replicates a command and turns its result into an answer.
 func (clerk *Clerk) command(ctx context.Context, command jobkeeper.Command) Answer {
 	result, err := clerk.overseer.Propose(ctx, command)
--- a/internal/jobs/clerk/courier.go
+++ b/internal/jobs/clerk/courier.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/basics/ranker"
 	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -227,6 +228,22 @@
 	}
 }
 
+// home returns the VM to which a worker should send its beats, empty if none can be reached.
+func (courier *Courier) home(worker scheduler.WorkerName) scheduler.VMName {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	var reachable []scheduler.VMName
+	for _, member := range courier.members {
+		if courier.mayReach(member) {
+			reachable = append(reachable, member)
+		}
+	}
+	if len(reachable) == 0 {
+		return ""
+	}
+	return ranker.Rank(reachable, string(worker))[0]
+}
+
 // suspect forgets a leader that has not answered, and asks it last from now on. The mutex is held.
 func (courier *Courier) suspect(vm scheduler.VMName) {
 	if courier.leader == vm {
--- a/internal/jobs/clerk/message.go
+++ b/internal/jobs/clerk/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -18,6 +19,7 @@
 	Beat      *scheduler.WorkerBeat         `cbor:"7,keyasint,omitempty"`
 	Leave     *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
 	Status    *StatusRequest                `cbor:"9,keyasint,omitempty"`
+	Heard     *HeardRequest                 `cbor:"10,keyasint,omitempty"`
 }
 
 // PlaceRequest names the place at which a request arrived; it selects the queue.
@@ -58,6 +60,15 @@
 	Worker scheduler.WorkerName
 }
 
+// HeardRequest passes on beats that another VM has taken.
+type HeardRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// Workers are those that have only repeated what the leader was told of them.
+	Workers []overseer.HeardWorker
+	// Beats are told in full.
+	Beats []overseer.AgedBeat
+}
+
 // Status tells what became of a request.
 type Status string
 
@@ -101,6 +112,8 @@
 	Members []scheduler.VMName `cbor:"9,keyasint,omitempty"`
 	// Version is that of the configuration in force, 0 without one.
 	Version uint64 `cbor:"10,keyasint,omitempty"`
+	// Unknown are the workers of a HeardRequest of which the leader has to be told in full.
+	Unknown []scheduler.WorkerName `cbor:"11,keyasint,omitempty"`
 }
 
 // refusal returns an answer that tells why a request had no effect.
--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/relayer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -98,6 +100,8 @@
 	random    *rand.Rand
 	fleet     *fakeFleet
 	domain    *fakeDomain
+	network   *fakeNetwork
+	relayers  []*relayer.Relayer
 	overseers []*Overseer
 	names     []scheduler.WorkerName
 	lives     map[scheduler.WorkerName]scheduler.Incarnation
@@ -118,10 +122,11 @@
 	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New()}
 	domain.leader.Store(noLeader)
 	schedule := &schedule{
-		t: t, random: rand.New(rand.NewPCG(seed, 2)), fleet: newFleet(seed), domain: domain, lives: map[scheduler.WorkerName]scheduler.Incarnation{},
+		t: t, random: rand.New(rand.NewPCG(seed, 2)), fleet: newFleet(seed), network: newFakeNetwork(seed), domain: domain, lives: map[scheduler.WorkerName]scheduler.Incarnation{},
 	}
 	for number := range scheduleVMs {
-		schedule.overseers = append(schedule.overseers, New(&fakeGroup{domain: domain, number: number}, domain.keeper, schedule.fleet,
+		client := schedule.addRelayer(number)
+		schedule.overseers = append(schedule.overseers, New(&fakeGroup{domain: domain, number: number}, domain.keeper, client,
 			WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond), WithLogger(scheduleLogger(number))))
 	}
 	for number := range scheduleWorkers {
@@ -130,6 +135,18 @@
 	return schedule
 }
 
+func vmName(number int) scheduler.VMName { return scheduler.VMName(fmt.Sprintf("vm%d", number)) }
+
+// addRelayer returns the client of a VM, which sends orders through the other VMs.
+func (schedule *schedule) addRelayer(number int) scheduler.WorkerClient {
+	transport := fakeTransport{network: schedule.network, self: vmName(number)}
+	relayer.Serve(transport, "domain", schedule.fleet, stopwatch.Start())
+	members := func() []scheduler.VMName { return []scheduler.VMName{vmName(0), vmName(1), vmName(2)} }
+	client := relayer.New(schedule.fleet, transport, &fakeGroup{domain: schedule.domain, number: number}, members, relayer.WithDirectWorkers(0))
+	schedule.relayers = append(schedule.relayers, client)
+	return client
+}
+
 // scheduleLogger returns the logger of a VM, which writes only if the tests are asked for it.
 func scheduleLogger(number int) zerolog.Logger {
 	if !*logs {
@@ -201,7 +218,9 @@
 // disturb brings about one random failure, which lasts for a random time.
 func (schedule *schedule) disturb() {
 	name := schedule.names[schedule.random.IntN(len(schedule.names))]
-	switch schedule.random.IntN(6) {
+	switch schedule.random.IntN(8) {
+	case 6, 7:
+		schedule.network.freeze(vmName(schedule.random.IntN(scheduleVMs)), time.Duration(schedule.random.Int64N(int64(12*time.Second))))
 	case 0:
 		schedule.domain.elect(schedule.random.IntN(scheduleVMs))
 	case 1:
@@ -261,8 +280,9 @@
 func (schedule *schedule) start() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	for _, overseer := range schedule.overseers {
+	for number, overseer := range schedule.overseers {
 		running.Go(func() { overseer.Run(ctx) })
+		running.Go(func() { schedule.relayers[number].Run(ctx) })
 	}
 	running.Go(func() {
 		for ctx.Err() == nil {
@@ -284,6 +304,7 @@
 	return func() {
 		cancel()
 		running.Wait()
+		schedule.network.calls.Wait()
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/overseer/fake_network_test.go
@@ -0,0 +1,81 @@
+package overseer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// fakeNetwork carries messages between the VMs of a schedule. A VM can be frozen: what is sent to it arrives when it
+// wakes up, whether or not the sender still waits.
+type fakeNetwork struct {
+	mutex    sync.Mutex
+	random   *rand.Rand
+	handlers map[scheduler.VMName]map[scheduler.MessageKind]scheduler.MessageHandler
+	thaw     map[scheduler.VMName]time.Time
+	// calls are those under way, also when their sender no longer waits.
+	calls sync.WaitGroup
+}
+
+func newFakeNetwork(seed uint64) *fakeNetwork {
+	return &fakeNetwork{
+		random: rand.New(rand.NewPCG(seed, 3)), handlers: map[scheduler.VMName]map[scheduler.MessageKind]scheduler.MessageHandler{},
+		thaw: map[scheduler.VMName]time.Time{},
+	}
+}
+
+// freeze stops a VM for some time.
+func (network *fakeNetwork) freeze(vm scheduler.VMName, duration time.Duration) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.thaw[vm] = time.Now().Add(duration)
+}
+
+// delay returns how long a message to a VM is under way.
+func (network *fakeNetwork) delay(to scheduler.VMName) time.Duration {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	return max(0, time.Until(network.thaw[to])) + time.Duration(network.random.Int64N(int64(3*time.Millisecond)))
+}
+
+// fakeTransport is the part of one VM in the network.
+type fakeTransport struct {
+	network *fakeNetwork
+	self    scheduler.VMName
+}
+
+func (transport fakeTransport) Self() scheduler.VMName { return transport.self }
+
+func (transport fakeTransport) Send(scheduler.VMName, scheduler.GroupName, scheduler.MessageKind, []byte) {
+}
+
+func (transport fakeTransport) Handle(_ scheduler.GroupName, kind scheduler.MessageKind, handler scheduler.MessageHandler) {
+	handlers := transport.network.handlers
+	if handlers[transport.self] == nil {
+		handlers[transport.self] = map[scheduler.MessageKind]scheduler.MessageHandler{}
+	}
+	handlers[transport.self][kind] = handler
+}
+
+func (transport fakeTransport) Call(ctx context.Context, to scheduler.VMName, _ scheduler.GroupName, kind scheduler.MessageKind, body []byte) ([]byte, error) {
+	type result struct {
+		body []byte
+		err  error
+	}
+	results := make(chan result, 1)
+	transport.network.calls.Go(func() {
+		time.Sleep(transport.network.delay(to))
+		answer, err := transport.network.handlers[to][kind](context.Background(), transport.self, body)
+		time.Sleep(transport.network.delay(transport.self))
+		results <- result{body: answer, err: err}
+	})
+	select {
+	case answered := <-results:
+		return answered.body, answered.err
+	case <-ctx.Done():
+		return nil, scheduler.ErrUnknown.Wrap(ctx.Err())
+	}
+}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -29,6 +29,8 @@
 	mutex sync.Mutex
 	// lives holds the current life of each worker.
 	lives map[scheduler.WorkerName]*worker
+	// places holds the worker that was heard of last in each place.
+	places map[place]scheduler.WorkerName
 	// recording holds the attempts whose ends are being recorded for a life that is over.
 	recording map[scheduler.RunID]bool
 	// effects is what was learned of the effect of fill tasks on serving tasks in this term.
@@ -52,7 +54,7 @@
 	leadership := &leadership{
 		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
-		lives:  map[scheduler.WorkerName]*worker{}, effects: pacer.NewEffects(),
+		lives:  map[scheduler.WorkerName]*worker{}, places: map[place]scheduler.WorkerName{}, effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
 		starved: map[scheduler.StepTaskID]bool{}, journal: newJournal(), failures: newFailures(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
@@ -130,37 +132,6 @@
 	return leadership.overseer.Propose(ctx, command)
 }
 
-// beat takes what a worker states about itself. A beat of an earlier life, or one that was overtaken by a
-// later one, changes nothing.
-func (leadership *leadership) beat(beat scheduler.WorkerBeat) {
-	leadership.mutex.Lock()
-	defer leadership.mutex.Unlock()
-	now := leadership.now()
-	life := leadership.lives[beat.Worker]
-	switch {
-	case life != nil && beat.Life < life.life, life != nil && life.known && beat.Life == life.life && beat.Sequence <= life.beat.Sequence:
-		return
-	case life != nil && life.life < beat.Life:
-		life = leadership.succeed(life, beat.Life)
-	}
-	leadership.endOthersAt(beat)
-	if life == nil {
-		life = newWorker(beat.Worker, beat.Life)
-		life.synced = true // No leader has sent orders to this life: its attempts would be in the log.
-		leadership.lives[beat.Worker] = life
-	}
-	if !life.known || life.beat.Phase != beat.Phase {
-		leadership.logger.Info().Str("event", "workerHeard").Str("worker", string(beat.Worker)).Uint64("life", uint64(beat.Life)).
-			Str("phase", string(beat.Phase)).Dur("remaining", beat.DrainRemaining).Str("dataCentre", string(beat.DataCentre)).
-			Str("address", beat.Address).Msg("worker state changed")
-		leadership.replan()
-	}
-	life.known, life.beat, life.heard = true, beat, now
-	leadership.failures.quarantiner.Add(beat.Worker)
-	life.noteOldClock(beat.Clock, now)
-	leadership.watchWorker(life)
-}
-
 // succeed replaces a life of a worker by a later one of the same name. An order that was meant for the
 // earlier life may have reached the later one, so attempts that the earlier life has not listed are looked
 // for there: the next report shows them, or their start is repeated.
@@ -185,18 +156,6 @@
 // lateOrder is for how long an order that got no answer may still take effect.
 const lateOrder = 12 * time.Second
 
-// endOthersAt ends the lives of other workers on the same VM or at the same address that began before.
-func (leadership *leadership) endOthersAt(beat scheduler.WorkerBeat) {
-	for _, other := range leadership.lives {
-		if other.name == beat.Worker || !other.known || other.over || other.life >= beat.Life {
-			continue
-		}
-		if other.beat.Address == beat.Address || beat.VM != "" && other.beat.VM == beat.VM {
-			leadership.endLife(other, "another worker runs in its place")
-		}
-	}
-}
-
 // leave takes the statement of a draining worker that it ends now. One of an earlier life, which arrives
 // late, finds a worker that does not drain.
 func (leadership *leadership) leave(name scheduler.WorkerName) {
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -99,27 +99,6 @@
 	return overseer.current.Load() != nil && overseer.group.HoldsLeaderLease()
 }
 
-// Beat takes what a worker has stated about itself. It returns an error of class scheduler.ErrNotRun when
-// this VM does not lead.
-func (overseer *Overseer) Beat(beat scheduler.WorkerBeat) error {
-	leadership := overseer.current.Load()
-	if leadership == nil || !overseer.group.HoldsLeaderLease() {
-		return scheduler.ErrNotRun.New("this VM does not lead the domain")
-	}
-	leadership.beat(beat)
-	return nil
-}
-
-// Leave takes the statement of a worker that it ends now. See Beat.
-func (overseer *Overseer) Leave(worker scheduler.WorkerName) error {
-	leadership := overseer.current.Load()
-	if leadership == nil || !overseer.group.HoldsLeaderLease() {
-		return scheduler.ErrNotRun.New("this VM does not lead the domain")
-	}
-	leadership.leave(worker)
-	return nil
-}
-
 // Propose replicates a command and returns its result.
 func (overseer *Overseer) Propose(ctx context.Context, command jobkeeper.Command) (jobkeeper.Result, error) {
 	data, err := command.Encode()
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -14,9 +14,11 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
 	"github.com/crocusplank/crocusplank/internal/jobs/clerk"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
+	"github.com/crocusplank/crocusplank/internal/jobs/relayer"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
 	"github.com/crocusplank/crocusplank/internal/state/messenger"
 	"github.com/crocusplank/crocusplank/internal/state/replicator"
@@ -47,6 +49,8 @@
 	logger     zerolog.Logger
 	messenger  *messenger.Messenger
 	courier    *clerk.Courier
+	collector  *clerk.Collector
+	relayer    *relayer.Relayer
 	overseer   *overseer.Overseer
 	replicator *replicator.Replicator
 	steward    *steward.Steward
@@ -92,6 +96,7 @@
 		}
 	}
 	vm.courier = clerk.NewCourier(vm.messenger, domainGroup, settings.seedNames(), local, parts.Scope, parts.Logger)
+	vm.collector = clerk.NewCollector(vm.courier, parts.Logger)
 	return vm, nil
 }
 
@@ -114,7 +119,10 @@
 	if err != nil {
 		return nil, errs.Combine(Error.Wrap(err), journal.Close())
 	}
-	vm.overseer = overseer.New(vm.replicator, keeper, parts.Client,
+	relayer.Serve(vm.messenger, domainGroup, parts.Client, stopwatch.StartBoot())
+	vm.relayer = relayer.New(parts.Client, vm.messenger, vm.replicator, vm.memberNames,
+		relayer.WithLogger(parts.Logger), relayer.WithScope(parts.Scope), relayer.WithSuspension())
+	vm.overseer = overseer.New(vm.replicator, keeper, vm.relayer,
 		overseer.WithLogger(parts.Logger), overseer.WithScope(parts.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, clockDrift), overseer.WithBeatInterval(settings.BeatInterval),
 		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(parts.Approver))
@@ -147,6 +155,9 @@
 // Courier passes requests to the VM that leads the domain.
 func (vm *VM) Courier() *clerk.Courier { return vm.courier }
 
+// Collector takes the beats of workers.
+func (vm *VM) Collector() *clerk.Collector { return vm.collector }
+
 // Start listens for other VMs and takes part in the domain.
 func (vm *VM) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -170,6 +181,8 @@
 		}
 		vm.workers.Go(func() { vm.overseer.Run(running) })
 		vm.workers.Go(func() { vm.steward.Run(running) })
+		vm.workers.Go(func() { vm.relayer.Run(running) })
+		vm.workers.Go(func() { vm.collector.Run(running) })
 	}
 	vm.messenger.Start()
 	vm.workers.Go(func() { vm.courier.Run(running) })
--- a/pkg/scheduler/calledworker.go
+++ b/pkg/scheduler/calledworker.go
@@ -37,8 +37,9 @@
 	Sequence uint64 `cbor:"12,keyasint"`
 }
 
-// WorkerRef names one life of a called worker and where it is reached.
+// WorkerRef names one life of a called worker and where it is reached. It is a wire type.
 type WorkerRef struct {
+	_       struct{} `cbor:",toarray"`
 	Worker  WorkerName
 	Life    Incarnation
 	Address string
@@ -68,15 +69,17 @@
 	OrderOtherLife OrderVerdict = "otherLife"
 )
 
-// OrderAnswer is the answer to an order.
+// OrderAnswer is the answer to an order. It is a wire type.
 type OrderAnswer struct {
+	_       struct{} `cbor:",toarray"`
 	Verdict OrderVerdict
 	// Clock is the worker's clock at the answer, zero if the answer has none.
 	Clock time.Duration
 }
 
-// StartOrder asks a called worker to run an attempt of a task.
+// StartOrder asks a called worker to run an attempt of a task. It is a wire type.
 type StartOrder struct {
+	_       struct{} `cbor:",toarray"`
 	Run     RunID
 	Payload string
 	// LeaseEnd is the time on the worker's clock at which the lease of the worker ends.
@@ -87,8 +90,9 @@
 	Approval string
 }
 
-// RenewOrder extends the lease of a called worker and acknowledges the ends of attempts.
+// RenewOrder extends the lease of a called worker and acknowledges the ends of attempts. It is a wire type.
 type RenewOrder struct {
+	_        struct{} `cbor:",toarray"`
 	LeaseEnd time.Duration
 	Token    Term
 	// Acknowledged is the number of the last end that has been recorded.
@@ -97,8 +101,9 @@
 	Wait time.Duration
 }
 
-// RunningAttempt is an attempt that a called worker runs.
+// RunningAttempt is an attempt that a called worker runs. It is a wire type.
 type RunningAttempt struct {
+	_          struct{} `cbor:",toarray"`
 	Run        RunID
 	Checkpoint string
 	// Progress is the percentage of its work that the attempt has done; that of a long-running task is 100
@@ -130,8 +135,9 @@
 	EndRefused EndKind = "refused"
 )
 
-// AttemptEnd is the end of an attempt on a called worker.
+// AttemptEnd is the end of an attempt on a called worker. It is a wire type.
 type AttemptEnd struct {
+	_ struct{} `cbor:",toarray"`
 	// Number counts the ends of a life of the worker from 1.
 	Number     uint64
 	Run        RunID
@@ -139,8 +145,9 @@
 	Checkpoint string
 }
 
-// WorkerReport is the answer to a RenewOrder.
+// WorkerReport is the answer to a RenewOrder. It is a wire type.
 type WorkerReport struct {
+	_       struct{} `cbor:",toarray"`
 	Verdict OrderVerdict
 	Life    Incarnation
 	Clock   time.Duration
