overseer, platform: orders of a process that stood still, and orders for an earlier life, have no effect

A panic, WaitGroup reused, that ends the process: a beat that came while the leadership ended added a goroutine. 2. The leader lease was checked first and the worker's lease granted afterwards, so after a stall it ended later than the next leader waits for. 3. Ruled out: results that arrive late (finishLate).

Change: 1. runner.Runner takes goroutines until it is closed; a fault in one ends the leadership and not the process. 2. The lease is granted before the leader lease is checked, and an order older than 200 ms is prepared again. 3. An attempt of which a start is unanswered is looked for on the later life even if the earlier one has listed it.

The fake workers now hold what the client guarantees: an order for another life has no effect.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -41,6 +41,8 @@
 	leader atomic.Int32
 	term   atomic.Uint64
 	index  scheduler.Index
+	// stalled is until when the processes of the VMs stand still, see HoldsLeaderLease.
+	stalled [scheduleVMs]time.Time
 }
 
 const noLeader = -1
@@ -81,8 +83,30 @@
 	return scheduler.NewGroupStatus(role, scheduler.Term(group.domain.term.Load()), "", 0, 0, nil)
 }
 
+// HoldsLeaderLease tells what held when it was called. In a process that stands still, the caller learns it late and
+// may act on a lease that another VM has taken over meanwhile.
 func (group *fakeGroup) HoldsLeaderLease() bool {
-	return int(group.domain.leader.Load()) == group.number
+	held := int(group.domain.leader.Load()) == group.number
+	group.domain.mutex.Lock()
+	stalled := time.Until(group.domain.stalled[group.number])
+	group.domain.mutex.Unlock()
+	if held && stalled > 0 {
+		time.Sleep(stalled)
+	}
+	return held
+}
+
+// stall lets the process of the leader stand still, and another VM take over after a moment.
+func (domain *fakeDomain) stall(duration time.Duration, next int) {
+	leader := int(domain.leader.Load())
+	if leader == noLeader {
+		return
+	}
+	domain.mutex.Lock()
+	domain.stalled[leader] = time.Now().Add(duration)
+	domain.mutex.Unlock()
+	time.Sleep(time.Second)
+	domain.elect(next)
 }
 
 // elect makes a VM the leader of a new term.
@@ -152,7 +176,7 @@
 	if !*logs {
 		return zerolog.Nop()
 	}
-	return zerolog.New(zerolog.ConsoleWriter{Out: os.Stdout, NoColor: true}).With().Timestamp().Int("vm", number).Logger()
+	return zerolog.New(zerolog.ConsoleWriter{Out: os.Stdout, NoColor: true, TimeFormat: "05.000"}).With().Timestamp().Int("vm", number).Logger()
 }
 
 // apply commits a command directly, as a caller's request does.
@@ -218,7 +242,9 @@
 // disturb brings about one random failure, which lasts for a random time.
 func (schedule *schedule) disturb() {
 	name := schedule.names[schedule.random.IntN(len(schedule.names))]
-	switch schedule.random.IntN(8) {
+	switch schedule.random.IntN(10) {
+	case 8, 9:
+		schedule.domain.stall(time.Duration(schedule.random.Int64N(int64(9*time.Second))), schedule.random.IntN(scheduleVMs))
 	case 6, 7:
 		schedule.network.freeze(vmName(schedule.random.IntN(scheduleVMs)), time.Duration(schedule.random.Int64N(int64(12*time.Second))))
 	case 0:
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -26,6 +26,8 @@
 	// history tells for each task when its runs began and ended.
 	history map[scheduler.StepTaskID][]string
 	starts  int
+	// resumed counts the starts that carried saved progress.
+	resumed int
 	// lateShare is the share of orders that are not answered and take effect seconds later.
 	lateShare float64
 	// failShare is the share of runs that fail.
@@ -62,6 +64,7 @@
 }
 
 type fakeRun struct {
+	began      time.Time
 	until      time.Time
 	fails      bool
 	checkpoint string
@@ -71,6 +74,12 @@
 
 const fakeLease = 10 * time.Second
 
+// Runs have saved progress from saveInterval on.
+const (
+	saveInterval  = 500 * time.Millisecond
+	savedProgress = "saved"
+)
+
 func newFleet(seed uint64) *fakeFleet {
 	return &fakeFleet{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: map[string]*fakeWorker{}, running: map[scheduler.StepTaskID]int{},
@@ -156,6 +165,9 @@
 		worker.lapsedUpTo = worker.endCount
 	}
 	for id, run := range worker.runs {
+		if time.Since(run.began) > saveInterval {
+			run.checkpoint = savedProgress
+		}
 		switch {
 		case lapsed:
 			worker.end(id, scheduler.EndExpired, run.checkpoint)
@@ -196,12 +208,14 @@
 	}, true
 }
 
-// reach returns the life at an address and whether the order is late. An error means that it got no answer.
+// reach returns the life at an address. An error means that the order got no answer; it may be late. An order for another
+// life has no effect, see scheduler.WorkerClient.
 func (fleet *fakeFleet) reach(ctx context.Context, ref scheduler.WorkerRef, effect func(worker *fakeWorker)) (*fakeWorker, error) {
 	time.Sleep(time.Millisecond)
 	fleet.mutex.Lock()
 	worker := fleet.workers[ref.Address]
-	late := fleet.random.Float64() < fleet.lateShare
+	other := worker != nil && worker.life != ref.Life
+	late := fleet.random.Float64() < fleet.lateShare && !other
 	delay := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
 	lost := worker == nil || worker.dead || worker.cut
 	fleet.mutex.Unlock()
@@ -233,7 +247,7 @@
 	if worker.dead {
 		return scheduler.OrderAnswer{}, errDied
 	}
-	if worker.name != ref.Worker {
+	if worker.life != ref.Life {
 		return scheduler.OrderAnswer{Verdict: scheduler.OrderOtherLife}, nil
 	}
 	return scheduler.OrderAnswer{Verdict: worker.start(order), Clock: worker.clock()}, nil
@@ -285,7 +299,10 @@
 			}
 		}
 	}
-	run := &fakeRun{fails: fleet.random.Float64() < fleet.failShare, checkpoint: order.Checkpoint}
+	if order.Checkpoint == savedProgress {
+		fleet.resumed++
+	}
+	run := &fakeRun{began: time.Now(), fails: fleet.random.Float64() < fleet.failShare, checkpoint: order.Checkpoint}
 	if worker.broken {
 		run.fails, run.until = true, time.Now()
 	} else if !workflow.Steps[task.Step].LongRunning {
@@ -308,6 +325,9 @@
 	if worker.dead {
 		return scheduler.OrderAnswer{}, errDied
 	}
+	if worker.life != ref.Life {
+		return scheduler.OrderAnswer{Verdict: scheduler.OrderOtherLife}, nil
+	}
 	return scheduler.OrderAnswer{Verdict: worker.stop(run, token), Clock: worker.clock()}, nil
 }
 
@@ -319,7 +339,7 @@
 	worker.token = token
 	worker.highest[run.Task] = max(worker.highest[run.Task], run.Attempt)
 	if worker.runs[run] != nil {
-		worker.end(run, scheduler.EndStopped, "saved")
+		worker.end(run, scheduler.EndStopped, savedProgress)
 	}
 	return scheduler.OrderAccepted
 }
@@ -335,6 +355,10 @@
 		fleet.mutex.Unlock()
 		return scheduler.WorkerReport{}, errDied
 	}
+	if worker.life != ref.Life {
+		fleet.mutex.Unlock()
+		return scheduler.WorkerReport{Verdict: scheduler.OrderOtherLife, Life: worker.life}, nil
+	}
 	verdict := worker.renew(order)
 	signal, waits := worker.endSignal, verdict == scheduler.OrderAccepted && len(worker.ends) == 0 && order.Wait > 0
 	fleet.mutex.Unlock()
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/basics/runner"
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
@@ -20,8 +21,8 @@
 	term     scheduler.Term
 	context  context.Context
 	logger   zerolog.Logger
-	workers  sync.WaitGroup
-	// deposed is set when a worker has seen a higher fencing token.
+	workers  runner.Runner
+	// deposed is set when a worker has seen a higher fencing token, or after a fault.
 	deposed atomic.Bool
 	// planning is signalled when there may be something to place.
 	planning chan struct{}
@@ -59,10 +60,19 @@
 		starved: map[scheduler.StepTaskID]bool{}, journal: newJournal(), failures: newFailures(),
 		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
+	leadership.workers.Panicked = leadership.panicked
 	leadership.adoptAll()
 	return leadership
 }
 
+// panicked ends this leadership after a fault in one of its goroutines. What it knew may be wrong; the next one starts
+// from the log.
+func (leadership *leadership) panicked(cause any, stack []byte) {
+	leadership.logger.Error().Str("event", "leadershipPanicked").Interface("cause", cause).Bytes("stack", stack).
+		Msg("a fault ends this leadership")
+	leadership.deposed.Store(true)
+}
+
 // adoptAll takes over attempts that this leadership has not placed: those of earlier leaders, and those of a
 // proposal whose answer was lost. Their leases may have been renewed until just now, so a worker that is not
 // heard from is waited for during a whole lease.
@@ -118,6 +128,14 @@
 	return leadership.context.Err() == nil && !leadership.deposed.Load() && leadership.overseer.group.HoldsLeaderLease()
 }
 
+// maySend reports whether an order that was prepared at a time may be sent now. The leader lease is checked after the
+// worker's lease was granted: however long the process stood still in between, the worker's lease ends as if the order
+// had been sent while this VM led, which is what the next leader waits for. An order that has become old is prepared
+// again, because the worker may have begun a later life meanwhile.
+func (leadership *leadership) maySend(prepared time.Duration) bool {
+	return leadership.mayAct() && leadership.now()-prepared < orderAge
+}
+
 // replan asks for a new decision.
 func (leadership *leadership) replan() {
 	select {
@@ -133,12 +151,13 @@
 }
 
 // succeed replaces a life of a worker by a later one of the same name. An order that was meant for the
-// earlier life may have reached the later one, so attempts that the earlier life has not listed are looked
-// for there: the next report shows them, or their start is repeated.
+// earlier life may have reached the later one, so attempts that the earlier life has not listed, or of which a start is
+// still unanswered, are looked for there: the next report shows them, or their start is repeated.
 func (leadership *leadership) succeed(earlier *worker, life scheduler.Incarnation) *worker {
 	later := newWorker(earlier.name, life)
 	for id, unseen := range earlier.attempts {
-		if unseen.seen || unseen.ending {
+		settled := unseen.seen && !unseen.exposed && !unseen.unanswered
+		if settled || unseen.ending {
 			continue
 		}
 		delete(earlier.attempts, id)
@@ -198,7 +217,7 @@
 	for id, attempt := range life.attempts {
 		attempt.ending = true
 		leadership.recording[id] = true
-		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndLost})
+		ends = append(ends, attempt.end(id, scheduler.EndLost))
 	}
 	if len(ends) > 0 {
 		leadership.workers.Go(func() { leadership.record(life, ends) })
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -21,6 +21,8 @@
 	planInterval = 100 * time.Millisecond
 	// orderTimeout bounds one order to a worker. It is a multiple of the round trip between data centres.
 	orderTimeout = 700 * time.Millisecond
+	// orderAge is how old an order may be when it is sent. A worker takes longer to begin a later life.
+	orderAge = 200 * time.Millisecond
 	// renewSlack is added to the time for which a worker may hold its answer back.
 	renewSlack = time.Second
 	// firstRetry and lastRetry bound the pause before an unanswered order is repeated.
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -17,15 +17,16 @@
 func (leadership *leadership) start(life *worker, id scheduler.RunID) {
 	began := leadership.now()
 	for failures := 0; leadership.context.Err() == nil; {
-		if !leadership.mayAct() {
-			leadership.pause(leaseCheckInterval)
-			continue
-		}
+		prepared := leadership.now()
 		plan := leadership.planStart(life, id)
 		if !plan.wanted {
 			leadership.abandonStart(life, id)
 			return
 		}
+		if !leadership.maySend(prepared) {
+			leadership.pause(leaseCheckInterval)
+			continue
+		}
 		answer, err := leadership.sendStart(life, plan.order)
 		if err != nil {
 			failures++
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -83,7 +83,7 @@
 	}
 	overseer.current.Store(nil)
 	cancel()
-	leadership.workers.Wait()
+	leadership.workers.Close()
 	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).Msg("this VM no longer acts for the domain")
 }
 
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -21,14 +21,15 @@
 // renew keeps the lease of a worker while it has attempts, and records the ends that it reports.
 func (leadership *leadership) renew(life *worker) {
 	for first := true; leadership.context.Err() == nil; first = false {
-		if !leadership.mayAct() {
-			leadership.pause(leaseCheckInterval)
-			continue
-		}
+		prepared := leadership.now()
 		order, more := leadership.nextRenewal(life, first)
 		if !more {
 			return
 		}
+		if !leadership.maySend(prepared) {
+			leadership.pause(leaseCheckInterval)
+			continue
+		}
 		leadership.renewOnce(life, order)
 	}
 }
@@ -150,7 +151,7 @@
 			continue
 		}
 		attempt.ending = true
-		ends = append(ends, jobkeeper.End{Run: id, Kind: scheduler.EndExpired})
+		ends = append(ends, attempt.end(id, scheduler.EndExpired))
 	}
 	return ends
 }
@@ -181,12 +182,12 @@
 	switch {
 	case life.over:
 		return false
-	case report.Verdict == scheduler.OrderOtherLife:
-		leadership.endLife(life, "another worker answers at its address")
-		return false
 	case report.Life > life.life:
 		leadership.succeed(life, report.Life)
 		return false
+	case report.Verdict == scheduler.OrderOtherLife:
+		leadership.endLife(life, "another worker answers at its address")
+		return false
 	case report.Life != 0 && report.Life < life.life:
 		return false
 	case report.Verdict == scheduler.OrderFenced:
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -76,6 +77,11 @@
 	running     scheduler.RunningAttempt
 }
 
+// end returns the end of an attempt that its worker has not listed as ended.
+func (attempt *attempt) end(id scheduler.RunID, kind scheduler.EndKind) jobkeeper.End {
+	return jobkeeper.End{Run: id, Kind: kind}
+}
+
 // attemptState is how far the orders about an attempt have come.
 type attemptState string
 
--- a/pkg/scheduler/calledworker.go
+++ b/pkg/scheduler/calledworker.go
@@ -155,7 +155,8 @@
 	Ended   []AttemptEnd
 }
 
-// WorkerClient sends orders to called workers. An error of class ErrNotRun means that the order did not
+// WorkerClient sends orders to called workers. An order reaches the life that the WorkerRef names or none: a later life
+// of the worker, which may have its name and address, answers OrderOtherLife. An error of class ErrNotRun means that the order did not
 // reach the worker; after any other error it may take effect, even seconds later. It is safe for
 // concurrent use.
 type WorkerClient interface {
