overseer: tasks of a lost worker resume from the progress that it has reported

Cause: a worker lists the saved progress of what it runs with each report. It was kept only when the worker listed the end itself; the tasks of a worker that crashed, or whose lease ran out, began anew. Change: the end that is recorded for such an attempt carries the last progress that was reported. TestLostTasksResume: 0 of 8 tasks resumed before, all of them after.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -418,6 +418,40 @@
 	})
 }
 
+// Guards against work that begins anew although its progress was saved, after its worker has crashed or is cut off.
+func TestLostTasksResume(t *testing.T) {
+	tests := map[string]func(schedule *schedule, worker scheduler.WorkerName){
+		"the worker crashes":    func(schedule *schedule, worker scheduler.WorkerName) { schedule.rebirth(worker) },
+		"the worker is cut off": func(schedule *schedule, worker scheduler.WorkerName) { schedule.setCut(worker, true) },
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				schedule := newSchedule(t, 1)
+				schedule.fleet.runTime = time.Hour
+				stop := schedule.start()
+				for range 10 {
+					schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 4, Request: oneCore, Checkpointing: true}}})
+				}
+				time.Sleep(5 * time.Second)
+				lost := 0
+				schedule.domain.keeper.View(func(state *jobkeeper.State) {
+					state.Runs(schedule.names[0], func(*jobkeeper.Run) { lost++ })
+				})
+				disturb(schedule, schedule.names[0])
+				time.Sleep(fakeLease + 5*time.Second)
+				schedule.fleet.mutex.Lock()
+				if got := schedule.fleet.resumed; got < lost || lost == 0 {
+					t.Errorf("got %d tasks that were resumed, want the %d of the lost worker", got, lost)
+				}
+				schedule.fleet.mutex.Unlock()
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a worker that was cut off for longer than its lease and gets no work ever after, because the
 // leader repeats a renewal whose lease has ended; and against its results, which would be thrown away.
 func TestWorkerReturnsAfterItsLease(t *testing.T) {
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -77,9 +77,10 @@
 	running     scheduler.RunningAttempt
 }
 
-// end returns the end of an attempt that its worker has not listed as ended.
+// end returns the end of an attempt that its worker has not listed as ended. The task resumes from the last progress that
+// the worker has reported.
 func (attempt *attempt) end(id scheduler.RunID, kind scheduler.EndKind) jobkeeper.End {
-	return jobkeeper.End{Run: id, Kind: kind}
+	return jobkeeper.End{Run: id, Kind: kind, Checkpoint: attempt.running.Checkpoint}
 }
 
 // attemptState is how far the orders about an attempt have come.
