scheduler: bounds on the size of a job

Cause: nothing bounded the tasks of a step. Each VM that holds state keeps all tasks in memory and applies the same log, so one job with a count of a billion would take every one of them down, again after each restart; amounts near the largest integer overflow the sums over a pool. Change: at most 1,000 steps and 20,000 tasks, and amounts below 2^44; such a job is refused as invalid.

--- a/pkg/scheduler/workflow.go
+++ b/pkg/scheduler/workflow.go
@@ -73,17 +73,37 @@
 	return reserved
 }
 
+// Bounds of a job. Each VM that holds state keeps all tasks of a job in memory, so that one job without a bound could
+// take all of them down.
+const (
+	maxSteps = 1_000
+	maxTasks = 20_000
+	// maxRequest bounds each amount that a task asks for, so that sums over many tasks stay exact.
+	maxRequest = 1 << 44
+)
+
 // Validate returns an error that names the first fault of a workflow.
 func (workflow *Workflow) Validate() error {
-	if len(workflow.Steps) == 0 {
-		return fmt.Errorf("a job needs at least one step")
+	if len(workflow.Steps) == 0 || len(workflow.Steps) > maxSteps {
+		return fmt.Errorf("a job has %d steps, want 1 to %d", len(workflow.Steps), maxSteps)
 	}
+	tasks := 0
 	for position, step := range workflow.Steps {
 		if err := step.validate(position); err != nil {
 			return fmt.Errorf("step %d: %w", position, err)
 		}
+		if tasks += step.Count; tasks > maxTasks {
+			return fmt.Errorf("a job has more than %d tasks", maxTasks)
+		}
 	}
-	if repeat := workflow.Repeat; repeat != nil && (repeat.Times < 1 || repeat.Interval < 0) {
+	return workflow.Repeat.validate()
+}
+
+func (repeat *Repeat) validate() error {
+	switch {
+	case repeat == nil:
+		return nil
+	case repeat.Times < 1 || repeat.Interval < 0:
 		return fmt.Errorf("repeat: %d times every %v is not possible", repeat.Times, repeat.Interval)
 	}
 	return nil
@@ -92,10 +112,12 @@
 func (step Step) validate(position int) error {
 	request := step.Request
 	switch {
-	case step.Count < 1:
-		return fmt.Errorf("count is %d, want at least 1", step.Count)
+	case step.Count < 1 || step.Count > maxTasks:
+		return fmt.Errorf("count is %d, want 1 to %d", step.Count, maxTasks)
 	case request.MilliCores < 0 || request.MemoryBytes < 0 || request.Accelerators < 0:
 		return fmt.Errorf("a requested amount is negative")
+	case max(request.MilliCores, request.MemoryBytes, request.Accelerators) > maxRequest:
+		return fmt.Errorf("a requested amount is more than any worker has")
 	case step.MaxPerWorker < 0 || step.AllowedAbsences < 0:
 		return fmt.Errorf("a bound is negative")
 	}
