clerk: a request whose answer was lost is asked again

Cause: an entry VM answered 502 or 504 when the connection to the leader ended under a request, and left its caller in doubt, who cannot send every kind of request again. All requests of a domain are idempotent, so the entry VM can ask the next leader itself, within the caller's time. A refusal of the later copy does not settle a change: an earlier one may still take effect, so the outcome stays unknown then and is never "not run".

--- a/internal/jobs/clerk/courier.go
+++ b/internal/jobs/clerk/courier.go
@@ -25,6 +25,8 @@
 	statusTimeout = 700 * time.Millisecond
 	// reachableFor is for how long an answer shows that the domain can be served.
 	reachableFor = 1500 * time.Millisecond
+	// askAgain is the pause before a request whose answer was lost is sent again.
+	askAgain = 100 * time.Millisecond
 	// hops bounds how often one request is passed on to the VM that the last answer named.
 	hops = 3
 )
@@ -136,11 +138,41 @@
 	return answer
 }
 
+// pass asks until the outcome is known or ctx ends. All requests are idempotent, so one whose answer was lost can be
+// sent again: after a change of the leader, the caller gets the answer and not an error that leaves it in doubt.
 func (courier *Courier) pass(ctx context.Context, request *Request) Answer {
 	body, err := encoder.Marshal(request)
 	if err != nil {
 		return refusal(StatusInvalid, err.Error(), 0)
 	}
+	answer := courier.passOnce(ctx, request, body)
+	if answer.Status != StatusUnknown {
+		return answer
+	}
+	for doubt := answer; ; {
+		if !waiter.Sleep(ctx, askAgain) {
+			return doubt
+		}
+		answer = courier.passOnce(ctx, request, body)
+		if answer.Status != StatusUnknown && (!request.changes() || answer.settles()) {
+			return answer
+		}
+	}
+}
+
+// changes reports whether a request changes the replicated state.
+func (request *Request) changes() bool {
+	return request.Submit != nil || request.Cancel != nil || request.Configure != nil
+}
+
+// settles reports whether an answer tells the outcome of a change of which an earlier copy may still take effect. A
+// refusal holds for the later copy only.
+func (answer *Answer) settles() bool {
+	return answer.Status == StatusDone || answer.Status == StatusInvalid
+}
+
+// passOnce asks the VM that leads.
+func (courier *Courier) passOnce(ctx context.Context, request *Request, body []byte) Answer {
 	tried := map[scheduler.VMName]bool{}
 	for range hops {
 		vm, found := courier.next(tried)
