maintainer, overseer, platform: waves of maintenance are carried out

Change: a wave is part of the replicated state, with how far each of its VMs has come. maintainer decides in pure code which VMs are emptied ahead of their turn and which may begin, never more than may be down together; a VM whose order may have been given by an earlier leader counts as down. overseer moves tasks off them, long-running ones only while fewer others of their step are away than it allows, records that the maintenance begins before it orders it, and repeats an order that was not answered. A new leader waits until orders of the former one can no longer arrive, and keeps work off the VMs concerned from its first decision on.

--- a/internal/jobs/clerk/clerk.go
+++ b/internal/jobs/clerk/clerk.go
@@ -56,6 +56,10 @@
 		return clerk.workerAnswer(clerk.overseer.Beat(*request.Beat))
 	case request.Heard != nil:
 		return clerk.heard(request.Heard)
+	case request.Maintain != nil:
+		return clerk.maintain(ctx, request.Maintain)
+	case request.Wave != nil:
+		return clerk.wave(request.Wave.Number)
 	case request.Leave != nil:
 		return clerk.workerAnswer(clerk.overseer.Leave(request.Leave.Worker))
 	case request.Status != nil:
@@ -202,6 +206,34 @@
 	return answer
 }
 
+// maintain takes on a wave of maintenance.
+func (clerk *Clerk) maintain(ctx context.Context, wave *scheduler.Wave) Answer {
+	if err := wave.Validate(); err != nil {
+		return refusal(StatusInvalid, err.Error(), 0)
+	}
+	if !clerk.overseer.Maintains() {
+		return refusal(StatusInvalid, "the VMs of this domain have no maintenance", 0)
+	}
+	answer := clerk.command(ctx, jobkeeper.Command{Maintain: &jobkeeper.Maintain{Wave: *wave, Accepted: time.Now()}})
+	clerk.logger.Info().Str("event", "waveSubmitted").Uint64("wave", wave.Number).Int("vms", len(wave.VMs)).Int("atOnce", wave.AtOnce).
+		Dur("duration", wave.Duration).Str("status", string(answer.Status)).Str("reason", answer.Reason).Msg("wave of maintenance submitted")
+	return answer
+}
+
+// wave tells whether a wave is completed. The leader lease is checked after the state was read.
+func (clerk *Clerk) wave(number uint64) Answer {
+	answer := refusal(StatusNoWave, "there is no such wave", 0)
+	clerk.keeper.View(func(state *jobkeeper.State) {
+		if wave, found := state.Wave(number); found {
+			answer = Answer{Status: StatusDone, Completed: wave.Completed()}
+		}
+	})
+	if !clerk.overseer.Leads() {
+		return refusal(StatusUnavailable, "leadership was lost meanwhile", leaderRetry)
+	}
+	return answer
+}
+
 // command replicates a command and turns its result into an answer.
 func (clerk *Clerk) command(ctx context.Context, command jobkeeper.Command) Answer {
 	result, err := clerk.overseer.Propose(ctx, command)
--- a/internal/jobs/clerk/courier.go
+++ b/internal/jobs/clerk/courier.go
@@ -162,7 +162,7 @@
 
 // changes reports whether a request changes the replicated state.
 func (request *Request) changes() bool {
-	return request.Submit != nil || request.Cancel != nil || request.Configure != nil
+	return request.Submit != nil || request.Cancel != nil || request.Configure != nil || request.Maintain != nil
 }
 
 // settles reports whether an answer tells the outcome of a change of which an earlier copy may still take effect. A
--- a/internal/jobs/clerk/message.go
+++ b/internal/jobs/clerk/message.go
@@ -20,6 +20,8 @@
 	Leave     *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
 	Status    *StatusRequest                `cbor:"9,keyasint,omitempty"`
 	Heard     *HeardRequest                 `cbor:"10,keyasint,omitempty"`
+	Maintain  *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
+	Wave      *WaveRequest                  `cbor:"12,keyasint,omitempty"`
 }
 
 // PlaceRequest names the place at which a request arrived; it selects the queue.
@@ -60,6 +62,12 @@
 	Worker scheduler.WorkerName
 }
 
+// WaveRequest asks how far a wave of maintenance has come.
+type WaveRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+}
+
 // HeardRequest passes on beats that another VM has taken.
 type HeardRequest struct {
 	_ struct{} `cbor:",toarray"`
@@ -86,6 +94,8 @@
 	StatusNoQueue Status = "noQueue"
 	// StatusNoJob means that there is no such job.
 	StatusNoJob Status = "noJob"
+	// StatusNoWave means that there is no such wave of maintenance.
+	StatusNoWave Status = "noWave"
 	// StatusInvalid means that the request is not valid and had no effect.
 	StatusInvalid Status = "invalid"
 	// StatusNotLeader means that another VM leads; the request had no effect.
@@ -114,6 +124,8 @@
 	Version uint64 `cbor:"10,keyasint,omitempty"`
 	// Unknown are the workers of a HeardRequest of which the leader has to be told in full.
 	Unknown []scheduler.WorkerName `cbor:"11,keyasint,omitempty"`
+	// Completed tells that a wave is completed.
+	Completed bool `cbor:"12,keyasint,omitempty"`
 }
 
 // refusal returns an answer that tells why a request had no effect.
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -23,6 +23,13 @@
 			state.end(end)
 		}
 		return Result{Answer: AnswerDone}
+	case command.Maintain != nil:
+		return Result{Answer: state.maintain(command.Maintain)}
+	case command.Steps != nil:
+		for _, step := range command.Steps {
+			state.stepMaintenance(step)
+		}
+		return Result{Answer: AnswerDone}
 	}
 	return Result{Answer: AnswerInvalid}
 }
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -15,6 +15,8 @@
 	Repeat    *Repeat                       `cbor:"4,keyasint,omitempty"`
 	Place     []Placement                   `cbor:"5,keyasint,omitempty"`
 	End       []End                         `cbor:"6,keyasint,omitempty"`
+	Maintain  *Maintain                     `cbor:"7,keyasint,omitempty"`
+	Steps     []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
 }
 
 // Submit stores a job.
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -44,6 +44,15 @@
 // Running returns how many attempts of the job have not ended.
 func (job *Job) Running() int { return job.runs }
 
+// Step returns a step of an occurrence, nil if it is not under way.
+func (job *Job) Step(occurrence, number int) *StepState {
+	begun := job.occurrences[occurrence]
+	if begun == nil || number < 0 || number >= len(begun.steps) {
+		return nil
+	}
+	return begun.steps[number]
+}
+
 // NextDue returns when the next occurrence is due. ok is false when none is left or the job has ended.
 func (job *Job) NextDue() (occurrence int, due time.Time, ok bool) {
 	repeat := job.workflow.Repeat
--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -379,7 +380,9 @@
 func randomCommand(random *rand.Rand) Command {
 	id := scheduler.JobID(fmt.Sprintf("j%d", random.IntN(8)))
 	task := scheduler.StepTaskID{Job: id, Step: random.IntN(2), Index: random.IntN(3), Occurrence: random.IntN(2)}
-	switch random.IntN(6) {
+	switch random.IntN(7) {
+	case 6:
+		return randomMaintenance(random)
 	case 0:
 		workflow := scheduler.Workflow{Steps: []scheduler.Step{
 			{Count: 1 + random.IntN(3), Gang: random.IntN(4) == 0, Request: scheduler.Resources{MilliCores: 10}},
@@ -405,6 +408,71 @@
 	}
 }
 
+func randomMaintenance(random *rand.Rand) Command {
+	number, vm := uint64(random.IntN(3)), scheduler.VMName(fmt.Sprintf("m%d", random.IntN(4)))
+	if random.IntN(3) == 0 {
+		wave := scheduler.Wave{Number: number, VMs: []scheduler.VMName{"m0", "m1", "m1", "m2"}, Duration: time.Minute, AtOnce: random.IntN(3)}
+		return Command{Maintain: &Maintain{Wave: wave, Accepted: time.Unix(9, 7).UTC()}}
+	}
+	phases := []MaintenancePhase{MaintenanceWaiting, MaintenanceBegun, MaintenanceDone}
+	return Command{Steps: []MaintenanceStep{{Wave: number, VM: vm, Phase: phases[random.IntN(3)], Life: 5}}}
+}
+
+// Guards against a wave that is taken on twice, completed before all of its VMs are done, or begun anew.
+func TestWave(t *testing.T) {
+	bench := newBench(t)
+	order := Command{Maintain: &Maintain{Wave: scheduler.Wave{Number: 3, VMs: []scheduler.VMName{"a", "b"}, AtOnce: 1, Duration: time.Minute}}}
+	if got := bench.apply(order).Answer; got != AnswerDone {
+		t.Errorf("first order: got %s, want %s", got, AnswerDone)
+	}
+	if got := bench.apply(order).Answer; got != AnswerUnchanged {
+		t.Errorf("the same order again: got %s, want %s", got, AnswerUnchanged)
+	}
+	step := func(vm scheduler.VMName, phase MaintenancePhase) {
+		bench.apply(Command{Steps: []MaintenanceStep{{Wave: 3, VM: vm, Phase: phase}}})
+	}
+	completed := func() (completed bool) {
+		bench.keeper.View(func(state *State) {
+			wave, _ := state.Wave(3)
+			completed = wave.Completed()
+		})
+		return completed
+	}
+	step("a", MaintenanceBegun)
+	step("a", MaintenanceDone)
+	step("a", MaintenanceWaiting) // Arrives late.
+	if completed() {
+		t.Error("got the wave completed with one of two VMs done")
+	}
+	step("b", MaintenanceDone)
+	if !completed() {
+		t.Error("got the wave active with all VMs done")
+	}
+}
+
+// Guards against a VM that cannot start because its snapshot is of the first version.
+func TestSnapshotOfFirstVersion(t *testing.T) {
+	original := newBench(t)
+	original.submit("j", scheduler.Step{Count: 2})
+	original.keeper.mutex.Lock()
+	stored := original.keeper.state.store()
+	original.keeper.mutex.Unlock()
+	data, err := encoder.Marshal(firstStoredState{Format: 1, Configuration: stored.Configuration, Order: stored.Order, Jobs: stored.Jobs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := &bench{t: t, keeper: New()}
+	if err := restored.keeper.Restore(bytes.NewReader(data)); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := restored.ready(), original.ready(); got != want {
+		t.Errorf("got %d tasks that wait, want %d", got, want)
+	}
+	if err := restored.keeper.Restore(bytes.NewReader([]byte{0x83, 0x09, 0x01, 0x02})); err == nil {
+		t.Error("got no error for a snapshot of an unknown version")
+	}
+}
+
 // Guards against bytes in the log that stop the state machine.
 func FuzzApply(f *testing.F) {
 	data, err := Command{Place: []Placement{{Worker: testWorker}}}.Encode()
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -10,8 +10,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// snapshotFormat is the version of the snapshot's form.
-const snapshotFormat = 1
+// snapshotFormat is the version of the snapshot's form. Version 1 had no waves.
+const snapshotFormat = 2
 
 // The types below are the form of a snapshot. Lists are in a fixed order, so that equal states have equal
 // snapshots.
@@ -21,6 +21,16 @@
 	Configuration *scheduler.QueueConfiguration
 	Order         uint64
 	Jobs          []storedJob
+	Waves         []storedWave
+}
+
+// firstStoredState is the form of version 1.
+type firstStoredState struct {
+	_             struct{} `cbor:",toarray"`
+	Format        int
+	Configuration *scheduler.QueueConfiguration
+	Order         uint64
+	Jobs          []storedJob
 }
 
 type storedJob struct {
@@ -74,12 +84,13 @@
 
 // Restore replaces the state by one that Snapshot wrote.
 func (keeper *Keeper) Restore(r io.Reader) error {
-	var stored storedState
-	if err := encoder.NewDecoder(r).Decode(&stored); err != nil {
+	data, err := io.ReadAll(r)
+	if err != nil {
 		return Error.Wrap(err)
 	}
-	if stored.Format != snapshotFormat {
-		return Error.New("snapshot has format %d, want %d", stored.Format, snapshotFormat)
+	stored, err := decodeSnapshot(data)
+	if err != nil {
+		return err
 	}
 	state := stored.restore()
 	keeper.mutex.Lock()
@@ -89,11 +100,28 @@
 	return nil
 }
 
+// decodeSnapshot reads a snapshot of this or the first version.
+func decodeSnapshot(data []byte) (*storedState, error) {
+	var stored storedState
+	err := encoder.Unmarshal(data, &stored)
+	if err == nil && stored.Format == snapshotFormat {
+		return &stored, nil
+	}
+	var first firstStoredState
+	if encoder.Unmarshal(data, &first) == nil && first.Format == 1 {
+		return &storedState{Format: snapshotFormat, Configuration: first.Configuration, Order: first.Order, Jobs: first.Jobs}, nil
+	}
+	return nil, Error.New("snapshot of format %d, want %d: %w", stored.Format, snapshotFormat, err)
+}
+
 func (state *State) store() storedState {
 	stored := storedState{Format: snapshotFormat, Configuration: state.configuration, Order: state.order}
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
 	}
+	for _, wave := range state.waves {
+		stored.Waves = append(stored.Waves, wave.store())
+	}
 	return stored
 }
 
@@ -130,6 +158,9 @@
 	for position := range stored.Jobs {
 		state.restoreJob(&stored.Jobs[position])
 	}
+	for position := range stored.Waves {
+		state.waves = append(state.waves, stored.Waves[position].restore())
+	}
 	return state
 }
 
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -13,6 +13,8 @@
 	jobs          map[scheduler.JobID]*Job
 	// order is that of the job accepted last.
 	order uint64
+	// waves holds the waves of maintenance in the order in which they were taken on.
+	waves []*Wave
 
 	// ready holds the tasks that wait for an attempt.
 	ready map[*Task]struct{}
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -96,7 +96,7 @@
 	var lives []*worker
 	silence, now := leadership.silence(), leadership.now()
 	for _, life := range leadership.lives {
-		if life.beat.Pool == step.Job().Queue().Pool && life.mayTakeWork(now, silence) && !known.asked[life.key()] {
+		if life.beat.Pool == step.Job().Queue().Pool && life.mayTakeWork(now, silence) && !leadership.isRetired(life) && !known.asked[life.key()] {
 			lives = append(lives, life)
 		}
 	}
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -32,6 +32,12 @@
 	lateShare float64
 	// failShare is the share of runs that fail.
 	failShare float64
+	// withVMs is true when workers state the VM that they run on, which has their name.
+	withVMs bool
+	// stopped holds the long-running tasks that an order has ended and that do not run again yet, mostAway the largest
+	// number of them at a time.
+	stopped  map[scheduler.StepTaskID]bool
+	mostAway int
 	// runTime is how long a run takes at most.
 	runTime time.Duration
 }
@@ -84,7 +90,7 @@
 	return &fakeFleet{
 		random: rand.New(rand.NewPCG(seed, seed)), workers: map[string]*fakeWorker{}, running: map[scheduler.StepTaskID]int{},
 		finished: map[scheduler.StepTaskID]bool{}, done: map[scheduler.StepTaskID]bool{}, workflows: map[scheduler.JobID]*scheduler.Workflow{},
-		history: map[scheduler.StepTaskID][]string{}, runTime: 2 * time.Second,
+		history: map[scheduler.StepTaskID][]string{}, stopped: map[scheduler.StepTaskID]bool{}, runTime: 2 * time.Second,
 	}
 }
 
@@ -202,8 +208,12 @@
 	if worker.draining {
 		phase = scheduler.WorkerDraining
 	}
+	var vm scheduler.VMName
+	if worker.fleet.withVMs {
+		vm = scheduler.VMName(worker.name)
+	}
 	return scheduler.WorkerBeat{
-		Worker: worker.name, Life: worker.life, Pool: "pool", Address: worker.address, Phase: phase, Capacity: worker.capacity,
+		VM: vm, Worker: worker.name, Life: worker.life, Pool: "pool", Address: worker.address, Phase: phase, Capacity: worker.capacity,
 		Labels: []string{"a", "r1-1"}, Clock: worker.clock(), Sequence: worker.sequence, DrainRemaining: 3 * time.Second,
 	}, true
 }
@@ -281,6 +291,7 @@
 func (worker *fakeWorker) begin(order scheduler.StartOrder) {
 	fleet, task := worker.fleet, order.Run.Task
 	fleet.starts++
+	delete(fleet.stopped, task)
 	worker.note(order.Run, "began")
 	if fleet.running[task] > 0 {
 		fleet.breach("%v starts on %s while the task runs elsewhere: %v", order.Run, worker.name, fleet.history[task])
@@ -338,7 +349,11 @@
 	}
 	worker.token = token
 	worker.highest[run.Task] = max(worker.highest[run.Task], run.Attempt)
-	if worker.runs[run] != nil {
+	if started := worker.runs[run]; started != nil {
+		if started.until.IsZero() {
+			worker.fleet.stopped[run.Task] = true
+			worker.fleet.mostAway = max(worker.fleet.mostAway, len(worker.fleet.stopped))
+		}
 		worker.end(run, scheduler.EndStopped, savedProgress)
 	}
 	return scheduler.OrderAccepted
@@ -377,7 +392,7 @@
 	}
 	report := scheduler.WorkerReport{Verdict: verdict, Life: worker.life, Clock: worker.clock(), Ended: append([]scheduler.AttemptEnd(nil), worker.ends...)}
 	for id, run := range worker.runs {
-		report.Running = append(report.Running, scheduler.RunningAttempt{Run: id, Checkpoint: run.checkpoint})
+		report.Running = append(report.Running, scheduler.RunningAttempt{Run: id, Checkpoint: run.checkpoint, Progress: fullProgress})
 	}
 	return report, nil
 }
--- a/internal/jobs/overseer/hearing.go
+++ b/internal/jobs/overseer/hearing.go
@@ -131,11 +131,13 @@
 func placesOf(beat *scheduler.WorkerBeat) []place {
 	places := []place{place("address " + beat.Address)}
 	if beat.VM != "" {
-		places = append(places, place("VM "+string(beat.VM)))
+		places = append(places, vmPlace(beat.VM))
 	}
 	return places
 }
 
+func vmPlace(vm scheduler.VMName) place { return place("VM " + string(vm)) }
+
 // isReplaced reports whether a later worker runs in the place of one whose beat arrives late.
 func (leadership *leadership) isReplaced(beat *scheduler.WorkerBeat) bool {
 	for _, place := range placesOf(beat) {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -21,7 +21,9 @@
 	term     scheduler.Term
 	context  context.Context
 	logger   zerolog.Logger
-	workers  runner.Runner
+	// began is when the term of office began.
+	began   time.Duration
+	workers runner.Runner
 	// deposed is set when a worker has seen a higher fencing token, or after a fault.
 	deposed atomic.Bool
 	// planning is signalled when there may be something to place.
@@ -43,6 +45,8 @@
 	// starved holds the tasks that were placed where they may harm, because nothing of their job ran.
 	starved  map[scheduler.StepTaskID]bool
 	failures failures
+	// maintenance is about VMs that have their maintenance in waves.
+	maintenance maintenance
 	// admitters hold the load of each pool. observed is when it was last looked at; only plan uses it.
 	admitters map[scheduler.PoolName]*admitter.Admitter
 	observed  time.Duration
@@ -53,15 +57,16 @@
 
 func newLeadership(ctx context.Context, overseer *Overseer, term scheduler.Term) *leadership {
 	leadership := &leadership{
-		overseer: overseer, term: term, context: ctx, planning: make(chan struct{}, 1),
+		overseer: overseer, term: term, context: ctx, began: overseer.watch.Elapsed(), planning: make(chan struct{}, 1),
 		logger: overseer.logger.With().Uint64("term", uint64(term)).Logger(),
 		lives:  map[scheduler.WorkerName]*worker{}, places: map[place]scheduler.WorkerName{}, effects: pacer.NewEffects(),
 		approvals: map[stepKey]*approvals{}, questions: make(chan question, questionQueue),
 		starved: map[scheduler.StepTaskID]bool{}, journal: newJournal(), failures: newFailures(),
-		recording: map[scheduler.RunID]bool{}, admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		recording: map[scheduler.RunID]bool{}, maintenance: newMaintenance(), admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	leadership.workers.Panicked = leadership.panicked
 	leadership.adoptAll()
+	leadership.retireOrdered()
 	return leadership
 }
 
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -78,6 +78,14 @@
 	return func(overseer *Overseer) { overseer.approver = approver }
 }
 
+// WithMaintainer sets who begins the maintenance of VMs. self names this VM in orders; lease is how long a new leader waits
+// before it gives any, because those of the former leader may still be under way.
+func WithMaintainer(maintainer scheduler.Maintainer, self scheduler.VMName, lease time.Duration) Option {
+	return func(overseer *Overseer) {
+		overseer.maintainer, overseer.self, overseer.maintainerLease = maintainer, self, lease
+	}
+}
+
 // WithSuspension counts the time for which the VM is suspended, see replicator.WithSuspension.
 func WithSuspension() Option {
 	return func(overseer *Overseer) { overseer.countSuspension = true }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -28,8 +28,13 @@
 	keeper   *jobkeeper.Keeper
 	client   scheduler.WorkerClient
 	approver scheduler.Approver
-	logger   zerolog.Logger
-	metrics  *metrics
+	// maintainer is nil where VMs have no maintenance. maintainerLease is for how long orders of a former leader may come,
+	// self names the VM in orders.
+	maintainer      scheduler.Maintainer
+	maintainerLease time.Duration
+	self            scheduler.VMName
+	logger          zerolog.Logger
+	metrics         *metrics
 
 	leaseDuration   time.Duration
 	drift           float64
@@ -78,6 +83,9 @@
 	if overseer.approver != nil {
 		leadership.workers.Go(leadership.askApprover)
 	}
+	if overseer.maintainer != nil {
+		leadership.workers.Go(leadership.maintain)
+	}
 	for ctx.Err() == nil && overseer.leads(term) && !leadership.deposed.Load() {
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
@@ -99,6 +107,9 @@
 	return overseer.current.Load() != nil && overseer.group.HoldsLeaderLease()
 }
 
+// Maintains reports whether this VM can carry out waves of maintenance.
+func (overseer *Overseer) Maintains() bool { return overseer.maintainer != nil }
+
 // Propose replicates a command and returns its result.
 func (overseer *Overseer) Propose(ctx context.Context, command jobkeeper.Command) (jobkeeper.Result, error) {
 	data, err := command.Encode()
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -188,7 +188,7 @@
 	pools := map[scheduler.PoolName][]*packer.Worker{}
 	for _, name := range slices.Sorted(maps.Keys(leadership.lives)) {
 		life := leadership.lives[name]
-		if !life.mayTakeWork(now, silence) || !life.synced || leadership.failures.isQuarantined(name, wall) {
+		if !life.mayTakeWork(now, silence) || !life.synced || leadership.isRetired(life) || leadership.failures.isQuarantined(name, wall) {
 			continue
 		}
 		survey := life.survey()
@@ -201,6 +201,12 @@
 	return pools
 }
 
+// isRetired reports whether a worker's VM is being emptied for its maintenance.
+func (leadership *leadership) isRetired(life *worker) bool {
+	_, retired := leadership.maintenance.retired[life.beat.VM]
+	return retired
+}
+
 // silence is after how long without a sign of life a worker gets no new work.
 func (leadership *leadership) silence() time.Duration {
 	return time.Duration(beatsUntilSilent * float64(leadership.overseer.beatInterval))
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -68,6 +68,8 @@
 	Client scheduler.WorkerClient
 	// Approver is nil where no queue needs approval.
 	Approver scheduler.Approver
+	// Maintainer is nil where VMs have no maintenance.
+	Maintainer scheduler.Maintainer
 }
 
 // New builds a VM. It opens the data folder of one that holds state.
@@ -125,7 +127,8 @@
 	vm.overseer = overseer.New(vm.replicator, keeper, vm.relayer,
 		overseer.WithLogger(parts.Logger), overseer.WithScope(parts.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, clockDrift), overseer.WithBeatInterval(settings.BeatInterval),
-		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(parts.Approver))
+		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(parts.Approver),
+		overseer.WithMaintainer(parts.Maintainer, self, settings.MaintenanceLease))
 	vm.steward = steward.New(vm.replicator, vm.messenger, settings.seedNames(), 2*settings.ToleratedLosses+1, parts.Logger)
 	local := clerk.New(vm.replicator, keeper, vm.overseer, vm.memberNames, parts.Logger)
 	clerk.Serve(vm.messenger, domainGroup, local)
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -34,6 +34,8 @@
 	BeatInterval time.Duration `json:"beatInterval"`
 	// StopTime is how long a worker takes at most to stop an attempt.
 	StopTime time.Duration `json:"stopTime"`
+	// MaintenanceLease is for how long orders of a former leader about the maintenance of VMs may come.
+	MaintenanceLease time.Duration `json:"maintenanceLease"`
 	// StopTimeout bounds a planned stop of the process.
 	StopTimeout time.Duration `json:"stopTimeout"`
 }
@@ -49,7 +51,7 @@
 		return fmt.Errorf("seeds is empty")
 	case settings.ToleratedLosses < 0:
 		return fmt.Errorf("toleratedLosses is negative")
-	case settings.LeaseDuration <= 0 || settings.BeatInterval <= 0 || settings.StopTime < 0 || settings.StopTimeout <= 0:
+	case settings.LeaseDuration <= 0 || settings.BeatInterval <= 0 || settings.StopTime < 0 || settings.MaintenanceLease < 0 || settings.StopTimeout <= 0:
 		return fmt.Errorf("leaseDuration, beatInterval and stopTimeout must be more than 0")
 	}
 	return nil
