--- a/internal/jobs/overseer/schedule_test.go
+++ b/internal/jobs/overseer/schedule_test.go
@@ -378,4 +378,3 @@
 	})
 	return open
 }
-
