--- a/internal/jobs/overseer/maintenance_test.go
+++ b/internal/jobs/overseer/maintenance_test.go
@@ -80,6 +80,13 @@
 	return scheduler.MaintenanceAccepted
 }
 
+// disturb loses answers, and refuses orders for some time.
+func (platform *fakePlatform) disturb(loseAnswers bool, busy time.Duration) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.loseAnswers, platform.busy = loseAnswers, time.Now().Add(busy)
+}
+
 func (platform *fakePlatform) checkEmpty(name scheduler.WorkerName) {
 	fleet := platform.schedule.fleet
 	fleet.mutex.Lock()
--- a/internal/jobs/overseer/schedule_test.go
+++ b/internal/jobs/overseer/schedule_test.go
@@ -234,8 +234,11 @@
 func (schedule *schedule) rebirth(name scheduler.WorkerName) {
 	schedule.fleet.kill(name)
 	time.Sleep(processStart)
+	schedule.fleet.mutex.Lock()
 	schedule.lives[name]++
-	schedule.fleet.add(name, schedule.lives[name])
+	life := schedule.lives[name]
+	schedule.fleet.mutex.Unlock()
+	schedule.fleet.add(name, life)
 }
 
 // disturb brings about one random failure, which lasts for a random time.
