--- a/internal/jobs/overseer/maintenance_test.go
+++ b/internal/jobs/overseer/maintenance_test.go
@@ -101,16 +101,13 @@
 func TestWaveOfMaintenance(t *testing.T) {
 	tests := map[string]func(schedule *schedule, platform *fakePlatform){
 		"calm":             func(*schedule, *fakePlatform) {},
-		"answers are lost": func(_ *schedule, platform *fakePlatform) { platform.loseAnswers = true },
-		"platform is busy": func(_ *schedule, platform *fakePlatform) { platform.busy = time.Now().Add(8 * time.Second) },
+		"answers are lost": func(_ *schedule, platform *fakePlatform) { platform.disturb(true, 0) },
+		"platform is busy": func(_ *schedule, platform *fakePlatform) { platform.disturb(false, 8*time.Second) },
 		"leader changes":   func(schedule *schedule, _ *fakePlatform) { schedule.domain.elect(1) },
 		"leader stalls":    func(schedule *schedule, _ *fakePlatform) { schedule.domain.stall(6*time.Second, 2) },
 		"a worker crashes": func(schedule *schedule, _ *fakePlatform) { schedule.rebirth(schedule.names[3]) },
 		"a worker is mute": func(schedule *schedule, _ *fakePlatform) { schedule.setCut(schedule.names[4], true) },
-		"several together": func(schedule *schedule, platform *fakePlatform) {
-			platform.loseAnswers = true
-			schedule.domain.elect(2)
-		},
+		"several together": func(schedule *schedule, platform *fakePlatform) { platform.disturb(true, 0); schedule.domain.elect(2) },
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
