overseer: a VM is back from its maintenance only if a worker was heard there after it began

Cause: the life of the worker on a VM was recorded before its maintenance was ordered. While the platform did not answer, the worker crashed and came back; once the order was accepted, that later life was taken as the sign that the maintenance was over, and the next VM began beside it. Ruled out: an order of the former leader that was carried out late. Change: the life that counts is that known when the order is accepted, and a later one counts from 1 s afterwards. The waves of TestWaveOfMaintenance have six VMs now, and a case in which workers crash while the platform is busy: 3 VMs down, want at most 2, in three of three runs before; passes after.

--- a/internal/jobs/overseer/maintenance.go
+++ b/internal/jobs/overseer/maintenance.go
@@ -17,6 +17,9 @@
 	maintenanceRetry   = 500 * time.Millisecond
 	// taskPatience is for how long a VM may wait for tasks that do not save their progress.
 	taskPatience = 3 * time.Second
+	// returnAfter is how long after an accepted order a later worker may show that its VM is back. Until then, a beat of one that
+	// had begun before may still be under way.
+	returnAfter = time.Second
 	// stillThere is how long after an accepted order a worker that still answers shows that its VM had its maintenance
 	// before.
 	stillThere = 3 * time.Second
@@ -30,13 +33,19 @@
 	hurried map[scheduler.VMName]bool
 	// ordering holds the VMs about which an order is under way, accepted when it was accepted.
 	ordering map[scheduler.VMName]bool
-	accepted map[scheduler.VMName]time.Duration
+	accepted map[scheduler.VMName]acceptance
+}
+
+// acceptance is when an order was accepted, and the life of the worker that was known on the VM then.
+type acceptance struct {
+	at   time.Duration
+	life scheduler.Incarnation
 }
 
 func newMaintenance() maintenance {
 	return maintenance{
 		retired: map[scheduler.VMName]time.Duration{}, hurried: map[scheduler.VMName]bool{},
-		ordering: map[scheduler.VMName]bool{}, accepted: map[scheduler.VMName]time.Duration{},
+		ordering: map[scheduler.VMName]bool{}, accepted: map[scheduler.VMName]acceptance{},
 	}
 }
 
@@ -162,7 +171,8 @@
 		if !ordered || vm.Phase() != jobkeeper.MaintenanceBegun || life == nil {
 			continue
 		}
-		if life.life > vm.Life() || life.heard > accepted+stillThere {
+		replaced := life.life > accepted.life && life.heard > accepted.at+returnAfter
+		if replaced || life.heard > accepted.at+stillThere {
 			steps = append(steps, jobkeeper.MaintenanceStep{Wave: wave.Number(), VM: vm.Name(), Phase: jobkeeper.MaintenanceDone, Life: life.life})
 		}
 	}
@@ -266,7 +276,7 @@
 	case scheduler.MaintenanceAccepted:
 		leadership.mutex.Lock()
 		defer leadership.mutex.Unlock()
-		leadership.maintenance.accepted[step.VM] = leadership.now()
+		leadership.maintenance.accepted[step.VM] = acceptance{at: leadership.now(), life: leadership.lifeOn(step.VM)}
 		return true
 	case scheduler.MaintenanceNotWanted:
 		step.Phase = jobkeeper.MaintenanceDone
--- a/internal/jobs/overseer/maintenance_test.go
+++ b/internal/jobs/overseer/maintenance_test.go
@@ -107,6 +107,13 @@
 		"leader stalls":    func(schedule *schedule, _ *fakePlatform) { schedule.domain.stall(6*time.Second, 2) },
 		"a worker crashes": func(schedule *schedule, _ *fakePlatform) { schedule.rebirth(schedule.names[3]) },
 		"a worker is mute": func(schedule *schedule, _ *fakePlatform) { schedule.setCut(schedule.names[4], true) },
+		"workers crash while the platform is busy": func(schedule *schedule, platform *fakePlatform) {
+			platform.disturb(false, 6*time.Second)
+			time.Sleep(3 * time.Second)
+			for _, name := range schedule.names {
+				schedule.rebirth(name)
+			}
+		},
 		"several together": func(schedule *schedule, platform *fakePlatform) { platform.disturb(true, 0); schedule.domain.elect(2) },
 	}
 	for name, disturb := range tests {
@@ -127,7 +134,7 @@
 	schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore, LongRunning: true, AllowedAbsences: 1}}})
 	schedule.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 6, Request: oneCore}}})
 	time.Sleep(5 * time.Second)
-	vms := []scheduler.VMName{"w0", "w1", "w2", "w3", "gone"}
+	vms := []scheduler.VMName{"w0", "w1", "w2", "w3", "w4", "w5", "gone"}
 	schedule.apply(jobkeeper.Command{Maintain: &jobkeeper.Maintain{
 		Wave: scheduler.Wave{Number: testWave, VMs: vms, AtOnce: testAtOnce, Duration: time.Minute}, Accepted: time.Now(),
 	}})
@@ -140,8 +147,8 @@
 		}
 	})
 	platform.mutex.Lock()
-	if got := len(platform.had); got != 4 {
-		t.Errorf("got %d VMs with maintenance, want 4", got)
+	if got := len(platform.had); got != 6 {
+		t.Errorf("got %d VMs with maintenance, want 6", got)
 	}
 	platform.mutex.Unlock()
 	schedule.fleet.mutex.Lock()
