--- a/internal/state/messenger/messenger_test.go
+++ b/internal/state/messenger/messenger_test.go
@@ -188,7 +188,7 @@
 				defer cancel()
 				_, results[number] = a.Call(ctx, "b", "g", "note", []byte{byte('a' + number)})
 			})
-				if number == 0 {
+			if number == 0 {
 				time.Sleep(10 * time.Millisecond) // The others wait behind the message that is stalled.
 			}
 		}
