relayer, jobkeeper: one way to deliver an order, and no life in the steps of maintenance

Renew repeated the choice of a way, the permit and the note of a failure that order had; both use deliver now. Behaviour and assertions are unchanged; the tests of relayer, jobkeeper, overseer and clerk pass.

--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -415,7 +415,7 @@
 		return Command{Maintain: &Maintain{Wave: wave, Accepted: time.Unix(9, 7).UTC()}}
 	}
 	phases := []MaintenancePhase{MaintenanceWaiting, MaintenanceBegun, MaintenanceDone}
-	return Command{Steps: []MaintenanceStep{{Wave: number, VM: vm, Phase: phases[random.IntN(3)], Life: 5}}}
+	return Command{Steps: []MaintenanceStep{{Wave: number, VM: vm, Phase: phases[random.IntN(3)]}}}
 }
 
 // Guards against a wave that is taken on twice, completed before all of its VMs are done, or begun anew.
--- a/internal/jobs/jobkeeper/wave.go
+++ b/internal/jobs/jobkeeper/wave.go
@@ -34,8 +34,6 @@
 	Wave  uint64
 	VM    scheduler.VMName
 	Phase MaintenancePhase
-	// Life is that of the worker on the VM when the maintenance began, 0 if none was known.
-	Life scheduler.Incarnation
 }
 
 // Wave is a wave of maintenance and how far it has come.
@@ -49,7 +47,6 @@
 type VMMaintenance struct {
 	name  scheduler.VMName
 	phase MaintenancePhase
-	life  scheduler.Incarnation
 }
 
 // Name returns the name of the VM.
@@ -58,9 +55,6 @@
 // Phase returns how far the maintenance has come.
 func (maintenance VMMaintenance) Phase() MaintenancePhase { return maintenance.phase }
 
-// Life returns the life of the worker that ran on the VM when its maintenance began.
-func (maintenance VMMaintenance) Life() scheduler.Incarnation { return maintenance.life }
-
 // Number returns the number of the wave.
 func (wave *Wave) Number() uint64 { return wave.wave.Number }
 
@@ -116,7 +110,7 @@
 	}
 	for position := range wave.vms {
 		if vm := &wave.vms[position]; vm.name == step.VM && vm.phase != MaintenanceDone {
-			vm.phase, vm.life = step.Phase, step.Life
+			vm.phase = step.Phase
 		}
 	}
 }
@@ -133,13 +127,12 @@
 	_     struct{} `cbor:",toarray"`
 	Name  scheduler.VMName
 	Phase MaintenancePhase
-	Life  scheduler.Incarnation
 }
 
 func (wave *Wave) store() storedWave {
 	stored := storedWave{Wave: wave.wave, Accepted: wave.accepted}
 	for _, vm := range wave.vms {
-		stored.VMs = append(stored.VMs, storedMaintenance{Name: vm.name, Phase: vm.phase, Life: vm.life})
+		stored.VMs = append(stored.VMs, storedMaintenance{Name: vm.name, Phase: vm.phase})
 	}
 	return stored
 }
@@ -147,7 +140,7 @@
 func (stored *storedWave) restore() *Wave {
 	wave := &Wave{wave: stored.Wave, accepted: stored.Accepted}
 	for _, vm := range stored.VMs {
-		wave.vms = append(wave.vms, VMMaintenance{name: vm.Name, phase: vm.Phase, life: vm.Life})
+		wave.vms = append(wave.vms, VMMaintenance{name: vm.Name, phase: vm.Phase})
 	}
 	return wave
 }
--- a/internal/jobs/overseer/maintenance.go
+++ b/internal/jobs/overseer/maintenance.go
@@ -112,7 +112,7 @@
 			continue // A decision that is under way may still place work there.
 		}
 		leadership.maintenance.ordering[vm] = true
-		step := jobkeeper.MaintenanceStep{Wave: wave.Number(), VM: vm, Phase: jobkeeper.MaintenanceBegun, Life: leadership.lifeOn(vm)}
+		step := jobkeeper.MaintenanceStep{Wave: wave.Number(), VM: vm, Phase: jobkeeper.MaintenanceBegun}
 		leadership.workers.Go(func() { leadership.beginMaintenance(step) })
 	}
 }
@@ -173,7 +173,7 @@
 		}
 		replaced := life.life > accepted.life && life.heard > accepted.at+returnAfter
 		if replaced || life.heard > accepted.at+stillThere {
-			steps = append(steps, jobkeeper.MaintenanceStep{Wave: wave.Number(), VM: vm.Name(), Phase: jobkeeper.MaintenanceDone, Life: life.life})
+			steps = append(steps, jobkeeper.MaintenanceStep{Wave: wave.Number(), VM: vm.Name(), Phase: jobkeeper.MaintenanceDone})
 		}
 	}
 	return steps
--- a/internal/jobs/relayer/relayer.go
+++ b/internal/jobs/relayer/relayer.go
@@ -163,6 +163,9 @@
 	if err := encoder.Unmarshal(data, &answer); err != nil {
 		return answerMessage{}, scheduler.ErrUnknown.Wrap(Error.Wrap(err))
 	}
+	if message.Renew != nil && answer.Report == nil {
+		return answerMessage{}, scheduler.ErrUnknown.Wrap(Error.New("the answer of %s has no report", vm))
+	}
 	return answer, nil
 }
 
@@ -177,24 +180,31 @@
 // defaultTimeout bounds orders whose sender has set no bound.
 const defaultTimeout = 3 * time.Second
 
-// order sends an order with a short answer.
-func (relayer *Relayer) order(ctx context.Context, worker scheduler.WorkerRef, message *orderMessage, direct func() (scheduler.OrderAnswer, error)) (scheduler.OrderAnswer, error) {
+// deliver sends an order itself or through another VM, and notes whether that way has failed.
+func (relayer *Relayer) deliver(ctx context.Context, worker scheduler.WorkerRef, message *orderMessage, direct func() (answerMessage, error)) (answerMessage, error) {
 	vm, permit := relayer.choose(worker.Worker)
-	var answer scheduler.OrderAnswer
+	var answer answerMessage
 	var err error
 	if vm == relayer.network.Self() {
 		answer, err = direct()
 	} else {
 		relayer.metrics.relayed.Inc(1)
 		message.Worker, message.Permit = worker, permit
-		var relayed answerMessage
-		relayed, err = relayer.send(ctx, vm, message)
-		answer = relayed.Answer
+		answer, err = relayer.send(ctx, vm, message)
 	}
 	relayer.note(ctx, worker, vm, err)
 	return answer, err
 }
 
+// order delivers an order with a short answer.
+func (relayer *Relayer) order(ctx context.Context, worker scheduler.WorkerRef, message *orderMessage, direct func() (scheduler.OrderAnswer, error)) (scheduler.OrderAnswer, error) {
+	answer, err := relayer.deliver(ctx, worker, message, func() (answerMessage, error) {
+		answer, err := direct()
+		return answerMessage{Answer: answer}, err
+	})
+	return answer.Answer, err
+}
+
 // note notes whether a way to a worker has failed. An order that its sender has given up says nothing.
 func (relayer *Relayer) note(ctx context.Context, worker scheduler.WorkerRef, vm scheduler.VMName, err error) {
 	if err != nil && ctx.Err() != context.Canceled {
@@ -227,22 +237,12 @@
 
 // Renew implements scheduler.WorkerClient.
 func (relayer *Relayer) Renew(ctx context.Context, worker scheduler.WorkerRef, order scheduler.RenewOrder) (scheduler.WorkerReport, error) {
-	vm, permit := relayer.choose(worker.Worker)
-	var report scheduler.WorkerReport
-	var err error
-	if vm == relayer.network.Self() {
-		report, err = relayer.direct.Renew(ctx, worker, order)
-	} else {
-		relayer.metrics.relayed.Inc(1)
-		var answer answerMessage
-		answer, err = relayer.send(ctx, vm, &orderMessage{Worker: worker, Permit: permit, Renew: &order})
-		switch {
-		case err == nil && answer.Report == nil:
-			err = scheduler.ErrUnknown.Wrap(Error.New("the answer of %s has no report", vm))
-		case err == nil:
-			report = *answer.Report
-		}
+	answer, err := relayer.deliver(ctx, worker, &orderMessage{Renew: &order}, func() (answerMessage, error) {
+		report, err := relayer.direct.Renew(ctx, worker, order)
+		return answerMessage{Report: &report}, err
+	})
+	if err != nil {
+		return scheduler.WorkerReport{}, err
 	}
-	relayer.note(ctx, worker, vm, err)
-	return report, err
+	return *answer.Report, nil
 }
