packer: give the reason why a worker accepts no task

Cause: the command that is to explain where a job would go needs the reason of each exclusion from the code that decides, not from a second copy of its conditions. Change: accepts and fits are derived from exclusion and constraint, which name the first condition that fails; Examine counts workers by it. The order of the checks is as before, but slack and interference now come before the constraints in one function. Decisions are unchanged. Conclusion: ready for the command; nothing uses Examine yet.

--- /dev/null
+++ b/internal/jobs/packer/exclusion.go
@@ -0,0 +1,92 @@
+package packer
+
+// Exclusion is the reason why a worker does not accept a task of a group.
+type Exclusion string
+
+// Values of Exclusion.
+const (
+	// NotExcluded means that the worker accepts the task.
+	NotExcluded Exclusion = ""
+	// ExcludedBySlack means that too little of the worker's CPU is expected to stay unused for another fill task.
+	ExcludedBySlack Exclusion = "insufficientSlack"
+	// ExcludedByInterference means that a fill task is predicted to slow a serving task beyond its limit.
+	ExcludedByInterference Exclusion = "interference"
+	// ExcludedByHold means that the worker is held for a long-running task that fits on no worker yet.
+	ExcludedByHold Exclusion = "heldForLongRunning"
+	// ExcludedByCapacity means that the request exceeds the worker's free capacity.
+	ExcludedByCapacity Exclusion = "insufficientCapacity"
+	// ExcludedByLabel means that the worker lacks the required label.
+	ExcludedByLabel Exclusion = "missingLabel"
+	// ExcludedByTaskLimit means that as many tasks of the step run on the worker as the step allows.
+	ExcludedByTaskLimit Exclusion = "tasksPerWorker"
+	// ExcludedByApproval means that the approval service has not approved the worker for the step.
+	ExcludedByApproval Exclusion = "notApproved"
+	// ExcludedByFailure means that a task of the group failed on the worker and is to run elsewhere.
+	ExcludedByFailure Exclusion = "failedThere"
+)
+
+// minSlackDivisor sets the slack that a worker must have for another fill task: the CPU request of the task divided by
+// minSlackDivisor.
+const minSlackDivisor = 2
+
+// exclusion returns why a worker does not accept another task of the group. assigned is the number of tasks of the group
+// that this decision has assigned to the worker.
+func (group *Group) exclusion(worker *Worker, assigned int) Exclusion {
+	step := group.Step
+	if step.Fill {
+		if worker.Slack < step.Request.MilliCores/minSlackDivisor {
+			return ExcludedBySlack
+		}
+		if worker.excess(step) > 0 {
+			return ExcludedByInterference
+		}
+	}
+	return group.constraint(worker, assigned)
+}
+
+// constraint returns which limit of capacity or constraint of the step keeps another task of the group off a worker. It
+// considers neither slack nor interference.
+func (group *Group) constraint(worker *Worker, assigned int) Exclusion {
+	step := group.Step
+	switch {
+	case worker.heldForLongRunning && !step.Fill:
+		return ExcludedByHold
+	case !step.Reserved().FitsIn(worker.Free):
+		return ExcludedByCapacity
+	case !worker.hasLabel(step.RequiredLabel):
+		return ExcludedByLabel
+	case step.MaxPerWorker > 0 && group.AttemptsByWorker[worker.Name]+assigned >= step.MaxPerWorker:
+		return ExcludedByTaskLimit
+	case group.Approved != nil && !group.Approved[worker.Name]:
+		return ExcludedByApproval
+	case group.Avoid[worker.Name]:
+		return ExcludedByFailure
+	}
+	return NotExcluded
+}
+
+// Candidates is what the workers of a pool offer a group of tasks.
+type Candidates struct {
+	accepting int
+	excluded  map[Exclusion]int
+}
+
+// Accepting returns the number of workers that accept a task of the group.
+func (candidates Candidates) Accepting() int { return candidates.accepting }
+
+// Excluded returns the number of workers that accept none, by reason. Each worker counts once, with the first reason
+// found.
+func (candidates Candidates) Excluded() map[Exclusion]int { return candidates.excluded }
+
+// Examine returns which workers accept a task of the group. It changes nothing.
+func Examine(workers []*Worker, group *Group) Candidates {
+	candidates := Candidates{excluded: map[Exclusion]int{}}
+	for _, worker := range workers {
+		if exclusion := group.exclusion(worker, 0); exclusion != NotExcluded {
+			candidates.excluded[exclusion]++
+			continue
+		}
+		candidates.accepting++
+	}
+	return candidates
+}
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -248,36 +248,17 @@
 	return best
 }
 
-// minSlackDivisor sets the slack that a worker must have for another fill task: the CPU request of the task divided by
-// minSlackDivisor.
-const minSlackDivisor = 2
-
 // accepts reports whether another task of the group may be assigned to a worker. In addition to fits, it requires slack
 // and tolerable interference for fill tasks. assigned is the number of tasks of the group that this decision has
 // assigned to the worker.
 func (group *Group) accepts(worker *Worker, assigned int) bool {
-	step := group.Step
-	if step.Fill && (worker.Slack < step.Request.MilliCores/minSlackDivisor || worker.excess(step) > 0) {
-		return false
-	}
-	return group.fits(worker, assigned)
+	return group.exclusion(worker, assigned) == NotExcluded
 }
 
 // fits reports whether a worker has the capacity for another task of the group and meets its constraints. It considers
 // neither slack nor interference.
 func (group *Group) fits(worker *Worker, assigned int) bool {
-	step := group.Step
-	switch {
-	case worker.heldForLongRunning && !step.Fill:
-		return false
-	case !step.Reserved().FitsIn(worker.Free) || !worker.hasLabel(step.RequiredLabel):
-		return false
-	case step.MaxPerWorker > 0 && group.AttemptsByWorker[worker.Name]+assigned >= step.MaxPerWorker:
-		return false
-	case group.Approved != nil && !group.Approved[worker.Name]:
-		return false
-	}
-	return !group.Avoid[worker.Name]
+	return group.constraint(worker, assigned) == NotExcluded
 }
 
 // Weights of the terms of a score. The terms for slack and for remaining capacity have no constant: their weight is 1,
