overseer, explainer, platform: explain where a job would go, without submitting it

Cause: an operator who asks where a request would go now, or why it would wait, has no answer but to send it. Change: crocusplank-vm explain asks the leader over the connections between VMs. The leader takes the decisions of a planning cycle on a copy of its workers: admission, more urgent tasks first, then the job. It gives the workers, the reasons that exclude the others, and the age of its view. Nothing is stored, reserved or sent; missing approvals are not requested.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -69,6 +69,8 @@
 		return handler.waveStatus(request.WaveStatus.Number)
 	case request.Leave != nil:
 		return handler.workerResponse(handler.overseer.HandleShutdown(request.Leave.Worker))
+	case request.Explain != nil:
+		return handler.explain(request.Explain)
 	case request.Status != nil:
 		return handler.status()
 	}
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -22,6 +22,7 @@
 	Heartbeats        *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
 	SubmitWave        *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
 	WaveStatus        *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
+	Explain           *ExplainRequest               `cbor:"20,keyasint,omitempty"`
 }
 
 // QueueRoute holds the host and path of a caller's request, which select the queue.
@@ -126,6 +127,8 @@
 	UnknownWorkers []scheduler.WorkerName `cbor:"11,keyasint,omitempty"`
 	// Completed is true if the maintenance wave is completed.
 	Completed bool `cbor:"12,keyasint,omitempty"`
+	// Explanation is set in the response to an ExplainRequest.
+	Explanation *overseer.PlacementExplanation `cbor:"20,keyasint,omitempty"`
 }
 
 // errorResponse returns a response with an error. retryAfter is zero if no retry delay is recommended.
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -91,6 +91,26 @@
 	return workers
 }
 
+// validApprovals returns the workers that may currently run a step, or nil if the queue requires no approval. In contrast
+// to approvedWorkers it changes nothing. The mutex must be held.
+func (leadership *leadership) validApprovals(step *jobkeeper.StepState) map[scheduler.WorkerName]bool {
+	if step.Job().Queue().Approval == nil {
+		return nil
+	}
+	workers := map[scheduler.WorkerName]bool{}
+	known := leadership.approvals[stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}]
+	if known == nil {
+		return workers
+	}
+	for instance, proof := range known.proofs {
+		current := leadership.instances[instance.worker]
+		if current != nil && current.incarnation == instance.incarnation && proof.expiry >= leadership.now()+approvalMargin {
+			workers[instance.worker] = true
+		}
+	}
+	return workers
+}
+
 // enqueueApprovalRequest queues a request for the workers with the most free capacity among those for which approval
 // has not been requested yet. The mutex must be held.
 func (leadership *leadership) enqueueApprovalRequest(
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -284,10 +284,18 @@
 	return work
 }
 
-// group returns a step as input for the packer.
+// group returns a step as input for the packer. It requests approvals that are missing.
 func (leadership *leadership) group(waiting *waitingStep) packer.Group {
+	return leadership.groupWithApprovals(waiting, leadership.approvedWorkers(waiting.step, len(waiting.tasks)))
+}
+
+// groupWithApprovals returns a step as input for the packer. approved holds the workers that may run it, nil if every
+// worker may.
+func (leadership *leadership) groupWithApprovals(
+	waiting *waitingStep, approved map[scheduler.WorkerName]bool,
+) packer.Group {
 	group := packer.Group{
-		Step: waiting.step.Spec(), Approved: leadership.approvedWorkers(waiting.step, len(waiting.tasks)),
+		Step: waiting.step.Spec(), Approved: approved,
 		Avoid: leadership.failureTracker.lastFailedWorkers(waiting.tasks),
 	}
 	for _, task := range waiting.tasks {
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -29,8 +29,8 @@
 // Error is the class of errors that this package returns.
 var Error = errs.Class("assembler")
 
-// domainGroup is the name of the group that replicates the state of a domain.
-const domainGroup scheduler.GroupName = "domain"
+// DomainGroup is the name of the group that replicates the state of a domain.
+const DomainGroup scheduler.GroupName = "domain"
 
 // maxClockDrift is the maximum fraction by which the clock of a worker may run slow.
 const maxClockDrift = 0.02
@@ -98,7 +98,7 @@
 			return nil, err
 		}
 	}
-	vm.leaderClient = handler.NewLeaderClient(vm.messenger, domainGroup, settings.seedNames(), local,
+	vm.leaderClient = handler.NewLeaderClient(vm.messenger, DomainGroup, settings.seedNames(), local,
 		dependencies.Scope, dependencies.Logger)
 	vm.heartbeatCollector = handler.NewHeartbeatCollector(vm.leaderClient, dependencies.Logger)
 	return vm, nil
@@ -111,7 +111,7 @@
 	if !settings.BootstrapDomain {
 		incarnation = scheduler.Incarnation(time.Now().UnixNano())
 	}
-	journal, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(self, domainGroup, incarnation))
+	journal, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(self, DomainGroup, incarnation))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -120,12 +120,12 @@
 	member := replicator.Member{
 		VM: self, Incarnation: journal.Identity().Incarnation(), Disk: true, StandsForElection: true,
 	}
-	vm.replicator, err = replicator.New(domainGroup, member, initialVoters(settings.seedNames()), journal,
+	vm.replicator, err = replicator.New(DomainGroup, member, initialVoters(settings.seedNames()), journal,
 		vm.messenger, keeper, replicator.WithLogger(dependencies.Logger), replicator.WithSuspension())
 	if err != nil {
 		return nil, errs.Combine(Error.Wrap(err), journal.Close())
 	}
-	relayer.Serve(vm.messenger, domainGroup, dependencies.Client, stopwatch.StartBootTime())
+	relayer.Serve(vm.messenger, DomainGroup, dependencies.Client, stopwatch.StartBootTime())
 	vm.relayer = relayer.New(dependencies.Client, vm.messenger, vm.replicator, vm.memberNames,
 		relayer.WithLogger(dependencies.Logger), relayer.WithScope(dependencies.Scope), relayer.WithSuspension())
 	vm.overseer = overseer.New(vm.replicator, keeper, vm.relayer,
@@ -136,7 +136,7 @@
 	vm.reconciler = reconciler.New(vm.replicator, vm.messenger, settings.seedNames(),
 		2*settings.ToleratedLosses+1, dependencies.Logger)
 	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger)
-	handler.Serve(vm.messenger, domainGroup, local)
+	handler.Serve(vm.messenger, DomainGroup, local)
 	return local, nil
 }
 
