--- a/cmd/crocusplank/main_test.go
+++ b/cmd/crocusplank/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -12,21 +13,23 @@
 	"github.com/spf13/cobra"
 
 	"github.com/crocusplank/crocusplank/internal/operating/composer"
+	"github.com/crocusplank/crocusplank/platform"
 )
 
 const commandsPage = "../../docs/operating/commands.md"
 
 var update = flag.Bool("update", false, "rewrite docs/operating/commands.md")
 
-// commandTrees returns the command trees of both programs. Each call builds new ones, because parsing stores values in
+// commandTrees returns the command trees of the programs. Each call builds new ones, because parsing stores values in
 // their flags.
 func commandTrees() map[string]*cobra.Command {
-	operators, daemon := newCommander().Command(), composer.Command()
-	for _, root := range []*cobra.Command{operators, daemon} {
+	trees := map[string]*cobra.Command{}
+	for _, root := range []*cobra.Command{newCommander().Command(), composer.Command(), platform.Command(io.Discard)} {
 		root.InitDefaultHelpCmd()
 		root.InitDefaultCompletionCmd()
+		trees[root.Name()] = root
 	}
-	return map[string]*cobra.Command{operators.Name(): operators, daemon.Name(): daemon}
+	return trees
 }
 
 func writeCommand(page *strings.Builder, command *cobra.Command) {
@@ -55,7 +58,7 @@
 	var page strings.Builder
 	page.WriteString("# Commands\n\nThis page is generated from the programs: `go test ./cmd/crocusplank -update`.\n" +
 		"`crocusplank completion bash`, and the same for zsh, fish and powershell, prints a script for shell completion.\n")
-	for _, name := range []string{"crocusplank", "crocusplankd"} {
+	for _, name := range []string{"crocusplank", "crocusplankd", "crocusplank-vm"} {
 		writeCommand(&page, commandTrees()[name])
 	}
 	if *update {
