jobkeeper, scheduler: replicate the evacuation of data centres

Change: scheduler.Evacuation is the request; command field 9 carries it with the revision that its sender has seen. Requests for the current state change nothing, those with an old revision are superseded, so a late copy cannot undo its opposite. Formats 1 and 2 are read as before.

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -30,6 +30,8 @@
 			state.recordMaintenance(step)
 		}
 		return Result{Status: StatusDone}
+	case command.Evacuate != nil:
+		return Result{Status: state.evacuate(command.Evacuate)}
 	}
 	return Result{Status: StatusInvalid}
 }
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -17,6 +17,7 @@
 	End              []End                         `cbor:"6,keyasint,omitempty"`
 	SubmitWave       *SubmitWave                   `cbor:"7,keyasint,omitempty"`
 	MaintenanceSteps []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
+	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
 }
 
 // Submit submits a job.
@@ -68,6 +69,8 @@
 	StatusUnknownQueue Status = "unknownQueue"
 	// StatusUnknownJob means that the job does not exist.
 	StatusUnknownJob Status = "unknownJob"
+	// StatusSuperseded means that the command had no effect because a later one was accepted before it.
+	StatusSuperseded Status = "superseded"
 	// StatusInvalid means that the command could not be decoded or failed validation.
 	StatusInvalid Status = "invalid"
 )
--- a/internal/jobs/jobkeeper/keeper.go
+++ b/internal/jobs/jobkeeper/keeper.go
@@ -1,5 +1,5 @@
 // Package jobkeeper implements the replicated state machine of a scheduling domain. Its state consists of the queue
-// configuration, the jobs with their steps and attempts, and the maintenance waves.
+// configuration, the jobs with their steps and attempts, the maintenance waves and the evacuated data centres.
 package jobkeeper
 
 import (
--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -396,7 +396,11 @@
 func randomCommand(random *rand.Rand) Command {
 	id := scheduler.JobID(fmt.Sprintf("j%d", random.IntN(8)))
 	task := scheduler.StepTaskID{Job: id, Step: random.IntN(2), Index: random.IntN(3), Occurrence: random.IntN(2)}
-	switch random.IntN(7) {
+	switch random.IntN(8) {
+	case 7:
+		actions := []scheduler.EvacuationAction{scheduler.EvacuationBegin, scheduler.EvacuationEnd}
+		dataCentre := scheduler.DataCentreName(fmt.Sprintf("d%d", random.IntN(3)))
+		return evacuate(dataCentre, actions[random.IntN(2)], uint64(random.IntN(4)))
 	case 6:
 		return randomMaintenance(random)
 	case 0:
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -10,8 +10,12 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// snapshotFormat is the version of the snapshot format. Version 1 had no waves.
-const snapshotFormat = 2
+// Versions of the snapshot format. Version 1 had no waves and version 2 no evacuations.
+const (
+	snapshotFormat1 = 1
+	snapshotFormat2 = 2
+	snapshotFormat3 = 3
+)
 
 // The types below define the encoding of a snapshot. Lists have a fixed order, so that equal states have equal
 // snapshots.
@@ -22,6 +26,17 @@
 	Sequence      uint64
 	Jobs          []storedJob
 	Waves         []storedWave
+	Evacuations   []storedEvacuation
+}
+
+// storedStateV2 is storedState in format version 2.
+type storedStateV2 struct {
+	_             struct{} `cbor:",toarray"`
+	Format        int
+	Configuration *scheduler.QueueConfiguration
+	Sequence      uint64
+	Jobs          []storedJob
+	Waves         []storedWave
 }
 
 // storedStateV1 is storedState in format version 1.
@@ -79,7 +94,7 @@
 func (keeper *Keeper) Snapshot(w io.Writer) error {
 	keeper.mutex.RLock()
 	defer keeper.mutex.RUnlock()
-	return Error.Wrap(encoder.NewEncoder(w).Encode(keeper.state.store()))
+	return Error.Wrap(encoder.NewEncoder(w).Encode(keeper.state.store().encodable()))
 }
 
 // Restore replaces the state by a snapshot. It implements scheduler.StateMachine.
@@ -100,24 +115,46 @@
 	return nil
 }
 
-// decodeSnapshot decodes a snapshot of the current format or of version 1.
+// encodable returns the state in the oldest format that can hold it, so that an earlier build can read the snapshots of
+// a domain in which no data centre was ever evacuated.
+func (stored storedState) encodable() any {
+	if len(stored.Evacuations) > 0 {
+		return stored
+	}
+	return storedStateV2{
+		Format: snapshotFormat2, Configuration: stored.Configuration, Sequence: stored.Sequence, Jobs: stored.Jobs,
+		Waves: stored.Waves,
+	}
+}
+
+// decodeSnapshot decodes a snapshot of any format version.
 func decodeSnapshot(data []byte) (*storedState, error) {
 	var stored storedState
 	err := encoder.Unmarshal(data, &stored)
-	if err == nil && stored.Format == snapshotFormat {
+	if err == nil && stored.Format == snapshotFormat3 {
 		return &stored, nil
 	}
+	var version2 storedStateV2
+	if encoder.Unmarshal(data, &version2) == nil && version2.Format == snapshotFormat2 {
+		return &storedState{
+			Format: snapshotFormat3, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
+			Waves: version2.Waves,
+		}, nil
+	}
 	var version1 storedStateV1
-	if encoder.Unmarshal(data, &version1) == nil && version1.Format == 1 {
+	if encoder.Unmarshal(data, &version1) == nil && version1.Format == snapshotFormat1 {
 		return &storedState{
-			Format: snapshotFormat, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
+			Format: snapshotFormat3, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
 		}, nil
 	}
-	return nil, Error.New("snapshot of format %d, want %d: %w", stored.Format, snapshotFormat, err)
+	return nil, Error.New("snapshot of format %d, want %d at most: %w", stored.Format, snapshotFormat3, err)
 }
 
 func (state *State) store() storedState {
-	stored := storedState{Format: snapshotFormat, Configuration: state.configuration, Sequence: state.sequence}
+	stored := storedState{
+		Format: snapshotFormat3, Configuration: state.configuration, Sequence: state.sequence,
+		Evacuations: state.storeEvacuations(),
+	}
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
 	}
@@ -167,6 +204,7 @@
 	for position := range stored.Waves {
 		state.waves = append(state.waves, stored.Waves[position].restore())
 	}
+	state.restoreEvacuations(stored.Evacuations)
 	return state
 }
 
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -15,6 +15,8 @@
 	sequence uint64
 	// waves holds the maintenance waves in the order of their acceptance.
 	waves []*Wave
+	// evacuations holds the data centres that are or were evacuated.
+	evacuations map[scheduler.DataCentreName]Evacuation
 
 	// ready holds the tasks that can be placed.
 	ready map[*Task]struct{}
@@ -32,13 +34,14 @@
 
 func newState() *State {
 	return &State{
-		jobs:     map[scheduler.JobID]*Job{},
-		ready:    map[*Task]struct{}{},
-		runs:     map[scheduler.WorkerName]map[scheduler.RunID]*Run{},
-		reserved: map[scheduler.WorkerName]scheduler.Resources{},
-		obsolete: map[*Run]struct{}{},
-		repeated: map[scheduler.JobID]*Job{},
-		queued:   map[scheduler.QueueName]int{},
+		jobs:        map[scheduler.JobID]*Job{},
+		evacuations: map[scheduler.DataCentreName]Evacuation{},
+		ready:       map[*Task]struct{}{},
+		runs:        map[scheduler.WorkerName]map[scheduler.RunID]*Run{},
+		reserved:    map[scheduler.WorkerName]scheduler.Resources{},
+		obsolete:    map[*Run]struct{}{},
+		repeated:    map[scheduler.JobID]*Job{},
+		queued:      map[scheduler.QueueName]int{},
 	}
 }
 
