--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -27,14 +27,29 @@
 	overseer *overseer.Overseer
 	logger   zerolog.Logger
 	members  func() []scheduler.VMName
+	// dataCentres holds the data centres that may be evacuated. If it is empty, every name is accepted.
+	dataCentres []scheduler.DataCentreName
+}
+
+// Option configures a Handler.
+type Option func(handler *Handler)
+
+// WithDataCentres sets the data centres of the domain. Requests for others are rejected. By default every name is
+// accepted.
+func WithDataCentres(dataCentres []scheduler.DataCentreName) Option {
+	return func(handler *Handler) { handler.dataCentres = dataCentres }
 }
 
 // New returns a Handler. members returns the VMs that hold the replicated state.
 func New(
 	group scheduler.Group, keeper *jobkeeper.Keeper, overseer *overseer.Overseer, members func() []scheduler.VMName,
-	logger zerolog.Logger,
+	logger zerolog.Logger, options ...Option,
 ) *Handler {
-	return &Handler{group: group, keeper: keeper, overseer: overseer, members: members, logger: logger}
+	handler := &Handler{group: group, keeper: keeper, overseer: overseer, members: members, logger: logger}
+	for _, option := range options {
+		option(handler)
+	}
+	return handler
 }
 
 // Process executes a request if this VM is the leader. Otherwise the request has no effect and the response names the
@@ -67,6 +82,10 @@
 		return handler.submitWave(ctx, request.SubmitWave)
 	case request.WaveStatus != nil:
 		return handler.waveStatus(request.WaveStatus.Number)
+	case request.Evacuate != nil:
+		return handler.evacuate(ctx, request.Evacuate)
+	case request.EvacuationRevision != nil:
+		return handler.evacuationRevision(request.EvacuationRevision)
 	case request.Leave != nil:
 		return handler.workerResponse(handler.overseer.HandleShutdown(request.Leave.Worker))
 	case request.Status != nil:
@@ -257,6 +276,8 @@
 	switch result.Status {
 	case jobkeeper.StatusDone, jobkeeper.StatusUnchanged:
 		return Response{Status: StatusDone}
+	case jobkeeper.StatusSuperseded:
+		return errorResponse(StatusSuperseded, "a later request was accepted before this one", 0)
 	case jobkeeper.StatusUnknownQueue:
 		return errorResponse(StatusNoQueue, "the queue was removed during the request", 0)
 	case jobkeeper.StatusUnknownJob:
--- a/internal/jobs/handler/leaderclient.go
+++ b/internal/jobs/handler/leaderclient.go
@@ -166,13 +166,14 @@
 
 // isMutation reports whether a request changes the replicated state.
 func (request *Request) isMutation() bool {
-	return request.Submit != nil || request.Cancel != nil || request.Configure != nil || request.SubmitWave != nil
+	return request.Submit != nil || request.Cancel != nil || request.Configure != nil || request.SubmitWave != nil ||
+		request.Evacuate != nil
 }
 
 // isConclusive reports whether a response to a retried change also holds for the first attempt, which may still take
-// effect. An error such as StatusRefused holds for the retry only.
+// effect. An error such as StatusRefused holds for the retry only. After StatusSuperseded, no copy can take effect.
 func (response *Response) isConclusive() bool {
-	return response.Status == StatusDone || response.Status == StatusInvalid
+	return response.Status == StatusDone || response.Status == StatusInvalid || response.Status == StatusSuperseded
 }
 
 // doOnce sends a request to the leader and follows redirects.
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -22,6 +22,9 @@
 	Heartbeats        *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
 	SubmitWave        *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
 	WaveStatus        *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
+
+	Evacuate           *EvacuateRequest           `cbor:"13,keyasint,omitempty"`
+	EvacuationRevision *EvacuationRevisionRequest `cbor:"14,keyasint,omitempty"`
 }
 
 // QueueRoute holds the host and path of a caller's request, which select the queue.
@@ -96,6 +99,8 @@
 	StatusNoJob Status = "noJob"
 	// StatusNoWave means that the maintenance wave does not exist.
 	StatusNoWave Status = "noWave"
+	// StatusSuperseded means that the request had no effect because a later one was accepted before it.
+	StatusSuperseded Status = "superseded"
 	// StatusInvalid means that the request is invalid and had no effect.
 	StatusInvalid Status = "invalid"
 	// StatusNotLeader means that the VM is not the leader; the request had no effect.
@@ -126,6 +131,8 @@
 	UnknownWorkers []scheduler.WorkerName `cbor:"11,keyasint,omitempty"`
 	// Completed is true if the maintenance wave is completed.
 	Completed bool `cbor:"12,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the evacuation state of a data centre, see EvacuationRevisionRequest.
+	EvacuationRevision uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // errorResponse returns a response with an error. retryAfter is zero if no retry delay is recommended.
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -135,7 +135,8 @@
 		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease))
 	vm.reconciler = reconciler.New(vm.replicator, vm.messenger, settings.seedNames(),
 		2*settings.ToleratedLosses+1, dependencies.Logger)
-	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger)
+	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger,
+		handler.WithDataCentres(settings.DataCentres))
 	handler.Serve(vm.messenger, domainGroup, local)
 	return local, nil
 }
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -18,6 +18,9 @@
 	// Listen is the address to listen on, if other VMs connect through a proxy. It defaults to Peer.
 	Listen     netip.AddrPort           `json:"listen,omitzero"`
 	DataCentre scheduler.DataCentreName `json:"dataCentre"`
+	// DataCentres are the data centres in which workers may run. Only these can be evacuated; if the list is empty, any
+	// name is accepted.
+	DataCentres []scheduler.DataCentreName `json:"dataCentres,omitempty"`
 	// Seeds are peer addresses of VMs that hold state. Some of these VMs may be down.
 	Seeds []netip.AddrPort `json:"seeds"`
 	// DataFolder is empty on a VM that holds no state.
