overseer: start nothing in an evacuated data centre

Change: schedulableWorkers, the load for admission and the candidates of approval requests leave out workers of evacuated data centres. planStart reads the evacuation state each time that a start order is built and withholds the start; withdraw then ends the attempt, after a stop order if an earlier transmission got no answer. Tasks at work there stay. Logs evacuationChanged, startWithheld, dataCentreEmpty and stepWaitsForEvacuation; metrics for data centres, tasks left, time until empty and withheld starts. Without evacuations, decisions don't change: TestRandomFailures runs the same schedules as before. The check is made when an order is sent, since a worker may carry out an order seconds later.

--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -44,6 +44,9 @@
 			continue
 		}
 		load := loadOf(instance.heartbeat.Pool)
+		if leadership.isInEvacuatedDataCentre(instance) {
+			continue // As on a draining worker, neither its capacity nor the tasks that it finishes count.
+		}
 		load.Capacity += instance.heartbeat.Capacity.MilliCores
 		for _, attempt := range instance.attempts {
 			addTask(load, &attempt.spec)
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -38,6 +38,10 @@
 	// the maximum size of stopped so far.
 	stopped    map[scheduler.StepTaskID]bool
 	maxStopped int
+	// dataCentres holds the data centre of each worker. evacuated holds when the evacuation of a data centre was
+	// acknowledged.
+	dataCentres map[scheduler.WorkerName]scheduler.DataCentreName
+	evacuated   map[scheduler.DataCentreName]time.Time
 	// runTime is the maximum duration of a run.
 	runTime time.Duration
 }
@@ -94,6 +98,8 @@
 		finished: map[scheduler.StepTaskID]bool{}, done: map[scheduler.StepTaskID]bool{},
 		workflows: map[scheduler.JobID]*scheduler.Workflow{},
 		history:   map[scheduler.StepTaskID][]string{}, stopped: map[scheduler.StepTaskID]bool{}, runTime: 2 * time.Second,
+		dataCentres: map[scheduler.WorkerName]scheduler.DataCentreName{},
+		evacuated:   map[scheduler.DataCentreName]time.Time{},
 	}
 }
 
@@ -220,7 +226,7 @@
 	}
 	return scheduler.WorkerHeartbeat{
 		VM: vm, Worker: worker.name, Instance: worker.incarnation, Pool: "pool", Address: worker.address,
-		Phase: phase, Capacity: worker.capacity,
+		Phase: phase, Capacity: worker.capacity, DataCentre: worker.fleet.dataCentres[worker.name],
 		Labels: []string{"a", "r1-1"}, Clock: worker.clock(), Sequence: worker.sequence, DrainRemaining: 3 * time.Second,
 	}, true
 }
@@ -259,6 +265,7 @@
 func (fleet *fakeFleet) Start(
 	ctx context.Context, ref scheduler.WorkerRef, order scheduler.StartOrder,
 ) (scheduler.OrderResponse, error) {
+	fleet.checkEvacuation(ref, order)
 	worker, err := fleet.reach(ctx, ref, func(worker *fakeWorker) { worker.start(order) })
 	if err != nil {
 		return scheduler.OrderResponse{}, err
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -49,6 +49,7 @@
 	failureTracker failureTracker
 	// maintenance is the state of maintenance waves.
 	maintenance maintenance
+	evacuations evacuations
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
@@ -67,7 +68,8 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		evacuations: newEvacuations(),
+		admitters:   map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -54,18 +54,25 @@
 	if instance.heartbeat.Phase != scheduler.WorkerReady {
 		return startPlan{}
 	}
-	plan := startPlan{}
+	plan, withheld := startPlan{}, false
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		run, found := state.Run(instance.name, id)
 		if !found || !run.Task().IsRunnable() {
 			return
 		}
+		// This state is read at most maxOrderAge before the order is sent, also after a pause of the process.
+		if withheld = state.Evacuation(instance.heartbeat.DataCentre).Active(); withheld {
+			return
+		}
 		plan.wanted = true
 		plan.order = scheduler.StartOrder{
 			Run: id, Payload: run.Task().Step().Job().Workflow().Payload, Token: leadership.term,
 			Checkpoint: run.Task().Checkpoint(),
 		}
 	})
+	if withheld {
+		leadership.recordWithheldStart(instance, id)
+	}
 	if !plan.wanted {
 		return plan
 	}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -52,6 +52,7 @@
 	}
 	began := leadership.now()
 	leadership.startDueOccurrences()
+	leadership.observeEvacuations()
 	leadership.observeLoad()
 	leadership.expireLeases()
 	leadership.stopObsolete()
@@ -133,10 +134,12 @@
 		if state.ReadyCount() == 0 {
 			return
 		}
+		leadership.refreshEvacuations(state)
 		pools := leadership.schedulableWorkers(state)
 		leadership.pruneApprovals(state)
 		steps := waitingSteps(state)
 		leadership.jobLog.updateWaiting(leadership.now(), steps)
+		leadership.logStepsWaitingForEvacuations(steps)
 		groups := map[scheduler.PoolName][]packer.Group{}
 		for _, waiting := range steps {
 			pool := waiting.step.Job().Queue().Pool
@@ -196,7 +199,7 @@
 	for _, name := range slices.Sorted(maps.Keys(leadership.instances)) {
 		instance := leadership.instances[name]
 		if !instance.acceptsWork(now, heartbeatTimeout) || !instance.synced || leadership.isEvacuating(instance) ||
-			leadership.failureTracker.isQuarantined(name, wallTime) {
+			leadership.isInEvacuatedDataCentre(instance) || leadership.failureTracker.isQuarantined(name, wallTime) {
 			continue
 		}
 		usageSummary := instance.usageSummary()
