--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -22,7 +22,10 @@
 	Heartbeats        *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
 	SubmitWave        *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
 	WaveStatus        *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
-	Explain           *ExplainRequest               `cbor:"20,keyasint,omitempty"`
+
+	Evacuate           *EvacuateRequest           `cbor:"13,keyasint,omitempty"`
+	EvacuationRevision *EvacuationRevisionRequest `cbor:"14,keyasint,omitempty"`
+	Explain            *ExplainRequest            `cbor:"20,keyasint,omitempty"`
 }
 
 // QueueRoute holds the host and path of a caller's request, which select the queue.
@@ -97,6 +100,8 @@
 	StatusNoJob Status = "noJob"
 	// StatusNoWave means that the maintenance wave does not exist.
 	StatusNoWave Status = "noWave"
+	// StatusSuperseded means that the request had no effect because a later one was accepted before it.
+	StatusSuperseded Status = "superseded"
 	// StatusInvalid means that the request is invalid and had no effect.
 	StatusInvalid Status = "invalid"
 	// StatusNotLeader means that the VM is not the leader; the request had no effect.
@@ -127,6 +132,8 @@
 	UnknownWorkers []scheduler.WorkerName `cbor:"11,keyasint,omitempty"`
 	// Completed is true if the maintenance wave is completed.
 	Completed bool `cbor:"12,keyasint,omitempty"`
+	// EvacuationRevision is the revision of the evacuation state of a data centre, see EvacuationRevisionRequest.
+	EvacuationRevision uint64 `cbor:"13,keyasint,omitempty"`
 	// Explanation is set in the response to an ExplainRequest.
 	Explanation *overseer.PlacementExplanation `cbor:"20,keyasint,omitempty"`
 }
