overseer: learn run times from the attempts that end

Change: an attempt's run time counts from the accepted start to the report that lists its end, converted to full speed; attempts of which a part was not seen are left out (docs/design/run-times.md). No decision uses the predictions.

Conclusion: look-ahead placement and copies of stragglers can build on the field.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/basics/runner"
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
+	"github.com/crocusplank/crocusplank/internal/jobs/forecaster"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -52,6 +53,8 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
+	// runTimes predicts run times from the attempts that ended during this term.
+	runTimes *forecaster.Forecaster
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -67,7 +70,7 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		admitters: map[scheduler.PoolName]*admitter.Admitter{}, runTimes: forecaster.New(),
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -4,10 +4,13 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // metrics are the metrics of orders and planning.
 type metrics struct {
+	scope     tally.Scope
 	started   tally.Counter
 	refused   tally.Counter
 	repeated  tally.Counter
@@ -22,6 +25,7 @@
 func newMetrics(scope tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return &metrics{
+		scope:   scope,
 		started: scope.Counter("attempts_started"), refused: scope.Counter("attempts_refused"),
 		repeated: scope.Counter("orders_repeated"), ended: scope.Counter("attempts_ended"),
 		expired: scope.Counter("attempts_expired"), throttled: scope.Counter("attempts_throttled"),
@@ -29,3 +33,8 @@
 		planTime: scope.Histogram("plan_duration", buckets),
 	}
 }
+
+// queueScope returns the scope of the metrics that are counted by queue.
+func (metrics *metrics) queueScope(queue scheduler.QueueName) tally.Scope {
+	return metrics.scope.Tagged(map[string]string{"queue": string(queue)})
+}
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -73,6 +73,7 @@
 		leadership.overseer.clockDrift)
 	plan.order.Approval = attempt.approval
 	attempt.startOutstanding = true
+	attempt.timing.measurable = attempt.timing.measurable && plan.order.Checkpoint == ""
 	return plan
 }
 
@@ -126,6 +127,7 @@
 	switch response.Result {
 	case scheduler.OrderAccepted:
 		attempt.startOutstanding = false
+		attempt.timing.begin(leadership.now())
 		if attempt.state == attemptStarting {
 			attempt.state = attemptRunning
 		}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -345,7 +345,7 @@
 	instance.attempts[id] = &attempt{
 		state: attemptStarting, spec: spec, share: fullShare, targetShare: fullShare,
 		// The start order carries the approval service's proof that the step may run on this worker.
-		approval: leadership.proofFor(id.Task, instance),
+		approval: leadership.proofFor(id.Task, instance), timing: timing{measurable: true},
 	}
 	if leadership.starved[id.Task] {
 		delete(leadership.starved, id.Task)
--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -94,6 +94,7 @@
 		if response.Result == scheduler.OrderAccepted {
 			leadership.mutex.Lock()
 			attempt.share = share
+			attempt.timing.setShare(leadership.now(), share)
 			leadership.mutex.Unlock()
 			continue
 		}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -77,6 +77,7 @@
 	throttling  bool
 	pausedSince time.Duration
 	running     scheduler.RunningAttempt
+	timing      timing
 }
 
 // end returns the end of an attempt that the worker has not reported as ended. The task resumes from the last
