speculator, overseer: start copies of stragglers

Cause: a job waits for its slowest task.

Change: package speculator (pure) chooses the tasks by the predicted remaining time against a fresh run, with a budget by queue that useless copies lower; overseer/speculation.go places, launches and counts them. Only steps with Speculative are looked at. The forecaster now predicts by the narrower of the distributions of ratios and of plain run times, and rebuilds its cumulative distributions less often.

TestRandomFailures is unchanged; TestRandomFailuresWithCopies plays the same failures with speculative steps.

--- a/internal/jobs/forecaster/digest.go
+++ b/internal/jobs/forecaster/digest.go
@@ -99,7 +99,8 @@
 	}
 	var counts []countDigest
 	var previous int32
-	for _, bracket := range distribution.cumulative() {
+	distribution.rebuild()
+	for _, bracket := range distribution.brackets {
 		counts = append(counts, countDigest{
 			Value: int64(bracket.value), Count: int64(bracket.cumulative - previous),
 		})
--- a/internal/jobs/forecaster/distribution.go
+++ b/internal/jobs/forecaster/distribution.go
@@ -30,8 +30,9 @@
 // distribution is the distribution of positive values of which older ones lose their influence.
 type distribution struct {
 	histogram *hdrhistogram.Histogram
-	// brackets is the cumulative distribution, or nil if it must be computed again.
+	// brackets is the cumulative distribution at its last computation, and pending the count added since then.
 	brackets []bracket
+	pending  int64
 }
 
 // bracket is the middle of a range of values and the total count up to the end of the range. Both are small, because
@@ -52,7 +53,7 @@
 	if err := distribution.histogram.RecordValues(value, weight); err != nil {
 		return // Unreachable, because the value is in range.
 	}
-	distribution.brackets = nil
+	distribution.pending += weight
 	if distribution.weight() >= maxWeight {
 		distribution.halve()
 	}
@@ -65,6 +66,7 @@
 		snapshot.Counts[position] /= 2
 	}
 	distribution.histogram = hdrhistogram.Import(snapshot)
+	distribution.brackets = nil
 }
 
 func (distribution *distribution) weight() int64 {
@@ -79,17 +81,31 @@
 
 // quantile returns a quantile of the recorded values.
 func (distribution *distribution) quantile(quantile float64) float64 {
-	return distribution.valueAt(quantile * float64(distribution.weight()))
+	brackets := distribution.cumulative()
+	return valueAt(brackets, quantile*totalOf(brackets))
 }
 
+// spread returns by which factor the values vary, or infinity if too few have been recorded.
+func (distribution *distribution) spread() float64 {
+	if !distribution.isUsable() {
+		return math.Inf(1)
+	}
+	return distribution.quantile(upperQuartile) / distribution.quantile(lowerQuartile)
+}
+
+const (
+	lowerQuartile = 0.25
+	upperQuartile = 0.75
+)
+
 // remaining returns a quantile of the difference between a value and threshold, given that the value exceeds threshold.
 func (distribution *distribution) remaining(threshold, quantile float64) float64 {
-	total := distribution.weight()
-	below := distribution.weightUpTo(threshold)
+	brackets := distribution.cumulative()
+	total, below := totalOf(brackets), weightUpTo(brackets, threshold)
 	if total-below < minTailWeight {
 		return tailExcess(threshold, quantile)
 	}
-	value := distribution.valueAt(float64(below) + quantile*float64(total-below))
+	value := valueAt(brackets, below+quantile*(total-below))
 	return max(value-threshold, 0)
 }
 
@@ -103,8 +119,7 @@
 const maxQuantile = 0.999
 
 // valueAt returns the value at which the cumulative count reaches target.
-func (distribution *distribution) valueAt(target float64) float64 {
-	brackets := distribution.cumulative()
+func valueAt(brackets []bracket, target float64) float64 {
 	position := sort.Search(len(brackets), func(position int) bool {
 		return float64(brackets[position].cumulative) >= target
 	})
@@ -112,22 +127,34 @@
 }
 
 // weightUpTo returns the count of the values up to threshold.
-func (distribution *distribution) weightUpTo(threshold float64) int64 {
-	brackets := distribution.cumulative()
+func weightUpTo(brackets []bracket, threshold float64) float64 {
 	position := sort.Search(len(brackets), func(position int) bool {
 		return float64(brackets[position].value) > threshold
 	})
 	if position == 0 {
 		return 0
 	}
-	return int64(brackets[position-1].cumulative)
+	return float64(brackets[position-1].cumulative)
 }
 
-// cumulative returns the cumulative distribution. It must not be called while nothing is recorded.
+// totalOf returns the count of all values.
+func totalOf(brackets []bracket) float64 { return float64(brackets[len(brackets)-1].cumulative) }
+
+// staleDivisor sets the part of all counts that may be missing from a cumulative distribution: one in staleDivisor.
+const staleDivisor = 32
+
+// cumulative returns the cumulative distribution without, at most, the last few values. It must not be called while
+// nothing is recorded.
 func (distribution *distribution) cumulative() []bracket {
-	if distribution.brackets != nil {
+	if distribution.brackets != nil && distribution.pending*staleDivisor <= distribution.weight() {
 		return distribution.brackets
 	}
+	distribution.rebuild()
+	return distribution.brackets
+}
+
+// rebuild computes the cumulative distribution.
+func (distribution *distribution) rebuild() {
 	var brackets []bracket
 	var total int64
 	for _, bar := range distribution.histogram.Distribution() {
@@ -136,6 +163,5 @@
 			brackets = append(brackets, bracket{value: int32((bar.From + bar.To) / 2), cumulative: int32(total)})
 		}
 	}
-	distribution.brackets = slices.Clip(brackets)
-	return distribution.brackets
+	distribution.brackets, distribution.pending = slices.Clip(brackets), 0
 }
--- a/internal/jobs/forecaster/forecaster.go
+++ b/internal/jobs/forecaster/forecaster.go
@@ -2,8 +2,9 @@
 // meant for demand whose estimates are wrong by a factor that depends on the program, with a few tasks that run many
 // times as long as the others, on workers of unequal speed.
 //
-// For each kind of tasks it holds the distribution of the ratio of the run time to the submitter's estimate, or of the
-// run time itself where there is no estimate. A kind of which too few tasks have ended is predicted from all tasks of
+// For each kind of tasks it holds the distributions of the run time and of the ratio of the run time to the submitter's
+// estimate, and predicts by the narrower one: estimates may be wrong by the same factor for all tasks of a kind, or at
+// random. A kind of which too few tasks have ended is predicted from all tasks of
 // its queue, and a queue without ends by the submitter's estimate.
 package forecaster
 
@@ -19,14 +20,15 @@
 var Error = errs.Class("forecaster")
 
 const (
-	// defaultMaxKinds is the maximum number of distributions, counting those of whole queues. A kind takes up to 5 KB,
+	// defaultMaxKinds is the maximum number of distributions, counting those of whole queues. A kind takes about 5 KB,
 	// so that the whole stays under 8 MB.
 	defaultMaxKinds = 1600
 	// ratioUnit is the number of steps of a ratio of 1, and maxRatio the highest recorded ratio.
-	ratioUnit = 1000
-	maxRatio  = 1000
-	// maxRunTime is the longest recorded run time of a task without an estimate.
-	maxRunTime = 24 * time.Hour
+	ratioUnit = 100
+	maxRatio  = 160
+	// runTimeUnit is the precision of a recorded run time, and maxRunTime the longest one.
+	runTimeUnit = 20 * time.Millisecond
+	maxRunTime  = 3 * time.Hour
 	// maxPrediction limits predictions, so that they can be added without overflow.
 	maxPrediction = 10_000 * time.Hour
 	// minRemaining is the least remaining time that is predicted for a running task.
@@ -207,20 +209,20 @@
 		if !known {
 			continue
 		}
-		if estimate <= 0 && history.runTimes.isUsable() {
-			return history.runTimes, float64(time.Millisecond)
-		}
-		if estimate > 0 && history.ratios.isUsable() {
+		if estimate > 0 && history.ratios.isUsable() && history.ratios.spread() <= history.runTimes.spread() {
 			return history.ratios, float64(estimate) / ratioUnit
 		}
+		if history.runTimes.isUsable() {
+			return history.runTimes, float64(runTimeUnit)
+		}
 	}
 	return nil, 0
 }
 
 // add records a run time.
 func (history *history) add(estimate, runTime time.Duration) {
+	history.ensureRunTimes().add(int64(runTime/runTimeUnit), observationWeight)
 	if estimate <= 0 {
-		history.ensureRunTimes().add(runTime.Milliseconds(), observationWeight)
 		return
 	}
 	ratio := min(float64(runTime)/float64(estimate), maxRatio)
@@ -236,7 +238,7 @@
 
 func (history *history) ensureRunTimes() *distribution {
 	if history.runTimes == nil {
-		history.runTimes = newDistribution(maxRunTime.Milliseconds())
+		history.runTimes = newDistribution(int64(maxRunTime / runTimeUnit))
 	}
 	return history.runTimes
 }
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -55,6 +55,8 @@
 	loadObservedAt time.Duration
 	// runTimes predicts run times from the attempts that ended during this term.
 	runTimes *forecaster.Forecaster
+	// speculation is the state of copies of running tasks.
+	speculation speculation
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -72,6 +74,7 @@
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		admitters: map[scheduler.PoolName]*admitter.Admitter{}, runTimes: forecaster.New(),
 	}
+	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
 	leadership.evacuateOrdered()
@@ -279,6 +282,7 @@
 		ended := instance.attempts[end.Run]
 		delete(instance.attempts, end.Run)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
+		leadership.recordCopyEnd(end, ended)
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -62,7 +62,7 @@
 	if len(placements) > 0 {
 		leadership.commitPlacements(placements)
 	}
-	return took
+	return took + leadership.startCopies()
 }
 
 // startDueOccurrences starts the occurrences of repeated jobs that are due.
@@ -294,16 +294,22 @@
 		group.Tasks = append(group.Tasks, task.ID())
 	}
 	if group.Step.MaxPerWorker > 0 {
-		group.AttemptsByWorker = map[scheduler.WorkerName]int{}
-		for _, task := range waiting.step.Tasks() {
-			for _, run := range task.Runs() {
-				group.AttemptsByWorker[run.Worker()]++
-			}
-		}
+		group.AttemptsByWorker = attemptsByWorker(waiting.step)
 	}
 	return group
 }
 
+// attemptsByWorker returns the number of attempts of a step on each worker.
+func attemptsByWorker(step *jobkeeper.StepState) map[scheduler.WorkerName]int {
+	attempts := map[scheduler.WorkerName]int{}
+	for _, task := range step.Tasks() {
+		for _, run := range task.Runs() {
+			attempts[run.Worker()]++
+		}
+	}
+	return attempts
+}
+
 // commitPlacements replicates placements and then launches the attempts that were accepted.
 func (leadership *leadership) commitPlacements(placements []jobkeeper.Placement) {
 	result, err := leadership.propose(jobkeeper.Command{Place: placements})
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -131,6 +131,8 @@
 	jobs         int
 	approval     *scheduler.Approval
 	maxAttempts  int
+	// speculative is true if the tasks of first steps may have copies. One of ten attempts of such a task runs for 10 s.
+	speculative bool
 }
 
 // processStartTime is longer than the delivery time of an order.
@@ -216,6 +218,9 @@
 	if simulation.random.IntN(6) == 0 && !workflow.Steps[0].LongRunning {
 		workflow.Repeat = simulation.randomRepeat()
 	}
+	if simulation.speculative && !workflow.Steps[0].LongRunning {
+		workflow.Steps[0].Speculative, workflow.Steps[0].Estimate = true, time.Second
+	}
 	simulation.submitWorkflow(workflow)
 }
 
--- /dev/null
+++ b/internal/jobs/overseer/speculation.go
@@ -0,0 +1,317 @@
+package overseer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/internal/jobs/speculator"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// speculationInterval is how often the running tasks are searched for those that should get a copy.
+	speculationInterval = 500 * time.Millisecond
+	// maxCopiesPerDecision limits the cost of one decision, which looks at all workers for each copy.
+	maxCopiesPerDecision = 16
+)
+
+// speculation is the state of copies of running tasks. Whether a task has a copy is replicated: it then has two
+// attempts. What is held here serves metrics and the success rate of copies. The leadership's mutex guards it.
+type speculation struct {
+	speculator *speculator.Speculator
+	// decidedAt is when copies were last decided on; only plan uses it.
+	decidedAt time.Duration
+	// copies holds the tasks that have a copy, or had one of which an attempt has not ended.
+	copies map[scheduler.StepTaskID]*copiedTask
+}
+
+// copiedTask is a task with a copy.
+type copiedTask struct {
+	copy scheduler.AttemptNumber
+	// open is the number of attempts that have not ended. decided is true once one has finished.
+	open    int
+	decided bool
+}
+
+func newSpeculation(predictor scheduler.RunTimePredictor) speculation {
+	return speculation{
+		speculator: speculator.New(predictor), copies: map[scheduler.StepTaskID]*copiedTask{},
+	}
+}
+
+// runningAttempt is an attempt of a task that allows copies, and the worker on which it runs.
+type runningAttempt struct {
+	input    speculator.Attempt
+	step     *jobkeeper.StepState
+	instance *worker
+}
+
+// copyPlacement is the decision to start a copy.
+type copyPlacement struct {
+	placement jobkeeper.Placement
+	candidate speculator.Candidate
+}
+
+// startCopies starts copies of tasks whose attempts are expected to remain much longer than a fresh run. It returns the
+// duration of the decision. It is called after placement, so that waiting tasks come first.
+func (leadership *leadership) startCopies() time.Duration {
+	began := leadership.now()
+	if began < leadership.speculation.decidedAt+speculationInterval {
+		return 0
+	}
+	leadership.speculation.decidedAt = began
+	copies := leadership.chooseCopies()
+	took := leadership.now() - began
+	if len(copies) > 0 {
+		leadership.commitCopies(copies)
+	}
+	return took
+}
+
+// chooseCopies chooses the tasks that get a copy, and the workers for them.
+func (leadership *leadership) chooseCopies() []copyPlacement {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	var copies []copyPlacement
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		running, loads := leadership.speculativeAttempts(state)
+		if len(running) == 0 {
+			return
+		}
+		inputs := make([]speculator.Attempt, 0, len(running))
+		for _, attempt := range running {
+			inputs = append(inputs, attempt.input)
+		}
+		candidates := leadership.speculation.speculator.Choose(inputs)
+		if len(candidates) == 0 {
+			return
+		}
+		leadership.addPoolLoads(state, loads)
+		copies = leadership.placeCopies(state, candidates, running, loads)
+	})
+	return copies
+}
+
+// speculativeAttempts returns the running attempts that may get a copy, by task, and counts the attempts and copies of
+// each queue.
+func (leadership *leadership) speculativeAttempts(
+	state *jobkeeper.State,
+) (running map[scheduler.StepTaskID]runningAttempt, loads map[scheduler.QueueName]*speculator.QueueLoad) {
+	running = map[scheduler.StepTaskID]runningAttempt{}
+	loads = map[scheduler.QueueName]*speculator.QueueLoad{}
+	for _, instance := range leadership.instances {
+		for id, attempt := range instance.attempts {
+			if !attempt.mayHaveCopy() {
+				continue
+			}
+			run, found := state.Run(instance.name, id)
+			if !found || !run.Task().IsRunnable() {
+				continue
+			}
+			step := run.Task().Step()
+			queue := step.Job().Queue().Name
+			if loads[queue] == nil {
+				loads[queue] = &speculator.QueueLoad{}
+			}
+			loads[queue].Running++
+			if runs := run.Task().Runs(); len(runs) > 1 {
+				leadership.speculation.adopt(id.Task, runs)
+				if id.Attempt == leadership.speculation.copies[id.Task].copy {
+					loads[queue].Copies++
+				}
+				continue
+			}
+			running[id.Task] = runningAttempt{
+				input: leadership.speculatorInput(instance, id.Task, attempt, step), step: step, instance: instance,
+			}
+		}
+	}
+	return running, loads
+}
+
+// mayHaveCopy reports whether a copy of the attempt is allowed and could be of use. A copy of one member of a gang makes
+// no progress.
+func (attempt *attempt) mayHaveCopy() bool {
+	spec := &attempt.spec
+	return spec.Speculative && !spec.Gang && !spec.LongRunning && !attempt.recordingEnd &&
+		attempt.state != attemptStopping && attempt.state != attemptStopped
+}
+
+func (leadership *leadership) speculatorInput(
+	instance *worker, task scheduler.StepTaskID, attempt *attempt, step *jobkeeper.StepState,
+) speculator.Attempt {
+	now := leadership.now()
+	lastContact := max(instance.lastHeartbeat, instance.lastResponse)
+	return speculator.Attempt{
+		Task: task, Kind: kindOf(step), Estimate: attempt.spec.Estimate,
+		Elapsed: attempt.timing.elapsed(now), Share: attempt.share,
+		Slowness:       leadership.runTimes.Slowness(instance.name),
+		Silent:         now-lastContact >= leadership.heartbeatTimeout(),
+		LeaseRemaining: instance.leaseExpiry - now,
+	}
+}
+
+// adopt records a task with two attempts whose copy may have been started by an earlier leader. The attempt with the
+// higher number is the copy.
+func (speculation *speculation) adopt(task scheduler.StepTaskID, runs []*jobkeeper.Run) {
+	if speculation.copies[task] != nil {
+		return
+	}
+	copied := &copiedTask{open: len(runs)}
+	for _, run := range runs {
+		copied.copy = max(copied.copy, run.ID().Attempt)
+	}
+	speculation.copies[task] = copied
+}
+
+// addPoolLoads completes the loads of the queues with those of their pools.
+func (leadership *leadership) addPoolLoads(
+	state *jobkeeper.State, loads map[scheduler.QueueName]*speculator.QueueLoad,
+) {
+	waiting := map[scheduler.PoolName]int{}
+	state.VisitReady(func(task *jobkeeper.Task) {
+		if !task.Step().Spec().Fill {
+			waiting[task.Step().Job().Queue().Pool]++
+		}
+	})
+	for _, queue := range state.Configuration().Queues {
+		load, poolAdmitter := loads[queue.Name], leadership.admitters[queue.Pool]
+		if load == nil || poolAdmitter == nil {
+			delete(loads, queue.Name)
+			continue
+		}
+		load.WaitingTasks, load.PoolLoad = waiting[queue.Pool], poolAdmitter.ReservedFraction()
+	}
+}
+
+// placeCopies chooses workers for the candidates, within the allowance of their queues.
+func (leadership *leadership) placeCopies(
+	state *jobkeeper.State, candidates []speculator.Candidate, running map[scheduler.StepTaskID]runningAttempt,
+	loads map[scheduler.QueueName]*speculator.QueueLoad,
+) []copyPlacement {
+	var copies []copyPlacement
+	pools := leadership.schedulableWorkers(state)
+	tried := map[scheduler.QueueName]int{}
+	for _, candidate := range candidates {
+		load := loads[candidate.Queue()]
+		if load == nil || leadership.speculation.speculator.Allowance(candidate.Queue(), *load) == 0 ||
+			tried[candidate.Queue()] >= maxCopiesPerDecision {
+			continue
+		}
+		tried[candidate.Queue()]++
+		original := running[candidate.Task()]
+		worker, found := leadership.placeCopy(original, pools[original.step.Job().Queue().Pool])
+		if !found {
+			continue
+		}
+		load.Copies++
+		copies = append(copies, copyPlacement{candidate: candidate, placement: jobkeeper.Placement{
+			Task: candidate.Task(), Worker: worker, Instance: leadership.instances[worker].incarnation, Speculative: true,
+		}})
+		if len(copies) == maxCopiesPerDecision {
+			break
+		}
+	}
+	return copies
+}
+
+// placeCopy chooses a worker for a copy: one that the constraints of the step allow, in the rack where its tasks run
+// fast, and neither slow nor the one on which the original runs or the task has failed.
+func (leadership *leadership) placeCopy(original runningAttempt, workers []*packer.Worker) (scheduler.WorkerName, bool) {
+	spec := original.step.Spec()
+	task := original.input.Task
+	rack := spec.PreferredRack
+	if rack == "" && spec.RackLocal {
+		rack = original.instance.rack()
+	}
+	failedOn := leadership.failureTracker.lastFailedOn[task]
+	workers = slices.DeleteFunc(slices.Clone(workers), func(worker *packer.Worker) bool {
+		return worker.Name == original.instance.name || worker.Name == failedOn || rack != "" && worker.Rack != rack ||
+			leadership.runTimes.IsSlow(worker.Name)
+	})
+	group := packer.Group{
+		Step: spec, Tasks: []scheduler.StepTaskID{task}, Approved: leadership.approvedWorkers(original.step, 1),
+	}
+	if spec.MaxPerWorker > 0 {
+		group.AttemptsByWorker = attemptsByWorker(original.step)
+	}
+	assignments := packer.Pack(workers, []packer.Group{group})
+	if len(assignments) == 0 {
+		return "", false
+	}
+	return assignments[0].Worker, true
+}
+
+// commitCopies replicates the placements of copies and then launches those that were accepted.
+func (leadership *leadership) commitCopies(copies []copyPlacement) {
+	var placements []jobkeeper.Placement
+	for _, copied := range copies {
+		placements = append(placements, copied.placement)
+	}
+	result, err := leadership.propose(jobkeeper.Command{Place: placements})
+	if err != nil {
+		leadership.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
+			Msg("could not record copies of running tasks; they will be decided again")
+		return
+	}
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	for position, copied := range copies {
+		if position >= len(result.Attempts) || result.Attempts[position] == 0 {
+			continue // The attempt has ended in the meantime.
+		}
+		run := scheduler.RunID{Task: copied.placement.Task, Attempt: result.Attempts[position]}
+		leadership.speculation.copies[run.Task] = &copiedTask{copy: run.Attempt, open: 2}
+		leadership.overseer.metrics.queueScope(copied.candidate.Queue()).Counter("copies_started").Inc(1)
+		leadership.logger.Info().Str("event", "copyStarted").Stringer("run", run).
+			Str("worker", string(copied.placement.Worker)).Str("reason", string(copied.candidate.Reason())).
+			Dur("expectedGain", copied.candidate.Gain()).Msg("starting a copy of a running task")
+		leadership.launch(copied.placement, run)
+	}
+}
+
+// recordCopyEnd records the end of an attempt of a task with a copy. The first attempt that finishes decides which one
+// has won; what the other one ran is wasted. The mutex must be held.
+func (leadership *leadership) recordCopyEnd(end jobkeeper.End, ended *attempt) {
+	copied := leadership.speculation.copies[end.Run.Task]
+	if copied == nil {
+		return
+	}
+	if copied.open--; copied.open <= 0 {
+		delete(leadership.speculation.copies, end.Run.Task)
+	}
+	queue, found := leadership.queueOf(end.Run.Task.Job)
+	if !found {
+		return
+	}
+	scope := leadership.overseer.metrics.queueScope(queue)
+	if end.Kind != scheduler.EndFinished || copied.decided {
+		if ended != nil {
+			wasted := ended.timing.elapsed(leadership.now()).Milliseconds() * ended.spec.Request.MilliCores
+			scope.Counter("copies_wasted_core_milliseconds").Inc(wasted / milliCoresPerCore)
+		}
+		return
+	}
+	copied.decided = true
+	won := end.Run.Attempt == copied.copy
+	leadership.speculation.speculator.RecordResult(queue, won)
+	if won {
+		scope.Counter("copies_won").Inc(1)
+	}
+	leadership.logger.Info().Str("event", "copyDecided").Stringer("run", end.Run).Bool("copyWon", won).
+		Msg("one attempt of a task with a copy has finished")
+}
+
+const milliCoresPerCore = 1000
+
+// queueOf returns the queue of a job.
+func (leadership *leadership) queueOf(id scheduler.JobID) (queue scheduler.QueueName, found bool) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		if job, known := state.Job(id); known {
+			queue, found = job.Queue().Name, true
+		}
+	})
+	return queue, found
+}
--- /dev/null
+++ b/internal/jobs/overseer/speculation_test.go
@@ -0,0 +1,242 @@
+package overseer
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const usualRunTime = time.Second
+
+// speculativeStep returns a step whose tasks may have copies.
+func speculativeStep(count int) scheduler.Step {
+	return scheduler.Step{Count: count, Request: oneCore, Estimate: usualRunTime, Speculative: true}
+}
+
+// stragglerID is the first attempt of the first task of the first job.
+var stragglerID = scheduler.RunID{Task: scheduler.StepTaskID{Job: "job0"}, Attempt: 1}
+
+var copyID = scheduler.RunID{Task: stragglerID.Task, Attempt: 2}
+
+// runStraggler makes the straggler run for a minute and all other attempts for their usual time.
+func runStraggler(simulation *simulation) {
+	simulation.setRunTime(func(run scheduler.RunID) time.Duration {
+		if run == stragglerID {
+			return time.Minute
+		}
+		return usualRunTime
+	})
+}
+
+func (simulation *simulation) setRunTime(runTimeOf func(run scheduler.RunID) time.Duration) {
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	simulation.fleet.runTimeOf = runTimeOf
+}
+
+// workerOf returns the worker on which an attempt is running.
+func (simulation *simulation) workerOf(run scheduler.RunID) scheduler.WorkerName {
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	for _, worker := range simulation.fleet.workers {
+		if worker.runs[run] != nil {
+			return worker.name
+		}
+	}
+	simulation.t.Errorf("%v is running nowhere", run)
+	return simulation.names[0]
+}
+
+// waitForCopy waits until the straggler has a copy.
+func (simulation *simulation) waitForCopy() {
+	for range 10_000 {
+		time.Sleep(time.Millisecond)
+		runs := 0
+		simulation.domain.keeper.View(func(state *jobkeeper.State) {
+			if job, found := state.Job("job0"); found && !job.State().Ended() {
+				runs = len(job.Step(0, 0).Tasks()[0].Runs())
+			}
+		})
+		if runs == 2 {
+			return
+		}
+	}
+	simulation.t.Error("the straggler got no copy within 10 s")
+}
+
+// Guards against a job that waits for its straggler, a result that counts twice or not at all, and attempts that run on
+// after the job has ended.
+func TestCopyOfStraggler(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(simulation *simulation)
+		// act is called as soon as the copy has been recorded.
+		act func(simulation *simulation)
+	}{
+		"copy finishes first": {runStraggler, func(*simulation) {}},
+		"leader change between copy and end": {runStraggler, func(simulation *simulation) {
+			simulation.domain.elect(1)
+		}},
+		"start of the copy is answered late": {func(simulation *simulation) {
+			runStraggler(simulation)
+			simulation.fleet.mutex.Lock()
+			defer simulation.fleet.mutex.Unlock()
+			simulation.fleet.lateStart = copyID
+		}, func(*simulation) {}},
+		"both finish at once": {func(simulation *simulation) {
+			end := time.Now().Add(6 * time.Second)
+			simulation.setRunTime(func(run scheduler.RunID) time.Duration {
+				if run.Task == stragglerID.Task {
+					return time.Until(end)
+				}
+				return usualRunTime
+			})
+		}, func(*simulation) {}},
+		"original fails": {runStraggler, func(simulation *simulation) {
+			simulation.fleet.mutex.Lock()
+			defer simulation.fleet.mutex.Unlock()
+			for _, worker := range simulation.fleet.workers {
+				if worker.runs[stragglerID] != nil {
+					worker.end(stragglerID, scheduler.EndFailed, "")
+				}
+			}
+		}},
+		"worker of the original is lost": {runStraggler, func(simulation *simulation) {
+			simulation.restart(simulation.workerOf(stragglerID))
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				test.prepare(simulation)
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{
+					speculativeStep(4), {Count: 1, Request: oneCore, DependsOn: []int{0}},
+				}})
+				simulation.waitForCopy()
+				test.act(simulation)
+				time.Sleep(20 * time.Second)
+				simulation.checkSettled()
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// checkSettled checks that all jobs have ended, that no attempt is left, and that no invariant was violated.
+func (simulation *simulation) checkSettled() {
+	simulation.t.Helper()
+	if got := simulation.openJobs(); got != 0 {
+		simulation.t.Errorf("got %d jobs that have not ended, want 0", got)
+	}
+	simulation.domain.keeper.View(func(state *jobkeeper.State) {
+		if got := state.Workers(); len(got) != 0 {
+			simulation.t.Errorf("got attempts on %v, want none", got)
+		}
+	})
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	for _, violation := range simulation.fleet.violations {
+		simulation.t.Error(violation)
+	}
+}
+
+// Guards against copies where the step, the load of the pool or its kind of tasks forbid them.
+func TestNoCopy(t *testing.T) {
+	tests := map[string]struct {
+		step    scheduler.Step
+		further int
+	}{
+		"not speculative":  {scheduler.Step{Count: 4, Request: oneCore, Estimate: usualRunTime}, 0},
+		"gang":             {scheduler.Step{Count: 4, Request: oneCore, Estimate: usualRunTime, Speculative: true, Gang: true}, 0},
+		"no free capacity": {speculativeStep(4), 60},
+		"no other worker has the label": {scheduler.Step{
+			Count: 1, Request: oneCore, Estimate: usualRunTime, Speculative: true, RequiredLabel: "a", MaxPerWorker: 1,
+			PreferredRack: "r2-1",
+		}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				simulation.setRunTime(func(scheduler.RunID) time.Duration { return 20 * time.Second })
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{test.step}})
+				if test.further > 0 {
+					simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: test.further, Request: oneCore}}})
+				}
+				time.Sleep(45 * time.Second)
+				simulation.fleet.mutex.Lock()
+				starts := simulation.fleet.starts
+				simulation.fleet.mutex.Unlock()
+				if got, want := starts, test.step.Count+test.further; got != want {
+					t.Errorf("got %d starts, want %d", got, want)
+				}
+				simulation.checkSettled()
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against tasks on silent workers that wait for the lease although they may have a copy, and against copies of
+// those that may not.
+func TestSilentWorkers(t *testing.T) {
+	for name, speculative := range map[string]bool{"speculative": true, "other": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				simulation.setRunTime(func(scheduler.RunID) time.Duration { return 4 * time.Second })
+				step := speculativeStep(3)
+				step.MaxPerWorker, step.Estimate, step.Speculative = 1, 4*time.Second, speculative
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{step}})
+				time.Sleep(500 * time.Millisecond)
+				simulation.setPartitioned(simulation.workerOf(stragglerID), true)
+				time.Sleep(8500 * time.Millisecond)
+				if got, want := simulation.openJobs() == 0, speculative; got != want {
+					t.Errorf("got job ended = %v before the lease of the silent worker has expired, want %v", got, want)
+				}
+				time.Sleep(20 * time.Second)
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against the same faults as TestRandomFailures while stragglers have copies: in addition, against more than two
+// attempts of a task at once.
+func TestRandomFailuresWithCopies(t *testing.T) {
+	copies := 0
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, uint64(seed))
+				simulation.fleet.lateRate, simulation.fleet.failureRate = 0.05, 0.05
+				simulation.speculative = true
+				simulation.run()
+				time.Sleep(20 * time.Second)
+				for _, violation := range simulation.fleet.violations {
+					t.Error(violation)
+				}
+				if got := simulation.openJobs(); got != 0 {
+					t.Errorf("got %d jobs that have not ended, want 0", got)
+				}
+				copies += simulation.fleet.copies
+			})
+		})
+	}
+	if copies == 0 {
+		t.Error("no task had a copy")
+	}
+}
