runtimes: merge learned run times and copies of stragglers

Change: packages forecaster and speculator with their hooks. Copies only for steps that allow them; run times are learned everywhere and decide nothing else yet.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/basics/runner"
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
+	"github.com/crocusplank/crocusplank/internal/jobs/forecaster"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -53,6 +54,10 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
+	// runTimes predicts run times from the attempts that ended during this term.
+	runTimes *forecaster.Forecaster
+	// speculation is the state of copies of running tasks.
+	speculation speculation
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -68,9 +73,10 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		evacuations: newEvacuations(),
-		admitters:   map[scheduler.PoolName]*admitter.Admitter{},
+		evacuations: newEvacuations(), runTimes: forecaster.New(),
+		admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
+	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
 	leadership.evacuateOrdered()
@@ -278,6 +284,7 @@
 		ended := instance.attempts[end.Run]
 		delete(instance.attempts, end.Run)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
+		leadership.recordCopyEnd(end, ended)
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
