overseer, pacer, handler: log the stages of attempts, why they were stopped, and the error of predictions

Cause: the logs of the leader don't tell where a job's time goes between its placement and its end, why an attempt was stopped, what it had used, or how far the predicted interference is from the samples. Change: attemptEnded carries the stages, the reason of a stop, the request and the progress; a new stepEnded line sums the finished tasks of a step (one line a step, not one a task); tasksPlaced counts tasks that were placed again; jobSubmitted gives the estimated work; load compares predicted and observed utilisation. Decisions are unchanged. Run: go vet and go test -race of jobs/overseer, jobs/pacer and jobs/handler pass.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -112,7 +112,22 @@
 
 func (handler *Handler) logSubmission(request *SubmitRequest, queue *scheduler.Queue, status Status, reason string) {
 	handler.logger.Info().Str("event", "jobSubmitted").Str("job", string(request.Job)).Str("queue", string(queue.Name)).
-		Int("steps", len(request.Workflow.Steps)).Str("status", string(status)).Str("reason", reason).Msg("job submitted")
+		Int("steps", len(request.Workflow.Steps)).Int64("work", estimatedWork(&request.Workflow)).Str("status", string(status)).Str("reason", reason).Msg("job submitted")
+}
+
+// estimatedWork returns the work of a job by its submitter's estimate, in millicore-seconds. Tasks without an estimate,
+// and long-running ones, count as a second each.
+func estimatedWork(workflow *scheduler.Workflow) int64 {
+	var work int64
+	for position := range workflow.Steps {
+		step := &workflow.Steps[position]
+		duration := step.Estimate
+		if duration == 0 || step.LongRunning {
+			duration = time.Second
+		}
+		work += int64(float64(int64(step.Count)*step.Request.MilliCores) * duration.Seconds())
+	}
+	return work
 }
 
 func (handler *Handler) cancel(ctx context.Context, request *JobRequest) Response {
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -8,11 +8,12 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// jobLog holds the state needed for log events about jobs: since when steps have been waiting, and which jobs have
-// been reported as ended. The leadership's mutex guards it.
+// jobLog holds the state needed for log events about jobs: since when steps have been waiting, which jobs have
+// been reported as ended, and the results of unfinished steps. The leadership's mutex guards it.
 type jobLog struct {
 	waiting  map[stepKey]stepWait
 	reported map[scheduler.JobID]bool
+	results  map[scheduler.JobID]map[stepKey]*stepResults
 }
 
 type stepWait struct {
@@ -21,7 +22,10 @@
 }
 
 func newJobLog() jobLog {
-	return jobLog{waiting: map[stepKey]stepWait{}, reported: map[scheduler.JobID]bool{}}
+	return jobLog{
+		waiting: map[stepKey]stepWait{}, reported: map[scheduler.JobID]bool{},
+		results: map[scheduler.JobID]map[stepKey]*stepResults{},
+	}
 }
 
 // updateWaiting replaces the set of waiting steps. A step that was waiting before keeps its start time.
@@ -40,10 +44,13 @@
 
 // logPlacements logs one event for each step that had tasks placed. The mutex must be held.
 func (leadership *leadership) logPlacements(placements []jobkeeper.Placement, attempts []scheduler.AttemptNumber) {
-	counts := map[stepKey]int{}
+	counts, resumed := map[stepKey]int{}, map[stepKey]int{}
 	for position, placement := range placements {
 		if position < len(attempts) && attempts[position] > 0 {
 			counts[keyOf(placement.Task)]++
+			if attempts[position] > 1 {
+				resumed[keyOf(placement.Task)]++
+			}
 		}
 	}
 	now := leadership.now()
@@ -54,7 +61,7 @@
 		}
 		leadership.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).
 			Int("occurrence", key.occurrence).Int("step", key.step).
-			Int("tasks", count).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
+			Int("tasks", count).Int("again", resumed[key]).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
 			Msg("tasks placed")
 	}
 }
@@ -69,6 +76,7 @@
 			}
 			leadership.jobLog.reported[job.ID()] = true
 			leadership.failureTracker.forget(job.ID())
+			leadership.logUnfinishedSteps(job.ID())
 			leadership.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).
 				Str("queue", string(job.Queue().Name)).
 				Str("state", string(job.State())).Dur("took", time.Since(job.Accepted())).Msg("job ended")
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -112,6 +112,7 @@
 	}
 	instance.attempts[run.ID()] = &attempt{
 		state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, targetShare: fullShare,
+		times: attemptTimes{placedAt: leadership.now()},
 	}
 	instance.synced = false
 	leadership.ensureRenewal(instance)
@@ -178,7 +179,7 @@
 		delete(earlier.attempts, id)
 		later.attempts[id] = &attempt{
 			state: attemptUnknown, spec: candidate.spec, approval: candidate.approval,
-			share: fullShare, targetShare: fullShare,
+			share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
 		}
 	}
 	later.synced = len(later.attempts) == 0
@@ -278,11 +279,7 @@
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
-		if end.Kind != scheduler.EndFinished {
-			leadership.logger.Info().Str("event", "attemptEnded").Stringer("run", end.Run).
-				Str("worker", string(instance.name)).
-				Str("kind", string(end.Kind)).Bool("checkpoint", end.Checkpoint != "").Msg("attempt ended without result")
-		}
+		leadership.logAttemptEnd(instance, ended, end)
 	}
 	leadership.logEndedJobs(ends)
 	leadership.replan()
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -22,6 +23,8 @@
 	readyFill               int
 	ready                   int
 	readyMilliCores         int64
+	// accuracy compares the predicted interference with the samples since the last event.
+	accuracy pacer.Accuracy
 }
 
 // logLoad logs the load, so that the cause of a late job can be analysed afterwards.
@@ -34,13 +37,17 @@
 		Int("fills", load.fills).Int64("fillUsage", load.fillUsage).Int("held", load.paused).
 		Int("readyServing", load.readyServing).
 		Int("readyFill", load.readyFill).Int("ready", load.ready).Int64("readyCores", load.readyMilliCores).
+		Int("servingSamples", load.accuracy.Samples).Int("aboveTarget", load.accuracy.AboveTarget).
+		Int("aboveTargetBesideFill", load.accuracy.AboveTargetBesideFill).
+		Int("predicted", load.accuracy.Predicted).Int("missed", load.accuracy.Missed).Int("falseAlarms", load.accuracy.False).
+		Float64("bias", load.accuracy.Bias()).Float64("meanError", load.accuracy.MeanAbsoluteError()).
 		Msg("domain load")
 }
 
 func (leadership *leadership) summariseLoad() load {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	var load load
+	load := load{accuracy: leadership.interference.TakeAccuracy()}
 	now := leadership.now()
 	heartbeatTimeout := leadership.heartbeatTimeout()
 	for _, instance := range leadership.instances {
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -126,6 +126,7 @@
 	switch response.Result {
 	case scheduler.OrderAccepted:
 		attempt.startOutstanding = false
+		attempt.times.recordAccepted(leadership.now())
 		if attempt.state == attemptStarting {
 			attempt.state = attemptRunning
 		}
@@ -261,7 +262,7 @@
 	}
 	leadership.logger.Debug().Str("event", "attemptStopped").Stringer("run", id).Str("worker", string(instance.name)).
 		Str("reason", reason).Msg("stopping attempt")
-	attempt.state = attemptStopping
+	attempt.state, attempt.stopReason = attemptStopping, reason
 	leadership.goroutines.Go(func() { leadership.stop(instance, id) })
 }
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -346,6 +346,7 @@
 		state: attemptStarting, spec: spec, share: fullShare, targetShare: fullShare,
 		// The start order carries the approval service's proof that the step may run on this worker.
 		approval: leadership.proofFor(id.Task, instance),
+		times:    attemptTimes{placedAt: leadership.now()},
 	}
 	if leadership.starved[id.Task] {
 		delete(leadership.starved, id.Task)
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -178,6 +178,7 @@
 	instance.lastAcknowledgedEnd = max(instance.lastAcknowledgedEnd, order.Acknowledged)
 	listed := map[scheduler.RunID]bool{}
 	ends = instance.collectEnds(report.Ended, listed)
+	leadership.recordListed(instance, ends)
 	for _, running := range report.Running {
 		listed[running.Run] = true
 		leadership.updateRunning(instance, running)
@@ -257,6 +258,7 @@
 		return
 	}
 	known.running, known.reported = running, true
+	known.times.recordAccepted(leadership.now())
 	if known.state == attemptUnknown || known.state == attemptStarting {
 		known.state = attemptRunning
 	}
--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -93,6 +93,7 @@
 		}
 		if response.Result == scheduler.OrderAccepted {
 			leadership.mutex.Lock()
+			attempt.times.recordShare(leadership.now(), attempt.share)
 			attempt.share = share
 			leadership.mutex.Unlock()
 			continue
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -77,6 +77,9 @@
 	throttling  bool
 	pausedSince time.Duration
 	running     scheduler.RunningAttempt
+	times       attemptTimes
+	// stopReason is why the attempt was stopped. It is empty if it was not.
+	stopReason string
 }
 
 // end returns the end of an attempt that the worker has not reported as ended. The task resumes from the last
--- a/internal/jobs/pacer/interference.go
+++ b/internal/jobs/pacer/interference.go
@@ -40,6 +40,7 @@
 	// lowestRatio is the lowest observed latency of each serving image, relative to the target.
 	lowestRatio  map[string]float64
 	coefficients map[imagePair]*coefficient
+	accuracy     Accuracy
 }
 
 type imagePair struct {
--- a/internal/jobs/pacer/pacer.go
+++ b/internal/jobs/pacer/pacer.go
@@ -100,7 +100,9 @@
 		if known, found := pacer.tasks[serving.Run]; found {
 			load = known.load
 		}
-		load = interference.update(serving.Image, load, interference.observeLatency(serving), usage)
+		utilisation := interference.observeLatency(serving)
+		interference.recordAccuracy(serving, load, utilisation, usage)
+		load = interference.update(serving.Image, load, utilisation, usage)
 		tasks[serving.Run] = servingTask{image: serving.Image, load: load}
 		worst = max(worst, serving.Ratio)
 	}
