--- a/cmd/crocusplank/main.go
+++ b/cmd/crocusplank/main.go
@@ -12,6 +12,7 @@
 	"github.com/crocusplank/crocusplank/internal/trials/emulator"
 	"github.com/crocusplank/crocusplank/internal/trials/experimenter"
 	"github.com/crocusplank/crocusplank/internal/trials/sizer"
+	"github.com/crocusplank/crocusplank/internal/trials/tracer"
 )
 
 func main() {
@@ -24,6 +25,7 @@
 		commander.WithCommand(demonstrator.Command()),
 		commander.WithCommand(experimentCommand()),
 		commander.WithCommand(emulator.Command()),
+		commander.WithCommand(tracer.Command()),
 	)
 }
 
