tracer: show the stages of steps by the ends of their attempts

Cause: means over tasks hide that a step waits for its last task, so that one task placed again delays the whole job. Change: a table of the steps of completed jobs, grouped by the kinds of ends without a result, from ready to ended.

--- a/internal/trials/tracer/event.go
+++ b/internal/trials/tracer/event.go
@@ -22,10 +22,11 @@
 	Work   int64   `json:"work"`
 	Took   float64 `json:"took"`
 
-	Step   int     `json:"step"`
-	Tasks  int     `json:"tasks"`
-	Again  int     `json:"again"`
-	Waited float64 `json:"waited"`
+	Occurrence int     `json:"occurrence"`
+	Step       int     `json:"step"`
+	Tasks      int     `json:"tasks"`
+	Again      int     `json:"again"`
+	Waited     float64 `json:"waited"`
 
 	Run        string `json:"run"`
 	Worker     string `json:"worker"`
--- a/internal/trials/tracer/table.go
+++ b/internal/trials/tracer/table.go
@@ -17,6 +17,7 @@
 	var text strings.Builder
 	trace.printJobs(&text)
 	trace.printStages(&text)
+	trace.printSteps(&text)
 	trace.printAttempts(&text)
 	trace.printFailures(&text)
 	trace.printStops(&text)
--- a/internal/trials/tracer/tracer.go
+++ b/internal/trials/tracer/tracer.go
@@ -20,6 +20,7 @@
 	jobs        map[string]*job
 	answers     map[answer]int
 	stages      map[string]*stageSums
+	steps       map[stepKey]*stepTimes
 	attempts    map[attemptGroup]*attemptSums
 	failures    failures
 	stops       map[string]int
@@ -83,7 +84,7 @@
 // New returns an empty trace.
 func New() *Trace {
 	return &Trace{
-		jobs: map[string]*job{}, answers: map[answer]int{}, stages: map[string]*stageSums{},
+		jobs: map[string]*job{}, answers: map[answer]int{}, stages: map[string]*stageSums{}, steps: map[stepKey]*stepTimes{},
 		attempts: map[attemptGroup]*attemptSums{}, failures: newFailures(), stops: map[string]int{},
 	}
 }
@@ -138,6 +139,7 @@
 	if job.firstPlaced == 0 {
 		job.firstPlaced = event.Time
 	}
+	trace.step(keyOf(event.Job, event.Occurrence, event.Step)).place(event)
 	stages := trace.stagesOf(event.Job)
 	stages.placed += event.Tasks
 	stages.again += event.Again
@@ -156,6 +158,7 @@
 }
 
 func (trace *Trace) observeStep(event *event) {
+	trace.step(keyOf(event.Job, event.Occurrence, event.Step)).ended = float64(event.Time)
 	stages := trace.stagesOf(event.Job)
 	stages.finished += event.Tasks
 	stages.starting += float64(event.Starting) / milliseconds
@@ -168,6 +171,7 @@
 func (trace *Trace) observeAttempt(event *event) {
 	trace.addAttempts(attemptGroup{kind: event.Kind, reason: event.Reason}, event, 1)
 	task, _, _ := strings.Cut(event.Run, "#")
+	trace.step(keyOfTask(task)).ends[event.Kind] = true
 	switch event.Kind {
 	case "failed":
 		trace.failures.add(event, task)
--- a/internal/trials/tracer/tracer_test.go
+++ b/internal/trials/tracer/tracer_test.go
@@ -97,6 +97,7 @@
 	for _, want := range []string{
 		"| q | 1 | 1 | 0 | 0 | 0 | 0.05 | 0.05 | 0.05 | 7.00 | 7.00 | 7.00 |",
 		"| q | refused | no room | 1 |",
+		"| q | stopped | 1 | 0.05 | 0.00 | 3.75 | 1.10 | 4.90 | 4.90 | 4.90 |",
 		"| q | 10 | 9.0 | 1 | 1 | 0 | 0 | 0.00 | 0.00 |",
 	} {
 		if !strings.Contains(text.String(), want) {
