--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -135,6 +135,7 @@
 	case scheduler.OrderAccepted:
 		attempt.startOutstanding = false
 		attempt.timing.begin(leadership.now())
+		attempt.times.recordAccepted(leadership.now())
 		if attempt.state == attemptStarting {
 			attempt.state = attemptRunning
 		}
@@ -270,7 +271,7 @@
 	}
 	leadership.logger.Debug().Str("event", "attemptStopped").Stringer("run", id).Str("worker", string(instance.name)).
 		Str("reason", reason).Msg("stopping attempt")
-	attempt.state = attemptStopping
+	attempt.state, attempt.stopReason = attemptStopping, reason
 	leadership.goroutines.Go(func() { leadership.stop(instance, id) })
 }
 
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -179,6 +179,7 @@
 	listed := map[scheduler.RunID]bool{}
 	ends = instance.collectEnds(report.Ended, listed)
 	leadership.observeRunTimes(instance, ends)
+	leadership.recordListed(instance, ends)
 	for _, running := range report.Running {
 		listed[running.Run] = true
 		leadership.updateRunning(instance, running)
@@ -259,6 +260,7 @@
 	}
 	known.running, known.reported = running, true
 	known.timing.begin(leadership.now())
+	known.times.recordAccepted(leadership.now())
 	if known.state == attemptUnknown || known.state == attemptStarting {
 		known.state = attemptRunning
 	}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -78,6 +78,9 @@
 	pausedSince time.Duration
 	running     scheduler.RunningAttempt
 	timing      timing
+	times       attemptTimes
+	// stopReason is why the attempt was stopped. It is empty if it was not.
+	stopReason string
 }
 
 // end returns the end of an attempt that the worker has not reported as ended. The task resumes from the last
