packer, overseer, platform: prefer warm workers where scores are equal

Without the field all workers are warm and the first candidate is taken as before. Not in this commit: load that returns to a data centre at a pace after its evacuation.

--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -130,6 +130,11 @@
 		Msg("no task is left in an evacuated data centre")
 }
 
+// coldRemaining returns how much longer the worker remains slow after its start.
+func (worker *worker) coldRemaining(now time.Duration) time.Duration {
+	return max(0, worker.heartbeat.ColdRemaining-(now-worker.lastHeartbeat))
+}
+
 // recordWithheldStart records that a start was not sent because its data centre is evacuated.
 func (leadership *leadership) recordWithheldStart(instance *worker, id scheduler.RunID) {
 	leadership.overseer.metrics.evacuation.withheld.Inc(1)
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -207,7 +207,7 @@
 			Name: name, Rack: instance.rack(), Labels: instance.heartbeat.Labels, Capacity: instance.heartbeat.Capacity,
 			Free: instance.heartbeat.Capacity.Minus(state.Reserved(name)), Slack: usageSummary.slack,
 			Forecast: leadership.forecast(instance, usageSummary),
-			Images:   usageSummary.images,
+			Images:   usageSummary.images, ColdRemaining: instance.coldRemaining(now),
 		})
 	}
 	return pools
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -33,6 +34,8 @@
 	// of the decision, the worker then takes fill tasks only, which reserve no CPU. It takes no other long-running task
 	// either. The next decision starts without held workers and can assign the long-running task to any worker.
 	heldForLongRunning bool
+	// ColdRemaining is how much longer the worker remains slow after its start. It is zero for a warm worker.
+	ColdRemaining time.Duration
 	// Images counts the serving tasks on the worker by image.
 	Images ImageCounts
 }
--- a/internal/jobs/packer/selection.go
+++ b/internal/jobs/packer/selection.go
@@ -28,12 +28,13 @@
 	return selection
 }
 
-// reserve reserves capacity for a task on the candidate with the lowest score. It returns the worker, or nil if no
+// reserve reserves capacity for a task on the candidate with the lowest score. Of candidates with equal scores it takes
+// the one that is warm the soonest, because a task on a cold worker runs longer. It returns the worker, or nil if no
 // candidate is left.
 func (selection *selection) reserve() *Worker {
 	lowest := -1
 	for position := range selection.candidates {
-		if lowest < 0 || selection.candidates[position].score < selection.candidates[lowest].score {
+		if lowest < 0 || selection.candidates[position].isBetterThan(&selection.candidates[lowest]) {
 			lowest = position
 		}
 	}
@@ -48,6 +49,15 @@
 	return worker
 }
 
+// isBetterThan reports whether a candidate has a lower score than another one, or an equal score and less time to go until
+// its worker is warm.
+func (candidate *candidate) isBetterThan(other *candidate) bool {
+	if candidate.score != other.score {
+		return candidate.score < other.score
+	}
+	return candidate.worker.ColdRemaining < other.worker.ColdRemaining
+}
+
 // update rescores a candidate after a task was assigned to it, or removes it if it accepts no further task.
 func (selection *selection) update(position int) {
 	changed := &selection.candidates[position]
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -37,6 +37,8 @@
 	Clock time.Duration `cbor:"11,keyasint"`
 	// Sequence increases with each heartbeat of an instance, so that the receiver can discard reordered ones.
 	Sequence uint64 `cbor:"12,keyasint"`
+	// ColdRemaining is how much longer the worker remains slow after its start. It is zero for a warm worker.
+	ColdRemaining time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // WorkerRef identifies one instance of a called worker and the address at which it is reached. It is a wire type.
