handler, overseer: drop evacuation requests whose caller has gone

Cause: a request without identity that waited in the socket of a suspended VM looks like a new one. If it took effect after its opposite was acknowledged elsewhere, a data centre would stay evacuated and nobody would know. Change: between reading the revision and sending the request, LeaderClient waits 20 ms for the server to notice that the caller has closed the connection. The gauges of evacuations are 0 on a VM that does not lead. Tests: TestAbandonedEvacuation.

--- a/internal/jobs/handler/evacuation.go
+++ b/internal/jobs/handler/evacuation.go
@@ -10,6 +10,10 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// disconnectDelay is the time that the server gets to notice that the caller has closed the connection, in case the
+// request waited in the socket of a suspended VM.
+const disconnectDelay = 20 * time.Millisecond
+
 // EvacuateRequest begins or ends the evacuation of a data centre if Revision is the current revision of its evacuation
 // state.
 type EvacuateRequest struct {
@@ -57,7 +61,7 @@
 	if current.Status != StatusDone {
 		return current
 	}
-	if ctx.Err() != nil {
+	if !waiter.Sleep(ctx, disconnectDelay) {
 		// The caller has given up and may already have requested the opposite.
 		return errorResponse(StatusUnavailable, "the request was cancelled before it took effect", leaderRetry)
 	}
--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// resetGauges sets the gauges to 0, because only the leader's values are current.
+func (evacuationMetrics *evacuationMetrics) resetGauges() {
+	evacuationMetrics.dataCentres.Update(0)
+	evacuationMetrics.tasks.Update(0)
+}
+
 // refreshEvacuations reads the evacuated data centres from the replicated state. The mutex must be held.
 func (leadership *leadership) refreshEvacuations(state *jobkeeper.State) {
 	active := leadership.evacuations.active
