--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// resetGauges sets the gauges to 0, because only the leader's values are current.
+func (evacuationMetrics *evacuationMetrics) resetGauges() {
+	evacuationMetrics.dataCentres.Update(0)
+	evacuationMetrics.tasks.Update(0)
+}
+
 // refreshEvacuations reads the evacuated data centres from the replicated state. The mutex must be held.
 func (leadership *leadership) refreshEvacuations(state *jobkeeper.State) {
 	active := leadership.evacuations.active
@@ -130,6 +136,11 @@
 		Msg("no task is left in an evacuated data centre")
 }
 
+// coldRemaining returns how much longer the worker remains slow after its start.
+func (worker *worker) coldRemaining(now time.Duration) time.Duration {
+	return max(0, worker.heartbeat.ColdRemaining-(now-worker.lastHeartbeat))
+}
+
 // recordWithheldStart records that a start was not sent because its data centre is evacuated.
 func (leadership *leadership) recordWithheldStart(instance *worker, id scheduler.RunID) {
 	leadership.overseer.metrics.evacuation.withheld.Inc(1)
