packer: hold capacity of a worker for tasks that start later

Cause: a large task never finds a worker on which enough is free, because each small task that ends is replaced by another. Holding a whole worker, as for long-running tasks, leaves its capacity idle until the large task starts.

Change: a worker may carry a Hold: the step for which capacity is kept, when its first task is expected to start, and what will be free beside it. Other tasks are admitted if they end before by Group.RunTime, or fit in the spare part. Queues of a higher priority may use held capacity, as a last resort. The record of unplaceable steps takes run time and priority into account while workers are held.

--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -33,6 +34,8 @@
 	// of the decision, the worker then takes fill tasks only, which reserve no CPU. It takes no other long-running task
 	// either. The next decision starts without held workers and can assign the long-running task to any worker.
 	heldForLongRunning bool
+	// Hold keeps capacity for tasks that are expected to start later. It is nil if none is kept.
+	Hold *Hold
 	// Images counts the serving tasks on the worker by image.
 	Images ImageCounts
 }
@@ -67,6 +70,11 @@
 	// unreserved. The pool is the set of workers that run the tasks of the job's queue. If no worker accepts a task of
 	// the group, one task is assigned regardless of slack and predicted interference. The overseer throttles it at first.
 	Starved bool
+	// RunTime is the time within which a task of the group ends almost certainly, or zero if it is unknown. It decides
+	// whether the task may run on capacity that is kept for a later start.
+	RunTime time.Duration
+	// Priority is the priority of the step's queue; 0 comes first. It only decides which holds the tasks may break.
+	Priority int
 }
 
 // Assignment assigns a task to a worker.
@@ -79,7 +87,7 @@
 // workers passed in. The members of a gang are assigned together or not at all.
 func Pack(workers []*Worker, groups []Group) []Assignment {
 	var assignments []Assignment
-	var unplaceable unplaceableSteps
+	unplaceable := unplaceableSteps{holds: stepsWithHolds(workers)}
 	recordPlaceableDemand(workers, groups)
 	for _, group := range groups {
 		// A starved group is always tried: one of its tasks may be assigned to a worker on which the recorded steps were
@@ -143,8 +151,20 @@
 // interference never decreases: a gang that does not fit releases only what it reserved itself. A step thus cannot be
 // assigned if it requests at least as much of each resource as a recorded step. With this check, a queue of a thousand
 // pending tasks costs no more than a single one.
+//
+// Holds are an exception: a task that ends early enough may run on held capacity, and so may the tasks for which it is
+// held. With holds, a recorded step therefore covers only groups that run at least as long and have no higher priority,
+// and none with a hold.
 type unplaceableSteps struct {
-	steps []*scheduler.Step
+	steps []unplaceableStep
+	// holds contains the steps for which capacity is held. It is nil if none is held.
+	holds map[StepID]bool
+}
+
+type unplaceableStep struct {
+	*scheduler.Step
+	runTime  time.Duration
+	priority int
 }
 
 // maxUnplaceableSteps limits the number of recorded steps and thereby the cost of a look-up.
@@ -159,7 +179,9 @@
 
 func (unplaceableSteps *unplaceableSteps) add(group *Group) {
 	if group.isUnconstrained() && len(unplaceableSteps.steps) < maxUnplaceableSteps {
-		unplaceableSteps.steps = append(unplaceableSteps.steps, group.Step)
+		unplaceableSteps.steps = append(unplaceableSteps.steps, unplaceableStep{
+			Step: group.Step, runTime: group.RunTime, priority: group.Priority,
+		})
 	}
 }
 
@@ -167,7 +189,14 @@
 // of any resource and has the same value of Fill. For fill tasks, the image must be the same too, because interference
 // depends on it. The group may have constraints, which only reduce the number of suitable workers.
 func (unplaceableSteps *unplaceableSteps) covers(group *Group) bool {
-	for _, step := range unplaceableSteps.steps {
+	if len(unplaceableSteps.holds) > 0 && unplaceableSteps.holds[group.ID()] {
+		return false
+	}
+	for position := range unplaceableSteps.steps {
+		step := &unplaceableSteps.steps[position]
+		if len(unplaceableSteps.holds) > 0 && !step.usesAtLeast(group) {
+			continue
+		}
 		if step.Fill != group.Step.Fill || step.Fill && step.Image != group.Step.Image {
 			continue
 		}
@@ -186,7 +215,7 @@
 		if worker == nil && group.Starved && len(assigned) == 0 {
 			worker = leastInterference(workers, group)
 			if worker != nil {
-				reserve(worker, group.Step)
+				reserve(worker, &group)
 			}
 		}
 		if worker == nil {
@@ -196,7 +225,7 @@
 	}
 	if group.Step.Gang && len(assigned) < len(group.Tasks) {
 		for _, worker := range assigned {
-			release(worker, group.Step)
+			release(worker, &group)
 		}
 		return nil
 	}
@@ -209,7 +238,9 @@
 
 // reserve reserves capacity for a task on a worker. Slack decreases by the full CPU request of every task, including
 // fill tasks, which accepts allows on less slack than their request. Slack can therefore become negative.
-func reserve(worker *Worker, step *scheduler.Step) {
+func reserve(worker *Worker, group *Group) {
+	step := group.Step
+	worker.useHold(group, 1)
 	worker.Free = worker.Free.Minus(step.Reserved())
 	worker.Slack -= step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -221,7 +252,9 @@
 }
 
 // release undoes reserve.
-func release(worker *Worker, step *scheduler.Step) {
+func release(worker *Worker, group *Group) {
+	step := group.Step
+	worker.useHold(group, -1)
 	worker.Free = worker.Free.Plus(step.Reserved())
 	worker.Slack += step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -277,7 +310,7 @@
 	case group.Approved != nil && !group.Approved[worker.Name]:
 		return false
 	}
-	return !group.Avoid[worker.Name]
+	return !group.Avoid[worker.Name] && worker.admits(group)
 }
 
 // Weights of the terms of a score. The terms for slack and for remaining capacity have no constant: their weight is 1,
@@ -300,6 +333,9 @@
 	weightEmptyWorker = 0.5
 	// weightAccelerators keeps tasks that need no accelerators off workers with free ones.
 	weightAccelerators = 1
+	// weightHeld keeps tasks off capacity that is held for tasks of a lower priority, unless all other workers are
+	// remote from their data.
+	weightHeld = 5
 )
 
 // score returns the score of a worker for a task of the group; the lowest score is best. Apart from the weighted terms,
@@ -318,6 +354,9 @@
 	if step.Request.Accelerators == 0 && worker.Free.Accelerators > 0 {
 		score += weightAccelerators
 	}
+	if worker.breaksHold(group) {
+		score += weightHeld
+	}
 	if step.Fill {
 		return score + weightOtherDemand*worker.placeableDemand.totalWithout(step.Image) -
 			ratio(worker.Slack, worker.Capacity.MilliCores) +
--- a/internal/jobs/packer/selection.go
+++ b/internal/jobs/packer/selection.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	worker := selection.candidates[lowest].worker
-	reserve(worker, selection.group.Step)
+	reserve(worker, selection.group)
 	selection.candidates[lowest].assigned++
 	selection.update(lowest)
 	selection.recordRack(worker.Rack)
