reserver: reserve workers in time for large tasks

Cause: placement looked neither at what waits nor at what ends soon, so large tasks and gangs waited behind a stream of small ones.

Change: a pure package that reserves the worker on which a large task is expected to fit first, from predicted ends. A reservation has a bound on idle time, on the fraction of the pool, on steps and tasks. It is checked in every decision and rebuilt in the same one when a worker is lost, a prediction slips or the worker becomes unsuitable.

--- /dev/null
+++ b/internal/jobs/reserver/reserver_test.go
@@ -0,0 +1,126 @@
+package reserver
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// poolOf returns a pool of full workers with the given numbers of cores, which run tasks of one core that end at the
+// same time: on worker 0 after 10 s, on worker 1 after 9 s and so on.
+func poolOf(sizes ...int64) *Pool {
+	pool := &Pool{Now: time.Minute, MeanRequest: func() scheduler.Resources { return cores(1) }}
+	releases := map[scheduler.WorkerName][]Release{}
+	for position, size := range sizes {
+		name := scheduler.WorkerName(fmt.Sprintf("w%d", position))
+		pool.Workers = append(pool.Workers, &packer.Worker{
+			Name: name, Rack: fmt.Sprintf("r%d", position/2), Labels: []string{"a"}, Capacity: cores(size),
+		})
+		for range size {
+			releases[name] = append(releases[name], Release{After: time.Duration(10-position) * time.Second, Amount: cores(1)})
+		}
+	}
+	pool.Releases = func(worker scheduler.WorkerName) []Release { return releases[worker] }
+	return pool
+}
+
+// waitingGroup returns a group of step tasks that began to wait 5 s before the time of poolOf.
+func waitingGroup(step scheduler.Step) Group {
+	group := Group{Group: &packer.Group{Step: &step}, Since: time.Minute - 5*time.Second}
+	for index := range max(step.Count, 1) {
+		group.Tasks = append(group.Tasks, scheduler.StepTaskID{Job: "j", Index: index})
+	}
+	return group
+}
+
+// Guards against reservations for tasks that need none or can never run, on workers that may not run the step, on more
+// workers than allowed, and for a part of a gang.
+func TestReservedWorkers(t *testing.T) {
+	large := scheduler.Step{Request: cores(4)}
+	gang := scheduler.Step{Count: 3, Request: cores(4), Gang: true}
+	recent := waitingGroup(large)
+	recent.Since = time.Minute - time.Millisecond
+	avoiding := waitingGroup(large)
+	avoiding.Avoid = map[scheduler.WorkerName]bool{"w4": true}
+	approved := waitingGroup(large)
+	approved.Approved = map[scheduler.WorkerName]bool{"w2": true}
+	tests := map[string]struct {
+		pool  *Pool
+		group Group
+		want  string
+	}{
+		"worker on which the task fits first":  {poolOf(4, 4, 4, 4, 4), waitingGroup(large), "[w4]"},
+		"only a worker that is large enough":   {poolOf(4, 8, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(6)}), "[w1]"},
+		"no worker is large enough":            {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(6)}), "[]"},
+		"label that no worker has":             {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(4), RequiredLabel: "b"}), "[]"},
+		"worker to avoid":                      {poolOf(4, 4, 4, 4, 4), avoiding, "[w3]"},
+		"approved worker":                      {poolOf(4, 4, 4, 4, 4), approved, "[w2]"},
+		"task of the usual size":               {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(1)}), "[]"},
+		"task that has just begun to wait":     {poolOf(4, 4, 4, 4, 4), recent, "[]"},
+		"fill task":                            {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(4), Fill: true}), "[]"},
+		"long-running task":                    {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Request: cores(4), LongRunning: true}), "[]"},
+		"pool too small to reserve a worker":   {poolOf(4, 4, 4, 4), waitingGroup(large), "[]"},
+		"as many workers as allowed":           {poolOf(4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Count: 3, Request: cores(4)}), "[w4]"},
+		"gang that needs too many workers":     {poolOf(4, 4, 4, 4, 4), waitingGroup(gang), "[]"},
+		"all members of a gang on one worker":  {poolOf(4, 4, 12, 4, 4), waitingGroup(gang), "[w2]"},
+		"limit of tasks per worker":            {poolOf(8, 8, 8, 8, 8, 8, 8, 8, 8, 8), waitingGroup(scheduler.Step{Count: 3, Request: cores(4), MaxPerWorker: 1}), "[w9 w8]"},
+		"rack-local step in the earliest rack": {poolOf(8, 8, 4, 4, 4, 4, 4, 4, 4, 4), waitingGroup(scheduler.Step{Count: 3, Request: cores(4), Gang: true, RackLocal: true}), "[w1 w0]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			test.pool.Groups = []Group{test.group}
+			reserver := New()
+			reserver.Plan(test.pool)
+			workers := []scheduler.WorkerName{}
+			for _, reservation := range reserver.Reservations() {
+				workers = append(workers, reservation.Worker())
+			}
+			if got := fmt.Sprint(workers); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a reservation that outlives its reason, against capacity that is idle for longer than allowed, and
+// against a broken reservation that is rebuilt later than in the same decision or loses the age of its step.
+func TestBrokenReservations(t *testing.T) {
+	tests := map[string]struct {
+		change func(pool *Pool)
+		want   Reason
+		// rebuilt is the worker of the next reservation, or empty if there must be none.
+		rebuilt scheduler.WorkerName
+	}{
+		"cancelled job":     {func(pool *Pool) { pool.Groups = nil }, ReasonNotWaiting, ""},
+		"lost worker":       {func(pool *Pool) { pool.Workers = append(pool.Workers[:4], poolOf(4).Workers...) }, ReasonWorkerUnavailable, "w3"},
+		"worker to avoid":   {func(pool *Pool) { pool.Groups[0].Avoid = map[scheduler.WorkerName]bool{"w4": true} }, ReasonUnsuitable, "w3"},
+		"wrong prediction":  {func(pool *Pool) { pool.Releases("w4")[0].After = 15 * time.Second }, ReasonDelayed, "w3"},
+		"idle for too long": {func(pool *Pool) { pool.Workers[4].Free, pool.Now = cores(4), pool.Now+defaultMaxIdle }, ReasonExpired, "w3"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			pool := poolOf(4, 4, 4, 4, 4)
+			pool.Groups = []Group{waitingGroup(scheduler.Step{Request: cores(4)})}
+			reserver := New()
+			reserver.Plan(pool)
+			test.change(pool)
+			events := reserver.Plan(pool)
+			if len(events) == 0 || events[0].Kind() != EventBroken || events[0].Reason() != test.want {
+				t.Fatalf("got events %v, want one of kind %s with reason %s first", events, EventBroken, test.want)
+			}
+			var got scheduler.WorkerName
+			if len(events) > 1 {
+				got = events[1].Worker()
+				if waited := events[1].Waited(); waited < 5*time.Second {
+					t.Errorf("got a step that has waited for %v, want the age of the broken reservation", waited)
+				}
+			}
+			if got != test.rebuilt {
+				t.Errorf("got a new reservation on %q, want it on %q", got, test.rebuilt)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jobs/reserver/slot.go
@@ -0,0 +1,201 @@
+package reserver
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// slot is capacity on a worker for one task, in addition to the slots of the same worker that come before it.
+type slot struct {
+	worker *packer.Worker
+	// after is the time from now until the capacity is expected to be free.
+	after time.Duration
+	// spare is the capacity that is expected to be free at any time of the slots up to this one.
+	spare scheduler.Resources
+}
+
+// slots returns the slots of a worker for up to limit tasks of a group that are expected within the horizon.
+func (pool *Pool) slots(worker *packer.Worker, group *Group, limit int, horizon time.Duration) []slot {
+	releases := pool.Releases(worker.Name)
+	slices.SortStableFunc(releases, func(a, b Release) int { return cmp.Compare(a.After, b.After) })
+	amount := group.Step.Reserved()
+	var slots []slot
+	var after time.Duration
+	free, spare := worker.Free, worker.Capacity
+	for count := 0; count < limit && group.FitsIdle(worker, count); count++ {
+		for !amount.FitsIn(free) {
+			if len(releases) == 0 || releases[0].After > horizon {
+				return slots
+			}
+			after, free = max(releases[0].After, 0), free.Plus(releases[0].Amount)
+			releases = releases[1:]
+		}
+		free = free.Minus(amount)
+		spare = minimum(spare, free)
+		slots = append(slots, slot{worker: worker, after: after, spare: spare})
+	}
+	return slots
+}
+
+func minimum(a, b scheduler.Resources) scheduler.Resources {
+	return scheduler.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryBytes:  min(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// reserve reserves workers for the tasks of a group: for all members of a gang or none, and for as many tasks of another
+// group as the bounds allow. It returns the new reservations.
+func (reserver *Reserver) reserve(pool *Pool, group *Group) []*Reservation {
+	taken := map[scheduler.WorkerName]bool{}
+	for _, reservation := range reserver.reservations {
+		taken[reservation.worker] = true
+	}
+	maxWorkers := int(reserver.maxFraction*float64(len(pool.Workers))) - len(taken)
+	if maxWorkers <= 0 {
+		return nil
+	}
+	count := len(group.Tasks)
+	if !group.Step.Gang {
+		count = min(count, maxTasksPerStep)
+	}
+	var candidates []slot
+	for _, worker := range reserver.candidates(pool, group, taken) {
+		candidates = append(candidates, pool.slots(worker, group, count, reserver.maxIdle)...)
+	}
+	slices.SortStableFunc(candidates, compareSlots)
+	if group.Step.RackLocal {
+		candidates = earliestRack(candidates, count, maxWorkers)
+	}
+	chosen := choose(candidates, count, maxWorkers)
+	if group.Step.Gang && len(chosen) < count {
+		chosen = choose(onFewestWorkers(candidates, maxWorkers), count, maxWorkers)
+	}
+	if group.Step.Gang && len(chosen) < count {
+		return nil
+	}
+	reservations := newReservations(pool.Now, group, chosen)
+	for _, reservation := range reservations {
+		reservation.promisedStart = reservation.start
+		reservation.idle = reserver.interrupted[reservation.worker].idle
+	}
+	return reservations
+}
+
+// candidates returns the workers that may be reserved for a group: those with the most free CPU of the ones that could
+// run a task if they were idle. Their number is bounded because predicting the ends of running tasks takes time.
+func (reserver *Reserver) candidates(
+	pool *Pool, group *Group, taken map[scheduler.WorkerName]bool,
+) []*packer.Worker {
+	var candidates []*packer.Worker
+	for _, worker := range pool.Workers {
+		_, blocked := reserver.blockedUntil[worker.Name]
+		if !blocked && !taken[worker.Name] && group.FitsIdle(worker, 0) {
+			candidates = append(candidates, worker)
+		}
+	}
+	limit := max(minCandidates, len(group.Tasks))
+	if len(candidates) <= limit {
+		return candidates
+	}
+	slices.SortStableFunc(candidates, func(a, b *packer.Worker) int {
+		return cmp.Compare(b.Free.MilliCores, a.Free.MilliCores)
+	})
+	return candidates[:limit]
+}
+
+// compareSlots puts the earliest slot first, and of equal ones that on the smaller worker, so that the gaps of large
+// workers remain for tasks that fit only there.
+func compareSlots(a, b slot) int {
+	return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker.Capacity.MilliCores, b.worker.Capacity.MilliCores),
+		cmp.Compare(a.worker.Capacity.MemoryBytes, b.worker.Capacity.MemoryBytes))
+}
+
+// choose returns the first count slots on at most maxWorkers workers.
+func choose(slots []slot, count, maxWorkers int) []slot {
+	var chosen []slot
+	workers := map[*packer.Worker]bool{}
+	for _, slot := range slots {
+		if len(chosen) == count {
+			break
+		}
+		if !workers[slot.worker] {
+			if len(workers) == maxWorkers {
+				continue
+			}
+			workers[slot.worker] = true
+		}
+		chosen = append(chosen, slot)
+	}
+	return chosen
+}
+
+// onFewestWorkers returns the slots of the maxWorkers workers with the most slots, in the given order.
+func onFewestWorkers(slots []slot, maxWorkers int) []slot {
+	counts := map[*packer.Worker]int{}
+	var workers []*packer.Worker
+	for _, slot := range slots {
+		if counts[slot.worker]++; counts[slot.worker] == 1 {
+			workers = append(workers, slot.worker)
+		}
+	}
+	slices.SortStableFunc(workers, func(a, b *packer.Worker) int { return cmp.Compare(counts[b], counts[a]) })
+	for _, worker := range workers[min(len(workers), maxWorkers):] {
+		delete(counts, worker)
+	}
+	return slices.DeleteFunc(slices.Clone(slots), func(slot slot) bool { return counts[slot.worker] == 0 })
+}
+
+// earliestRack returns the slots in the rack that has enough of them first. If no rack has enough, it returns all slots,
+// because rack-local tasks may run in several racks, only slower.
+func earliestRack(slots []slot, count, maxWorkers int) []slot {
+	racks := map[string][]slot{}
+	for _, slot := range slots {
+		racks[slot.worker.Rack] = append(racks[slot.worker.Rack], slot)
+	}
+	best := slots
+	var earliest time.Duration
+	found := false
+	for _, slot := range slots {
+		inRack := racks[slot.worker.Rack]
+		delete(racks, slot.worker.Rack)
+		chosen := choose(inRack, count, maxWorkers)
+		if len(chosen) < count {
+			continue
+		}
+		if last := chosen[count-1].after; !found || last < earliest {
+			best, earliest, found = inRack, last, true
+		}
+	}
+	return best
+}
+
+// newReservations returns one reservation for each worker of the slots, which must be in the order of time.
+func newReservations(now time.Duration, group *Group, slots []slot) []*Reservation {
+	var reservations []*Reservation
+	byWorker := map[*packer.Worker]*Reservation{}
+	for _, slot := range slots {
+		reservation := byWorker[slot.worker]
+		if reservation == nil {
+			reservation = &Reservation{
+				step: group.ID(), worker: slot.worker.Name, gang: group.Step.Gang, priority: group.Priority,
+				amount: group.Step.Reserved(), madeAt: now, waitingSince: group.Since, start: now + slot.after,
+			}
+			byWorker[slot.worker] = reservation
+			reservations = append(reservations, reservation)
+		}
+		reservation.tasks++
+		reservation.spare = slot.spare
+	}
+	if group.Step.Gang {
+		for _, reservation := range reservations {
+			reservation.start = now + slots[len(slots)-1].after
+		}
+	}
+	return reservations
+}
