overseer: reserve workers for large tasks where pools are mixed

Cause: the leader placed waiting tasks without regard to which capacity becomes free soon, so large tasks and gangs could wait without end behind small ones.

Change: WithLookAhead (Settings.MaxReservedIdle, 0 disables) lets the leader keep reservations for each pool that has unequal workers or queues of different priority.

--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -18,13 +18,16 @@
 type stepWait struct {
 	since    time.Duration
 	prospect packer.Prospect
+	// request is the resource request of each task.
+	request scheduler.Resources
 }
 
 func newJobLog() jobLog {
 	return jobLog{waiting: map[stepKey]stepWait{}, reported: map[scheduler.JobID]bool{}}
 }
 
-// updateWaiting replaces the set of waiting steps. A step that was waiting before keeps its start time.
+// updateWaiting replaces the set of waiting steps and sets since when each has waited. A step that was waiting before
+// keeps its start time.
 func (jobLog *jobLog) updateWaiting(now time.Duration, steps []*waitingStep) {
 	next := make(map[stepKey]stepWait, len(steps))
 	for _, step := range steps {
@@ -33,7 +36,8 @@
 		if known, found := jobLog.waiting[key]; found {
 			since = known.since
 		}
-		next[key] = stepWait{since: since, prospect: step.urgency.Prospect}
+		step.since = since
+		next[key] = stepWait{since: since, prospect: step.urgency.Prospect, request: step.step.Spec().Request}
 	}
 	jobLog.waiting = next
 }
@@ -55,6 +59,7 @@
 		leadership.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).
 			Int("occurrence", key.occurrence).Int("step", key.step).
 			Int("tasks", count).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
+			Int64("milliCores", stepWait.request.MilliCores).
 			Msg("tasks placed")
 	}
 }
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -52,6 +52,7 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
+	lookAhead      lookAhead
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -67,7 +68,7 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		admitters: map[scheduler.PoolName]*admitter.Admitter{}, lookAhead: newLookAhead(),
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
@@ -112,6 +113,7 @@
 	}
 	instance.attempts[run.ID()] = &attempt{
 		state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, targetShare: fullShare,
+		launchedAt: leadership.now(),
 	}
 	instance.synced = false
 	leadership.ensureRenewal(instance)
@@ -178,7 +180,7 @@
 		delete(earlier.attempts, id)
 		later.attempts[id] = &attempt{
 			state: attemptUnknown, spec: candidate.spec, approval: candidate.approval,
-			share: fullShare, targetShare: fullShare,
+			share: fullShare, targetShare: fullShare, launchedAt: candidate.launchedAt,
 		}
 	}
 	later.synced = len(later.attempts) == 0
--- /dev/null
+++ b/internal/jobs/overseer/lookahead_test.go
@@ -0,0 +1,108 @@
+package overseer
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/reserver"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// sevenCores leaves room for a single small task on a worker of the simulation.
+var sevenCores = scheduler.Resources{MilliCores: 7000, MemoryBytes: 7 << 20}
+
+// Guards against a large task that never starts on a pool full of small ones, against reservations that a new leader or
+// a lost worker ends for good, and against reservations in a domain that has not enabled them.
+func TestLargeTaskAmongSmallOnes(t *testing.T) {
+	tests := map[string]struct {
+		options  []Option
+		failure  func(simulation *simulation)
+		finishes bool
+	}{
+		"no look-ahead": {nil, func(*simulation) {}, false},
+		"look-ahead":    {[]Option{WithLookAhead(20 * time.Second)}, func(*simulation) {}, true},
+		"leader change": {[]Option{WithLookAhead(20 * time.Second)}, func(simulation *simulation) {
+			simulation.reservedWorker()
+			simulation.domain.elect(1)
+		}, true},
+		"lost worker": {[]Option{WithLookAhead(20 * time.Second)}, func(simulation *simulation) {
+			simulation.fleet.kill(simulation.reservedWorker())
+		}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1, test.options...)
+				stop := simulation.start()
+				simulation.configureMixedQueues()
+				simulation.submitSmall(3 * time.Second)
+				large := scheduler.JobID(fmt.Sprintf("job%d", simulation.jobs))
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{
+					{Count: 1, Request: sevenCores, Estimate: 2 * time.Second},
+				}})
+				test.failure(simulation)
+				simulation.submitSmall(20 * time.Second)
+				simulation.domain.keeper.View(func(state *jobkeeper.State) {
+					job, _ := state.Job(large)
+					if got := job.State().Ended(); got != test.finishes {
+						t.Errorf("got ended %v of a large job in state %s, want %v", got, job.State(), test.finishes)
+					}
+				})
+				stop()
+				for _, violation := range simulation.fleet.violations {
+					t.Error(violation)
+				}
+			})
+		})
+	}
+}
+
+// configureMixedQueues adds a queue of lower priority to the pool.
+func (simulation *simulation) configureMixedQueues() {
+	simulation.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
+		Version: 2, Pools: []scheduler.Pool{{Name: "pool"}},
+		Queues: []scheduler.Queue{
+			{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second},
+			{Name: "other", PathPrefix: "/o/", Pool: "pool", Timeout: time.Second, Priority: 1},
+		},
+	}})
+}
+
+// submitSmall submits small tasks for a time, somewhat more than the pool can run.
+func (simulation *simulation) submitSmall(duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{
+			{Count: 6, Request: oneCore, Estimate: time.Second},
+		}})
+	}
+}
+
+// reservedWorker waits until the leader has reserved a worker and returns it.
+func (simulation *simulation) reservedWorker() scheduler.WorkerName {
+	for range 100 {
+		for _, overseer := range simulation.overseers {
+			if leadership := overseer.current.Load(); leadership != nil {
+				for _, reservation := range leadership.reservations() {
+					return reservation.Worker()
+				}
+			}
+		}
+		simulation.submitSmall(10 * time.Millisecond)
+	}
+	simulation.t.Error("got no reservation, want one")
+	return ""
+}
+
+// reservations returns the reservations of all pools.
+func (leadership *leadership) reservations() []*reserver.Reservation {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	var reservations []*reserver.Reservation
+	for _, poolReserver := range leadership.lookAhead.reservers {
+		reservations = append(reservations, poolReserver.Reservations()...)
+	}
+	return reservations
+}
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -41,7 +41,9 @@
 	heartbeatInterval time.Duration
 	stopTime          time.Duration
 	countSuspension   bool
-	clock             stopwatch.Stopwatch
+	// maxIdle is the maximum idle time of a reservation, or zero if none are made.
+	maxIdle time.Duration
+	clock   stopwatch.Stopwatch
 
 	current atomic.Pointer[leadership]
 }
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -131,6 +131,7 @@
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
+			leadership.dropReservations()
 			return
 		}
 		pools := leadership.schedulableWorkers(state)
@@ -138,17 +139,19 @@
 		steps := waitingSteps(state)
 		leadership.jobLog.updateWaiting(leadership.now(), steps)
 		groups := map[scheduler.PoolName][]packer.Group{}
+		stepsByPool := map[scheduler.PoolName][]*waitingStep{}
 		for _, waiting := range steps {
 			pool := waiting.step.Job().Queue().Pool
 			group := leadership.group(waiting)
 			group.Starved = leadership.isStarved(waiting, pool)
 			groups[pool] = append(groups[pool], group)
+			stepsByPool[pool] = append(stepsByPool[pool], waiting)
 			if group.Starved {
 				leadership.markStarved(group.Tasks)
 			}
 		}
 		for pool, workers := range pools {
-			for _, choice := range packer.Pack(workers, groups[pool]) {
+			for _, choice := range leadership.pack(state, pool, workers, stepsByPool[pool], groups[pool]) {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Instance: leadership.instances[choice.Worker].incarnation,
 				})
@@ -226,6 +229,8 @@
 	step    *jobkeeper.StepState
 	tasks   []*jobkeeper.Task
 	urgency packer.Urgency
+	// since is when the step began to wait, as known to this leadership.
+	since time.Duration
 }
 
 // waitingSteps returns the steps with waiting tasks in descending order of urgency.
@@ -345,7 +350,7 @@
 	instance.attempts[id] = &attempt{
 		state: attemptStarting, spec: spec, share: fullShare, targetShare: fullShare,
 		// The start order carries the approval service's proof that the step may run on this worker.
-		approval: leadership.proofFor(id.Task, instance),
+		approval: leadership.proofFor(id.Task, instance), launchedAt: leadership.now(),
 	}
 	if leadership.starved[id.Task] {
 		delete(leadership.starved, id.Task)
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -141,7 +141,7 @@
 	simulationWorkers = 6
 )
 
-func newSimulation(t *testing.T, seed uint64) *simulation {
+func newSimulation(t *testing.T, seed uint64, options ...Option) *simulation {
 	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New()}
 	domain.leader.Store(noLeader)
 	simulation := &simulation{
@@ -150,9 +150,11 @@
 	}
 	for number := range simulationVMs {
 		client := simulation.addRelayer(number)
+		options := append([]Option{
+			WithLease(fakeLease, 0.02), WithStopTime(200 * time.Millisecond), WithLogger(simulationLogger(number)),
+		}, options...)
 		simulation.overseers = append(simulation.overseers, New(
-			&fakeGroup{domain: domain, number: number}, domain.keeper, client,
-			WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond), WithLogger(simulationLogger(number))))
+			&fakeGroup{domain: domain, number: number}, domain.keeper, client, options...))
 	}
 	for number := range simulationWorkers {
 		simulation.names = append(simulation.names, scheduler.WorkerName(fmt.Sprintf("w%d", number)))
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -76,7 +76,9 @@
 	targetShare int
 	throttling  bool
 	pausedSince time.Duration
-	running     scheduler.RunningAttempt
+	// launchedAt is when this leadership launched or adopted the attempt.
+	launchedAt time.Duration
+	running    scheduler.RunningAttempt
 }
 
 // end returns the end of an attempt that the worker has not reported as ended. The task resumes from the last
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -132,7 +132,8 @@
 		overseer.WithLogger(dependencies.Logger), overseer.WithScope(dependencies.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, maxClockDrift), overseer.WithHeartbeatInterval(settings.HeartbeatInterval),
 		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(dependencies.Approver),
-		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease))
+		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease),
+		overseer.WithLookAhead(settings.MaxReservedIdle))
 	vm.reconciler = reconciler.New(vm.replicator, vm.messenger, settings.seedNames(),
 		2*settings.ToleratedLosses+1, dependencies.Logger)
 	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger)
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -39,6 +39,9 @@
 	MaintenanceLease time.Duration `json:"maintenanceLease"`
 	// StopTimeout limits the duration of a graceful stop.
 	StopTimeout time.Duration `json:"stopTimeout"`
+	// MaxReservedIdle is the maximum time for which a reservation for a large task may hold capacity idle. 0 disables
+	// reservations.
+	MaxReservedIdle time.Duration `json:"maxReservedIdle,omitempty"`
 }
 
 // Validate returns an error for the first invalid setting.
@@ -53,10 +56,9 @@
 	case settings.ToleratedLosses < 0:
 		return fmt.Errorf("toleratedLosses is negative")
 	case settings.LeaseDuration <= 0 || settings.HeartbeatInterval <= 0 || settings.StopTime < 0 ||
-		settings.MaintenanceLease < 0 || settings.StopTimeout <= 0:
-		return fmt.Errorf(
-			"leaseDuration, beatInterval and stopTimeout must be positive; stopTime and maintenanceLease must not be negative",
-		)
+		settings.MaintenanceLease < 0 || settings.StopTimeout <= 0 || settings.MaxReservedIdle < 0:
+		return fmt.Errorf("leaseDuration, beatInterval and stopTimeout must be positive; " +
+			"stopTime, maintenanceLease and maxReservedIdle must not be negative")
 	}
 	return nil
 }
