--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -131,6 +131,8 @@
 	jobs         int
 	approval     *scheduler.Approval
 	maxAttempts  int
+	// gangs is true if half of the jobs are gangs that need most of a worker, in a pool full of small tasks.
+	gangs bool
 }
 
 // processStartTime is longer than the delivery time of an order.
@@ -212,6 +214,10 @@
 		{Count: 1 + simulation.random.IntN(4), Request: oneCore, Checkpointing: true},
 		{Count: 1 + simulation.random.IntN(3), Request: oneCore, DependsOn: []int{0}},
 	}}
+	if simulation.gangs {
+		workflow.Steps[0].Count += 6
+		workflow.Steps[1].Request, workflow.Steps[1].Gang = threeCores, simulation.random.IntN(2) == 0
+	}
 	if simulation.random.IntN(6) == 0 {
 		workflow = &scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
 	}
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -65,7 +65,7 @@
 		count = min(count, maxTasksPerStep)
 	}
 	var candidates []slot
-	for _, worker := range reserver.candidates(pool, group, taken) {
+	for _, worker := range reserver.candidates(pool, group, taken, max(minCandidates, count)) {
 		candidates = append(candidates, pool.slots(worker, group, count, reserver.maxIdle)...)
 	}
 	slices.SortStableFunc(candidates, compareSlots)
@@ -88,9 +88,9 @@
 }
 
 // candidates returns the workers that may be reserved for a group: those with the most free CPU of the ones that could
-// run a task if they were idle. Their number is bounded because predicting the ends of running tasks takes time.
+// run a task if they were idle. Their number is limited because predicting the ends of running tasks takes time.
 func (reserver *Reserver) candidates(
-	pool *Pool, group *Group, taken map[scheduler.WorkerName]bool,
+	pool *Pool, group *Group, taken map[scheduler.WorkerName]bool, limit int,
 ) []*packer.Worker {
 	var candidates []*packer.Worker
 	for _, worker := range pool.Workers {
@@ -99,7 +99,6 @@
 			candidates = append(candidates, worker)
 		}
 	}
-	limit := max(minCandidates, len(group.Tasks))
 	if len(candidates) <= limit {
 		return candidates
 	}
