--- a/internal/jobs/overseer/lookahead.go
+++ b/internal/jobs/overseer/lookahead.go
@@ -109,7 +109,9 @@
 	}
 	for position := range groups {
 		groups[position].Priority = steps[position].step.Job().Queue().Priority
-		pool.Groups[position] = reserver.Group{Group: &groups[position], Since: steps[position].since}
+		pool.Groups[position] = reserver.Group{
+			Group: &groups[position], Since: steps[position].since, Prospect: steps[position].urgency.Prospect,
+		}
 	}
 	return pool
 }
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -131,8 +131,7 @@
 	jobs         int
 	approval     *scheduler.Approval
 	maxAttempts  int
-	// gangs is true if half of the jobs are gangs that need most of a worker, in a pool full of small tasks.
-	gangs bool
+	gangs        bool // Each job has a step of large tasks, of which half are gangs.
 }
 
 // processStartTime is longer than the delivery time of an order.
@@ -151,12 +150,10 @@
 		domain: domain, incarnations: map[scheduler.WorkerName]scheduler.Incarnation{},
 	}
 	for number := range simulationVMs {
-		client := simulation.addRelayer(number)
-		options := append([]Option{
-			WithLease(fakeLease, 0.02), WithStopTime(200 * time.Millisecond), WithLogger(simulationLogger(number)),
-		}, options...)
-		simulation.overseers = append(simulation.overseers, New(
-			&fakeGroup{domain: domain, number: number}, domain.keeper, client, options...))
+		options := append(options, WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond),
+			WithLogger(simulationLogger(number)))
+		overseer := New(&fakeGroup{domain: domain, number: number}, domain.keeper, simulation.addRelayer(number), options...)
+		simulation.overseers = append(simulation.overseers, overseer)
 	}
 	for number := range simulationWorkers {
 		simulation.names = append(simulation.names, scheduler.WorkerName(fmt.Sprintf("w%d", number)))
--- a/internal/jobs/packer/hold.go
+++ b/internal/jobs/packer/hold.go
@@ -111,16 +111,3 @@
 func (group *Group) endsWithin(duration time.Duration) bool {
 	return group.RunTime > 0 && group.RunTime <= duration && !group.Step.LongRunning
 }
-
-// usesAtLeast reports whether a task of the recorded step can use at least as much held capacity as one of the group.
-func (unplaceableStep *unplaceableStep) usesAtLeast(group *Group) bool {
-	return group.Priority >= unplaceableStep.priority && group.runsAtLeast(unplaceableStep.runTime)
-}
-
-// runsAtLeast reports whether a task of the group may run at least as long as one with the given RunTime.
-func (group *Group) runsAtLeast(runTime time.Duration) bool {
-	if group.RunTime == 0 || group.Step.LongRunning {
-		return true
-	}
-	return runTime > 0 && group.RunTime >= runTime
-}
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -146,67 +146,6 @@
 	return most
 }
 
-// unplaceableSteps records the steps of which a decision left tasks unassigned, so that later groups that cannot be
-// assigned either are skipped. From one group to the next, free capacity and slack never increase and predicted
-// interference never decreases: a gang that does not fit releases only what it reserved itself. A step thus cannot be
-// assigned if it requests at least as much of each resource as a recorded step. With this check, a queue of a thousand
-// pending tasks costs no more than a single one.
-//
-// Holds are an exception: a task that ends early enough may run on held capacity, and so may the tasks for which it is
-// held. With holds, a recorded step therefore covers only groups that run at least as long and have no higher priority,
-// and none with a hold.
-type unplaceableSteps struct {
-	steps []unplaceableStep
-	// holds contains the steps for which capacity is held. It is nil if none is held.
-	holds map[StepID]bool
-}
-
-type unplaceableStep struct {
-	*scheduler.Step
-	runTime  time.Duration
-	priority int
-}
-
-// maxUnplaceableSteps limits the number of recorded steps and thereby the cost of a look-up.
-const maxUnplaceableSteps = 32
-
-// isUnconstrained reports whether only the resource request, Fill and, for fill tasks, Image decide which workers accept
-// a task of the group. Gangs are excluded because a single task might be accepted where the whole gang is not.
-func (group *Group) isUnconstrained() bool {
-	step := group.Step
-	return !step.Gang && step.RequiredLabel == "" && step.MaxPerWorker == 0 && group.Approved == nil && len(group.Avoid) == 0
-}
-
-func (unplaceableSteps *unplaceableSteps) add(group *Group) {
-	if group.isUnconstrained() && len(unplaceableSteps.steps) < maxUnplaceableSteps {
-		unplaceableSteps.steps = append(unplaceableSteps.steps, unplaceableStep{
-			Step: group.Step, runTime: group.RunTime, priority: group.Priority,
-		})
-	}
-}
-
-// covers reports whether a recorded step shows that no worker accepts a task of the group: a step that requests no more
-// of any resource and has the same value of Fill. For fill tasks, the image must be the same too, because interference
-// depends on it. The group may have constraints, which only reduce the number of suitable workers.
-func (unplaceableSteps *unplaceableSteps) covers(group *Group) bool {
-	if len(unplaceableSteps.holds) > 0 && unplaceableSteps.holds[group.ID()] {
-		return false
-	}
-	for position := range unplaceableSteps.steps {
-		step := &unplaceableSteps.steps[position]
-		if len(unplaceableSteps.holds) > 0 && !step.usesAtLeast(group) {
-			continue
-		}
-		if step.Fill != group.Step.Fill || step.Fill && step.Image != group.Step.Image {
-			continue
-		}
-		if step.Request.FitsIn(group.Step.Request) {
-			return true
-		}
-	}
-	return false
-}
-
 func packGroup(workers []*Worker, group Group) []Assignment {
 	assigned := make([]*Worker, 0, len(group.Tasks))
 	selection := newSelection(workers, &group)
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -107,6 +107,18 @@
 	*packer.Group
 	// Since is when the step began to wait.
 	Since time.Duration
+	// Prospect is the predicted outcome of the job.
+	Prospect packer.Prospect
+}
+
+// age returns for how long the group has waited if that brings it ahead of more urgent groups, or zero otherwise. Jobs
+// that will finish too late to be of use stay in the order of urgency. If they came first, those that can still be in
+// time would wait behind them until they are too late as well.
+func (group *Group) age(now time.Duration) time.Duration {
+	if now-group.Since < agingTime || group.Prospect == packer.ProspectLost {
+		return 0
+	}
+	return now - group.Since
 }
 
 // Release is capacity that a running task is expected to release.
@@ -196,7 +208,7 @@
 	return byWorker
 }
 
-// largeGroups returns the waiting groups that qualify for a reservation and have none. Fill tasks and long-running tasks
+// largeGroups returns the waiting groups that qualify for a reservation. Fill tasks and long-running tasks
 // never qualify: the former reserve no CPU, and package packer holds workers for the latter.
 func (reserver *Reserver) largeGroups(pool *Pool) []*Group {
 	var large []*Group
@@ -243,8 +255,8 @@
 	}
 }
 
-// reserveNew makes reservations for large groups that have none. Those that have waited for longer than agingTime come
-// first, the oldest before the others.
+// reserveNew makes reservations for large groups that have none. Those that have waited for agingTime come first, the
+// oldest before the others.
 func (reserver *Reserver) reserveNew(pool *Pool, large []*Group) []Event {
 	reserved := map[packer.StepID]bool{}
 	for _, reservation := range reserver.reservations {
@@ -256,7 +268,7 @@
 			candidates = append(candidates, group)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b *Group) int { return compareAge(pool.Now, a, b) })
+	slices.SortStableFunc(candidates, func(a, b *Group) int { return cmp.Compare(b.age(pool.Now), a.age(pool.Now)) })
 	candidates = candidates[:min(len(candidates), newStepsPerDecision, max(reserver.maxSteps-len(reserved), 0))]
 	var events []Event
 	for _, group := range candidates {
@@ -272,11 +284,6 @@
 	return events
 }
 
-// compareAge orders groups that have waited for longer than agingTime by age, ahead of all others.
-func compareAge(now time.Duration, a, b *Group) int {
-	return cmp.Compare(max(now-b.Since, agingTime), max(now-a.Since, agingTime))
-}
-
 // setHolds sets the holds of the reserved workers.
 func (reserver *Reserver) setHolds(pool *Pool) {
 	if len(reserver.reservations) == 0 {
--- a/internal/jobs/reserver/reserver_test.go
+++ b/internal/jobs/reserver/reserver_test.go
@@ -85,6 +85,36 @@
 	}
 }
 
+// Guards against a large step that waits for ever because more urgent ones keep arriving, and against reservations for
+// jobs that are already too late while others could still be in time.
+func TestOldStepsComeFirst(t *testing.T) {
+	tests := map[string]struct {
+		age      time.Duration
+		prospect packer.Prospect
+		want     scheduler.JobID
+	}{
+		"old":        {agingTime, packer.ProspectLate, "old"},
+		"not so old": {agingTime - 1, packer.ProspectLate, "urgent"},
+		"too late":   {agingTime, packer.ProspectLost, "urgent"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			pool := poolOf(4, 4, 4, 4, 4)
+			for _, job := range []scheduler.JobID{"urgent", "old"} {
+				group := waitingGroup(scheduler.Step{Request: cores(4)})
+				group.Tasks[0].Job = job
+				pool.Groups = append(pool.Groups, group)
+			}
+			pool.Groups[1].Since, pool.Groups[1].Prospect = pool.Now-test.age, test.prospect
+			reserver := New()
+			reserver.Plan(pool)
+			if got := reserver.Reservations()[0].Step().Job(); got != test.want {
+				t.Errorf("got a reservation for %s, want it for %s", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a reservation that outlives its reason, against capacity that is idle for longer than allowed, and
 // against a broken reservation that is rebuilt later than in the same decision or loses the age of its step.
 func TestBrokenReservations(t *testing.T) {
