--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -37,6 +37,7 @@
 	occupants map[location]scheduler.WorkerName
 	// pendingEnds holds the attempts of ended instances whose ends have not been recorded yet.
 	pendingEnds map[scheduler.RunID]bool
+	lookAhead   lookAhead
 	// interference is the effect of fill tasks on serving tasks, as observed during this term.
 	interference *pacer.Interference
 	// approvals holds the responses of the approval service. approvalRequests holds the requests to be sent.
@@ -52,7 +53,6 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
-	lookAhead      lookAhead
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -63,12 +63,13 @@
 		overseer: overseer, term: term, context: ctx, startedAt: overseer.clock.Elapsed(),
 		replanSignal: make(chan struct{}, 1),
 		logger:       overseer.logger.With().Uint64("term", uint64(term)).Logger(),
+		lookAhead:    newLookAhead(),
 		instances:    map[scheduler.WorkerName]*worker{}, occupants: map[location]scheduler.WorkerName{},
 		interference: pacer.NewInterference(),
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{}, lookAhead: newLookAhead(),
+		admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -52,6 +52,8 @@
 // attempt is the leadership's view of an attempt on a worker.
 type attempt struct {
 	state attemptState
+	// launchedAt is when this leadership launched or adopted the attempt.
+	launchedAt time.Duration
 	// settledAt is when the last order about the attempt was answered. For a stop order it includes the time that the
 	// worker may take to stop the attempt.
 	settledAt time.Duration
@@ -76,9 +78,7 @@
 	targetShare int
 	throttling  bool
 	pausedSince time.Duration
-	// launchedAt is when this leadership launched or adopted the attempt.
-	launchedAt time.Duration
-	running    scheduler.RunningAttempt
+	running     scheduler.RunningAttempt
 }
 
 // end returns the end of an attempt that the worker has not reported as ended. The task resumes from the last
