lookahead: merge reservations for large tasks

Cause: the operators' wish: small jobs leave gaps that large ones can't use, and large ones wait long. The explanation of a placement considers the reservations and names 'reserved'.

--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -47,7 +47,7 @@
 	// the others by reason.
 	Accepting int           `json:"accepting" cbor:"6,keyasint"`
 	Excluded  []WorkerCount `json:"excluded,omitempty" cbor:"7,keyasint,omitempty"`
-	// RunTime is the estimated run time of a task.
+	// RunTime is the predicted median of a task's run time.
 	RunTime time.Duration `json:"runTime" cbor:"8,keyasint"`
 	// NeedsApproval is true if the approval service decides on the workers of the step. The explanation assumes that it
 	// approves all of them.
@@ -90,6 +90,9 @@
 	UnavailableSilent UnavailableReason = "silent"
 )
 
+// explainedQuantile is the quantile of the run time that an explanation states.
+const explainedQuantile = 0.5
+
 // ExplainPlacement returns where the tasks of a job would go if it were submitted now. It takes the decisions of a
 // planning cycle on a copy of the workers and changes nothing. It returns the same error as HandleHeartbeat.
 func (overseer *Overseer) ExplainPlacement(
@@ -176,14 +179,16 @@
 	for _, group := range ahead {
 		explanation.TasksAhead += len(group.Tasks)
 	}
-	considered := leadership.schedulableWorkers(state)[queue.Pool]
+	considered := leadership.reservedWorkers(state, queue.Pool)
 	packer.Pack(considered, ahead)
 	var groups []packer.Group
 	for number := range workflow.Steps {
 		step := &workflow.Steps[number]
-		explained := StepExplanation{Step: number, Tasks: step.Count, WaitsFor: step.DependsOn, RunTime: step.Estimate}
+		explained := StepExplanation{Step: number, Tasks: step.Count, WaitsFor: step.DependsOn}
+		explained.RunTime = leadership.runTimes.RunTime(
+			scheduler.NewTaskKind(queue.Name, step.Image), step.Estimate, explainedQuantile)
 		if len(step.DependsOn) == 0 {
-			group := newJobGroup(step, number)
+			group := leadership.newJobGroup(queue, step, number)
 			candidates := packer.Examine(considered, &group)
 			explained.Accepting, explained.Excluded = candidates.Accepting(), workerCounts(candidates.Excluded())
 			explained.NeedsApproval = queue.Approval != nil
@@ -191,7 +196,7 @@
 		}
 		explanation.Steps = append(explanation.Steps, explained)
 	}
-	explanation.addAssignments(packer.Pack(leadership.schedulableWorkers(state)[queue.Pool], append(ahead, groups...)))
+	explanation.addAssignments(packer.Pack(leadership.reservedWorkers(state, queue.Pool), append(ahead, groups...)))
 }
 
 // addAssignments records the assignments of the explained job, whose tasks have an empty job ID.
@@ -213,18 +218,34 @@
 func (leadership *leadership) groupsAhead(
 	state *jobkeeper.State, pool scheduler.PoolName, urgency packer.Urgency,
 ) []packer.Group {
+	var steps []*waitingStep
 	var groups []packer.Group
 	for _, waiting := range waitingSteps(state) {
 		if waiting.step.Job().Queue().Pool != pool || waiting.urgency.Compare(urgency) > 0 {
 			continue
 		}
+		steps = append(steps, waiting)
 		groups = append(groups, leadership.groupWithApprovals(waiting, leadership.validApprovals(waiting.step)))
 	}
+	leadership.predictRunTimes(steps, groups)
 	return groups
 }
 
-func newJobGroup(step *scheduler.Step, number int) packer.Group {
-	group := packer.Group{Step: step}
+// reservedWorkers returns the workers of a pool that accept new work, with the current reservations.
+func (leadership *leadership) reservedWorkers(state *jobkeeper.State, pool scheduler.PoolName) []*packer.Worker {
+	workers := leadership.schedulableWorkers(state)[pool]
+	if poolReserver := leadership.lookAhead.reservers[pool]; poolReserver != nil {
+		poolReserver.SetHolds(leadership.now(), workers)
+	}
+	return workers
+}
+
+func (leadership *leadership) newJobGroup(queue *scheduler.Queue, step *scheduler.Step, number int) packer.Group {
+	group := packer.Group{Step: step, Priority: queue.Priority}
+	if !step.Fill && !step.LongRunning {
+		kind := scheduler.NewTaskKind(queue.Name, step.Image)
+		group.RunTime = leadership.runTimes.RunTime(kind, step.Estimate, runTimeQuantile)
+	}
 	for index := range step.Count {
 		group.Tasks = append(group.Tasks, scheduler.StepTaskID{Step: number, Index: index})
 	}
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -19,6 +19,8 @@
 type stepWait struct {
 	since    time.Duration
 	prospect packer.Prospect
+	// request is the resource request of each task.
+	request scheduler.Resources
 }
 
 func newJobLog() jobLog {
@@ -28,7 +30,8 @@
 	}
 }
 
-// updateWaiting replaces the set of waiting steps. A step that was waiting before keeps its start time.
+// updateWaiting replaces the set of waiting steps and sets since when each has waited. A step that was waiting before
+// keeps its start time.
 func (jobLog *jobLog) updateWaiting(now time.Duration, steps []*waitingStep) {
 	next := make(map[stepKey]stepWait, len(steps))
 	for _, step := range steps {
@@ -37,7 +40,8 @@
 		if known, found := jobLog.waiting[key]; found {
 			since = known.since
 		}
-		next[key] = stepWait{since: since, prospect: step.urgency.Prospect}
+		step.since = since
+		next[key] = stepWait{since: since, prospect: step.urgency.Prospect, request: step.step.Spec().Request}
 	}
 	jobLog.waiting = next
 }
@@ -62,6 +66,7 @@
 		leadership.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).
 			Int("occurrence", key.occurrence).Int("step", key.step).
 			Int("tasks", count).Int("again", resumed[key]).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
+			Int64("milliCores", stepWait.request.MilliCores).
 			Msg("tasks placed")
 	}
 }
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -38,6 +38,7 @@
 	occupants map[location]scheduler.WorkerName
 	// pendingEnds holds the attempts of ended instances whose ends have not been recorded yet.
 	pendingEnds map[scheduler.RunID]bool
+	lookAhead   lookAhead
 	// interference is the effect of fill tasks on serving tasks, as observed during this term.
 	interference *pacer.Interference
 	// approvals holds the responses of the approval service. approvalRequests holds the requests to be sent.
@@ -68,6 +69,7 @@
 		overseer: overseer, term: term, context: ctx, startedAt: overseer.clock.Elapsed(),
 		replanSignal: make(chan struct{}, 1),
 		logger:       overseer.logger.With().Uint64("term", uint64(term)).Logger(),
+		lookAhead:    newLookAhead(),
 		instances:    map[scheduler.WorkerName]*worker{}, occupants: map[location]scheduler.WorkerName{},
 		interference: pacer.NewInterference(),
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -132,6 +132,7 @@
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
+			leadership.dropReservations()
 			return
 		}
 		leadership.refreshEvacuations(state)
@@ -141,17 +142,19 @@
 		leadership.jobLog.updateWaiting(leadership.now(), steps)
 		leadership.logStepsWaitingForEvacuations(steps)
 		groups := map[scheduler.PoolName][]packer.Group{}
+		stepsByPool := map[scheduler.PoolName][]*waitingStep{}
 		for _, waiting := range steps {
 			pool := waiting.step.Job().Queue().Pool
 			group := leadership.group(waiting)
 			group.Starved = leadership.isStarved(waiting, pool)
 			groups[pool] = append(groups[pool], group)
+			stepsByPool[pool] = append(stepsByPool[pool], waiting)
 			if group.Starved {
 				leadership.markStarved(group.Tasks)
 			}
 		}
 		for pool, workers := range pools {
-			for _, choice := range packer.Pack(workers, groups[pool]) {
+			for _, choice := range leadership.pack(state, pool, workers, stepsByPool[pool], groups[pool]) {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Instance: leadership.instances[choice.Worker].incarnation,
 				})
@@ -229,6 +232,8 @@
 	step    *jobkeeper.StepState
 	tasks   []*jobkeeper.Task
 	urgency packer.Urgency
+	// since is when the step began to wait, as known to this leadership.
+	since time.Duration
 }
 
 // waitingSteps returns the steps with waiting tasks in descending order of urgency.
@@ -298,7 +303,7 @@
 	waiting *waitingStep, approved map[scheduler.WorkerName]bool,
 ) packer.Group {
 	group := packer.Group{
-		Step: waiting.step.Spec(), Approved: approved,
+		Step: waiting.step.Spec(), Approved: approved, Priority: waiting.step.Job().Queue().Priority,
 		Avoid: leadership.failureTracker.lastFailedWorkers(waiting.tasks),
 	}
 	for _, task := range waiting.tasks {
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -133,6 +133,7 @@
 	maxAttempts  int
 	// speculative is true if the tasks of first steps may have copies. One of ten attempts of such a task runs for 10 s.
 	speculative bool
+	gangs       bool // Each job has a step of large tasks, of which half are gangs.
 }
 
 // processStartTime is longer than the delivery time of an order.
@@ -143,7 +144,7 @@
 	simulationWorkers = 6
 )
 
-func newSimulation(t *testing.T, seed uint64) *simulation {
+func newSimulation(t *testing.T, seed uint64, options ...Option) *simulation {
 	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New()}
 	domain.leader.Store(noLeader)
 	simulation := &simulation{
@@ -151,10 +152,10 @@
 		domain: domain, incarnations: map[scheduler.WorkerName]scheduler.Incarnation{},
 	}
 	for number := range simulationVMs {
-		client := simulation.addRelayer(number)
-		simulation.overseers = append(simulation.overseers, New(
-			&fakeGroup{domain: domain, number: number}, domain.keeper, client,
-			WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond), WithLogger(simulationLogger(number))))
+		options := append(options, WithLease(fakeLease, 0.02), WithStopTime(200*time.Millisecond),
+			WithLogger(simulationLogger(number)))
+		overseer := New(&fakeGroup{domain: domain, number: number}, domain.keeper, simulation.addRelayer(number), options...)
+		simulation.overseers = append(simulation.overseers, overseer)
 	}
 	for number := range simulationWorkers {
 		simulation.names = append(simulation.names, scheduler.WorkerName(fmt.Sprintf("w%d", number)))
@@ -212,6 +213,10 @@
 		{Count: 1 + simulation.random.IntN(4), Request: oneCore, Checkpointing: true},
 		{Count: 1 + simulation.random.IntN(3), Request: oneCore, DependsOn: []int{0}},
 	}}
+	if simulation.gangs {
+		workflow.Steps[0].Count += 6
+		workflow.Steps[1].Request, workflow.Steps[1].Gang = threeCores, simulation.random.IntN(2) == 0
+	}
 	if simulation.random.IntN(6) == 0 {
 		workflow = &scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
 	}
--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -21,6 +21,8 @@
 	ExcludedByTaskLimit Exclusion = "tasksPerWorker"
 	// ExcludedByApproval means that the approval service has not approved the worker for the step.
 	ExcludedByApproval Exclusion = "notApproved"
+	// ExcludedByReservation means that the free capacity is kept for a task that is expected to start later.
+	ExcludedByReservation Exclusion = "reserved"
 	// ExcludedByFailure means that a task of the group failed on the worker and is to run elsewhere.
 	ExcludedByFailure Exclusion = "failedThere"
 )
@@ -61,6 +63,8 @@
 		return ExcludedByApproval
 	case group.Avoid[worker.Name]:
 		return ExcludedByFailure
+	case !worker.admits(group):
+		return ExcludedByReservation
 	}
 	return NotExcluded
 }
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -36,6 +36,8 @@
 	heldForLongRunning bool
 	// ColdRemaining is how much longer the worker remains slow after its start. It is zero for a warm worker.
 	ColdRemaining time.Duration
+	// Hold keeps capacity for tasks that are expected to start later. It is nil if none is kept.
+	Hold *Hold
 	// Images counts the serving tasks on the worker by image.
 	Images ImageCounts
 }
@@ -70,6 +72,11 @@
 	// unreserved. The pool is the set of workers that run the tasks of the job's queue. If no worker accepts a task of
 	// the group, one task is assigned regardless of slack and predicted interference. The overseer throttles it at first.
 	Starved bool
+	// RunTime is the time within which a task of the group ends almost certainly, or zero if it is unknown. It decides
+	// whether the task may run on capacity that is kept for a later start.
+	RunTime time.Duration
+	// Priority is the priority of the step's queue; 0 comes first. It only decides which holds the tasks may break.
+	Priority int
 }
 
 // Assignment assigns a task to a worker.
@@ -82,7 +89,7 @@
 // workers passed in. The members of a gang are assigned together or not at all.
 func Pack(workers []*Worker, groups []Group) []Assignment {
 	var assignments []Assignment
-	var unplaceable unplaceableSteps
+	unplaceable := unplaceableSteps{holds: stepsWithHolds(workers)}
 	recordPlaceableDemand(workers, groups)
 	for _, group := range groups {
 		// A starved group is always tried: one of its tasks may be assigned to a worker on which the recorded steps were
@@ -141,46 +148,6 @@
 	return most
 }
 
-// unplaceableSteps records the steps of which a decision left tasks unassigned, so that later groups that cannot be
-// assigned either are skipped. From one group to the next, free capacity and slack never increase and predicted
-// interference never decreases: a gang that does not fit releases only what it reserved itself. A step thus cannot be
-// assigned if it requests at least as much of each resource as a recorded step. With this check, a queue of a thousand
-// pending tasks costs no more than a single one.
-type unplaceableSteps struct {
-	steps []*scheduler.Step
-}
-
-// maxUnplaceableSteps limits the number of recorded steps and thereby the cost of a look-up.
-const maxUnplaceableSteps = 32
-
-// isUnconstrained reports whether only the resource request, Fill and, for fill tasks, Image decide which workers accept
-// a task of the group. Gangs are excluded because a single task might be accepted where the whole gang is not.
-func (group *Group) isUnconstrained() bool {
-	step := group.Step
-	return !step.Gang && step.RequiredLabel == "" && step.MaxPerWorker == 0 && group.Approved == nil && len(group.Avoid) == 0
-}
-
-func (unplaceableSteps *unplaceableSteps) add(group *Group) {
-	if group.isUnconstrained() && len(unplaceableSteps.steps) < maxUnplaceableSteps {
-		unplaceableSteps.steps = append(unplaceableSteps.steps, group.Step)
-	}
-}
-
-// covers reports whether a recorded step shows that no worker accepts a task of the group: a step that requests no more
-// of any resource and has the same value of Fill. For fill tasks, the image must be the same too, because interference
-// depends on it. The group may have constraints, which only reduce the number of suitable workers.
-func (unplaceableSteps *unplaceableSteps) covers(group *Group) bool {
-	for _, step := range unplaceableSteps.steps {
-		if step.Fill != group.Step.Fill || step.Fill && step.Image != group.Step.Image {
-			continue
-		}
-		if step.Request.FitsIn(group.Step.Request) {
-			return true
-		}
-	}
-	return false
-}
-
 func packGroup(workers []*Worker, group Group) []Assignment {
 	assigned := make([]*Worker, 0, len(group.Tasks))
 	selection := newSelection(workers, &group)
@@ -189,7 +156,7 @@
 		if worker == nil && group.Starved && len(assigned) == 0 {
 			worker = leastInterference(workers, group)
 			if worker != nil {
-				reserve(worker, group.Step)
+				reserve(worker, &group)
 			}
 		}
 		if worker == nil {
@@ -199,7 +166,7 @@
 	}
 	if group.Step.Gang && len(assigned) < len(group.Tasks) {
 		for _, worker := range assigned {
-			release(worker, group.Step)
+			release(worker, &group)
 		}
 		return nil
 	}
@@ -212,7 +179,9 @@
 
 // reserve reserves capacity for a task on a worker. Slack decreases by the full CPU request of every task, including
 // fill tasks, which accepts allows on less slack than their request. Slack can therefore become negative.
-func reserve(worker *Worker, step *scheduler.Step) {
+func reserve(worker *Worker, group *Group) {
+	step := group.Step
+	worker.useHold(group, 1)
 	worker.Free = worker.Free.Minus(step.Reserved())
 	worker.Slack -= step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -224,7 +193,9 @@
 }
 
 // release undoes reserve.
-func release(worker *Worker, step *scheduler.Step) {
+func release(worker *Worker, group *Group) {
+	step := group.Step
+	worker.useHold(group, -1)
 	worker.Free = worker.Free.Plus(step.Reserved())
 	worker.Slack += step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -284,6 +255,9 @@
 	weightEmptyWorker = 0.5
 	// weightAccelerators keeps tasks that need no accelerators off workers with free ones.
 	weightAccelerators = 1
+	// weightHeld keeps tasks off capacity that is held for tasks of a lower priority, unless all other workers are
+	// remote from their data.
+	weightHeld = 5
 )
 
 // score returns the score of a worker for a task of the group; the lowest score is best. Apart from the weighted terms,
@@ -302,6 +276,9 @@
 	if step.Request.Accelerators == 0 && worker.Free.Accelerators > 0 {
 		score += weightAccelerators
 	}
+	if worker.breaksHold(group) {
+		score += weightHeld
+	}
 	if step.Fill {
 		return score + weightOtherDemand*worker.placeableDemand.totalWithout(step.Image) -
 			ratio(worker.Slack, worker.Capacity.MilliCores) +
