overseer, speculator: bound the cost of copies, no copies after a leader change

Cause: a decision on copies sorted large records and looked attempts up in a map. A new leader has heard of no worker yet, so all of them counted as silent and their tasks got copies (found by reading; the new test starts 6 instead of 3 attempts without the correction).

Change: candidates refer to attempts by position; the pause after a decision is 30 times its duration, so that copies take at most a thirtieth of a core; silence counts from the start of the leadership at the earliest.

--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// speculationInterval is how often the running tasks are searched for those that should get a copy.
+	// speculationInterval is the minimum time between two decisions on copies.
 	speculationInterval = 500 * time.Millisecond
+	// speculationPauseFactor is the pause after a decision as a multiple of its duration. It bounds the CPU time that
+	// decisions take in a large fleet.
+	speculationPauseFactor = 30
 	// maxCopiesPerDecision limits the cost of one decision, which looks at all workers for each copy.
 	maxCopiesPerDecision = 16
 )
@@ -21,8 +24,8 @@
 // attempts. What is held here serves metrics and the success rate of copies. The leadership's mutex guards it.
 type speculation struct {
 	speculator *speculator.Speculator
-	// decidedAt is when copies were last decided on; only plan uses it.
-	decidedAt time.Duration
+	// nextDecision is when copies are decided on next; only plan uses it.
+	nextDecision time.Duration
 	// copies holds the tasks that have a copy, or had one of which an attempt has not ended.
 	copies map[scheduler.StepTaskID]*copiedTask
 }
@@ -41,11 +44,11 @@
 	}
 }
 
-// runningAttempt is an attempt of a task that allows copies, and the worker on which it runs.
-type runningAttempt struct {
-	input    speculator.Attempt
-	step     *jobkeeper.StepState
-	instance *worker
+// runningAttempts holds the attempts that may get a copy. All slices have one element for each attempt.
+type runningAttempts struct {
+	inputs    []speculator.Attempt
+	steps     []*jobkeeper.StepState
+	instances []*worker
 }
 
 // copyPlacement is the decision to start a copy.
@@ -58,12 +61,12 @@
 // duration of the decision. It is called after placement, so that waiting tasks come first.
 func (leadership *leadership) startCopies() time.Duration {
 	began := leadership.now()
-	if began < leadership.speculation.decidedAt+speculationInterval {
+	if began < leadership.speculation.nextDecision {
 		return 0
 	}
-	leadership.speculation.decidedAt = began
 	copies := leadership.chooseCopies()
 	took := leadership.now() - began
+	leadership.speculation.nextDecision = began + max(speculationInterval, speculationPauseFactor*took)
 	if len(copies) > 0 {
 		leadership.commitCopies(copies)
 	}
@@ -77,14 +80,7 @@
 	var copies []copyPlacement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		running, loads := leadership.speculativeAttempts(state)
-		if len(running) == 0 {
-			return
-		}
-		inputs := make([]speculator.Attempt, 0, len(running))
-		for _, attempt := range running {
-			inputs = append(inputs, attempt.input)
-		}
-		candidates := leadership.speculation.speculator.Choose(inputs)
+		candidates := leadership.speculation.speculator.Choose(running.inputs)
 		if len(candidates) == 0 {
 			return
 		}
@@ -94,12 +90,10 @@
 	return copies
 }
 
-// speculativeAttempts returns the running attempts that may get a copy, by task, and counts the attempts and copies of
-// each queue.
+// speculativeAttempts returns the running attempts that may get a copy, and counts the attempts and copies of each queue.
 func (leadership *leadership) speculativeAttempts(
 	state *jobkeeper.State,
-) (running map[scheduler.StepTaskID]runningAttempt, loads map[scheduler.QueueName]*speculator.QueueLoad) {
-	running = map[scheduler.StepTaskID]runningAttempt{}
+) (running runningAttempts, loads map[scheduler.QueueName]*speculator.QueueLoad) {
 	loads = map[scheduler.QueueName]*speculator.QueueLoad{}
 	for _, instance := range leadership.instances {
 		for id, attempt := range instance.attempts {
@@ -123,9 +117,9 @@
 				}
 				continue
 			}
-			running[id.Task] = runningAttempt{
-				input: leadership.speculatorInput(instance, id.Task, attempt, step), step: step, instance: instance,
-			}
+			running.inputs = append(running.inputs, leadership.speculatorInput(instance, id.Task, attempt, step))
+			running.steps = append(running.steps, step)
+			running.instances = append(running.instances, instance)
 		}
 	}
 	return running, loads
@@ -143,7 +137,8 @@
 	instance *worker, task scheduler.StepTaskID, attempt *attempt, step *jobkeeper.StepState,
 ) speculator.Attempt {
 	now := leadership.now()
-	lastContact := max(instance.lastHeartbeat, instance.lastResponse)
+	// A new leader has not heard of most workers yet, which does not make them silent.
+	lastContact := max(instance.lastHeartbeat, instance.lastResponse, leadership.startedAt)
 	return speculator.Attempt{
 		Task: task, Kind: kindOf(step), Estimate: attempt.spec.Estimate,
 		Elapsed: attempt.timing.elapsed(now), Share: attempt.share,
@@ -188,7 +183,7 @@
 
 // placeCopies chooses workers for the candidates, within the allowance of their queues.
 func (leadership *leadership) placeCopies(
-	state *jobkeeper.State, candidates []speculator.Candidate, running map[scheduler.StepTaskID]runningAttempt,
+	state *jobkeeper.State, candidates []speculator.Candidate, running runningAttempts,
 	loads map[scheduler.QueueName]*speculator.QueueLoad,
 ) []copyPlacement {
 	var copies []copyPlacement
@@ -201,8 +196,8 @@
 			continue
 		}
 		tried[candidate.Queue()]++
-		original := running[candidate.Task()]
-		worker, found := leadership.placeCopy(original, pools[original.step.Job().Queue().Pool])
+		step, instance := running.steps[candidate.Position()], running.instances[candidate.Position()]
+		worker, found := leadership.placeCopy(candidate.Task(), step, instance, pools[step.Job().Queue().Pool])
 		if !found {
 			continue
 		}
@@ -219,23 +214,24 @@
 
 // placeCopy chooses a worker for a copy: one that the constraints of the step allow, in the rack where its tasks run
 // fast, and neither slow nor the one on which the original runs or the task has failed.
-func (leadership *leadership) placeCopy(original runningAttempt, workers []*packer.Worker) (scheduler.WorkerName, bool) {
-	spec := original.step.Spec()
-	task := original.input.Task
+func (leadership *leadership) placeCopy(
+	task scheduler.StepTaskID, step *jobkeeper.StepState, original *worker, workers []*packer.Worker,
+) (scheduler.WorkerName, bool) {
+	spec := step.Spec()
 	rack := spec.PreferredRack
 	if rack == "" && spec.RackLocal {
-		rack = original.instance.rack()
+		rack = original.rack()
 	}
 	failedOn := leadership.failureTracker.lastFailedOn[task]
 	workers = slices.DeleteFunc(slices.Clone(workers), func(worker *packer.Worker) bool {
-		return worker.Name == original.instance.name || worker.Name == failedOn || rack != "" && worker.Rack != rack ||
+		return worker.Name == original.name || worker.Name == failedOn || rack != "" && worker.Rack != rack ||
 			leadership.runTimes.IsSlow(worker.Name)
 	})
 	group := packer.Group{
-		Step: spec, Tasks: []scheduler.StepTaskID{task}, Approved: leadership.approvedWorkers(original.step, 1),
+		Step: spec, Tasks: []scheduler.StepTaskID{task}, Approved: leadership.approvedWorkers(step, 1),
 	}
 	if spec.MaxPerWorker > 0 {
-		group.AttemptsByWorker = attemptsByWorker(original.step)
+		group.AttemptsByWorker = attemptsByWorker(step)
 	}
 	assignments := packer.Pack(workers, []packer.Group{group})
 	if len(assignments) == 0 {
--- a/internal/jobs/overseer/speculation_test.go
+++ b/internal/jobs/overseer/speculation_test.go
@@ -214,6 +214,42 @@
 	}
 }
 
+// Guards against a new leader that takes workers of which it has not heard yet for silent and starts copies of all their
+// tasks.
+func TestNoCopyAfterLeaderChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		time.Sleep(5 * time.Second)
+		simulation.setRunTime(func(scheduler.RunID) time.Duration { return 4 * time.Second })
+		step := speculativeStep(3)
+		step.MaxPerWorker, step.Estimate = 1, 4*time.Second
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{step}})
+		time.Sleep(200 * time.Millisecond)
+		busy := make([]scheduler.WorkerName, step.Count)
+		for index := range busy {
+			task := scheduler.StepTaskID{Job: stragglerID.Task.Job, Index: index}
+			busy[index] = simulation.workerOf(scheduler.RunID{Task: task, Attempt: 1})
+			simulation.setPartitioned(busy[index], true)
+		}
+		simulation.domain.elect(1)
+		time.Sleep(1500 * time.Millisecond)
+		for _, name := range busy {
+			simulation.setPartitioned(name, false)
+		}
+		time.Sleep(10 * time.Second)
+		simulation.fleet.mutex.Lock()
+		starts := simulation.fleet.starts
+		simulation.fleet.mutex.Unlock()
+		if got, want := starts, step.Count; got != want {
+			t.Errorf("got %d starts, want %d", got, want)
+		}
+		simulation.checkSettled()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against the same faults as TestRandomFailures while stragglers have copies: in addition, against more than two
 // attempts of a task at once.
 func TestRandomFailuresWithCopies(t *testing.T) {
--- a/internal/jobs/speculator/speculator.go
+++ b/internal/jobs/speculator/speculator.go
@@ -81,14 +81,18 @@
 
 // Candidate is a task that should get a copy.
 type Candidate struct {
-	attempt Attempt
-	reason  Reason
-	gain    time.Duration
+	attempt  *Attempt
+	position int
+	reason   Reason
+	gain     time.Duration
 }
 
 // Task returns the task.
 func (candidate Candidate) Task() scheduler.StepTaskID { return candidate.attempt.Task }
 
+// Position returns the position of the attempt in the argument of Choose.
+func (candidate Candidate) Position() int { return candidate.position }
+
 // Queue returns the queue of the task.
 func (candidate Candidate) Queue() scheduler.QueueName { return candidate.attempt.Kind.Queue() }
 
@@ -115,10 +119,11 @@
 // Allowance copies of each queue.
 func (speculator *Speculator) Choose(attempts []Attempt) []Candidate {
 	var candidates []Candidate
-	for _, attempt := range attempts {
+	for position := range attempts {
+		attempt := &attempts[position]
 		gain, reason := speculator.assess(attempt)
 		if gain > 0 {
-			candidates = append(candidates, Candidate{attempt: attempt, reason: reason, gain: gain})
+			candidates = append(candidates, Candidate{attempt: attempt, position: position, reason: reason, gain: gain})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b Candidate) int {
@@ -134,7 +139,7 @@
 }
 
 // assess returns the time that a copy is expected to save, or 0 if it is not worthwhile.
-func (speculator *Speculator) assess(attempt Attempt) (time.Duration, Reason) {
+func (speculator *Speculator) assess(attempt *Attempt) (time.Duration, Reason) {
 	fresh := speculator.predictor.RunTime(attempt.Kind, attempt.Estimate, medianQuantile)
 	if fresh <= 0 {
 		return 0, "" // Nothing is known about such tasks.
@@ -148,7 +153,7 @@
 }
 
 // remaining returns the expected time until the task finishes without a copy.
-func (speculator *Speculator) remaining(attempt Attempt, fresh time.Duration) (time.Duration, Reason) {
+func (speculator *Speculator) remaining(attempt *Attempt, fresh time.Duration) (time.Duration, Reason) {
 	if attempt.Silent {
 		return max(attempt.LeaseRemaining, 0) + fresh, ReasonSilentWorker
 	}
