handler, jobkeeper: say of a superseded request only what is certain

Cause: after an unknown outcome, a later copy of a request may be superseded although the first copy took effect; the text said that the request had no effect. Change: comments and the reason speak of this copy only. Run: go vet; go test -race ./internal/jobs/handler ./internal/jobs/jobkeeper: ok.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -277,7 +277,7 @@
 	case jobkeeper.StatusDone, jobkeeper.StatusUnchanged:
 		return Response{Status: StatusDone}
 	case jobkeeper.StatusSuperseded:
-		return errorResponse(StatusSuperseded, "a later request was accepted before this one", 0)
+		return errorResponse(StatusSuperseded, "another request was accepted first; this copy had no effect", 0)
 	case jobkeeper.StatusUnknownQueue:
 		return errorResponse(StatusNoQueue, "the queue was removed during the request", 0)
 	case jobkeeper.StatusUnknownJob:
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -99,7 +99,8 @@
 	StatusNoJob Status = "noJob"
 	// StatusNoWave means that the maintenance wave does not exist.
 	StatusNoWave Status = "noWave"
-	// StatusSuperseded means that the request had no effect because a later one was accepted before it.
+	// StatusSuperseded means that this copy of the request had no effect because another request was accepted since its
+	// sender read the state. An earlier copy may have had an effect.
 	StatusSuperseded Status = "superseded"
 	// StatusInvalid means that the request is invalid and had no effect.
 	StatusInvalid Status = "invalid"
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -69,7 +69,8 @@
 	StatusUnknownQueue Status = "unknownQueue"
 	// StatusUnknownJob means that the job does not exist.
 	StatusUnknownJob Status = "unknownJob"
-	// StatusSuperseded means that the command had no effect because a later one was accepted before it.
+	// StatusSuperseded means that the command had no effect because another one was accepted since its sender read the
+	// state.
 	StatusSuperseded Status = "superseded"
 	// StatusInvalid means that the command could not be decoded or failed validation.
 	StatusInvalid Status = "invalid"
--- a/internal/jobs/jobkeeper/evacuation.go
+++ b/internal/jobs/jobkeeper/evacuation.go
@@ -12,8 +12,8 @@
 // name data centres that do not exist.
 const maxEvacuations = 1000
 
-// Evacuate begins or ends the evacuation of a data centre. It is superseded if Revision is not the current one, so that
-// a copy that arrives late does not undo a request that was accepted after it.
+// Evacuate begins or ends the evacuation of a data centre. It has no effect if Revision is not the current one, so
+// that a copy that arrives late does not undo a request that was accepted after it.
 type Evacuate struct {
 	_          struct{} `cbor:",toarray"`
 	Evacuation scheduler.Evacuation
