pacer: take back the prediction of the load of serving tasks

Change: its code is reverted. A stronger margin or a higher limit for placement, which a better prediction would allow, were not tried with it.

--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -19,7 +19,6 @@
 		return
 	}
 	now := leadership.now()
-	pacerSample.At = now
 	for id, share := range instance.pace.Decide(pacerSample, leadership.interference) {
 		attempt := instance.attempts[id]
 		attempt.targetShare = share
--- a/internal/jobs/pacer/interference.go
+++ b/internal/jobs/pacer/interference.go
@@ -41,8 +41,6 @@
 	lowestRatio  map[string]float64
 	coefficients map[imagePair]*coefficient
 	accuracy     Accuracy
-	// loadModels holds the prediction of the load of each serving image.
-	loadModels map[string]*loadModel
 }
 
 type imagePair struct {
@@ -59,10 +57,7 @@
 
 // NewInterference returns an Interference without any observations.
 func NewInterference() *Interference {
-	return &Interference{
-		lowestRatio: map[string]float64{}, coefficients: map[imagePair]*coefficient{},
-		loadModels: map[string]*loadModel{},
-	}
+	return &Interference{lowestRatio: map[string]float64{}, coefficients: map[imagePair]*coefficient{}}
 }
 
 // estimate returns the estimated effect of a fill image on a serving image, or priorMean if it is unknown.
@@ -82,15 +77,6 @@
 	return max(0, entry.mean-optimism*math.Sqrt(entry.variance))
 }
 
-func (interference *Interference) loadModel(image string) *loadModel {
-	model := interference.loadModels[image]
-	if model == nil {
-		model = &loadModel{}
-		interference.loadModels[image] = model
-	}
-	return model
-}
-
 func (interference *Interference) entry(serving, fill string) *coefficient {
 	key := imagePair{serving: serving, fill: fill}
 	entry := interference.coefficients[key]
--- a/internal/jobs/pacer/pacer.go
+++ b/internal/jobs/pacer/pacer.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -50,8 +49,6 @@
 
 // Sample is one set of measurements of the tasks on a worker.
 type Sample struct {
-	// At is when the sample was received, on a clock that does not jump. Without it, loads are not predicted.
-	At      time.Duration
 	Serving []ServingSample
 	Fill    []FillSample
 }
@@ -67,11 +64,8 @@
 }
 
 type servingTask struct {
-	image   string
-	load    float64
-	history loadHistory
-	// change is how the load is expected to change.
-	change loadChange
+	image string
+	load  float64
 }
 
 // Decide updates the estimates from a sample and returns the CPU share of each fill task, in percent.
@@ -102,16 +96,14 @@
 	tasks := make(map[scheduler.RunID]servingTask, len(sample.Serving))
 	worst := 0.0
 	for _, serving := range sample.Serving {
-		task, found := pacer.tasks[serving.Run]
-		if !found {
-			task.load = priorLoad
+		load := priorLoad
+		if known, found := pacer.tasks[serving.Run]; found {
+			load = known.load
 		}
 		utilisation := interference.observeLatency(serving)
-		interference.recordAccuracy(serving, task.load, utilisation, usage)
-		task.image = serving.Image
-		task.load = interference.update(serving.Image, task.load, utilisation, usage)
-		task.change = interference.loadModel(serving.Image).predict(&task.history, task.load, sample.At)
-		tasks[serving.Run] = task
+		interference.recordAccuracy(serving, load, utilisation, usage)
+		load = interference.update(serving.Image, load, utilisation, usage)
+		tasks[serving.Run] = servingTask{image: serving.Image, load: load}
 		worst = max(worst, serving.Ratio)
 	}
 	pacer.tasks = tasks
@@ -144,7 +136,7 @@
 }
 
 func (pacer *Pacer) reduceFor(serving servingTask, fills []FillSample, shares []float64, interference *Interference) bool {
-	excess := serving.load + serving.change.pacing - interference.utilisationAt(serving.image, maxRatio)
+	excess := serving.load - interference.utilisationAt(serving.image, maxRatio)
 	order := make([]int, len(fills))
 	for position, fill := range fills {
 		order[position] = position
@@ -222,14 +214,13 @@
 
 // addServing adds the load of a serving task. Only the task with the highest load of each image counts.
 func (forecast *Forecast) addServing(serving servingTask) {
-	load := serving.load + serving.change.placement
 	for position := range forecast.serving {
 		if expected := &forecast.serving[position]; expected.image == serving.image {
-			expected.excess = max(expected.excess, load)
+			expected.excess = max(expected.excess, serving.load)
 			return
 		}
 	}
-	forecast.serving = append(forecast.serving, expectedExcess{image: serving.image, excess: load})
+	forecast.serving = append(forecast.serving, expectedExcess{image: serving.image, excess: serving.load})
 }
 
 // Excess returns the highest utilisation of a serving task above the limit for placements, as predicted for another
