--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -127,6 +127,7 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	clear(leadership.starved)
+	clear(leadership.waitingImages)
 	var placements []jobkeeper.Placement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
@@ -148,7 +149,9 @@
 			}
 		}
 		for pool, workers := range pools {
-			for _, choice := range packer.Pack(workers, groups[pool]) {
+			assignments := packer.Pack(workers, groups[pool])
+			leadership.recordWaitingImages(pool, groups[pool], assignments)
+			for _, choice := range assignments {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Instance: leadership.instances[choice.Worker].incarnation,
 				})
