--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -47,8 +47,6 @@
 	// on. A task is removed when its attempt is launched; the next planning cycle clears the rest.
 	starved        map[scheduler.StepTaskID]bool
 	failureTracker failureTracker
-	// waitingImages holds the images of which the last planning cycle left fill tasks waiting.
-	waitingImages map[poolImage]bool
 	// maintenance is the state of maintenance waves.
 	maintenance maintenance
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
@@ -69,7 +67,7 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{}, waitingImages: map[poolImage]bool{},
+		admitters: map[scheduler.PoolName]*admitter.Admitter{},
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -127,7 +127,6 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	clear(leadership.starved)
-	clear(leadership.waitingImages)
 	var placements []jobkeeper.Placement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
@@ -149,9 +148,7 @@
 			}
 		}
 		for pool, workers := range pools {
-			assignments := packer.Pack(workers, groups[pool])
-			leadership.recordWaitingImages(pool, groups[pool], assignments)
-			for _, choice := range assignments {
+			for _, choice := range packer.Pack(workers, groups[pool]) {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Instance: leadership.instances[choice.Worker].incarnation,
 				})
