overseer, pacer: don't keep results of ended jobs; accessors for the accuracy

Cause: tasks that finish after their job was reported as ended left an entry in the job log that nothing removed; Accuracy had exported fields beside unexported ones. Change: such results are not added, with a test; the fields of Accuracy are unexported. Conclusion: the memory of the job log is bounded by the jobs that have not ended.

--- a/internal/jobs/overseer/attemptlog.go
+++ b/internal/jobs/overseer/attemptlog.go
@@ -120,6 +120,9 @@
 
 func (leadership *leadership) addResult(ended *attempt, end jobkeeper.End) {
 	key := keyOf(end.Run.Task)
+	if leadership.jobLog.reported[key.job] {
+		return // No later event would remove the results.
+	}
 	results := leadership.jobLog.results[key.job]
 	if results == nil {
 		results = map[stepKey]*stepResults{}
--- a/internal/jobs/overseer/attemptlog_test.go
+++ b/internal/jobs/overseer/attemptlog_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // Guards against throttled time that is counted as work, and against stages that do not add up to the attempt's time.
@@ -32,3 +36,14 @@
 		})
 	}
 }
+
+// Guards against results of tasks that finish after their job was reported as ended, which nothing would remove.
+func TestResultsOfEndedJobsAreNotKept(t *testing.T) {
+	leadership := &leadership{overseer: &Overseer{clock: stopwatch.Start()}, jobLog: newJobLog()}
+	end := jobkeeper.End{Run: scheduler.RunID{Task: scheduler.StepTaskID{Job: "a"}}}
+	leadership.jobLog.reported["a"] = true
+	leadership.addResult(&attempt{spec: scheduler.Step{Count: 2}}, end)
+	if got, want := len(leadership.jobLog.results), 0; got != want {
+		t.Errorf("got results of %d jobs, want %d", got, want)
+	}
+}
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -37,9 +37,9 @@
 		Int("fills", load.fills).Int64("fillUsage", load.fillUsage).Int("held", load.paused).
 		Int("readyServing", load.readyServing).
 		Int("readyFill", load.readyFill).Int("ready", load.ready).Int64("readyCores", load.readyMilliCores).
-		Int("servingSamples", load.accuracy.Samples).Int("aboveTarget", load.accuracy.AboveTarget).
-		Int("aboveTargetBesideFill", load.accuracy.AboveTargetBesideFill).
-		Int("predicted", load.accuracy.Predicted).Int("missed", load.accuracy.Missed).Int("falseAlarms", load.accuracy.False).
+		Int("servingSamples", load.accuracy.Samples()).Int("aboveTarget", load.accuracy.AboveTarget()).
+		Int("aboveTargetBesideFill", load.accuracy.AboveTargetBesideFill()).
+		Int("predicted", load.accuracy.Predicted()).Int("missed", load.accuracy.Missed()).Int("falseAlarms", load.accuracy.FalseAlarms()).
 		Float64("bias", load.accuracy.Bias()).Float64("meanError", load.accuracy.MeanAbsoluteError()).
 		Msg("domain load")
 }
--- a/internal/jobs/pacer/accuracy_test.go
+++ b/internal/jobs/pacer/accuracy_test.go
@@ -13,13 +13,13 @@
 		besideFill                 bool
 		want                       Accuracy
 	}{
-		"withoutFill": {ratio: 1.2, predicted: 0.4, observed: 0.8, want: Accuracy{Samples: 1, AboveTarget: 1}},
+		"withoutFill": {ratio: 1.2, predicted: 0.4, observed: 0.8, want: Accuracy{samples: 1, aboveTarget: 1}},
 		"missed": {ratio: 1.2, predicted: 0.6, observed: 0.8, besideFill: true, want: Accuracy{
-			Samples: 1, AboveTarget: 1, AboveTargetBesideFill: 1, Predicted: 1, Missed: 1,
+			samples: 1, aboveTarget: 1, aboveTargetBesideFill: 1, predicted: 1, missed: 1,
 			errorSum: 0.2, absoluteErrorSum: 0.2,
 		}},
 		"falseAlarm": {ratio: 0.8, predicted: 0.8, observed: 0.6, besideFill: true, want: Accuracy{
-			Samples: 1, Predicted: 1, False: 1, errorSum: -0.2, absoluteErrorSum: 0.2,
+			samples: 1, predicted: 1, falseAlarms: 1, errorSum: -0.2, absoluteErrorSum: 0.2,
 		}},
 	}
 	for name, test := range tests {
