admitter, overseer: refuse jobs by forecast, and never a copy of a pending one

Cause: every short and batch job was admitted. Under overload large ones waited for a result that came too late to be of use, and their callers were not told. Besides, a copy of a submission whose proposal was still pending could be refused for lack of capacity, and the first copy stored the job afterwards: a false "not run". Change: admitter.Forecaster predicts from the backlog by urgency, the measured drain rate, the room and the arrivals of more urgent work when a job would finish, and refuses it if that is too late. It never refuses while blind, with free room, for queues without an objective or with priority 0, nor a job more than three times that returns when told. Returns are spread by job id and precede new jobs of their size; a caller that does not wait that long gets no time. Each refusal is checked later against the queue, and the margin follows the wrong ones. Submissions that are pending or of unknown outcome are never refused, and a refusal is given only while the leader lease still holds. The switch is overseer.WithForecastAdmission, in Settings.ForecastAdmission, set by the platform. Request carries the caller's timeout in a new optional field. TestCopyOfPendingSubmission fails in three of its four cases without the new check.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -39,17 +39,24 @@
 	admitted   bool
 	reason     string
 	retryAfter time.Duration
+	forecast   Forecast
 }
 
+// Admitted returns the decision to admit a job.
+func Admitted() Decision { return Decision{admitted: true} }
+
 // Admitted reports whether the job is admitted.
 func (decision Decision) Admitted() bool { return decision.admitted }
 
 // Reason returns the reason for a rejection.
 func (decision Decision) Reason() string { return decision.reason }
 
-// RetryAfter returns the time until a rejected job is expected to fit, limited to minRetryAfter to maxRetryAfter.
+// RetryAfter returns the time until a rejected job is expected to fit. It is zero if a retry is of no use.
 func (decision Decision) RetryAfter() time.Duration { return decision.retryAfter }
 
+// Forecast returns the forecast on which the decision rests. It is zero if there is none.
+func (decision Decision) Forecast() Forecast { return decision.forecast }
+
 // Admitter decides on admission to one pool from the observed load. It is not safe for concurrent use.
 type Admitter struct {
 	load         Load
--- /dev/null
+++ b/internal/jobs/admitter/forecaster.go
@@ -0,0 +1,185 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// observationGap is the time without an observation after which the state of a pool counts as unknown.
+	observationGap = 2 * time.Second
+	// minMeasuringTime is how long the drain rate must have been measured before a forecast relies on it. It covers the
+	// run time of several tasks.
+	minMeasuringTime = 5 * time.Second
+	// maxRateAge is the age from which on a drain rate is measured anew.
+	maxRateAge = time.Minute
+	// overloadEntry and overloadExit are how long a pool must have had too little or enough free capacity before it
+	// counts as overloaded or no longer does, so that a short burst is queued and not refused.
+	overloadEntry = 2 * time.Second
+	overloadExit  = time.Second
+	// maxRefusals is how often a job that returns when it was told to is refused before it is admitted regardless.
+	maxRefusals = 3
+)
+
+// Submission is a job that asks for admission.
+type Submission struct {
+	Job      scheduler.JobID
+	Queue    *scheduler.Queue
+	Workflow *scheduler.Workflow
+	// Timeout is how long the caller waits in all, zero if that is not known.
+	Timeout time.Duration
+}
+
+// Forecaster refuses jobs whose result would no longer be of use when they finish. It is meant for a pool whose queue
+// has become longer than what it can serve in time. Without it a caller waits for a result that comes too late, and
+// the job uses capacity that others need. It is not safe for concurrent use.
+type Forecaster struct {
+	backlog    backlog
+	arrivals   arrivals
+	supplies   map[CapacityKind]*supply
+	tickets    tickets
+	audit      audit
+	blind      bool
+	observed   bool
+	observedAt time.Duration
+}
+
+// NewForecaster returns a Forecaster that admits every job until it has measured the drain rate of an overloaded pool.
+func NewForecaster() *Forecaster {
+	return &Forecaster{
+		supplies: map[CapacityKind]*supply{CapacityReserved: {}, CapacityFill: {}},
+		arrivals: newArrivals(), tickets: newTickets(), audit: newAudit(),
+	}
+}
+
+// Observe records the state of the pool at time now. Calls whose time does not increase are ignored.
+func (forecaster *Forecaster) Observe(now time.Duration, state PoolState) {
+	elapsed := now - forecaster.observedAt
+	if forecaster.observed && elapsed <= 0 {
+		return
+	}
+	continuous := forecaster.observed && !forecaster.blind && !state.Blind && elapsed < observationGap
+	forecaster.observed, forecaster.observedAt, forecaster.blind = true, now, state.Blind
+	forecaster.backlog = newBacklog(state.Jobs)
+	for kind, supply := range forecaster.supplies {
+		supply.observe(now, elapsed, state.Rooms[kind], forecaster.backlog.waiting(kind), continuous)
+	}
+	forecaster.tickets.expire(now)
+	if !state.Blind {
+		forecaster.audit.check(now, forecaster.startsNow)
+	}
+}
+
+// RecordFinished adds the estimated work of a task that has finished.
+func (forecaster *Forecaster) RecordFinished(kind CapacityKind, work int64) {
+	forecaster.supplies[kind].finished += work
+}
+
+// Audit returns how the past refusals compare with what the queue did afterwards.
+func (forecaster *Forecaster) Audit() Audit { return forecaster.audit.summary() }
+
+// ReturnsServed returns the number of jobs that were admitted after a refusal.
+func (forecaster *Forecaster) ReturnsServed() int { return forecaster.tickets.served }
+
+// Admit decides whether a job is admitted at time now.
+func (forecaster *Forecaster) Admit(now time.Duration, submission Submission) Decision {
+	if !mayBeRefused(&submission) {
+		return Decision{admitted: true}
+	}
+	demand := newDemand(&submission)
+	ticket, known := forecaster.tickets.find(submission.Job, now)
+	if known && now < ticket.returnAt {
+		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
+		return forecaster.refuse(now, &submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
+	}
+	forecast := forecaster.forecast(now, &demand, known)
+	if forecast.certain && forecast.end > forecaster.audit.scaled(demand.useful) &&
+		(!known || ticket.refusals < maxRefusals) {
+		retryAfter := forecaster.tickets.add(now, &demand, forecast.end-demand.useful)
+		forecaster.audit.add(now, &demand, forecast)
+		return forecaster.refuse(now, &submission, forecast, retryAfter, ReasonTooLate)
+	}
+	forecaster.tickets.remove(submission.Job)
+	forecaster.record(now, &demand)
+	return Decision{admitted: true, forecast: forecast}
+}
+
+// mayBeRefused reports whether a job may be refused because of a forecast: its queue has an objective and gives way to
+// others, and the job starts now and ends by itself.
+func mayBeRefused(submission *Submission) bool {
+	queue := submission.Queue
+	if queue.Priority <= 0 || queue.Slowdown <= 0 && queue.LatencyTarget <= 0 || submission.Workflow.Repeat != nil {
+		return false
+	}
+	return longRunningRequest(submission.Workflow) == 0
+}
+
+// refuse returns a refusal. A caller that does not wait until the return time gets no time.
+func (forecaster *Forecaster) refuse(
+	now time.Duration, submission *Submission, forecast Forecast, retryAfter time.Duration, reason string,
+) Decision {
+	if submission.Timeout > 0 && retryAfter >= submission.Timeout {
+		forecaster.tickets.markNotReturning(submission.Job)
+		return Decision{reason: ReasonNoReturn, forecast: forecast}
+	}
+	return Decision{reason: reason, retryAfter: roundUp(retryAfter), forecast: forecast}
+}
+
+// record adds an admitted job to the backlog, so that jobs submitted before the next observation see it.
+func (forecaster *Forecaster) record(now time.Duration, demand *demand) {
+	for kind, part := range demand.parts {
+		forecaster.arrivals.add(now, kind, demand.rank, part.work)
+		forecaster.backlog.add(JobBacklog{
+			Kind: kind, Priority: demand.rank.priority, Prospect: packer.ProspectTimely, JobWork: demand.rank.work,
+			Work: part.work, Waiting: part.initial,
+		})
+	}
+}
+
+// startsNow reports whether the pool has free capacity for a part of a job of the given rank after all waiting tasks
+// that are more urgent.
+func (forecaster *Forecaster) startsNow(kind CapacityKind, rank rank, initial int64) bool {
+	_, waiting := forecaster.backlog.ahead(kind, rank)
+	return forecaster.supplies[kind].room.Free-waiting >= initial
+}
+
+// wait predicts the time until the work ahead of a job of the given rank has started. returns is the work of returning
+// jobs that precede it.
+func (forecaster *Forecaster) wait(
+	now time.Duration, kind CapacityKind, rank rank, returns int64,
+) (wait time.Duration, ahead int64) {
+	supply := forecaster.supplies[kind]
+	ahead, _ = forecaster.backlog.ahead(kind, rank)
+	ahead += returns
+	arriving := forecaster.arrivals.rate(now, kind, rank)
+	return waitTime(ahead, supply.rate(), arriving, now-supply.overloadedSince), ahead
+}
+
+// forecast predicts when a job that is admitted now finishes. returning is true for a job that was refused before.
+func (forecaster *Forecaster) forecast(now time.Duration, demand *demand, returning bool) Forecast {
+	if !forecaster.observed || forecaster.blind || now-forecaster.observedAt >= observationGap {
+		return Forecast{}
+	}
+	longest := Forecast{useful: demand.useful}
+	for kind, part := range demand.parts {
+		supply := forecaster.supplies[kind]
+		if !supply.isReliable(now) || forecaster.startsNow(kind, demand.rank, part.initial) {
+			continue
+		}
+		returns := int64(0)
+		if !returning {
+			returns = forecaster.tickets.ahead(now, kind, demand)
+		}
+		service := max(demand.path, workTime(part.work, supply.rate()))
+		wait, ahead := forecaster.wait(now, kind, demand.rank, returns)
+		if end := wait + service; end > longest.end {
+			longest = Forecast{
+				certain: true, kind: kind, ahead: ahead, rate: supply.rate(), free: supply.room.Free, end: end, service: service,
+				useful: demand.useful, age: now - supply.measuredAt,
+			}
+		}
+	}
+	return longest
+}
--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -48,7 +49,7 @@
 	}
 	switch {
 	case request.Submit != nil:
-		return handler.submit(ctx, request.Submit)
+		return handler.submit(ctx, request.Submit, request.Timeout)
 	case request.Cancel != nil:
 		return handler.cancel(ctx, request.Cancel)
 	case request.JobState != nil:
@@ -89,7 +90,8 @@
 	return queue, Response{}
 }
 
-func (handler *Handler) submit(ctx context.Context, request *SubmitRequest) Response {
+// submit stores a job. timeout is how long its caller waits, zero if that is not known.
+func (handler *Handler) submit(ctx context.Context, request *SubmitRequest, timeout time.Duration) Response {
 	queue, response := handler.findQueue(request.Route)
 	if queue == nil {
 		return response
@@ -97,19 +99,33 @@
 	if err := request.Workflow.Validate(); err != nil {
 		return errorResponse(StatusInvalid, err.Error(), 0)
 	}
-	if _, known := handler.job(queue, request.Job); !known {
-		if decision := handler.overseer.Admit(queue.Pool, &request.Workflow); !decision.Admitted() {
-			handler.logSubmission(request, queue, StatusRefused, decision.Reason())
-			return errorResponse(StatusRefused, decision.Reason(), decision.RetryAfter())
-		}
+	decision := handler.overseer.Admit(admitter.Submission{
+		Job: request.Job, Queue: queue, Workflow: &request.Workflow, Timeout: timeout,
+	})
+	if !decision.Admitted() {
+		return handler.refuse(request, queue, &decision)
 	}
 	response = handler.command(ctx, jobkeeper.Command{Submit: &jobkeeper.Submit{
 		Job: request.Job, Queue: queue.Name, Workflow: request.Workflow, Accepted: time.Now(),
 	}})
+	handler.overseer.RecordSubmission(request.Job, response.Status != StatusOutcomeUnknown)
 	handler.logSubmission(request, queue, response.Status, response.Reason)
 	return response
 }
 
+// refuse returns the response to a job that is not admitted. The leader lease is checked after the decision: another
+// copy of the request may have been accepted by a later leader.
+func (handler *Handler) refuse(request *SubmitRequest, queue *scheduler.Queue, decision *admitter.Decision) Response {
+	if !handler.overseer.IsLeader() {
+		return Response{
+			Status: StatusNotLeader, Reason: "this VM lost the leadership during the request",
+			Leader: handler.group.Status().Leader(), RetryAfter: leaderRetry,
+		}
+	}
+	handler.logSubmission(request, queue, StatusRefused, decision.Reason())
+	return errorResponse(StatusRefused, decision.Reason(), decision.RetryAfter())
+}
+
 func (handler *Handler) logSubmission(request *SubmitRequest, queue *scheduler.Queue, status Status, reason string) {
 	handler.logger.Info().Str("event", "jobSubmitted").Str("job", string(request.Job)).Str("queue", string(queue.Name)).
 		Int("steps", len(request.Workflow.Steps)).Str("status", string(status)).Str("reason", reason).Msg("job submitted")
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -22,6 +22,8 @@
 	Heartbeats        *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
 	SubmitWave        *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
 	WaveStatus        *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
+	// Timeout is how long the caller waits for the response, zero if that is not known.
+	Timeout time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // QueueRoute holds the host and path of a caller's request, which select the queue.
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -28,6 +28,7 @@
 		}
 		poolAdmitter.Observe(now, *load)
 	}
+	leadership.observeForecasts(now)
 }
 
 // poolLoads returns the load of each pool. The mutex must be held.
@@ -65,22 +66,62 @@
 	load.Short += spec.Reserved().MilliCores
 }
 
-// Admit decides whether the domain accepts a job for a pool. Only the leader makes this decision; on any other VM the
-// later proposal of the job fails.
-func (overseer *Overseer) Admit(pool scheduler.PoolName, workflow *scheduler.Workflow) admitter.Decision {
+// Admit decides whether the domain accepts a job. Only the leader makes this decision; on any other VM the later
+// proposal of the job fails. RecordSubmission must be called with the result of the proposal of an admitted job.
+func (overseer *Overseer) Admit(submission admitter.Submission) admitter.Decision {
 	leadership := overseer.current.Load()
 	if leadership == nil {
-		return (&admitter.Admitter{}).Admit(workflow)
+		return overseer.admit(nil, &submission)
 	}
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
+	return overseer.admit(leadership, &submission)
+}
+
+// admit decides on a job. The leadership may be nil; otherwise its mutex must be held.
+func (overseer *Overseer) admit(leadership *leadership, submission *admitter.Submission) admitter.Decision {
+	if overseer.submissions.contains(submission.Job, time.Now()) || overseer.hasJob(submission.Job) {
+		overseer.submissions.begin(submission.Job)
+		return admitter.Admitted()
+	}
+	decision := admitter.Admitted()
+	if leadership != nil {
+		decision = leadership.admit(submission)
+	}
+	if decision.Admitted() {
+		overseer.submissions.begin(submission.Job)
+	}
+	return decision
+}
+
+// hasJob reports whether a job is stored.
+func (overseer *Overseer) hasJob(job scheduler.JobID) (found bool) {
+	overseer.keeper.View(func(state *jobkeeper.State) { _, found = state.Job(job) })
+	return found
+}
+
+// RecordSubmission records the result of the proposal of an admitted job. resolved is false if the proposal may still
+// take effect.
+func (overseer *Overseer) RecordSubmission(job scheduler.JobID, resolved bool) {
+	overseer.submissions.end(job, resolved, time.Now())
+}
+
+// admit decides on a job from the load of its pool. The mutex must be held.
+func (leadership *leadership) admit(submission *admitter.Submission) admitter.Decision {
+	pool := submission.Queue.Pool
 	poolAdmitter := leadership.admitters[pool]
 	if poolAdmitter == nil {
-		return (&admitter.Admitter{}).Admit(workflow)
+		return admitter.Admitted()
+	}
+	decision := poolAdmitter.Admit(submission.Workflow)
+	if decision.Admitted() && leadership.overseer.forecastAdmission {
+		decision = leadership.forecaster(pool).Admit(leadership.now(), *submission)
+		if !decision.Admitted() {
+			leadership.logRefusal(submission, &decision)
+		}
 	}
-	decision := poolAdmitter.Admit(workflow)
 	if decision.Admitted() {
-		poolAdmitter.RecordAdmission(workflow)
+		poolAdmitter.RecordAdmission(submission.Workflow)
 	}
 	return decision
 }
--- /dev/null
+++ b/internal/jobs/overseer/admission_test.go
@@ -0,0 +1,170 @@
+package overseer
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// batchQueue gives way to others and has an objective of 3 s for a step of one second.
+var batchQueue = scheduler.Queue{
+	Name: "queue", PathPrefix: "/q/", Pool: "pool", Priority: 2, Slowdown: 2, LatencyTarget: time.Second, Timeout: time.Second,
+}
+
+func lastingWorkflow(tasks int) *scheduler.Workflow {
+	return &scheduler.Workflow{Steps: []scheduler.Step{{Count: tasks, Request: oneCore, LongRunning: true}}}
+}
+
+// Guards against a job that is refused and runs nevertheless: a copy of its submission, sent to another VM, is refused
+// while the proposal of the first copy is pending or its outcome is unknown.
+func TestCopyOfPendingSubmission(t *testing.T) {
+	tests := map[string]struct {
+		// settle ends the first proposal.
+		settle func(simulation *simulation, overseer *Overseer)
+		want   bool
+	}{
+		"proposal pending": {func(*simulation, *Overseer) {}, true},
+		"outcome unknown": {func(_ *simulation, overseer *Overseer) {
+			overseer.RecordSubmission("first", false)
+		}, true},
+		"job stored": {func(simulation *simulation, overseer *Overseer) {
+			simulation.apply(jobkeeper.Command{Submit: &jobkeeper.Submit{
+				Job: "first", Queue: "queue", Workflow: *lastingWorkflow(30), Accepted: time.Now(),
+			}})
+			overseer.RecordSubmission("first", true)
+		}, true},
+		"proposal had no effect": {func(_ *simulation, overseer *Overseer) {
+			overseer.RecordSubmission("first", true)
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(3 * time.Second)
+				leader := simulation.overseers[simulation.domain.leader.Load()]
+				first := admitter.Submission{Job: "first", Queue: &batchQueue, Workflow: lastingWorkflow(30)}
+				if !leader.Admit(first).Admitted() {
+					t.Fatal("got the first copy refused, want admitted")
+				}
+				test.settle(simulation, leader)
+				if got := leader.Admit(first).Admitted(); got != test.want {
+					t.Errorf("got second copy admitted %v, want %v", got, test.want)
+				}
+				other := first
+				other.Job = "other"
+				if leader.Admit(other).Admitted() {
+					t.Error("got another job admitted, want refused because the first one takes the capacity")
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against pending submissions that are kept for ever.
+func TestPendingSubmissionsEnd(t *testing.T) {
+	var pending pendingSubmissions
+	now := time.Unix(0, 0)
+	pending.begin("a")
+	pending.begin("a")
+	pending.end("a", true, now)
+	if !pending.contains("a", now) {
+		t.Error("got no pending submission while the second copy is proposed")
+	}
+	pending.end("a", false, now)
+	if !pending.contains("a", now.Add(unresolvedTime-1)) || pending.contains("a", now.Add(unresolvedTime)) {
+		t.Errorf("want a submission of unknown outcome to be pending for %v", unresolvedTime)
+	}
+	pending.begin("b")
+	pending.end("b", false, now.Add(unresolvedTime))
+	if got := len(pending.byJob); got != 1 {
+		t.Errorf("got %d pending submissions, want only the later one", got)
+	}
+}
+
+func batchWorkflow(tasks int) *scheduler.Workflow {
+	return &scheduler.Workflow{Steps: []scheduler.Step{{Count: tasks, Request: oneCore, Estimate: time.Second}}}
+}
+
+// overload submits small batch jobs for more than the domain's capacity, which is about 48 tasks per second.
+func (simulation *simulation) overload(duration time.Duration) {
+	for elapsed := time.Duration(0); elapsed < duration; elapsed += time.Second {
+		for job := range 80 {
+			submission := admitter.Submission{
+				Job: scheduler.JobID(fmt.Sprintf("small%v-%d", elapsed, job)), Queue: &batchQueue, Workflow: batchWorkflow(1),
+			}
+			leader := simulation.overseers[simulation.domain.leader.Load()]
+			if leader.Admit(submission).Admitted() {
+				simulation.submitWorkflow(submission.Workflow)
+				leader.RecordSubmission(submission.Job, true)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// Guards against jobs that wait for nothing in an overload, against refusals where admission by forecast is not
+// configured, and against refusals by a new leader or after the loss of contact to many workers.
+func TestForecastAdmission(t *testing.T) {
+	tests := map[string]struct {
+		options []Option
+		change  func(simulation *simulation)
+		want    bool
+	}{
+		"overload":       {[]Option{WithForecastAdmission()}, func(*simulation) {}, false},
+		"not configured": {nil, func(*simulation) {}, true},
+		"new leader": {[]Option{WithForecastAdmission()}, func(simulation *simulation) {
+			simulation.domain.elect(1)
+			time.Sleep(time.Second)
+		}, true},
+		"half of the workers silent": {[]Option{WithForecastAdmission()}, func(simulation *simulation) {
+			for _, name := range simulation.names[:simulationWorkers/2] {
+				simulation.setPartitioned(name, true)
+			}
+			time.Sleep(5 * time.Second)
+		}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				for _, overseer := range simulation.overseers {
+					for _, option := range test.options {
+						option(overseer)
+					}
+				}
+				stop := simulation.start()
+				simulation.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
+					Version: 2, Pools: []scheduler.Pool{{Name: "pool"}}, Queues: []scheduler.Queue{batchQueue},
+				}})
+				time.Sleep(2 * time.Second)
+				simulation.overload(15 * time.Second)
+				test.change(simulation)
+				refused := 0
+				leader := simulation.overseers[simulation.domain.leader.Load()]
+				for job := range 10 {
+					decision := leader.Admit(admitter.Submission{
+						Job: scheduler.JobID(fmt.Sprintf("large%d", job)), Queue: &batchQueue,
+						Workflow: batchWorkflow(8),
+					})
+					if !decision.Admitted() {
+						refused++
+					}
+				}
+				if got := refused == 0; got != test.want {
+					t.Errorf("got %d of 10 jobs refused, want admitted %v", refused, test.want)
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -52,6 +52,8 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
+	// forecasters predict for each pool when a submitted job would finish.
+	forecasters map[scheduler.PoolName]*admitter.Forecaster
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -67,7 +69,8 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		admitters:   map[scheduler.PoolName]*admitter.Admitter{},
+		forecasters: map[scheduler.PoolName]*admitter.Forecaster{},
 	}
 	leadership.goroutines.OnPanic = leadership.handlePanic
 	leadership.adoptAll()
@@ -276,6 +279,7 @@
 		ended := instance.attempts[end.Run]
 		delete(instance.attempts, end.Run)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
+		leadership.recordFinishedWork(instance, ended, end)
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
 		if end.Kind != scheduler.EndFinished {
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -17,6 +17,7 @@
 	ready     tally.Gauge
 	startTime tally.Histogram
 	planTime  tally.Histogram
+	admission *admissionMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -26,6 +27,6 @@
 		repeated: scope.Counter("orders_repeated"), ended: scope.Counter("attempts_ended"),
 		expired: scope.Counter("attempts_expired"), throttled: scope.Counter("attempts_throttled"),
 		ready: scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
-		planTime: scope.Histogram("plan_duration", buckets),
+		planTime: scope.Histogram("plan_duration", buckets), admission: newAdmissionMetrics(scope),
 	}
 }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -41,9 +41,11 @@
 	heartbeatInterval time.Duration
 	stopTime          time.Duration
 	countSuspension   bool
+	forecastAdmission bool
 	clock             stopwatch.Stopwatch
 
-	current atomic.Pointer[leadership]
+	current     atomic.Pointer[leadership]
+	submissions pendingSubmissions
 }
 
 // New returns an Overseer. It is inactive until Run is called.
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -195,8 +195,7 @@
 	pools := map[scheduler.PoolName][]*packer.Worker{}
 	for _, name := range slices.Sorted(maps.Keys(leadership.instances)) {
 		instance := leadership.instances[name]
-		if !instance.acceptsWork(now, heartbeatTimeout) || !instance.synced || leadership.isEvacuating(instance) ||
-			leadership.failureTracker.isQuarantined(name, wallTime) {
+		if !leadership.isSchedulable(instance, now, heartbeatTimeout, wallTime) {
 			continue
 		}
 		usageSummary := instance.usageSummary()
@@ -210,6 +209,14 @@
 	return pools
 }
 
+// isSchedulable reports whether tasks may be placed on a worker.
+func (leadership *leadership) isSchedulable(
+	instance *worker, now, heartbeatTimeout time.Duration, wallTime time.Time,
+) bool {
+	return instance.acceptsWork(now, heartbeatTimeout) && instance.synced && !leadership.isEvacuating(instance) &&
+		!leadership.failureTracker.isQuarantined(instance.name, wallTime)
+}
+
 // isEvacuating reports whether the worker's VM is being evacuated for maintenance.
 func (leadership *leadership) isEvacuating(instance *worker) bool {
 	_, evacuating := leadership.maintenance.evacuating[instance.heartbeat.VM]
--- a/internal/jobs/packer/urgency.go
+++ b/internal/jobs/packer/urgency.go
@@ -67,7 +67,7 @@
 	if input.LongRunning {
 		return urgency
 	}
-	objective := time.Duration(max(input.Queue.Slowdown, 1)*float64(input.CriticalPath)) + input.Queue.LatencyTarget
+	objective := Objective(&input.Queue, input.CriticalPath)
 	urgency.Deadline = input.ReleaseTime.Add(objective)
 	urgency.RemainingWork = input.RemainingWork
 	end := now.Add(input.RemainingPath)
@@ -81,6 +81,16 @@
 	return urgency
 }
 
+// Objective returns the target completion time of a job with the given critical path.
+func Objective(queue *scheduler.Queue, criticalPath time.Duration) time.Duration {
+	return time.Duration(max(queue.Slowdown, 1)*float64(criticalPath)) + queue.LatencyTarget
+}
+
+// UsefulTime returns the completion time until which the result of a job is of use to its caller.
+func UsefulTime(queue *scheduler.Queue, criticalPath time.Duration) time.Duration {
+	return lateFactor * Objective(queue, criticalPath)
+}
+
 // CriticalPath returns the estimated duration of the longest dependency chain of a workflow. weight returns the
 // duration of a step, or zero for a step that has finished.
 func CriticalPath(steps []scheduler.Step, weight func(step int) time.Duration) time.Duration {
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -128,11 +128,16 @@
 	relayer.Serve(vm.messenger, domainGroup, dependencies.Client, stopwatch.StartBootTime())
 	vm.relayer = relayer.New(dependencies.Client, vm.messenger, vm.replicator, vm.memberNames,
 		relayer.WithLogger(dependencies.Logger), relayer.WithScope(dependencies.Scope), relayer.WithSuspension())
-	vm.overseer = overseer.New(vm.replicator, keeper, vm.relayer,
+	options := []overseer.Option{
 		overseer.WithLogger(dependencies.Logger), overseer.WithScope(dependencies.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, maxClockDrift), overseer.WithHeartbeatInterval(settings.HeartbeatInterval),
 		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(dependencies.Approver),
-		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease))
+		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease),
+	}
+	if settings.ForecastAdmission {
+		options = append(options, overseer.WithForecastAdmission())
+	}
+	vm.overseer = overseer.New(vm.replicator, keeper, vm.relayer, options...)
 	vm.reconciler = reconciler.New(vm.replicator, vm.messenger, settings.seedNames(),
 		2*settings.ToleratedLosses+1, dependencies.Logger)
 	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger)
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -37,6 +37,9 @@
 	// MaintenanceLease is how long maintenance orders of a former leader may still arrive. A new leader waits for this
 	// time before its first order.
 	MaintenanceLease time.Duration `json:"maintenanceLease"`
+	// ForecastAdmission is true if jobs are refused that cannot finish while their result is of use. It applies to queues
+	// that have an objective and a priority above 0.
+	ForecastAdmission bool `json:"forecastAdmission"`
 	// StopTimeout limits the duration of a graceful stop.
 	StopTimeout time.Duration `json:"stopTimeout"`
 }
