--- a/internal/jobs/admitter/audit.go
+++ b/internal/jobs/admitter/audit.go
@@ -4,7 +4,7 @@
 
 const (
 	// minMargin and maxMargin limit the factor by which a job must miss its useful time to be refused.
-	minMargin = 1.5
+	minMargin = 2
 	maxMargin = 4
 	// marginIncrease and marginDecrease are the factors by which the margin changes after a refusal that turned out
 	// wrong or right. With these factors the margin rises as long as more than about a tenth of the refusals are wrong.
--- a/internal/jobs/admitter/forecaster.go
+++ b/internal/jobs/admitter/forecaster.go
@@ -92,14 +92,14 @@
 	ticket, known := forecaster.tickets.find(submission.Job, now)
 	if known && now < ticket.returnAt {
 		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
-		return forecaster.refuse(now, &submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
+		return forecaster.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
 	}
 	forecast := forecaster.forecast(now, &demand, known)
 	if forecast.certain && forecast.end > forecaster.audit.scaled(demand.useful) &&
 		(!known || ticket.refusals < maxRefusals) {
 		retryAfter := forecaster.tickets.add(now, &demand, forecast.end-demand.useful)
 		forecaster.audit.add(now, &demand, forecast)
-		return forecaster.refuse(now, &submission, forecast, retryAfter, ReasonTooLate)
+		return forecaster.refuse(&submission, forecast, retryAfter, ReasonTooLate)
 	}
 	forecaster.tickets.remove(submission.Job)
 	forecaster.record(now, &demand)
@@ -118,7 +118,7 @@
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
 func (forecaster *Forecaster) refuse(
-	now time.Duration, submission *Submission, forecast Forecast, retryAfter time.Duration, reason string,
+	submission *Submission, forecast Forecast, retryAfter time.Duration, reason string,
 ) Decision {
 	if submission.Timeout > 0 && retryAfter >= submission.Timeout {
 		forecaster.tickets.markNotReturning(submission.Job)
@@ -152,7 +152,9 @@
 ) (wait time.Duration, ahead int64) {
 	supply := forecaster.supplies[kind]
 	ahead, _ = forecaster.backlog.ahead(kind, rank)
-	ahead += returns
+	// Part of the work has started since the observation.
+	started := int64(supply.rate() * (now - forecaster.observedAt).Seconds())
+	ahead = max(0, ahead-started) + returns
 	arriving := forecaster.arrivals.rate(now, kind, rank)
 	return waitTime(ahead, supply.rate(), arriving, now-supply.overloadedSince), ahead
 }
--- a/internal/jobs/admitter/forecaster_test.go
+++ b/internal/jobs/admitter/forecaster_test.go
@@ -138,13 +138,19 @@
 
 // overloadedForecaster returns a forecaster of a pool of 10 cores that drains 10 cores and has a backlog of 100 s.
 func overloadedForecaster() (*Forecaster, time.Duration) {
+	return forecasterWithBacklog(10_000, 1_000_000_000)
+}
+
+// forecasterWithBacklog returns a forecaster of an overloaded pool of 10 cores with a drain rate, in millicores, and a
+// backlog.
+func forecasterWithBacklog(drain, work int64) (*Forecaster, time.Duration) {
 	forecaster, now := NewForecaster(), time.Duration(0)
 	for ; now < 20*time.Second; now += observeEvery {
-		forecaster.RecordFinished(CapacityReserved, 10_000*observeEvery.Milliseconds())
+		forecaster.RecordFinished(CapacityReserved, drain*observeEvery.Milliseconds())
 		forecaster.Observe(now, PoolState{
 			Rooms: map[CapacityKind]Room{CapacityReserved: {Total: 10_000}},
 			Jobs: []JobBacklog{{
-				Kind: CapacityReserved, Priority: 2, Prospect: packer.ProspectTimely, JobWork: 1, Work: 1_000_000_000, Waiting: 1_000_000,
+				Kind: CapacityReserved, Priority: 2, Prospect: packer.ProspectTimely, JobWork: 1, Work: work, Waiting: 1_000_000,
 			}},
 		})
 	}
@@ -189,6 +195,15 @@
 	}
 }
 
+// Guards against refusals while no task ends for a while because all of them are long.
+func TestLongTasks(t *testing.T) {
+	const backlogTime = 7 * time.Second
+	forecaster, now := forecasterWithBacklog(0, 10_000*backlogTime.Milliseconds())
+	if !forecaster.Admit(now, submission("j", simulatedQueue, shortStep)).Admitted() {
+		t.Errorf("got refused with a backlog of %v, want admitted", backlogTime)
+	}
+}
+
 // Guards against refusals on an old or blind observation.
 func TestBlindForecaster(t *testing.T) {
 	job := submission("j", simulatedQueue, shortStep)
--- a/internal/jobs/admitter/simulation_test.go
+++ b/internal/jobs/admitter/simulation_test.go
@@ -12,7 +12,7 @@
 
 const (
 	simulationStep = 50 * time.Millisecond
-	observeEvery   = 200 * time.Millisecond
+	observeEvery   = 500 * time.Millisecond
 	slotMilliCores = 1000
 	taskRunTime    = 2 * time.Second
 	simulationTime = 2 * time.Minute
--- a/internal/jobs/admitter/supply.go
+++ b/internal/jobs/admitter/supply.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// minDrainFraction is the minimum drain rate as a fraction of the room. Tasks that run for longer than averagingTime end
+// in waves, between which the measured rate is too low.
+const minDrainFraction = 0.5
+
 // supply measures the rate at which one kind of capacity drains work while more work is waiting than fits.
 type supply struct {
 	room Room
@@ -72,8 +76,10 @@
 
 // rate returns the drain rate in the present room, which differs from the measured one when workers come or go.
 func (supply *supply) rate() float64 {
+	total := float64(supply.room.Total)
+	minimum := minDrainFraction * total * float64(time.Second/time.Millisecond)
 	if supply.averageTotal <= 0 {
-		return 0
+		return minimum
 	}
-	return supply.drain * float64(supply.room.Total) / supply.averageTotal
+	return max(minimum, supply.drain*total/supply.averageTotal)
 }
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// forecastInterval is how often the forecasters are updated. An update visits all running and waiting tasks.
+	forecastInterval = 500 * time.Millisecond
 	// blindTime is the time at the start of a leadership without forecasts. It covers two heartbeats of each worker.
 	blindTime = 3 * time.Second
 	// maxSilentFraction is the fraction of the workers that may be silent while forecasts are made. One always may.
@@ -26,9 +28,10 @@
 
 // observeForecasts updates the forecasters with the state of their pools. The mutex must be held.
 func (leadership *leadership) observeForecasts(now time.Duration) {
-	if !leadership.overseer.forecastAdmission {
+	if !leadership.overseer.forecastAdmission || now < leadership.forecastsObservedAt+forecastInterval {
 		return
 	}
+	leadership.forecastsObservedAt = now
 	states := map[scheduler.PoolName]*admitter.PoolState{}
 	wrong, right, served := 0, 0, 0
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
@@ -128,7 +131,7 @@
 // The mutex must be held.
 func (leadership *leadership) collectBacklog(states map[scheduler.PoolName]*admitter.PoolState, state *jobkeeper.State) {
 	visited := map[occurrenceKey]bool{}
-	now := time.Now()
+	now, wallTime := leadership.now(), time.Now()
 	visit := func(step *jobkeeper.StepState) {
 		key := occurrenceKey{job: step.Job().ID(), occurrence: step.Occurrence()}
 		if visited[key] || step.Spec().LongRunning {
@@ -136,14 +139,13 @@
 		}
 		visited[key] = true
 		pool := poolState(states, step.Job().Queue().Pool)
-		pool.Jobs = append(pool.Jobs, backlogOf(step, urgencyOf(step, now))...)
+		pool.Jobs = append(pool.Jobs, backlogOf(step, urgencyOf(step, wallTime))...)
 	}
 	var oldest waitBySize
 	state.VisitReady(func(task *jobkeeper.Task) {
 		visit(task.Step())
-		key := keyOf(task.ID())
-		if wait, known := leadership.jobLog.waiting[key]; known {
-			oldest.add(task.Step(), leadership.now()-wait.since)
+		if wait, known := leadership.jobLog.waiting[keyOf(task.ID())]; known {
+			oldest.add(task.Step(), now-wait.since)
 		}
 	})
 	for _, instance := range leadership.instances {
@@ -206,7 +208,7 @@
 		Str("queue", string(submission.Queue.Name)).Str("reason", decision.Reason()).
 		Str("capacity", string(forecast.Kind())).Int64("backlog", forecast.Ahead()).Float64("rate", forecast.Rate()).
 		Int64("room", forecast.Free()).Dur("forecast", forecast.End()).Dur("useful", forecast.Useful()).
-		Dur("rateAge", forecast.RateAge()).Dur("loadAge", leadership.now()-leadership.loadObservedAt).
+		Dur("rateAge", forecast.RateAge()).Dur("loadAge", leadership.now()-leadership.forecastsObservedAt).
 		Dur("retryAfter", decision.RetryAfter()).Msg("job refused by forecast")
 }
 
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -52,8 +52,10 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
-	// forecasters predict for each pool when a submitted job would finish.
-	forecasters map[scheduler.PoolName]*admitter.Forecaster
+	// forecasters predict for each pool when a submitted job would finish. forecastsObservedAt is when they were last
+	// updated.
+	forecasters         map[scheduler.PoolName]*admitter.Forecaster
+	forecastsObservedAt time.Duration
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
