scarce: merge admission by forecast and the check of pending copies

Change: admitter.Forecaster with its hooks; submissions that are pending or of unknown outcome are never refused. The explanation of a placement asks the forecast without recording it (Preview). The caller's timeout is field 15 of a request, since 13 and 14 are taken. Ageing and fair shares are not begun.

--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -10,22 +10,23 @@
 // Request is a request of a caller, an operator or a worker to a domain. It is a wire type; exactly one of the
 // pointers is set.
 type Request struct {
-	Submit            *SubmitRequest                `cbor:"1,keyasint,omitempty"`
-	Cancel            *JobRequest                   `cbor:"2,keyasint,omitempty"`
-	JobState          *JobRequest                   `cbor:"3,keyasint,omitempty"`
-	QueueLength       *QueueRoute                   `cbor:"4,keyasint,omitempty"`
-	Configure         *scheduler.QueueConfiguration `cbor:"5,keyasint,omitempty"`
-	ReadConfiguration *ReadConfigurationRequest     `cbor:"6,keyasint,omitempty"`
-	Heartbeat         *scheduler.WorkerHeartbeat    `cbor:"7,keyasint,omitempty"`
-	Leave             *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
-	Status            *StatusRequest                `cbor:"9,keyasint,omitempty"`
-	Heartbeats        *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
-	SubmitWave        *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
-	WaveStatus        *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
-
-	Evacuate           *EvacuateRequest           `cbor:"13,keyasint,omitempty"`
-	EvacuationRevision *EvacuationRevisionRequest `cbor:"14,keyasint,omitempty"`
-	Explain            *ExplainRequest            `cbor:"20,keyasint,omitempty"`
+	Submit             *SubmitRequest                `cbor:"1,keyasint,omitempty"`
+	Cancel             *JobRequest                   `cbor:"2,keyasint,omitempty"`
+	JobState           *JobRequest                   `cbor:"3,keyasint,omitempty"`
+	QueueLength        *QueueRoute                   `cbor:"4,keyasint,omitempty"`
+	Configure          *scheduler.QueueConfiguration `cbor:"5,keyasint,omitempty"`
+	ReadConfiguration  *ReadConfigurationRequest     `cbor:"6,keyasint,omitempty"`
+	Heartbeat          *scheduler.WorkerHeartbeat    `cbor:"7,keyasint,omitempty"`
+	Leave              *LeaveRequest                 `cbor:"8,keyasint,omitempty"`
+	Status             *StatusRequest                `cbor:"9,keyasint,omitempty"`
+	Heartbeats         *HeartbeatBatch               `cbor:"10,keyasint,omitempty"`
+	SubmitWave         *scheduler.Wave               `cbor:"11,keyasint,omitempty"`
+	WaveStatus         *WaveStatusRequest            `cbor:"12,keyasint,omitempty"`
+	Evacuate           *EvacuateRequest              `cbor:"13,keyasint,omitempty"`
+	EvacuationRevision *EvacuationRevisionRequest    `cbor:"14,keyasint,omitempty"`
+	Explain            *ExplainRequest               `cbor:"20,keyasint,omitempty"`
+	// Timeout is how long the caller waits for the response, zero if that is not known.
+	Timeout time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // QueueRoute holds the host and path of a caller's request, which select the queue.
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -119,11 +119,14 @@
 func (leadership *leadership) explainAdmission(
 	explanation *PlacementExplanation, queue *scheduler.Queue, workflow *scheduler.Workflow,
 ) {
-	poolAdmitter := leadership.admitters[queue.Pool]
-	if poolAdmitter == nil {
-		poolAdmitter = &admitter.Admitter{}
+	decision := admitter.Admitted()
+	if poolAdmitter := leadership.admitters[queue.Pool]; poolAdmitter != nil {
+		decision = poolAdmitter.Admit(workflow)
+	}
+	forecaster := leadership.forecasters[queue.Pool]
+	if decision.Admitted() && leadership.overseer.forecastAdmission && forecaster != nil {
+		decision = forecaster.Preview(leadership.now(), admitter.Submission{Queue: queue, Workflow: workflow})
 	}
-	decision := poolAdmitter.Admit(workflow)
 	explanation.Admitted, explanation.Reason, explanation.RetryAfter = decision.Admitted(), decision.Reason(),
 		decision.RetryAfter()
 }
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -59,6 +59,10 @@
 	runTimes *forecaster.Forecaster
 	// speculation is the state of copies of running tasks.
 	speculation speculation
+	// forecasters predict for each pool when a submitted job would finish. forecastsObservedAt is when they were last
+	// updated.
+	forecasters         map[scheduler.PoolName]*admitter.Forecaster
+	forecastsObservedAt time.Duration
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -76,7 +80,8 @@
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
-		admitters: map[scheduler.PoolName]*admitter.Admitter{},
+		admitters:   map[scheduler.PoolName]*admitter.Admitter{},
+		forecasters: map[scheduler.PoolName]*admitter.Forecaster{},
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
@@ -288,6 +293,7 @@
 		delete(instance.attempts, end.Run)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
 		leadership.recordCopyEnd(end, ended)
+		leadership.recordFinishedWork(instance, ended, end)
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
 		leadership.logAttemptEnd(instance, ended, end)
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -27,6 +27,7 @@
 	reservedWait tally.Histogram
 
 	evacuation evacuationMetrics
+	admission  *admissionMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -41,6 +42,7 @@
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
 		evacuation:   newEvacuationMetrics(scope),
+		admission:    newAdmissionMetrics(scope),
 	}
 }
 
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -43,9 +43,12 @@
 	countSuspension   bool
 	// maxIdle is the maximum idle time of a reservation, or zero if none are made.
 	maxIdle time.Duration
-	clock   stopwatch.Stopwatch
+	// forecastAdmission is true if jobs are refused that could not finish in time.
+	forecastAdmission bool
+	clock             stopwatch.Stopwatch
 
-	current atomic.Pointer[leadership]
+	current     atomic.Pointer[leadership]
+	submissions pendingSubmissions
 }
 
 // New returns an Overseer. It is inactive until Run is called.
