--- a/internal/jobs/speculator/speculator_test.go
+++ b/internal/jobs/speculator/speculator_test.go
@@ -87,8 +87,7 @@
 	return playedTask.end
 }
 
-// run plays all waves and returns the time that each job took, in ascending order. allowed returns the maximum number of
-// copies at a time.
+// run plays all waves and returns the time that each job took, in ascending order.
 func (play *play) run(withCopies bool) []time.Duration {
 	var took []time.Duration
 	for range waves {
