admitter: name the type that refuses by backlog BacklogAdmitter

Cause: two types were called Forecaster, one that predicts run times and one that admits jobs. Change: admitter.Forecaster is BacklogAdmitter, with its files and locals. No behaviour changes.

--- a/internal/jobs/admitter/forecaster.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -32,10 +32,10 @@
 	Timeout time.Duration
 }
 
-// Forecaster refuses jobs whose result would no longer be of use when they finish. It is meant for a pool whose queue
+// BacklogAdmitter refuses jobs whose result would no longer be of use when they finish. It is meant for a pool whose queue
 // has become longer than what it can serve in time. Without it a caller waits for a result that comes too late, and
 // the job uses capacity that others need. It is not safe for concurrent use.
-type Forecaster struct {
+type BacklogAdmitter struct {
 	backlog    backlog
 	arrivals   arrivals
 	supplies   map[CapacityKind]*supply
@@ -46,82 +46,82 @@
 	observedAt time.Duration
 }
 
-// NewForecaster returns a Forecaster that admits every job until it has measured the drain rate of an overloaded pool.
-func NewForecaster() *Forecaster {
-	return &Forecaster{
+// NewBacklogAdmitter returns a BacklogAdmitter that admits every job until it has measured the drain rate of an overloaded pool.
+func NewBacklogAdmitter() *BacklogAdmitter {
+	return &BacklogAdmitter{
 		supplies: map[CapacityKind]*supply{CapacityReserved: {}, CapacityFill: {}},
 		arrivals: newArrivals(), tickets: newTickets(), audit: newAudit(),
 	}
 }
 
 // Observe records the state of the pool at time now. Calls whose time does not increase are ignored.
-func (forecaster *Forecaster) Observe(now time.Duration, state PoolState) {
-	elapsed := now - forecaster.observedAt
-	if forecaster.observed && elapsed <= 0 {
+func (backlogAdmitter *BacklogAdmitter) Observe(now time.Duration, state PoolState) {
+	elapsed := now - backlogAdmitter.observedAt
+	if backlogAdmitter.observed && elapsed <= 0 {
 		return
 	}
-	continuous := forecaster.observed && !forecaster.blind && !state.Blind && elapsed < observationGap
-	forecaster.observed, forecaster.observedAt, forecaster.blind = true, now, state.Blind
-	forecaster.backlog = newBacklog(state.Jobs)
-	for kind, supply := range forecaster.supplies {
-		supply.observe(now, elapsed, state.Rooms[kind], forecaster.backlog.waiting(kind), continuous)
+	continuous := backlogAdmitter.observed && !backlogAdmitter.blind && !state.Blind && elapsed < observationGap
+	backlogAdmitter.observed, backlogAdmitter.observedAt, backlogAdmitter.blind = true, now, state.Blind
+	backlogAdmitter.backlog = newBacklog(state.Jobs)
+	for kind, supply := range backlogAdmitter.supplies {
+		supply.observe(now, elapsed, state.Rooms[kind], backlogAdmitter.backlog.waiting(kind), continuous)
 	}
-	forecaster.tickets.expire(now)
+	backlogAdmitter.tickets.expire(now)
 	if !state.Blind {
-		forecaster.audit.check(now, forecaster.startsNow)
+		backlogAdmitter.audit.check(now, backlogAdmitter.startsNow)
 	}
 }
 
 // RecordFinished adds the estimated work of a task that has finished.
-func (forecaster *Forecaster) RecordFinished(kind CapacityKind, work int64) {
-	forecaster.supplies[kind].finished += work
+func (backlogAdmitter *BacklogAdmitter) RecordFinished(kind CapacityKind, work int64) {
+	backlogAdmitter.supplies[kind].finished += work
 }
 
 // Audit returns how the past refusals compare with what the queue did afterwards.
-func (forecaster *Forecaster) Audit() Audit { return forecaster.audit.summary() }
+func (backlogAdmitter *BacklogAdmitter) Audit() Audit { return backlogAdmitter.audit.summary() }
 
 // ReturnsServed returns the number of jobs that were admitted after a refusal.
-func (forecaster *Forecaster) ReturnsServed() int { return forecaster.tickets.served }
+func (backlogAdmitter *BacklogAdmitter) ReturnsServed() int { return backlogAdmitter.tickets.served }
 
 // Admit decides whether a job is admitted at time now.
-func (forecaster *Forecaster) Admit(now time.Duration, submission Submission) Decision {
+func (backlogAdmitter *BacklogAdmitter) Admit(now time.Duration, submission Submission) Decision {
 	if !mayBeRefused(&submission) {
 		return Decision{admitted: true}
 	}
 	demand := newDemand(&submission)
-	ticket, known := forecaster.tickets.find(submission.Job, now)
+	ticket, known := backlogAdmitter.tickets.find(submission.Job, now)
 	if known && now < ticket.returnAt {
 		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
-		return forecaster.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
+		return backlogAdmitter.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
 	}
-	forecast := forecaster.forecast(now, &demand, known)
-	if forecaster.isTooLate(&demand, &forecast) && (!known || ticket.refusals < maxRefusals) {
-		retryAfter := forecaster.tickets.add(now, &demand, forecast.end-demand.useful)
-		forecaster.audit.add(now, &demand, forecast)
-		return forecaster.refuse(&submission, forecast, retryAfter, ReasonTooLate)
+	forecast := backlogAdmitter.forecast(now, &demand, known)
+	if backlogAdmitter.isTooLate(&demand, &forecast) && (!known || ticket.refusals < maxRefusals) {
+		retryAfter := backlogAdmitter.tickets.add(now, &demand, forecast.end-demand.useful)
+		backlogAdmitter.audit.add(now, &demand, forecast)
+		return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
 	}
-	forecaster.tickets.remove(submission.Job)
-	forecaster.record(now, &demand)
+	backlogAdmitter.tickets.remove(submission.Job)
+	backlogAdmitter.record(now, &demand)
 	return Decision{admitted: true, forecast: forecast}
 }
 
 // Preview returns the decision on a job that is submitted for the first time, without recording it.
-func (forecaster *Forecaster) Preview(now time.Duration, submission Submission) Decision {
+func (backlogAdmitter *BacklogAdmitter) Preview(now time.Duration, submission Submission) Decision {
 	if !mayBeRefused(&submission) {
 		return Decision{admitted: true}
 	}
 	demand := newDemand(&submission)
-	forecast := forecaster.forecast(now, &demand, false)
-	if !forecaster.isTooLate(&demand, &forecast) {
+	forecast := backlogAdmitter.forecast(now, &demand, false)
+	if !backlogAdmitter.isTooLate(&demand, &forecast) {
 		return Decision{admitted: true, forecast: forecast}
 	}
 	retryAfter := returnDelay(demand.job, forecast.end-demand.useful)
-	return forecaster.refuse(&submission, forecast, retryAfter, ReasonTooLate)
+	return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
 }
 
 // isTooLate reports whether a job is forecast to finish when its result is no longer of use.
-func (forecaster *Forecaster) isTooLate(demand *demand, forecast *Forecast) bool {
-	return forecast.certain && forecast.end > forecaster.audit.scaled(demand.useful)
+func (backlogAdmitter *BacklogAdmitter) isTooLate(demand *demand, forecast *Forecast) bool {
+	return forecast.certain && forecast.end > backlogAdmitter.audit.scaled(demand.useful)
 }
 
 // mayBeRefused reports whether a job may be refused because of a forecast: its queue has an objective and gives way to
@@ -135,21 +135,21 @@
 }
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
-func (forecaster *Forecaster) refuse(
+func (backlogAdmitter *BacklogAdmitter) refuse(
 	submission *Submission, forecast Forecast, retryAfter time.Duration, reason string,
 ) Decision {
 	if submission.Timeout > 0 && retryAfter >= submission.Timeout {
-		forecaster.tickets.markNotReturning(submission.Job)
+		backlogAdmitter.tickets.markNotReturning(submission.Job)
 		return Decision{reason: ReasonNoReturn, forecast: forecast}
 	}
 	return Decision{reason: reason, retryAfter: roundUp(retryAfter), forecast: forecast}
 }
 
 // record adds an admitted job to the backlog, so that jobs submitted before the next observation see it.
-func (forecaster *Forecaster) record(now time.Duration, demand *demand) {
+func (backlogAdmitter *BacklogAdmitter) record(now time.Duration, demand *demand) {
 	for kind, part := range demand.parts {
-		forecaster.arrivals.add(now, kind, demand.rank, part.work)
-		forecaster.backlog.add(JobBacklog{
+		backlogAdmitter.arrivals.add(now, kind, demand.rank, part.work)
+		backlogAdmitter.backlog.add(JobBacklog{
 			Kind: kind, Priority: demand.rank.priority, Prospect: packer.ProspectTimely, JobWork: demand.rank.work,
 			Work: part.work, Waiting: part.initial,
 		})
@@ -158,42 +158,42 @@
 
 // startsNow reports whether the pool has free capacity for a part of a job of the given rank after all waiting tasks
 // that are more urgent.
-func (forecaster *Forecaster) startsNow(kind CapacityKind, rank rank, initial int64) bool {
-	_, waiting := forecaster.backlog.ahead(kind, rank)
-	return forecaster.supplies[kind].room.Free-waiting >= initial
+func (backlogAdmitter *BacklogAdmitter) startsNow(kind CapacityKind, rank rank, initial int64) bool {
+	_, waiting := backlogAdmitter.backlog.ahead(kind, rank)
+	return backlogAdmitter.supplies[kind].room.Free-waiting >= initial
 }
 
 // wait predicts the time until the work ahead of a job of the given rank has started. returns is the work of returning
 // jobs that precede it.
-func (forecaster *Forecaster) wait(
+func (backlogAdmitter *BacklogAdmitter) wait(
 	now time.Duration, kind CapacityKind, rank rank, returns int64,
 ) (wait time.Duration, ahead int64) {
-	supply := forecaster.supplies[kind]
-	ahead, _ = forecaster.backlog.ahead(kind, rank)
+	supply := backlogAdmitter.supplies[kind]
+	ahead, _ = backlogAdmitter.backlog.ahead(kind, rank)
 	// Part of the work has started since the observation.
-	started := int64(supply.rate() * (now - forecaster.observedAt).Seconds())
+	started := int64(supply.rate() * (now - backlogAdmitter.observedAt).Seconds())
 	ahead = max(0, ahead-started) + returns
-	arriving := forecaster.arrivals.rate(now, kind, rank)
+	arriving := backlogAdmitter.arrivals.rate(now, kind, rank)
 	return waitTime(ahead, supply.rate(), arriving, now-supply.overloadedSince), ahead
 }
 
 // forecast predicts when a job that is admitted now finishes. returning is true for a job that was refused before.
-func (forecaster *Forecaster) forecast(now time.Duration, demand *demand, returning bool) Forecast {
-	if !forecaster.observed || forecaster.blind || now-forecaster.observedAt >= observationGap {
+func (backlogAdmitter *BacklogAdmitter) forecast(now time.Duration, demand *demand, returning bool) Forecast {
+	if !backlogAdmitter.observed || backlogAdmitter.blind || now-backlogAdmitter.observedAt >= observationGap {
 		return Forecast{}
 	}
 	longest := Forecast{useful: demand.useful}
 	for kind, part := range demand.parts {
-		supply := forecaster.supplies[kind]
-		if !supply.isReliable(now) || forecaster.startsNow(kind, demand.rank, part.initial) {
+		supply := backlogAdmitter.supplies[kind]
+		if !supply.isReliable(now) || backlogAdmitter.startsNow(kind, demand.rank, part.initial) {
 			continue
 		}
 		returns := int64(0)
 		if !returning {
-			returns = forecaster.tickets.ahead(now, kind, demand)
+			returns = backlogAdmitter.tickets.ahead(now, kind, demand)
 		}
 		service := max(demand.path, workTime(part.work, supply.rate()))
-		wait, ahead := forecaster.wait(now, kind, demand.rank, returns)
+		wait, ahead := backlogAdmitter.wait(now, kind, demand.rank, returns)
 		if end := wait + service; end > longest.end {
 			longest = Forecast{
 				certain: true, kind: kind, ahead: ahead, rate: supply.rate(), free: supply.room.Free, end: end, service: service,
--- a/internal/jobs/admitter/forecaster_test.go
+++ b/internal/jobs/admitter/backlogadmitter_test.go
@@ -16,7 +16,7 @@
 	simulatedSlots = 100
 )
 
-// overloads holds the loads that are played with and without the forecaster.
+// overloads holds the loads that are played with and without a BacklogAdmitter.
 var overloads = map[string]func(simulation *poolSimulation, random *rand.Rand){
 	"no overload": func(simulation *poolSimulation, random *rand.Rand) {
 		simulation.submit(random, 0, overloadUntil, 0.7, exponentialSize(random), "a")
@@ -48,10 +48,10 @@
 // leaders holds the number of leaders of a load if there is more than one. Each counts refusals anew.
 var leaders = map[string]int{"leader change in overload": 2}
 
-// changeLeader replaces the forecaster by one that knows nothing, as a new leader does.
+// changeLeader replaces the BacklogAdmitter by one that knows nothing, as a new leader does.
 func changeLeader(simulation *poolSimulation) {
-	if simulation.forecaster != nil {
-		simulation.forecaster, simulation.blindUntil = NewForecaster(), 33*time.Second
+	if simulation.backlogAdmitter != nil {
+		simulation.backlogAdmitter, simulation.blindUntil = NewBacklogAdmitter(), 33*time.Second
 	}
 }
 
@@ -107,7 +107,7 @@
 		if got := len(playOverload(overloads["no overload"], seed, true).refusedAt); got != 0 {
 			t.Errorf("seed %d: got %d refusals without overload, want none", seed, got)
 		}
-		result := playOverload(overloads["lasting overload"], seed, true).forecaster.Audit()
+		result := playOverload(overloads["lasting overload"], seed, true).backlogAdmitter.Audit()
 		audit.right, audit.wrong = audit.right+result.Right(), audit.wrong+result.Wrong()
 	}
 	if audit.right == 0 || audit.wrong > (audit.right+audit.wrong)/10 {
@@ -136,25 +136,25 @@
 	}
 }
 
-// overloadedForecaster returns a forecaster of a pool of 10 cores that drains 10 cores and has a backlog of 100 s.
-func overloadedForecaster() (*Forecaster, time.Duration) {
-	return forecasterWithBacklog(10_000, 1_000_000_000)
+// overloadedAdmitter returns a BacklogAdmitter of a pool of 10 cores that drains 10 cores and has a backlog of 100 s.
+func overloadedAdmitter() (*BacklogAdmitter, time.Duration) {
+	return admitterWithBacklog(10_000, 1_000_000_000)
 }
 
-// forecasterWithBacklog returns a forecaster of an overloaded pool of 10 cores with a drain rate, in millicores, and a
+// admitterWithBacklog returns a BacklogAdmitter of an overloaded pool of 10 cores with a drain rate, in millicores, and a
 // backlog.
-func forecasterWithBacklog(drain, work int64) (*Forecaster, time.Duration) {
-	forecaster, now := NewForecaster(), time.Duration(0)
+func admitterWithBacklog(drain, work int64) (*BacklogAdmitter, time.Duration) {
+	backlogAdmitter, now := NewBacklogAdmitter(), time.Duration(0)
 	for ; now < 20*time.Second; now += observeEvery {
-		forecaster.RecordFinished(CapacityReserved, drain*observeEvery.Milliseconds())
-		forecaster.Observe(now, PoolState{
+		backlogAdmitter.RecordFinished(CapacityReserved, drain*observeEvery.Milliseconds())
+		backlogAdmitter.Observe(now, PoolState{
 			Rooms: map[CapacityKind]Room{CapacityReserved: {Total: 10_000}},
 			Jobs: []JobBacklog{{
 				Kind: CapacityReserved, Priority: 2, Prospect: packer.ProspectTimely, JobWork: 1, Work: work, Waiting: 1_000_000,
 			}},
 		})
 	}
-	return forecaster, now
+	return backlogAdmitter, now
 }
 
 func submission(job scheduler.JobID, queue scheduler.Queue, steps ...scheduler.Step) Submission {
@@ -187,8 +187,8 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			forecaster, now := overloadedForecaster()
-			if got := forecaster.Admit(now, test.submission).Admitted(); got != test.want {
+			backlogAdmitter, now := overloadedAdmitter()
+			if got := backlogAdmitter.Admit(now, test.submission).Admitted(); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
 		})
@@ -198,22 +198,22 @@
 // Guards against refusals while no task ends for a while because all of them are long.
 func TestLongTasks(t *testing.T) {
 	const backlogTime = 7 * time.Second
-	forecaster, now := forecasterWithBacklog(0, 10_000*backlogTime.Milliseconds())
-	if !forecaster.Admit(now, submission("j", simulatedQueue, shortStep)).Admitted() {
+	backlogAdmitter, now := admitterWithBacklog(0, 10_000*backlogTime.Milliseconds())
+	if !backlogAdmitter.Admit(now, submission("j", simulatedQueue, shortStep)).Admitted() {
 		t.Errorf("got refused with a backlog of %v, want admitted", backlogTime)
 	}
 }
 
 // Guards against refusals on an old or blind observation.
-func TestBlindForecaster(t *testing.T) {
+func TestBlindBacklogAdmitter(t *testing.T) {
 	job := submission("j", simulatedQueue, shortStep)
-	forecaster, now := overloadedForecaster()
-	if !forecaster.Admit(now+observationGap, job).Admitted() {
+	backlogAdmitter, now := overloadedAdmitter()
+	if !backlogAdmitter.Admit(now+observationGap, job).Admitted() {
 		t.Error("got refused without a recent observation, want admitted")
 	}
-	forecaster, now = overloadedForecaster()
-	forecaster.Observe(now, PoolState{Blind: true, Rooms: map[CapacityKind]Room{CapacityReserved: {Total: 10_000}}})
-	if !forecaster.Admit(now, job).Admitted() {
+	backlogAdmitter, now = overloadedAdmitter()
+	backlogAdmitter.Observe(now, PoolState{Blind: true, Rooms: map[CapacityKind]Room{CapacityReserved: {Total: 10_000}}})
+	if !backlogAdmitter.Admit(now, job).Admitted() {
 		t.Error("got refused while blind, want admitted")
 	}
 }
@@ -221,36 +221,36 @@
 // Guards against a refusal that becomes false because a copy of the request arrives late, and against a job that keeps
 // its times and is refused for ever.
 func TestReturns(t *testing.T) {
-	forecaster, now := overloadedForecaster()
+	backlogAdmitter, now := overloadedAdmitter()
 	job := submission("j", simulatedQueue, shortStep)
 	for refusal := range maxRefusals {
-		decision := forecaster.Admit(now, job)
+		decision := backlogAdmitter.Admit(now, job)
 		if decision.Admitted() || decision.RetryAfter() < minRetryAfter || decision.RetryAfter() > maxRetryAfter {
 			t.Fatalf("refusal %d: got admitted %v, retry after %v, want a refusal and at most %v", refusal,
 				decision.Admitted(), decision.RetryAfter(), maxRetryAfter)
 		}
-		if copied := forecaster.Admit(now+time.Second/2, job); copied.Admitted() || copied.Reason() != ReasonEarlyReturn {
+		if copied := backlogAdmitter.Admit(now+time.Second/2, job); copied.Admitted() || copied.Reason() != ReasonEarlyReturn {
 			t.Errorf("refusal %d: got a copy admitted %v, reason %q, want refused", refusal, copied.Admitted(), copied.Reason())
 		}
 		now += decision.RetryAfter()
-		forecaster.observedAt, forecaster.supplies[CapacityReserved].measuredAt = now, now
+		backlogAdmitter.observedAt, backlogAdmitter.supplies[CapacityReserved].measuredAt = now, now
 	}
-	if !forecaster.Admit(now, job).Admitted() || forecaster.ReturnsServed() != 1 {
+	if !backlogAdmitter.Admit(now, job).Admitted() || backlogAdmitter.ReturnsServed() != 1 {
 		t.Errorf("got refused after %d refusals, want admitted", maxRefusals)
 	}
 }
 
 // Guards against a Retry-After that the caller cannot follow, and against jobs that all return at the same time.
 func TestRetryAfter(t *testing.T) {
-	forecaster, now := overloadedForecaster()
+	backlogAdmitter, now := overloadedAdmitter()
 	impatient := submission("j", simulatedQueue, shortStep)
 	impatient.Timeout = 3 * time.Second
-	if decision := forecaster.Admit(now, impatient); decision.Reason() != ReasonNoReturn || decision.RetryAfter() != 0 {
+	if decision := backlogAdmitter.Admit(now, impatient); decision.Reason() != ReasonNoReturn || decision.RetryAfter() != 0 {
 		t.Errorf("got %q, retry after %v, want %q and no time", decision.Reason(), decision.RetryAfter(), ReasonNoReturn)
 	}
 	times := map[time.Duration]int{}
 	for _, job := range []scheduler.JobID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "k", "l", "m"} {
-		times[forecaster.Admit(now, submission(job, simulatedQueue, shortStep)).RetryAfter()]++
+		times[backlogAdmitter.Admit(now, submission(job, simulatedQueue, shortStep)).RetryAfter()]++
 	}
 	if len(times) < 4 {
 		t.Errorf("got %d different times for 12 jobs, want at least 4: %v", len(times), times)
--- a/internal/jobs/admitter/simulation_test.go
+++ b/internal/jobs/admitter/simulation_test.go
@@ -24,13 +24,13 @@
 // poolSimulation plays submissions to a pool that starts tasks in the order of urgency. Callers return when a refusal
 // tells them to.
 type poolSimulation struct {
-	forecaster *Forecaster
-	slots      int
-	running    int
-	blindUntil time.Duration
-	jobs       []*simulatedJob
-	ends       map[time.Duration][]*simulatedJob
-	refusedAt  []time.Duration
+	backlogAdmitter *BacklogAdmitter
+	slots           int
+	running         int
+	blindUntil      time.Duration
+	jobs            []*simulatedJob
+	ends            map[time.Duration][]*simulatedJob
+	refusedAt       []time.Duration
 	// events change the pool at a time.
 	events map[time.Duration]func(simulation *poolSimulation)
 }
@@ -64,7 +64,7 @@
 		slots: slots, ends: map[time.Duration][]*simulatedJob{}, events: map[time.Duration]func(*poolSimulation){},
 	}
 	if admission {
-		simulation.forecaster = NewForecaster()
+		simulation.backlogAdmitter = NewBacklogAdmitter()
 	}
 	return simulation
 }
@@ -96,7 +96,7 @@
 			event(simulation)
 		}
 		simulation.finish(now)
-		if now%observeEvery == 0 && simulation.forecaster != nil {
+		if now%observeEvery == 0 && simulation.backlogAdmitter != nil {
 			simulation.observe(now)
 		}
 		for _, job := range simulation.jobs {
@@ -111,8 +111,8 @@
 func (simulation *poolSimulation) finish(now time.Duration) {
 	for _, job := range simulation.ends[now] {
 		simulation.running--
-		if simulation.forecaster != nil {
-			simulation.forecaster.RecordFinished(CapacityReserved, slotMilliCores*taskRunTime.Milliseconds())
+		if simulation.backlogAdmitter != nil {
+			simulation.backlogAdmitter.RecordFinished(CapacityReserved, slotMilliCores*taskRunTime.Milliseconds())
 		}
 		if job.unfinished--; job.unfinished == 0 {
 			job.finishedAt = now
@@ -134,13 +134,13 @@
 			})
 		}
 	}
-	simulation.forecaster.Observe(now, state)
+	simulation.backlogAdmitter.Observe(now, state)
 }
 
 func (simulation *poolSimulation) try(job *simulatedJob, now time.Duration) {
 	decision := Admitted()
-	if simulation.forecaster != nil {
-		decision = simulation.forecaster.Admit(now, job.submission)
+	if simulation.backlogAdmitter != nil {
+		decision = simulation.backlogAdmitter.Admit(now, job.submission)
 	}
 	if !decision.Admitted() {
 		simulation.refusedAt = append(simulation.refusedAt, now)
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -118,7 +118,7 @@
 	}
 	decision := poolAdmitter.Admit(submission.Workflow)
 	if decision.Admitted() && leadership.overseer.forecastAdmission {
-		decision = leadership.forecaster(pool).Admit(leadership.now(), *submission)
+		decision = leadership.backlogAdmitter(pool).Admit(leadership.now(), *submission)
 		if !decision.Admitted() {
 			leadership.logRefusal(submission, &decision)
 		}
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -123,9 +123,9 @@
 	if poolAdmitter := leadership.admitters[queue.Pool]; poolAdmitter != nil {
 		decision = poolAdmitter.Admit(workflow)
 	}
-	forecaster := leadership.forecasters[queue.Pool]
-	if decision.Admitted() && leadership.overseer.forecastAdmission && forecaster != nil {
-		decision = forecaster.Preview(leadership.now(), admitter.Submission{Queue: queue, Workflow: workflow})
+	backlogAdmitter := leadership.backlogAdmitters[queue.Pool]
+	if decision.Admitted() && leadership.overseer.forecastAdmission && backlogAdmitter != nil {
+		decision = backlogAdmitter.Preview(leadership.now(), admitter.Submission{Queue: queue, Workflow: workflow})
 	}
 	explanation.Admitted, explanation.Reason, explanation.RetryAfter = decision.Admitted(), decision.Reason(),
 		decision.RetryAfter()
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// forecastInterval is how often the forecasters are updated. An update visits all running and waiting tasks.
+	// forecastInterval is how often the forecasts are updated. An update visits all running and waiting tasks.
 	forecastInterval = 500 * time.Millisecond
 	// blindTime is the time at the start of a leadership without forecasts. It covers two heartbeats of each worker.
 	blindTime = 3 * time.Second
@@ -26,7 +26,7 @@
 	return func(overseer *Overseer) { overseer.forecastAdmission = true }
 }
 
-// observeForecasts updates the forecasters with the state of their pools. The mutex must be held.
+// observeForecasts updates the forecasts with the state of their pools. The mutex must be held.
 func (leadership *leadership) observeForecasts(now time.Duration) {
 	if !leadership.overseer.forecastAdmission || now < leadership.forecastsObservedAt+forecastInterval {
 		return
@@ -41,20 +41,20 @@
 	blind := leadership.isBlind(now)
 	for pool, state := range states {
 		state.Blind = blind
-		forecaster := leadership.forecaster(pool)
-		forecaster.Observe(now, *state)
-		audit := forecaster.Audit()
-		wrong, right, served = wrong+audit.Wrong(), right+audit.Right(), served+forecaster.ReturnsServed()
+		backlogAdmitter := leadership.backlogAdmitter(pool)
+		backlogAdmitter.Observe(now, *state)
+		audit := backlogAdmitter.Audit()
+		wrong, right, served = wrong+audit.Wrong(), right+audit.Right(), served+backlogAdmitter.ReturnsServed()
 	}
 	leadership.overseer.metrics.admission.update(wrong, right, served)
 }
 
-// forecaster returns the forecaster of a pool. The mutex must be held.
-func (leadership *leadership) forecaster(pool scheduler.PoolName) *admitter.Forecaster {
-	if leadership.forecasters[pool] == nil {
-		leadership.forecasters[pool] = admitter.NewForecaster()
+// backlogAdmitter returns the BacklogAdmitter of a pool. The mutex must be held.
+func (leadership *leadership) backlogAdmitter(pool scheduler.PoolName) *admitter.BacklogAdmitter {
+	if leadership.backlogAdmitters[pool] == nil {
+		leadership.backlogAdmitters[pool] = admitter.NewBacklogAdmitter()
 	}
-	return leadership.forecasters[pool]
+	return leadership.backlogAdmitters[pool]
 }
 
 // isBlind reports whether too little is known for a forecast: the leadership has just started, or many workers are
@@ -197,7 +197,7 @@
 	if !leadership.overseer.forecastAdmission || ended == nil || end.Kind != scheduler.EndFinished || ended.spec.LongRunning {
 		return
 	}
-	leadership.forecaster(instance.heartbeat.Pool).RecordFinished(admitter.KindOf(&ended.spec), admitter.WorkOf(&ended.spec))
+	leadership.backlogAdmitter(instance.heartbeat.Pool).RecordFinished(admitter.KindOf(&ended.spec), admitter.WorkOf(&ended.spec))
 }
 
 // logRefusal logs the inputs of a refusal that rests on a forecast, and counts it. The mutex must be held.
--- a/internal/jobs/overseer/forecastadmission_test.go
+++ b/internal/jobs/overseer/forecastadmission_test.go
@@ -53,7 +53,7 @@
 		overseer: overseer, instances: map[scheduler.WorkerName]*worker{}, jobLog: newJobLog(),
 		failureTracker: newFailureTracker(), maintenance: newMaintenance(),
 	}
-	leadership.forecasters = map[scheduler.PoolName]*admitter.Forecaster{}
+	leadership.backlogAdmitters = map[scheduler.PoolName]*admitter.BacklogAdmitter{}
 	overseer.keeper.View(func(state *jobkeeper.State) {
 		for _, name := range state.Workers() {
 			instance := newWorker(name, 1)
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -59,9 +59,9 @@
 	runTimes *forecaster.Forecaster
 	// speculation is the state of copies of running tasks.
 	speculation speculation
-	// forecasters predict for each pool when a submitted job would finish. forecastsObservedAt is when they were last
+	// backlogAdmitters predict for each pool when a submitted job would finish. forecastsObservedAt is when they were last
 	// updated.
-	forecasters         map[scheduler.PoolName]*admitter.Forecaster
+	backlogAdmitters    map[scheduler.PoolName]*admitter.BacklogAdmitter
 	forecastsObservedAt time.Duration
 }
 
@@ -80,8 +80,8 @@
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
-		admitters:   map[scheduler.PoolName]*admitter.Admitter{},
-		forecasters: map[scheduler.PoolName]*admitter.Forecaster{},
+		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
+		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
