pacer, overseer: move paused fill tasks after 0.7 s

Cause: a batch step waits for its last task; a quarter to two fifths of the steps contain a fill task that stood still for 1.5 s and more before it was moved, and take twice as long as the others. Change: the limit is pacer.MaxPause, 0.7 s instead of 1.5 s. Tried before: keeping paused tasks while others of their image wait (not kept).

--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// maxPauseBeforeMove is how long a fill task may be paused before it is moved to another worker.
-const maxPauseBeforeMove = 1500 * time.Millisecond
-
 // adjustShares reacts to the latencies of the serving tasks on a worker: it throttles fill tasks, raises their shares
 // again, and moves those that have been paused for too long. The mutex must be held.
 func (leadership *leadership) adjustShares(instance *worker) {
@@ -27,7 +23,7 @@
 			attempt.pausedSince = 0
 		case attempt.pausedSince == 0:
 			attempt.pausedSince = now
-		case now-attempt.pausedSince > maxPauseBeforeMove && attempt.spec.Checkpointing && !attempt.starved:
+		case now-attempt.pausedSince > pacer.MaxPause && attempt.spec.Checkpointing && !attempt.starved:
 			leadership.stopAttempt(instance, id, "paused for too long because of the latency of a serving task")
 		}
 		leadership.throttle(instance, id, attempt)
