reserver: bound the cost of reservations for gangs

Cause: a gang of N small tasks made up to N slots on each of max(256, N) workers, under the leadership's mutex and again each second while nothing was found. Change: a gang of more than 512 tasks gets no reservation; at most 16,384 slots are collected for a step, an equal part on each worker. Run: BenchmarkGang (300 workers, tasks of 1 millicore), before: 512 tasks 65 ms and 49.5 MB, 5,000 tasks 566 ms and 542 MB; after: 5.7 ms and 5.0 MB, 631 ns and 248 B. TestCostOfGangs is new; go test -race of reserver: pass. Conclusion: one job can no longer occupy the leader with a large gang. Gangs above the limit wait as without look-ahead.

--- a/internal/jobs/reserver/benchmark_test.go
+++ b/internal/jobs/reserver/benchmark_test.go
@@ -69,3 +69,19 @@
 		}
 	}
 }
+
+// BenchmarkGang measures a decision about a gang of small tasks, which may run on any worker.
+func BenchmarkGang(b *testing.B) {
+	for _, taskCount := range []int{maxGangTasks, 5000} {
+		b.Run(fmt.Sprintf("tasks=%d", taskCount), func(b *testing.B) {
+			pool := largePool(300, 0, 0)
+			pool.Groups = []Group{waitingGroup(scheduler.Step{
+				Count: taskCount, Request: scheduler.Resources{MilliCores: 1}, Gang: true,
+			})}
+			b.ReportAllocs()
+			for b.Loop() {
+				New().Plan(pool)
+			}
+		})
+	}
+}
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -42,6 +42,11 @@
 	maxTasksPerStep = 16
 	// minCandidates is the number of workers whose running tasks are considered for a step, at least.
 	minCandidates = 256
+	// maxGangTasks is the number of tasks above which a gang gets no reservation.
+	maxGangTasks = 512
+	// maxSlots limits the slots that are collected for a step on all workers together. It bounds the time and the memory
+	// of one decision.
+	maxSlots = 16384
 )
 
 // Reserver keeps the reservations of a pool. It is not safe for concurrent use.
@@ -209,7 +214,8 @@
 }
 
 // largeGroups returns the waiting groups that qualify for a reservation. Fill tasks and long-running tasks
-// never qualify: the former reserve no CPU, and package packer holds workers for the latter.
+// never qualify: the former reserve no CPU, and package packer holds workers for the latter. Nor do gangs of more than
+// maxGangTasks tasks.
 func (reserver *Reserver) largeGroups(pool *Pool) []*Group {
 	var large []*Group
 	var mean *scheduler.Resources
@@ -222,6 +228,9 @@
 			request := pool.MeanRequest()
 			mean = &request
 		}
+		if group.Step.Gang && len(group.Tasks) > maxGangTasks {
+			continue
+		}
 		isGang := group.Step.Gang && len(group.Tasks) > 1
 		if isGang || isLarge(group.Step.Reserved(), *mean) {
 			large = append(large, group)
--- a/internal/jobs/reserver/reserver_test.go
+++ b/internal/jobs/reserver/reserver_test.go
@@ -85,6 +85,44 @@
 	}
 }
 
+// Guards against a gang of many small tasks that keeps the leader from all other work: 5,000 tasks that would fit on any
+// of 300 workers must not be considered on each of them.
+func TestCostOfGangs(t *testing.T) {
+	tests := map[string]struct {
+		tasks        int
+		wantReserved int
+	}{
+		"largest gang with reservations": {maxGangTasks, maxGangTasks},
+		"larger gang":                    {maxGangTasks + 1, 0},
+		"very large gang":                {5000, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			sizes := make([]int64, 300)
+			for position := range sizes {
+				sizes[position] = 8
+			}
+			pool := poolOf(sizes...)
+			pool.Groups = []Group{waitingGroup(scheduler.Step{
+				Count: test.tasks, Request: scheduler.Resources{MilliCores: 1}, Gang: true,
+			})}
+			reserver := New()
+			slots := reserver.candidateSlots(pool, &pool.Groups[0], nil, test.tasks)
+			if got := len(slots); got > maxSlots {
+				t.Errorf("got %d slots, want at most %d", got, maxSlots)
+			}
+			reserver.Plan(pool)
+			got := 0
+			for _, reservation := range reserver.Reservations() {
+				got += reservation.Tasks()
+			}
+			if got != test.wantReserved {
+				t.Errorf("got %d reserved tasks, want %d", got, test.wantReserved)
+			}
+		})
+	}
+}
+
 // Guards against a large step that waits for ever because more urgent ones keep arriving, and against reservations for
 // jobs that are already too late while others could still be in time.
 func TestOldStepsComeFirst(t *testing.T) {
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -64,11 +64,7 @@
 	if !group.Step.Gang {
 		count = min(count, maxTasksPerStep)
 	}
-	var candidates []slot
-	for _, worker := range reserver.candidates(pool, group, taken, max(minCandidates, count)) {
-		candidates = append(candidates, pool.slots(worker, group, count, reserver.maxIdle)...)
-	}
-	slices.SortStableFunc(candidates, compareSlots)
+	candidates := reserver.candidateSlots(pool, group, taken, count)
 	if group.Step.RackLocal {
 		candidates = earliestRack(candidates, count, maxWorkers)
 	}
@@ -87,6 +83,21 @@
 	return reservations
 }
 
+// candidateSlots returns the slots for up to count tasks of a group in the order of compareSlots, maxSlots at most. Each
+// candidate gets an equal part of them.
+func (reserver *Reserver) candidateSlots(
+	pool *Pool, group *Group, taken map[scheduler.WorkerName]bool, count int,
+) []slot {
+	workers := reserver.candidates(pool, group, taken, max(minCandidates, count))
+	maxPerWorker := min(count, maxSlots/max(len(workers), 1))
+	var slots []slot
+	for _, worker := range workers {
+		slots = append(slots, pool.slots(worker, group, maxPerWorker, reserver.maxIdle)...)
+	}
+	slices.SortStableFunc(slots, compareSlots)
+	return slots
+}
+
 // candidates returns the workers that may be reserved for a group: those with the most free CPU of the ones that could
 // run a task if they were idle. Their number is limited because predicting the ends of running tasks takes time.
 func (reserver *Reserver) candidates(
