reserver: limit the idle time of a step, not only of a worker

Cause: when a reservation expired, only its worker was blocked. The step reserved other workers in the same decision with an idle time of zero, so that one step could hold a share of the pool without end. Change: idle time is counted for each step as well. On expiry the step gets no reservation for maxIdle, twice as long after each further expiry, up to 16 times maxIdle. The record ends when a reservation is used or the step no longer waits. Test: TestIdleTimeOfStep (a gang of 4 in 20 workers, 3 of 4 cores idle, 5 min) failed before with 3m45s held idle, want at most 1m20s. The row 'idle for too long' of TestBrokenReservations wanted a new reservation on another worker in the same decision, which is this fault; it now wants none. Run: go test -race of reserver, and of overseer (Reserv, LargeTask): pass. Conclusion: a step holds capacity idle for maxIdle in each of ever longer intervals.

--- a/internal/jobs/overseer/reservationlog.go
+++ b/internal/jobs/overseer/reservationlog.go
@@ -99,10 +99,11 @@
 // dropReservations drops all reservations when no task waits. The mutex must be held.
 func (leadership *leadership) dropReservations() {
 	for name, poolReserver := range leadership.lookAhead.reservers {
-		if len(poolReserver.Reservations()) == 0 {
+		events := poolReserver.Plan(&reserver.Pool{Now: leadership.now()})
+		if len(events) == 0 {
 			continue
 		}
-		leadership.recordReservations(poolReserver.Plan(&reserver.Pool{Now: leadership.now()}))
+		leadership.recordReservations(events)
 		leadership.recordHeldIdle(name, poolReserver, nil)
 	}
 }
--- a/internal/jobs/reserver/check.go
+++ b/internal/jobs/reserver/check.go
@@ -18,6 +18,7 @@
 	for _, worker := range pool.Workers {
 		workers[worker.Name] = worker
 	}
+	reserver.measureIdle(workers, elapsed)
 	reasons := map[*Reservation]Reason{}
 	incomplete := map[packer.StepID]bool{}
 	waiting := map[packer.StepID]int{}
@@ -26,9 +27,6 @@
 	}
 	for _, reservation := range reserver.reservations {
 		worker := workers[reservation.worker]
-		if worker != nil {
-			reservation.idle += time.Duration(reservation.idleFraction(worker) * float64(elapsed))
-		}
 		reason := reserver.update(pool, reservation, groups[reservation.step], worker)
 		if reason == "" {
 			reason = claim(waiting, reservation)
@@ -78,7 +76,7 @@
 		return ReasonWorkerUnavailable
 	case !group.FitsIdle(worker, 0):
 		return ReasonUnsuitable
-	case reservation.idle >= reserver.maxIdle:
+	case reserver.isExpired(reservation):
 		return ReasonExpired
 	}
 	slots := pool.slots(worker, group, reservation.tasks, reserver.maxIdle)
@@ -112,11 +110,12 @@
 }
 
 // removeBroken removes the reservations with a reason, and all reservations of an incomplete gang. A worker on which
-// a reservation has expired is not reserved again for maxIdle.
+// a reservation has expired is not reserved again for maxIdle, and the step gets no reservation for a while.
 func (reserver *Reserver) removeBroken(
 	now time.Duration, reasons map[*Reservation]Reason, incomplete map[packer.StepID]bool,
 ) []Event {
 	var events []Event
+	expired := map[packer.StepID]bool{}
 	kept := reserver.reservations[:0]
 	for _, reservation := range reserver.reservations {
 		reason := reasons[reservation]
@@ -129,11 +128,15 @@
 		}
 		if reason == ReasonExpired {
 			reserver.blockedUntil[reservation.worker] = now + reserver.maxIdle
+			expired[reservation.step] = true
 		} else {
 			reserver.interrupted[reservation.worker] = interruption{idle: reservation.idle, until: now + retryInterval}
 		}
 		events = append(events, newEvent(EventBroken, reservation, now, reason))
 	}
+	for step := range expired {
+		reserver.postponeRetry(now, step)
+	}
 	clear(reserver.reservations[len(kept):])
 	reserver.reservations = kept
 	return events
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -64,8 +64,11 @@
 	interrupted map[scheduler.WorkerName]interruption
 	// blockedUntil holds the workers that must not be reserved again yet, because a reservation has expired there.
 	blockedUntil map[scheduler.WorkerName]time.Duration
-	// retryAt holds the steps for which no worker could be reserved, and when they are tried again.
+	// retryAt holds the steps for which no worker could be reserved or whose reservations have expired, and when they are
+	// tried again.
 	retryAt map[packer.StepID]time.Duration
+	// records holds the records of steps that have or had reservations.
+	records map[packer.StepID]*stepRecord
 }
 
 // interruption is the idle time of a reservation that was broken, and until when it counts.
@@ -77,8 +80,9 @@
 type Option func(reserver *Reserver)
 
 // WithMaxIdle sets the maximum time for which a reservation may hold capacity idle, 20 s by default. While only a part of
-// the reserved capacity is idle, the time counts in proportion. A worker on which a reservation has reached the maximum
-// is not reserved again for the same time. Tasks that are expected to start later get no reservation.
+// the reserved capacity is idle, the time counts in proportion. It is counted for each worker and for each step. When it is
+// reached, the worker is not reserved again for the same time, and nor is any worker for the step, for which the time
+// doubles with each further expiry. Tasks that are expected to start later get no reservation.
 func WithMaxIdle(maxIdle time.Duration) Option {
 	return func(reserver *Reserver) { reserver.maxIdle = maxIdle }
 }
@@ -100,6 +104,7 @@
 		maxIdle: defaultMaxIdle, maxFraction: defaultMaxFraction, maxSteps: defaultMaxSteps,
 		interrupted:  map[scheduler.WorkerName]interruption{},
 		blockedUntil: map[scheduler.WorkerName]time.Duration{}, retryAt: map[packer.StepID]time.Duration{},
+		records: map[packer.StepID]*stepRecord{},
 	}
 	for _, option := range options {
 		option(reserver)
@@ -152,6 +157,7 @@
 func (reserver *Reserver) Plan(pool *Pool) []Event {
 	elapsed := pool.Now - reserver.plannedAt
 	reserver.plannedAt = pool.Now
+	reserver.pruneRecords(pool.Groups)
 	large := reserver.largeGroups(pool)
 	if len(large) == 0 && len(reserver.reservations) == 0 {
 		return nil
@@ -178,6 +184,7 @@
 		}
 		events = append(events, newEvent(EventUsed, reservation, now, ""))
 		reservation.tasks--
+		delete(reserver.records, reservation.step)
 	}
 	reserver.reservations = slices.DeleteFunc(reserver.reservations, func(reservation *Reservation) bool {
 		return reservation.tasks == 0
