reserver: count idle CPU also where memory is full

Cause: the idle fraction of a reservation was the smallest over all resources, so that idle CPU on a worker without free memory did not count: such a reservation never expired, and HeldIdle reported nothing. Change: the larger fraction of the reserved CPU and accelerators counts; memory only if neither is reserved, because memory beside busy CPU is free anyway and would let reservations on busy workers expire. HeldIdle returns the free CPU up to the reserved one. Run: TestIdleFraction failed before in three of its cases ('half of the CPU', 'CPU but no memory', 'accelerators only'); go test -race of reserver: pass. Conclusion: a reservation that keeps CPU idle expires whatever else the worker lacks.

--- a/internal/jobs/reserver/reservation.go
+++ b/internal/jobs/reserver/reservation.go
@@ -52,20 +52,23 @@
 	}
 }
 
-// idleFraction returns the fraction of the reserved capacity that is free on the worker, in the resource of which least
-// is free.
+// idleFraction returns the fraction of the reserved CPU or accelerators that is free on the worker, whichever is larger.
+// Memory counts only if neither is reserved, because other tasks cannot use it without CPU.
 func (reservation *Reservation) idleFraction(worker *packer.Worker) float64 {
 	total := reservation.total()
-	return min(
+	if total.MilliCores <= 0 && total.Accelerators <= 0 {
+		return idleFraction(worker.Free.MemoryBytes, total.MemoryBytes)
+	}
+	return max(
 		idleFraction(worker.Free.MilliCores, total.MilliCores),
-		idleFraction(worker.Free.MemoryBytes, total.MemoryBytes),
 		idleFraction(worker.Free.Accelerators, total.Accelerators),
 	)
 }
 
+// idleFraction returns which fraction of a reserved amount is free. It is zero if nothing is reserved.
 func idleFraction(free, reserved int64) float64 {
 	if reserved <= 0 {
-		return 1
+		return 0
 	}
 	return max(0, min(1, float64(free)/float64(reserved)))
 }
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -205,7 +205,7 @@
 	var held int64
 	for _, worker := range workers {
 		if reservation := byWorker[worker.Name]; reservation != nil {
-			held += int64(reservation.idleFraction(worker) * float64(reservation.total().MilliCores))
+			held += max(0, min(worker.Free.MilliCores, reservation.total().MilliCores))
 		}
 	}
 	return held
--- a/internal/jobs/reserver/reserver_test.go
+++ b/internal/jobs/reserver/reserver_test.go
@@ -225,3 +225,35 @@
 		t.Errorf("got %v of capacity held idle, want between %v and %v", got, defaultMaxIdle, wantMaxIdle)
 	}
 }
+
+// Guards against idle CPU or accelerators that do not count because the worker lacks another resource, and against busy
+// workers that count as idle because of memory that is free anyway.
+func TestIdleFraction(t *testing.T) {
+	request := scheduler.Resources{MilliCores: 4000, MemoryBytes: 4 << 30, Accelerators: 2}
+	tests := map[string]struct {
+		amount, free scheduler.Resources
+		want         float64
+		wantHeld     int64
+	}{
+		"nothing free":          {request, scheduler.Resources{}, 0, 0},
+		"half of the CPU":       {request, scheduler.Resources{MilliCores: 2000}, 0.5, 2000},
+		"CPU but no memory":     {request, scheduler.Resources{MilliCores: 8000}, 1, 4000},
+		"accelerators only":     {request, scheduler.Resources{Accelerators: 1}, 0.5, 0},
+		"memory only":           {request, scheduler.Resources{MemoryBytes: 8 << 30}, 0, 0},
+		"memory alone reserved": {scheduler.Resources{MemoryBytes: 4 << 30}, scheduler.Resources{MilliCores: 8000, MemoryBytes: 1 << 30}, 0.25, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			worker := &packer.Worker{Name: "w", Free: test.free}
+			reservation := &Reservation{worker: "w", tasks: 1, amount: test.amount}
+			if got := reservation.idleFraction(worker); got != test.want {
+				t.Errorf("got an idle fraction of %v, want %v", got, test.want)
+			}
+			reserver := New()
+			reserver.reservations = []*Reservation{reservation}
+			if got := reserver.HeldIdle([]*packer.Worker{worker}); got != test.wantHeld {
+				t.Errorf("got %d millicores held idle, want %d", got, test.wantHeld)
+			}
+		})
+	}
+}
