overseer: forget since when steps have waited once no task waits

Cause: without a waiting task, a planning cycle left the set of waiting steps as it was. A step that waited again after a quiet minute counted as waiting for that minute: past the aging time of reservations, and starved at once if it is a fill step. Change: the set is cleared in such a cycle. Run: TestStepWaitsAgain failed before (1m15s, want at most 15s), passes with -race. Conclusion: waits count from when the step last began to wait.

--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -132,6 +132,7 @@
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
+			leadership.jobLog.updateWaiting(leadership.now(), nil)
 			leadership.dropReservations()
 			return
 		}
