reserver: keep the idle time of a broken reservation beyond the next try

Cause: the idle time of a broken reservation and the pause after a failed try ended at the same instant, so that a reservation that was rebuilt by the next try started with an idle time of zero. Change: the idle time is kept for twice the retry interval. Run: TestIdleTimeAfterFailedTry failed with the earlier duration (0s, want 10s); go test -race of reserver: pass. Conclusion: rebuilding a reservation no longer extends it after a failed try.

--- a/internal/jobs/reserver/check.go
+++ b/internal/jobs/reserver/check.go
@@ -130,7 +130,7 @@
 			reserver.blockedUntil[reservation.worker] = now + reserver.maxIdle
 			expired[reservation.step] = true
 		} else {
-			reserver.interrupted[reservation.worker] = interruption{idle: reservation.idle, until: now + retryInterval}
+			reserver.interrupted[reservation.worker] = interruption{idle: reservation.idle, until: now + interruptionTime}
 		}
 		events = append(events, newEvent(EventBroken, reservation, now, reason))
 	}
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -30,6 +30,9 @@
 	agingTime = 10 * time.Second
 	// retryInterval is how long a step for which no worker could be reserved is not tried again.
 	retryInterval = time.Second
+	// interruptionTime is for how long the idle time of a broken reservation counts. It must exceed retryInterval, so that
+	// a reservation that is rebuilt after a failed try continues it.
+	interruptionTime = 2 * retryInterval
 	// maxSlip is by how much the predicted start of a reservation may become later before the workers are chosen again.
 	maxSlip = time.Second
 	// largeFactor is how many times larger than the mean running task a task must be to get a reservation. If tasks are
@@ -60,7 +63,7 @@
 	// plannedAt is when Plan was last called.
 	plannedAt time.Duration
 	// interrupted holds for how long the workers whose reservations were broken had been idle. A reservation that is made
-	// on such a worker within retryInterval continues the earlier one, so that rebuilding does not extend it.
+	// on such a worker within interruptionTime continues the earlier one, so that rebuilding does not extend it.
 	interrupted map[scheduler.WorkerName]interruption
 	// blockedUntil holds the workers that must not be reserved again yet, because a reservation has expired there.
 	blockedUntil map[scheduler.WorkerName]time.Duration
--- a/internal/jobs/reserver/reserver_test.go
+++ b/internal/jobs/reserver/reserver_test.go
@@ -257,3 +257,29 @@
 		})
 	}
 }
+
+// Guards against idle time that is forgotten when a broken reservation can be rebuilt only after a failed try.
+func TestIdleTimeAfterFailedTry(t *testing.T) {
+	pool := poolOf(4, 4, 4, 4, 4)
+	pool.Groups = []Group{waitingGroup(scheduler.Step{Request: cores(4)})}
+	reserver := New()
+	reserver.Plan(pool)
+	const want = defaultMaxIdle / 2
+	pool.Workers[4].Free, pool.Now = cores(4), pool.Now+want
+	reserver.Plan(pool)
+	releases := pool.Releases
+	pool.Releases = func(scheduler.WorkerName) []Release { return nil }
+	pool.Workers[4].Free = scheduler.Resources{}
+	reserver.Plan(pool)
+	if got := len(reserver.Reservations()); got != 0 {
+		t.Fatalf("got %d reservations while no task is expected to end, want 0", got)
+	}
+	pool.Releases, pool.Now = releases, pool.Now+retryInterval
+	reserver.Plan(pool)
+	if got := len(reserver.Reservations()); got != 1 {
+		t.Fatalf("got %d reservations after the failed try, want 1", got)
+	}
+	if got := reserver.Reservations()[0].idle; got != want {
+		t.Errorf("got an idle time of %v, want %v", got, want)
+	}
+}
