reserver: break the newest reservations when a pool shrinks

Cause: the maximum fraction of reserved workers was checked only when reserving. After a loss of workers, a larger fraction stayed reserved. Change: each decision breaks the newest reservations beyond the maximum, of a gang all, with the new reason limit. Conclusion: the fraction holds in each decision.

--- a/internal/jobs/reserver/check.go
+++ b/internal/jobs/reserver/check.go
@@ -1,6 +1,7 @@
 package reserver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/packer"
@@ -37,6 +38,7 @@
 		reasons[reservation] = reason
 		incomplete[reservation.step] = incomplete[reservation.step] || reservation.gang
 	}
+	reserver.breakExcess(reserver.maxReserved(pool), reasons, incomplete)
 	reserver.alignGangs()
 	return reserver.removeBroken(pool.Now, reasons, incomplete)
 }
@@ -96,6 +98,39 @@
 	return ""
 }
 
+// breakExcess adds a reason for the newest reservations if more workers are reserved than allowed, which happens when the
+// pool loses workers. Reservations that are removed anyway do not count.
+func (reserver *Reserver) breakExcess(
+	maxReserved int, reasons map[*Reservation]Reason, incomplete map[packer.StepID]bool,
+) {
+	isKept := func(reservation *Reservation) bool {
+		return reasons[reservation] == "" && !incomplete[reservation.step]
+	}
+	kept := map[packer.StepID]int{}
+	count := 0
+	for _, reservation := range reserver.reservations {
+		if isKept(reservation) {
+			kept[reservation.step]++
+			count++
+		}
+	}
+	for _, reservation := range slices.Backward(reserver.reservations) {
+		if count <= maxReserved {
+			return
+		}
+		if !isKept(reservation) {
+			continue
+		}
+		reasons[reservation] = ReasonLimit
+		if reservation.gang {
+			incomplete[reservation.step] = true
+			count -= kept[reservation.step]
+		} else {
+			count--
+		}
+	}
+}
+
 // alignGangs sets the start of all reservations of a gang to the latest of them, because its members start together.
 func (reserver *Reserver) alignGangs() {
 	starts := map[packer.StepID]time.Duration{}
--- a/internal/jobs/reserver/reservation.go
+++ b/internal/jobs/reserver/reservation.go
@@ -103,6 +103,8 @@
 	ReasonDelayed Reason = "delayed"
 	// ReasonIncomplete means that the reservation of another member of the gang was broken.
 	ReasonIncomplete Reason = "incomplete"
+	// ReasonLimit means that the pool has lost workers and a larger fraction of it than allowed was reserved.
+	ReasonLimit Reason = "limit"
 )
 
 // Event is a change of a reservation.
--- a/internal/jobs/reserver/reserver_test.go
+++ b/internal/jobs/reserver/reserver_test.go
@@ -283,3 +283,58 @@
 		t.Errorf("got an idle time of %v, want %v", got, want)
 	}
 }
+
+// Guards against a pool of which more than the maximum fraction stays reserved after it has lost workers, and against
+// gangs of which only some members lose their reservation.
+func TestReservedFractionOfSmallerPool(t *testing.T) {
+	single, gang := scheduler.Step{Request: cores(4)}, scheduler.Step{Count: 2, Request: cores(4), Gang: true}
+	tests := map[string]struct {
+		steps   []scheduler.Step
+		workers int
+		want    string
+	}{
+		"as many as allowed":             {[]scheduler.Step{single, single}, 10, "[old new]"},
+		"newest step":                    {[]scheduler.Step{single, single}, 9, "[old]"},
+		"newest gang as a whole":         {[]scheduler.Step{single, gang}, 10, "[old]"},
+		"newer step before the old gang": {[]scheduler.Step{gang, single}, 10, "[old old]"},
+		"pool too small to reserve":      {[]scheduler.Step{single, single}, 4, "[]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			// The workers that are reserved come first: they release their tasks within the horizon, the others do not.
+			pool := poolOf(4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4)
+			releases := pool.Releases
+			reservable := map[scheduler.WorkerName]bool{"w0": true, "w1": true, "w2": true}
+			pool.Releases = func(worker scheduler.WorkerName) []Release {
+				if !reservable[worker] {
+					return nil
+				}
+				return releases(worker)
+			}
+			for position, job := range []scheduler.JobID{"old", "new"} {
+				group := waitingGroup(test.steps[position])
+				for index := range group.Tasks {
+					group.Tasks[index].Job = job
+				}
+				pool.Groups = append(pool.Groups, group)
+			}
+			reserver := New()
+			reserver.Plan(pool)
+			made := len(reserver.Reservations())
+			pool.Workers = pool.Workers[:test.workers]
+			events := reserver.Plan(pool)
+			jobs := []scheduler.JobID{}
+			for _, reservation := range reserver.Reservations() {
+				jobs = append(jobs, reservation.Step().Job())
+			}
+			if got := fmt.Sprint(jobs); got != test.want {
+				t.Errorf("got reservations for %s of %d, want for %s", got, made, test.want)
+			}
+			for _, event := range events {
+				if got := event.Reason(); got != ReasonLimit && got != ReasonIncomplete {
+					t.Errorf("got an event of kind %s with reason %q, want %s or %s", event.Kind(), got, ReasonLimit, ReasonIncomplete)
+				}
+			}
+		})
+	}
+}
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -56,7 +56,7 @@
 	for _, reservation := range reserver.reservations {
 		taken[reservation.worker] = true
 	}
-	maxWorkers := int(reserver.maxFraction*float64(len(pool.Workers))) - len(taken)
+	maxWorkers := reserver.maxReserved(pool) - len(taken)
 	if maxWorkers <= 0 {
 		return nil
 	}
@@ -83,6 +83,11 @@
 	return reservations
 }
 
+// maxReserved returns how many workers of a pool may be reserved at the same time.
+func (reserver *Reserver) maxReserved(pool *Pool) int {
+	return int(reserver.maxFraction * float64(len(pool.Workers)))
+}
+
 // candidateSlots returns the slots for up to count tasks of a group in the order of compareSlots, maxSlots at most. Each
 // candidate gets an equal part of them.
 func (reserver *Reserver) candidateSlots(
