packer, reserver, overseer: name holds and conditions for what they are

Cause: promisedStart was a prediction; isMixed hid two unrelated conditions; nothing said how Worker.Hold and heldForLongRunning, and the exclusions that stand for them, differ. Change: initialStart; usesReservations with hasUnequalWorkers and hasUnequalPriorities; comments. No behaviour changes. Run: go test -race of packer and reserver, of overseer (Reserv, LargeTask, Explain, StepWaits): pass.

--- a/internal/jobs/overseer/lookahead.go
+++ b/internal/jobs/overseer/lookahead.go
@@ -52,7 +52,7 @@
 func (leadership *leadership) pack(
 	state *jobkeeper.State, name scheduler.PoolName, workers []*packer.Worker, steps []*waitingStep, groups []packer.Group,
 ) []packer.Assignment {
-	if leadership.overseer.maxIdle <= 0 || !isMixed(state, name, workers) {
+	if leadership.overseer.maxIdle <= 0 || !usesReservations(state, name, workers) {
 		return packer.Pack(workers, groups)
 	}
 	poolReserver := leadership.lookAhead.reservers[name]
@@ -71,15 +71,24 @@
 	return assignments
 }
 
-// isMixed reports whether a pool has workers of unequal capacity or serves queues of different priority. In other pools,
-// large tasks do not wait behind small ones for longer than the order of urgency intends.
-func isMixed(state *jobkeeper.State, name scheduler.PoolName, workers []*packer.Worker) bool {
+// usesReservations reports whether large tasks of a pool may get reservations. Where all workers have the same capacity
+// and all queues the same priority, large tasks do not wait behind small ones for longer than the order of urgency intends.
+func usesReservations(state *jobkeeper.State, name scheduler.PoolName, workers []*packer.Worker) bool {
+	return hasUnequalWorkers(workers) || hasUnequalPriorities(state.Configuration(), name)
+}
+
+// hasUnequalWorkers reports whether the capacities of the workers differ.
+func hasUnequalWorkers(workers []*packer.Worker) bool {
 	for _, worker := range workers {
 		if worker.Capacity != workers[0].Capacity {
 			return true
 		}
 	}
-	configuration := state.Configuration()
+	return false
+}
+
+// hasUnequalPriorities reports whether the priorities of the queues that a pool serves differ.
+func hasUnequalPriorities(configuration *scheduler.QueueConfiguration, name scheduler.PoolName) bool {
 	if configuration == nil {
 		return false
 	}
--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -11,7 +11,8 @@
 	ExcludedBySlack Exclusion = "insufficientSlack"
 	// ExcludedByInterference means that a fill task is predicted to slow a serving task beyond its limit.
 	ExcludedByInterference Exclusion = "interference"
-	// ExcludedByHold means that the worker is held for a long-running task that fits on no worker yet.
+	// ExcludedByHold means that the whole worker is kept for a long-running task that fits on no worker yet, for the rest
+	// of this decision, see Worker. It is unrelated to Worker.Hold, for which ExcludedByReservation stands.
 	ExcludedByHold Exclusion = "heldForLongRunning"
 	// ExcludedByCapacity means that the request exceeds the worker's free capacity.
 	ExcludedByCapacity Exclusion = "insufficientCapacity"
@@ -21,7 +22,8 @@
 	ExcludedByTaskLimit Exclusion = "tasksPerWorker"
 	// ExcludedByApproval means that the approval service has not approved the worker for the step.
 	ExcludedByApproval Exclusion = "notApproved"
-	// ExcludedByReservation means that the free capacity is kept for a task that is expected to start later.
+	// ExcludedByReservation means that Worker.Hold keeps the free capacity for a task that is expected to start later.
+	// Unlike with ExcludedByHold, tasks that end before or fit beside it are accepted.
 	ExcludedByReservation Exclusion = "reserved"
 	// ExcludedByFailure means that a task of the group failed on the worker and is to run elsewhere.
 	ExcludedByFailure Exclusion = "failedThere"
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -32,11 +32,13 @@
 	placeableDemand imageDemands
 	// heldForLongRunning is true if the worker is held for a long-running task that fits on no worker yet. For the rest
 	// of the decision, the worker then takes fill tasks only, which reserve no CPU. It takes no other long-running task
-	// either. The next decision starts without held workers and can assign the long-running task to any worker.
+	// either. The next decision starts without held workers and can assign the long-running task to any worker. It is
+	// independent of Hold, which the caller sets.
 	heldForLongRunning bool
 	// ColdRemaining is how much longer the worker remains slow after its start. It is zero for a warm worker.
 	ColdRemaining time.Duration
-	// Hold keeps capacity for tasks that are expected to start later. It is nil if none is kept.
+	// Hold keeps a part of the capacity for tasks that are expected to start later, and lets others use it until then. It
+	// is nil if none is kept. Package reserver decides about it; it never keeps capacity for long-running tasks.
 	Hold *Hold
 	// Images counts the serving tasks on the worker by image.
 	Images ImageCounts
--- a/internal/jobs/reserver/check.go
+++ b/internal/jobs/reserver/check.go
@@ -92,7 +92,7 @@
 	if reservation.gang {
 		reservation.start = pool.Now + last.after
 	}
-	if reservation.start > reservation.promisedStart+maxSlip {
+	if reservation.start > reservation.initialStart+maxSlip {
 		return ReasonDelayed
 	}
 	return ""
--- a/internal/jobs/reserver/reservation.go
+++ b/internal/jobs/reserver/reservation.go
@@ -26,8 +26,8 @@
 	// capacity of the worker that the tasks are expected to leave free from then on.
 	start time.Duration
 	spare scheduler.Resources
-	// promisedStart is the start that was expected when the reservation was made.
-	promisedStart time.Duration
+	// initialStart is the start that was expected when the reservation was made.
+	initialStart time.Duration
 }
 
 // Step returns the step of the tasks.
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -77,7 +77,7 @@
 	}
 	reservations := newReservations(pool.Now, group, chosen)
 	for _, reservation := range reservations {
-		reservation.promisedStart = reservation.start
+		reservation.initialStart = reservation.start
 		reservation.idle = reserver.interrupted[reservation.worker].idle
 	}
 	return reservations
