lookahead: merge the corrections of the review

Cause: seven findings of a review: a huge gang could exhaust the leader, an expired step reserved other workers at once, full memory hid idle CPU, waits were not forgotten in quiet minutes, and others. Change: bounds on gangs and slots, idle time for each step with a growing pause, wording.

--- a/internal/jobs/reserver/check.go
+++ b/internal/jobs/reserver/check.go
@@ -1,6 +1,7 @@
 package reserver
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/packer"
@@ -18,6 +19,7 @@
 	for _, worker := range pool.Workers {
 		workers[worker.Name] = worker
 	}
+	reserver.measureIdle(workers, elapsed)
 	reasons := map[*Reservation]Reason{}
 	incomplete := map[packer.StepID]bool{}
 	waiting := map[packer.StepID]int{}
@@ -26,9 +28,6 @@
 	}
 	for _, reservation := range reserver.reservations {
 		worker := workers[reservation.worker]
-		if worker != nil {
-			reservation.idle += time.Duration(reservation.idleFraction(worker) * float64(elapsed))
-		}
 		reason := reserver.update(pool, reservation, groups[reservation.step], worker)
 		if reason == "" {
 			reason = claim(waiting, reservation)
@@ -39,6 +38,7 @@
 		reasons[reservation] = reason
 		incomplete[reservation.step] = incomplete[reservation.step] || reservation.gang
 	}
+	reserver.breakExcess(reserver.maxReserved(pool), reasons, incomplete)
 	reserver.alignGangs()
 	return reserver.removeBroken(pool.Now, reasons, incomplete)
 }
@@ -78,7 +78,7 @@
 		return ReasonWorkerUnavailable
 	case !group.FitsIdle(worker, 0):
 		return ReasonUnsuitable
-	case reservation.idle >= reserver.maxIdle:
+	case reserver.isExpired(reservation):
 		return ReasonExpired
 	}
 	slots := pool.slots(worker, group, reservation.tasks, reserver.maxIdle)
@@ -92,12 +92,45 @@
 	if reservation.gang {
 		reservation.start = pool.Now + last.after
 	}
-	if reservation.start > reservation.promisedStart+maxSlip {
+	if reservation.start > reservation.initialStart+maxSlip {
 		return ReasonDelayed
 	}
 	return ""
 }
 
+// breakExcess adds a reason for the newest reservations if more workers are reserved than allowed, which happens when the
+// pool loses workers. Reservations that are removed anyway do not count.
+func (reserver *Reserver) breakExcess(
+	maxReserved int, reasons map[*Reservation]Reason, incomplete map[packer.StepID]bool,
+) {
+	isKept := func(reservation *Reservation) bool {
+		return reasons[reservation] == "" && !incomplete[reservation.step]
+	}
+	kept := map[packer.StepID]int{}
+	count := 0
+	for _, reservation := range reserver.reservations {
+		if isKept(reservation) {
+			kept[reservation.step]++
+			count++
+		}
+	}
+	for _, reservation := range slices.Backward(reserver.reservations) {
+		if count <= maxReserved {
+			return
+		}
+		if !isKept(reservation) {
+			continue
+		}
+		reasons[reservation] = ReasonLimit
+		if reservation.gang {
+			incomplete[reservation.step] = true
+			count -= kept[reservation.step]
+		} else {
+			count--
+		}
+	}
+}
+
 // alignGangs sets the start of all reservations of a gang to the latest of them, because its members start together.
 func (reserver *Reserver) alignGangs() {
 	starts := map[packer.StepID]time.Duration{}
@@ -112,11 +145,12 @@
 }
 
 // removeBroken removes the reservations with a reason, and all reservations of an incomplete gang. A worker on which
-// a reservation has expired is not reserved again for maxIdle.
+// a reservation has expired is not reserved again for maxIdle, and the step gets no reservation for a while.
 func (reserver *Reserver) removeBroken(
 	now time.Duration, reasons map[*Reservation]Reason, incomplete map[packer.StepID]bool,
 ) []Event {
 	var events []Event
+	expired := map[packer.StepID]bool{}
 	kept := reserver.reservations[:0]
 	for _, reservation := range reserver.reservations {
 		reason := reasons[reservation]
@@ -129,11 +163,15 @@
 		}
 		if reason == ReasonExpired {
 			reserver.blockedUntil[reservation.worker] = now + reserver.maxIdle
+			expired[reservation.step] = true
 		} else {
-			reserver.interrupted[reservation.worker] = interruption{idle: reservation.idle, until: now + retryInterval}
+			reserver.interrupted[reservation.worker] = interruption{idle: reservation.idle, until: now + interruptionTime}
 		}
 		events = append(events, newEvent(EventBroken, reservation, now, reason))
 	}
+	for step := range expired {
+		reserver.postponeRetry(now, step)
+	}
 	clear(reserver.reservations[len(kept):])
 	reserver.reservations = kept
 	return events
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -30,6 +30,9 @@
 	agingTime = 10 * time.Second
 	// retryInterval is how long a step for which no worker could be reserved is not tried again.
 	retryInterval = time.Second
+	// interruptionTime is for how long the idle time of a broken reservation counts. It must exceed retryInterval, so that
+	// a reservation that is rebuilt after a failed try continues it.
+	interruptionTime = 2 * retryInterval
 	// maxSlip is by how much the predicted start of a reservation may become later before the workers are chosen again.
 	maxSlip = time.Second
 	// largeFactor is how many times larger than the mean running task a task must be to get a reservation. If tasks are
@@ -42,6 +45,11 @@
 	maxTasksPerStep = 16
 	// minCandidates is the number of workers whose running tasks are considered for a step, at least.
 	minCandidates = 256
+	// maxGangTasks is the number of tasks above which a gang gets no reservation.
+	maxGangTasks = 512
+	// maxSlots limits the slots that are collected for a step on all workers together. It bounds the time and the memory
+	// of one decision.
+	maxSlots = 16384
 )
 
 // Reserver keeps the reservations of a pool. It is not safe for concurrent use.
@@ -55,12 +63,15 @@
 	// plannedAt is when Plan was last called.
 	plannedAt time.Duration
 	// interrupted holds for how long the workers whose reservations were broken had been idle. A reservation that is made
-	// on such a worker within retryInterval continues the earlier one, so that rebuilding does not extend it.
+	// on such a worker within interruptionTime continues the earlier one, so that rebuilding does not extend it.
 	interrupted map[scheduler.WorkerName]interruption
 	// blockedUntil holds the workers that must not be reserved again yet, because a reservation has expired there.
 	blockedUntil map[scheduler.WorkerName]time.Duration
-	// retryAt holds the steps for which no worker could be reserved, and when they are tried again.
+	// retryAt holds the steps for which no worker could be reserved or whose reservations have expired, and when they are
+	// tried again.
 	retryAt map[packer.StepID]time.Duration
+	// records holds the records of steps that have or had reservations.
+	records map[packer.StepID]*stepRecord
 }
 
 // interruption is the idle time of a reservation that was broken, and until when it counts.
@@ -72,8 +83,9 @@
 type Option func(reserver *Reserver)
 
 // WithMaxIdle sets the maximum time for which a reservation may hold capacity idle, 20 s by default. While only a part of
-// the reserved capacity is idle, the time counts in proportion. A worker on which a reservation has reached the maximum
-// is not reserved again for the same time. Tasks that are expected to start later get no reservation.
+// the reserved capacity is idle, the time counts in proportion. It is counted for each worker and for each step. When it is
+// reached, the worker is not reserved again for the same time, and nor is any worker for the step, for which the time
+// doubles with each further expiry. Tasks that are expected to start later get no reservation.
 func WithMaxIdle(maxIdle time.Duration) Option {
 	return func(reserver *Reserver) { reserver.maxIdle = maxIdle }
 }
@@ -95,6 +107,7 @@
 		maxIdle: defaultMaxIdle, maxFraction: defaultMaxFraction, maxSteps: defaultMaxSteps,
 		interrupted:  map[scheduler.WorkerName]interruption{},
 		blockedUntil: map[scheduler.WorkerName]time.Duration{}, retryAt: map[packer.StepID]time.Duration{},
+		records: map[packer.StepID]*stepRecord{},
 	}
 	for _, option := range options {
 		option(reserver)
@@ -147,6 +160,7 @@
 func (reserver *Reserver) Plan(pool *Pool) []Event {
 	elapsed := pool.Now - reserver.plannedAt
 	reserver.plannedAt = pool.Now
+	reserver.pruneRecords(pool.Groups)
 	large := reserver.largeGroups(pool)
 	if len(large) == 0 && len(reserver.reservations) == 0 {
 		return nil
@@ -173,6 +187,7 @@
 		}
 		events = append(events, newEvent(EventUsed, reservation, now, ""))
 		reservation.tasks--
+		delete(reserver.records, reservation.step)
 	}
 	reserver.reservations = slices.DeleteFunc(reserver.reservations, func(reservation *Reservation) bool {
 		return reservation.tasks == 0
@@ -193,7 +208,7 @@
 	var held int64
 	for _, worker := range workers {
 		if reservation := byWorker[worker.Name]; reservation != nil {
-			held += int64(reservation.idleFraction(worker) * float64(reservation.total().MilliCores))
+			held += max(0, min(worker.Free.MilliCores, reservation.total().MilliCores))
 		}
 	}
 	return held
@@ -209,7 +224,8 @@
 }
 
 // largeGroups returns the waiting groups that qualify for a reservation. Fill tasks and long-running tasks
-// never qualify: the former reserve no CPU, and package packer holds workers for the latter.
+// never qualify: the former reserve no CPU, and package packer holds workers for the latter. Nor do gangs of more than
+// maxGangTasks tasks.
 func (reserver *Reserver) largeGroups(pool *Pool) []*Group {
 	var large []*Group
 	var mean *scheduler.Resources
@@ -222,6 +238,9 @@
 			request := pool.MeanRequest()
 			mean = &request
 		}
+		if group.Step.Gang && len(group.Tasks) > maxGangTasks {
+			continue
+		}
 		isGang := group.Step.Gang && len(group.Tasks) > 1
 		if isGang || isLarge(group.Step.Reserved(), *mean) {
 			large = append(large, group)
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -56,7 +56,7 @@
 	for _, reservation := range reserver.reservations {
 		taken[reservation.worker] = true
 	}
-	maxWorkers := int(reserver.maxFraction*float64(len(pool.Workers))) - len(taken)
+	maxWorkers := reserver.maxReserved(pool) - len(taken)
 	if maxWorkers <= 0 {
 		return nil
 	}
@@ -64,11 +64,7 @@
 	if !group.Step.Gang {
 		count = min(count, maxTasksPerStep)
 	}
-	var candidates []slot
-	for _, worker := range reserver.candidates(pool, group, taken, max(minCandidates, count)) {
-		candidates = append(candidates, pool.slots(worker, group, count, reserver.maxIdle)...)
-	}
-	slices.SortStableFunc(candidates, compareSlots)
+	candidates := reserver.candidateSlots(pool, group, taken, count)
 	if group.Step.RackLocal {
 		candidates = earliestRack(candidates, count, maxWorkers)
 	}
@@ -81,12 +77,32 @@
 	}
 	reservations := newReservations(pool.Now, group, chosen)
 	for _, reservation := range reservations {
-		reservation.promisedStart = reservation.start
+		reservation.initialStart = reservation.start
 		reservation.idle = reserver.interrupted[reservation.worker].idle
 	}
 	return reservations
 }
 
+// maxReserved returns how many workers of a pool may be reserved at the same time.
+func (reserver *Reserver) maxReserved(pool *Pool) int {
+	return int(reserver.maxFraction * float64(len(pool.Workers)))
+}
+
+// candidateSlots returns the slots for up to count tasks of a group in the order of compareSlots, maxSlots at most. Each
+// candidate gets an equal part of them.
+func (reserver *Reserver) candidateSlots(
+	pool *Pool, group *Group, taken map[scheduler.WorkerName]bool, count int,
+) []slot {
+	workers := reserver.candidates(pool, group, taken, max(minCandidates, count))
+	maxPerWorker := min(count, maxSlots/max(len(workers), 1))
+	var slots []slot
+	for _, worker := range workers {
+		slots = append(slots, pool.slots(worker, group, maxPerWorker, reserver.maxIdle)...)
+	}
+	slices.SortStableFunc(slots, compareSlots)
+	return slots
+}
+
 // candidates returns the workers that may be reserved for a group: those with the most free CPU of the ones that could
 // run a task if they were idle. Their number is limited because predicting the ends of running tasks takes time.
 func (reserver *Reserver) candidates(
