overseer: count copies of the same decision against MaxPerWorker

Cause: placeCopy read the attempts by worker from the replicated state for each copy, so copies chosen earlier in the same decision were missed and a step could exceed MaxPerWorker.

Change: placeCopies keeps the attempts by step and worker for the decision and counts each chosen copy.

Conclusion: copies keep MaxPerWorker within one decision.

--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -188,6 +188,7 @@
 ) []copyPlacement {
 	var copies []copyPlacement
 	pools := leadership.schedulableWorkers(state)
+	attempts := stepAttempts{}
 	tried := map[scheduler.QueueName]int{}
 	for _, candidate := range candidates {
 		load := loads[candidate.Queue()]
@@ -197,7 +198,7 @@
 		}
 		tried[candidate.Queue()]++
 		step, instance := running.steps[candidate.Position()], running.instances[candidate.Position()]
-		worker, found := leadership.placeCopy(candidate.Task(), step, instance, pools[step.Job().Queue().Pool])
+		worker, found := leadership.placeCopy(candidate.Task(), step, instance, pools[step.Job().Queue().Pool], attempts)
 		if !found {
 			continue
 		}
@@ -212,10 +213,22 @@
 	return copies
 }
 
+// stepAttempts holds the attempts of steps by worker, with the copies that one decision has placed so far.
+type stepAttempts map[*jobkeeper.StepState]map[scheduler.WorkerName]int
+
+// of returns the attempts of a step by worker.
+func (stepAttempts stepAttempts) of(step *jobkeeper.StepState) map[scheduler.WorkerName]int {
+	if stepAttempts[step] == nil {
+		stepAttempts[step] = attemptsByWorker(step)
+	}
+	return stepAttempts[step]
+}
+
 // placeCopy chooses a worker for a copy: one that the constraints of the step allow, in the rack where its tasks run
 // fast, and neither slow nor the one on which the original runs or the task has failed.
 func (leadership *leadership) placeCopy(
 	task scheduler.StepTaskID, step *jobkeeper.StepState, original *worker, workers []*packer.Worker,
+	attempts stepAttempts,
 ) (scheduler.WorkerName, bool) {
 	spec := step.Spec()
 	rack := spec.PreferredRack
@@ -231,12 +244,15 @@
 		Step: spec, Tasks: []scheduler.StepTaskID{task}, Approved: leadership.approvedWorkers(step, 1),
 	}
 	if spec.MaxPerWorker > 0 {
-		group.AttemptsByWorker = attemptsByWorker(step)
+		group.AttemptsByWorker = attempts.of(step)
 	}
 	assignments := packer.Pack(workers, []packer.Group{group})
 	if len(assignments) == 0 {
 		return "", false
 	}
+	if spec.MaxPerWorker > 0 {
+		attempts.of(step)[assignments[0].Worker]++
+	}
 	return assignments[0].Worker, true
 }
 
--- a/internal/jobs/overseer/speculation_test.go
+++ b/internal/jobs/overseer/speculation_test.go
@@ -278,3 +278,45 @@
 		t.Error("no task had a copy")
 	}
 }
+
+// Guards against copies chosen in the same decision that together exceed the maximum number of attempts per worker.
+func TestCopiesKeepMaxPerWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		simulation.setRunTime(func(run scheduler.RunID) time.Duration {
+			if run.Attempt == 1 && run.Task.Index < 2 {
+				return time.Minute
+			}
+			return usualRunTime
+		})
+		step := speculativeStep(4)
+		step.MaxPerWorker = 1
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{step}})
+		most := 0
+		for range 8000 {
+			time.Sleep(time.Millisecond)
+			simulation.domain.keeper.View(func(state *jobkeeper.State) {
+				if job, found := state.Job("job0"); found && !job.State().Ended() {
+					for _, attempts := range attemptsByWorker(job.Step(0, 0)) {
+						most = max(most, attempts)
+					}
+				}
+			})
+		}
+		if got, want := most, step.MaxPerWorker; got != want {
+			t.Errorf("got %d attempts on one worker, want at most %d", got, want)
+		}
+		simulation.fleet.mutex.Lock()
+		copies := simulation.fleet.copies
+		simulation.fleet.mutex.Unlock()
+		if copies == 0 {
+			t.Error("no task had a copy")
+		}
+		time.Sleep(20 * time.Second)
+		simulation.checkSettled()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
