overseer: stop adopted attempts before their start is withdrawn

Cause: an attempt that was adopted from the log or carried over to a later instance did not record that an earlier start order may still take effect. A withheld start was recorded as refused without a stop order. If the same VM led again in the same term, the late start order was not fenced and the task ran twice.

Change: attempts set mayHaveStarted in adopt and replaceInstance; withdraw stops such attempts first.

--- a/internal/jobs/overseer/evacuation_test.go
+++ b/internal/jobs/overseer/evacuation_test.go
@@ -211,3 +211,49 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice: the VM leads again in the same term, withholds the start of an attempt that its
+// earlier leadership has sent, and the earlier start takes effect after the task was placed elsewhere.
+func TestWithheldStartAfterNewLeadershipInTerm(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, seed)
+				simulation.spread()
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				simulation.setRunTime(func(scheduler.RunID) time.Duration { return 15 * time.Second })
+				id := scheduler.RunID{Task: scheduler.StepTaskID{Job: "job0"}, Attempt: 1}
+				simulation.fleet.mutex.Lock()
+				simulation.fleet.lateStart = id
+				simulation.fleet.mutex.Unlock()
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 1, Request: oneCore}}})
+				time.Sleep(300 * time.Millisecond)
+				var worker scheduler.WorkerName
+				simulation.domain.keeper.View(func(state *jobkeeper.State) {
+					job, _ := state.Job("job0")
+					for _, run := range job.Step(0, 0).Tasks()[0].Runs() {
+						worker = run.Worker()
+					}
+				})
+				simulation.evacuate(simulation.fleet.dataCentres[worker], scheduler.EvacuationBegin)
+				simulation.leading().deposed.Store(true) // As handlePanic does.
+				time.Sleep(40 * time.Second)
+				simulation.checkSettled()
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// leading returns the current leadership.
+func (simulation *simulation) leading() *leadership {
+	for _, overseer := range simulation.overseers {
+		if leadership := overseer.current.Load(); leadership != nil {
+			return leadership
+		}
+	}
+	simulation.t.Fatal("no VM leads")
+	return nil
+}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -126,8 +126,8 @@
 		instance = leadership.replaceInstance(instance, run.Instance())
 	}
 	instance.attempts[run.ID()] = &attempt{
-		state: attemptUnknown, spec: *run.Task().Step().Spec(), share: fullShare, targetShare: fullShare,
-		times: attemptTimes{placedAt: leadership.now()},
+		state: attemptUnknown, mayHaveStarted: true, spec: *run.Task().Step().Spec(),
+		share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: leadership.now()},
 	}
 	instance.synced = false
 	leadership.ensureRenewal(instance)
@@ -193,7 +193,7 @@
 		}
 		delete(earlier.attempts, id)
 		later.attempts[id] = &attempt{
-			state: attemptUnknown, spec: candidate.spec, approval: candidate.approval,
+			state: attemptUnknown, mayHaveStarted: true, spec: candidate.spec, approval: candidate.approval,
 			share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
 		}
 	}
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -179,10 +179,10 @@
 	leadership.withdraw(instance, id, attempt)
 }
 
-// withdraw ends an attempt that is not running. If an unanswered start order may still take effect, the attempt is
-// stopped first, after which the worker rejects that start order. The mutex must be held.
+// withdraw ends an attempt that is not running. If an earlier start order may still take effect, the attempt is stopped
+// first, after which the worker rejects that start order. The mutex must be held.
 func (leadership *leadership) withdraw(instance *worker, id scheduler.RunID, attempt *attempt) {
-	if attempt.startUnanswered {
+	if attempt.startUnanswered || attempt.mayHaveStarted {
 		attempt.state = attemptStopping
 		leadership.goroutines.Go(func() { leadership.stop(instance, id) })
 		return
@@ -249,7 +249,8 @@
 	}
 	switch response.Result {
 	case scheduler.OrderAccepted, scheduler.OrderStaleAttempt:
-		attempt.state, attempt.startOutstanding, attempt.startUnanswered = attemptStopped, false, false
+		attempt.state, attempt.startOutstanding = attemptStopped, false
+		attempt.startUnanswered, attempt.mayHaveStarted = false, false
 		attempt.settledAt += leadership.overseer.stopTime
 		leadership.ensureRenewal(instance)
 		return true
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -59,6 +59,9 @@
 	startOutstanding bool
 	// startUnanswered is true if a start order got no response and may therefore take effect later.
 	startUnanswered bool
+	// mayHaveStarted is true if this leadership did not place the attempt, or placed it on an earlier instance. A start
+	// order from then may still take effect.
+	mayHaveStarted bool
 	// starved is true for a fill task whose step was starved when the task was placed. Such a task is not moved when
 	// it is paused.
 	starved bool
