overseer: count only placeable waiting tasks against copies

Cause: addPoolLoads counted every waiting task, so one that no schedulable worker can ever run (unknown label, evacuated data centre) stopped all copies of its pool. It looked up the pools of configured queues only, so jobs of a removed queue had no load and got copies although tasks waited; a state without a configuration would have caused a panic.

Change: speculationload.go counts the waiting tasks that some schedulable worker could run if it were idle, decided once for each pool, label and request, and takes the pool from the queue of the step itself. Approvals and MaxPerWorker are not considered, because both may still change in favour of the task.

Conclusion: only tasks that could use the room hold back copies, for all queues of a pool.

--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -84,8 +84,9 @@
 		if len(candidates) == 0 {
 			return
 		}
-		leadership.addPoolLoads(state, loads)
-		copies = leadership.placeCopies(state, candidates, running, loads)
+		workers := leadership.schedulableWorkers(state)
+		leadership.addPoolLoads(state, loads, workers)
+		copies = leadership.placeCopies(candidates, running, loads, workers)
 	})
 	return copies
 }
@@ -93,8 +94,8 @@
 // speculativeAttempts returns the running attempts that may get a copy, and counts the attempts and copies of each queue.
 func (leadership *leadership) speculativeAttempts(
 	state *jobkeeper.State,
-) (running runningAttempts, loads map[scheduler.QueueName]*speculator.QueueLoad) {
-	loads = map[scheduler.QueueName]*speculator.QueueLoad{}
+) (running runningAttempts, loads queueLoads) {
+	loads = queueLoads{}
 	for _, instance := range leadership.instances {
 		for id, attempt := range instance.attempts {
 			if !attempt.mayHaveCopy() {
@@ -105,15 +106,12 @@
 				continue
 			}
 			step := run.Task().Step()
-			queue := step.Job().Queue().Name
-			if loads[queue] == nil {
-				loads[queue] = &speculator.QueueLoad{}
-			}
-			loads[queue].Running++
+			load := loads.of(step.Job().Queue())
+			load.Running++
 			if runs := run.Task().Runs(); len(runs) > 1 {
 				leadership.speculation.adopt(id.Task, runs)
 				if id.Attempt == leadership.speculation.copies[id.Task].copy {
-					loads[queue].Copies++
+					load.Copies++
 				}
 				continue
 			}
@@ -161,44 +159,24 @@
 	speculation.copies[task] = copied
 }
 
-// addPoolLoads completes the loads of the queues with those of their pools.
-func (leadership *leadership) addPoolLoads(
-	state *jobkeeper.State, loads map[scheduler.QueueName]*speculator.QueueLoad,
-) {
-	waiting := map[scheduler.PoolName]int{}
-	state.VisitReady(func(task *jobkeeper.Task) {
-		if !task.Step().Spec().Fill {
-			waiting[task.Step().Job().Queue().Pool]++
-		}
-	})
-	for _, queue := range state.Configuration().Queues {
-		load, poolAdmitter := loads[queue.Name], leadership.admitters[queue.Pool]
-		if load == nil || poolAdmitter == nil {
-			delete(loads, queue.Name)
-			continue
-		}
-		load.WaitingTasks, load.PoolLoad = waiting[queue.Pool], poolAdmitter.ReservedFraction()
-	}
-}
-
 // placeCopies chooses workers for the candidates, within the allowance of their queues.
 func (leadership *leadership) placeCopies(
-	state *jobkeeper.State, candidates []speculator.Candidate, running runningAttempts,
-	loads map[scheduler.QueueName]*speculator.QueueLoad,
+	candidates []speculator.Candidate, running runningAttempts, loads queueLoads,
+	workers map[scheduler.PoolName][]*packer.Worker,
 ) []copyPlacement {
 	var copies []copyPlacement
-	pools := leadership.schedulableWorkers(state)
 	attempts := stepAttempts{}
 	tried := map[scheduler.QueueName]int{}
 	for _, candidate := range candidates {
 		load := loads[candidate.Queue()]
-		if load == nil || leadership.speculation.speculator.Allowance(candidate.Queue(), *load) == 0 ||
+		if load == nil || leadership.speculation.speculator.Allowance(candidate.Queue(), load.QueueLoad) == 0 ||
 			tried[candidate.Queue()] >= maxCopiesPerDecision {
 			continue
 		}
 		tried[candidate.Queue()]++
 		step, instance := running.steps[candidate.Position()], running.instances[candidate.Position()]
-		worker, found := leadership.placeCopy(candidate.Task(), step, instance, pools[step.Job().Queue().Pool], attempts)
+		pool := step.Job().Queue().Pool
+		worker, found := leadership.placeCopy(candidate.Task(), step, instance, workers[pool], attempts)
 		if !found {
 			continue
 		}
--- a/internal/jobs/overseer/speculation_test.go
+++ b/internal/jobs/overseer/speculation_test.go
@@ -320,3 +320,67 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Guards against stragglers that get no copy because a task waits that can run on no worker, and against copies that take
+// the capacity of a waiting task, also after the removal of the straggler's queue.
+func TestWaitingTaskAndCopies(t *testing.T) {
+	// Each worker runs one task of the long-running step, so that the last one waits for a worker.
+	limited := scheduler.Step{Count: simulationWorkers + 1, Request: oneCore, LongRunning: true, MaxPerWorker: 1}
+	tests := map[string]struct {
+		step    scheduler.Step
+		removed bool
+		want    bool
+	}{
+		"no worker has the label":                {scheduler.Step{Count: 1, Request: oneCore, RequiredLabel: "missing"}, false, true},
+		"workers could run it":                   {limited, false, false},
+		"workers could run it, queue is removed": {limited, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				other := scheduler.Queue{Name: "other", PathPrefix: "/o/", Pool: "pool", Timeout: time.Second}
+				queue := scheduler.Queue{Name: "queue", PathPrefix: "/q/", Pool: "pool", Timeout: time.Second}
+				simulation.configureQueues(2, other, queue)
+				runStraggler(simulation)
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{speculativeStep(4)}})
+				time.Sleep(100 * time.Millisecond)
+				simulation.submitTo("other", test.step)
+				if test.removed {
+					simulation.configureQueues(3, other)
+				}
+				time.Sleep(30 * time.Second)
+				simulation.fleet.mutex.Lock()
+				got := simulation.fleet.copies > 0
+				simulation.fleet.mutex.Unlock()
+				if got != test.want {
+					t.Errorf("got a copy = %v, want %v", got, test.want)
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// configureQueues replaces the queues of the simulation's pool.
+func (simulation *simulation) configureQueues(version uint64, queues ...scheduler.Queue) {
+	simulation.t.Helper()
+	simulation.apply(jobkeeper.Command{Configure: &scheduler.QueueConfiguration{
+		Version: version, Pools: []scheduler.Pool{{Name: "pool"}}, Queues: queues,
+	}})
+}
+
+// submitTo submits a job with one step to a queue.
+func (simulation *simulation) submitTo(queue scheduler.QueueName, step scheduler.Step) {
+	simulation.t.Helper()
+	id, workflow := scheduler.JobID("other0"), scheduler.Workflow{Steps: []scheduler.Step{step}}
+	simulation.fleet.mutex.Lock()
+	simulation.fleet.workflows[id] = &workflow
+	simulation.fleet.mutex.Unlock()
+	simulation.apply(jobkeeper.Command{Submit: &jobkeeper.Submit{
+		Job: id, Queue: queue, Accepted: time.Now(), Workflow: workflow,
+	}})
+}
