overseer: log waiting steps by constraint and record an empty data centre once

Cause: evacuations.waiting kept every step that had waited during an evacuation, and each one gave a log line. Each new leader recorded evacuation_duration and dataCentreEmpty again, with a duration that may be negative because the request was accepted by the wall clock of another VM.

Change: each search builds the set of blocked constraints (pool and label) anew and logs a new one with the number of steps and tasks. A leadership records an empty data centre only if it saw the evacuation begin or a task there; the duration is at least 0.

Conclusion: memory and log lines are bounded by the constraints, and leader changes don't distort the histogram. If the leader changes between the request and the record and no task is left by then, no duration is recorded. The bound of 0 has no test of its own.

--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -19,15 +19,20 @@
 	// active holds the evacuated data centres, as of the last planning cycle.
 	active     map[scheduler.DataCentreName]*evacuationProgress
 	observedAt time.Duration
-	// waiting holds the waiting steps that were logged because only evacuated workers can run them. searchedAt is when
-	// they were last searched for.
-	waiting    map[stepKey]bool
+	// adopted is true once the evacuations that began before this leadership have been read.
+	adopted bool
+	// blocked holds the constraints of waiting steps that only evacuated workers meet, as of the last search at
+	// searchedAt. They have been logged.
+	blocked    map[constraint]bool
 	searchedAt time.Duration
 }
 
 // evacuationProgress is the progress of one evacuation.
 type evacuationProgress struct {
 	beganAt time.Time
+	// observed is true if this leadership has seen the evacuation begin or a task in the data centre. Otherwise an
+	// earlier leader may have recorded that the data centre is empty.
+	observed bool
 	// empty is true once no task is left in the data centre.
 	empty bool
 }
@@ -35,7 +40,7 @@
 func newEvacuations() evacuations {
 	return evacuations{
 		active:  map[scheduler.DataCentreName]*evacuationProgress{},
-		waiting: map[stepKey]bool{},
+		blocked: map[constraint]bool{},
 	}
 }
 
@@ -77,16 +82,19 @@
 			return
 		}
 		if evacuation.Active() {
-			active[dataCentre] = &evacuationProgress{beganAt: evacuation.ChangedAt()}
+			active[dataCentre] = &evacuationProgress{
+				beganAt: evacuation.ChangedAt(), observed: leadership.evacuations.adopted,
+			}
 		} else {
 			delete(active, dataCentre)
 		}
-		clear(leadership.evacuations.waiting)
+		clear(leadership.evacuations.blocked)
 		leadership.overseer.metrics.evacuation.dataCentres.Update(float64(len(active)))
 		leadership.logger.Info().Str("event", "evacuationChanged").Str("dataCentre", string(dataCentre)).
 			Bool("evacuated", evacuation.Active()).Uint64("revision", evacuation.Revision()).
 			Time("changedAt", evacuation.ChangedAt()).Msg("the leader follows the evacuation state of a data centre")
 	})
+	leadership.evacuations.adopted = true
 }
 
 // isInEvacuatedDataCentre reports whether a worker gets no new work because its data centre is evacuated. The mutex must
@@ -121,7 +129,8 @@
 		return // Tasks whose worker this leader has not heard yet may be in any data centre.
 	}
 	for dataCentre, progress := range leadership.evacuations.active {
-		if left[dataCentre] == 0 && !progress.empty {
+		progress.observed = progress.observed || left[dataCentre] > 0
+		if left[dataCentre] == 0 && progress.observed && !progress.empty {
 			leadership.recordEmpty(dataCentre, progress)
 		}
 	}
@@ -130,7 +139,7 @@
 // recordEmpty records that no task is left in an evacuated data centre. The mutex must be held.
 func (leadership *leadership) recordEmpty(dataCentre scheduler.DataCentreName, progress *evacuationProgress) {
 	progress.empty = true
-	took := time.Since(progress.beganAt)
+	took := max(time.Since(progress.beganAt), 0) // The wall clock of the VM that accepted the request may be ahead.
 	leadership.overseer.metrics.evacuation.duration.RecordDuration(took)
 	leadership.logger.Info().Str("event", "dataCentreEmpty").Str("dataCentre", string(dataCentre)).Dur("took", took).
 		Msg("no task is left in an evacuated data centre")
@@ -155,38 +164,72 @@
 	label string
 }
 
-// logStepsWaitingForEvacuations logs each waiting step that only workers in evacuated data centres can run, once for each
-// change of the evacuations. The mutex must be held.
+// logStepsWaitingForEvacuations logs the constraints of waiting steps that only workers in evacuated data centres meet,
+// each one once until no such step waits or the evacuations change. The mutex must be held.
 func (leadership *leadership) logStepsWaitingForEvacuations(steps []*waitingStep) {
 	now := leadership.now()
-	if len(leadership.evacuations.active) == 0 || len(steps) == 0 || now < leadership.evacuations.searchedAt+evacuationInterval {
+	if len(leadership.evacuations.active) == 0 || now < leadership.evacuations.searchedAt+evacuationInterval {
 		return
 	}
 	leadership.evacuations.searchedAt = now
-	available, evacuated := map[constraint]bool{}, map[constraint]bool{}
+	blocked := leadership.blockedSteps(steps)
+	for constraint, count := range blocked {
+		if leadership.evacuations.blocked[constraint] {
+			continue
+		}
+		leadership.logger.Info().Str("event", "stepWaitsForEvacuation").Str("pool", string(constraint.pool)).
+			Str("label", constraint.label).Int("steps", count.steps).Int("tasks", count.tasks).
+			Msg("only workers in evacuated data centres can run the steps; they wait")
+	}
+	clear(leadership.evacuations.blocked)
+	for constraint := range blocked {
+		leadership.evacuations.blocked[constraint] = true
+	}
+}
+
+// stepCount is a number of steps and of their waiting tasks.
+type stepCount struct {
+	steps int
+	tasks int
+}
+
+// blockedSteps counts the steps that only workers in evacuated data centres can run, by constraint. The mutex must be
+// held.
+func (leadership *leadership) blockedSteps(steps []*waitingStep) map[constraint]stepCount {
+	blocked := map[constraint]stepCount{}
+	if len(steps) == 0 {
+		return blocked
+	}
+	available, evacuated := leadership.metConstraints()
+	for _, waiting := range steps {
+		constraint := constraint{pool: waiting.step.Job().Queue().Pool, label: waiting.step.Spec().RequiredLabel}
+		if available[constraint] || !evacuated[constraint] {
+			continue
+		}
+		count := blocked[constraint]
+		count.steps++
+		count.tasks += len(waiting.tasks)
+		blocked[constraint] = count
+	}
+	return blocked
+}
+
+// metConstraints returns the constraints that ready workers meet, outside and inside evacuated data centres. The mutex
+// must be held.
+func (leadership *leadership) metConstraints() (available, evacuated map[constraint]bool) {
+	available, evacuated = map[constraint]bool{}, map[constraint]bool{}
 	for _, instance := range leadership.instances {
 		if !instance.hasHeartbeat || instance.heartbeat.Phase != scheduler.WorkerReady {
 			continue
 		}
-		constraints := available
+		met := available
 		if leadership.isInEvacuatedDataCentre(instance) {
-			constraints = evacuated
+			met = evacuated
 		}
-		constraints[constraint{pool: instance.heartbeat.Pool}] = true
+		met[constraint{pool: instance.heartbeat.Pool}] = true
 		for _, label := range instance.heartbeat.Labels {
-			constraints[constraint{pool: instance.heartbeat.Pool, label: label}] = true
-		}
-	}
-	for _, waiting := range steps {
-		step := waiting.step
-		constraint := constraint{pool: step.Job().Queue().Pool, label: step.Spec().RequiredLabel}
-		key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
-		if available[constraint] || !evacuated[constraint] || leadership.evacuations.waiting[key] {
-			continue
+			met[constraint{pool: instance.heartbeat.Pool, label: label}] = true
 		}
-		leadership.evacuations.waiting[key] = true
-		leadership.logger.Info().Str("event", "stepWaitsForEvacuation").Str("job", string(key.job)).Int("step", key.step).
-			Int("occurrence", key.occurrence).Str("pool", string(constraint.pool)).Str("label", constraint.label).
-			Int("tasks", len(waiting.tasks)).Msg("only workers in evacuated data centres can run the step; it waits")
 	}
+	return available, evacuated
 }
--- a/internal/jobs/overseer/evacuation_test.go
+++ b/internal/jobs/overseer/evacuation_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -257,3 +259,58 @@
 	simulation.t.Fatal("no VM leads")
 	return nil
 }
+
+// recordLogs makes all VMs log into the returned buffer, which may be read once the simulation has stopped.
+func (simulation *simulation) recordLogs() *bytes.Buffer {
+	logs := &bytes.Buffer{}
+	writer := zerolog.SyncWriter(logs)
+	for _, overseer := range simulation.overseers {
+		overseer.logger = zerolog.New(writer)
+	}
+	return logs
+}
+
+// Guards against a log line for each step that waits during an evacuation.
+func TestStepsWaitingForEvacuationAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.spread()
+		logs := simulation.recordLogs()
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		for number := range simulationDataCentres {
+			simulation.evacuate(dataCentreName(number), scheduler.EvacuationBegin)
+		}
+		for range 20 {
+			simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 1, Request: oneCore}}})
+			time.Sleep(2 * evacuationInterval)
+		}
+		stop()
+		if got, want := bytes.Count(logs.Bytes(), []byte(`"stepWaitsForEvacuation"`)), 1; got != want {
+			t.Errorf("got %d log lines for steps of one pool, want %d", got, want)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// Guards against new leaders that record the duration of an evacuation again.
+func TestEmptyDataCentreIsRecordedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.spread()
+		logs := simulation.recordLogs()
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		simulation.evacuate("d0", scheduler.EvacuationBegin)
+		time.Sleep(time.Minute)
+		for number := range 4 {
+			simulation.domain.elect(number % len(simulation.overseers))
+			time.Sleep(20 * time.Second)
+		}
+		stop()
+		if got, want := bytes.Count(logs.Bytes(), []byte(`"dataCentreEmpty"`)), 1; got != want {
+			t.Errorf("got %d records of an empty data centre, want %d", got, want)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -133,6 +133,7 @@
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
 			leadership.dropReservations()
+			clear(leadership.evacuations.blocked)
 			return
 		}
 		leadership.refreshEvacuations(state)
