overseer: limit the searches for workers of a decision on copies

Cause: the limit of 16 held for each queue, so one decision could look at all workers 16 times for each queue. Within a queue, 16 tasks for which no worker is found kept all others from a copy at each decision.

Change: one counter for the decision. Tasks for which no worker was found are tried again after the other candidates.

Run: TestUnplacedCopiesLeaveRoomForOthers failed before (2 open jobs, want 1) and passes now.

Conclusion: the cost of a decision no longer grows with the number of queues. No test counts the searches.

--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -16,7 +16,7 @@
 	// speculationPauseFactor is the pause after a decision as a multiple of its duration. It bounds the CPU time that
 	// decisions take in a large fleet.
 	speculationPauseFactor = 30
-	// maxCopiesPerDecision limits the cost of one decision, which looks at all workers for each copy.
+	// maxCopiesPerDecision is the maximum number of tasks for which one decision looks for a worker among all workers.
 	maxCopiesPerDecision = 16
 )
 
@@ -26,6 +26,9 @@
 	speculator *speculator.Speculator
 	// nextDecision is when copies are decided on next; only plan uses it.
 	nextDecision time.Duration
+	// unplaced holds the tasks for which recent decisions found no worker. They are tried again after all others, so that
+	// they don't use up maxCopiesPerDecision each time.
+	unplaced map[scheduler.StepTaskID]bool
 	// copies holds the tasks that have a copy, or had one of which an attempt has not ended.
 	copies map[scheduler.StepTaskID]*copiedTask
 }
@@ -41,6 +44,7 @@
 func newSpeculation(predictor scheduler.RunTimePredictor) speculation {
 	return speculation{
 		speculator: speculator.New(predictor), copies: map[scheduler.StepTaskID]*copiedTask{},
+		unplaced: map[scheduler.StepTaskID]bool{},
 	}
 }
 
@@ -166,28 +170,33 @@
 ) []copyPlacement {
 	var copies []copyPlacement
 	attempts := stepAttempts{}
-	tried := map[scheduler.QueueName]int{}
+	tried, unplaced := 0, leadership.speculation.unplaced
+	if len(unplaced) > len(candidates) {
+		clear(unplaced) // Most of them are no longer candidates.
+	}
 	for _, candidate := range candidates {
 		load := loads[candidate.Queue()]
-		if load == nil || leadership.speculation.speculator.Allowance(candidate.Queue(), load.QueueLoad) == 0 ||
-			tried[candidate.Queue()] >= maxCopiesPerDecision {
+		if load == nil || unplaced[candidate.Task()] ||
+			leadership.speculation.speculator.Allowance(candidate.Queue(), load.QueueLoad) == 0 {
 			continue
 		}
-		tried[candidate.Queue()]++
+		if tried == maxCopiesPerDecision {
+			return copies
+		}
+		tried++
 		step, instance := running.steps[candidate.Position()], running.instances[candidate.Position()]
 		pool := step.Job().Queue().Pool
 		worker, found := leadership.placeCopy(candidate.Task(), step, instance, workers[pool], attempts)
 		if !found {
+			unplaced[candidate.Task()] = true
 			continue
 		}
 		load.Copies++
 		copies = append(copies, copyPlacement{candidate: candidate, placement: jobkeeper.Placement{
 			Task: candidate.Task(), Worker: worker, Instance: leadership.instances[worker].incarnation, Speculative: true,
 		}})
-		if len(copies) == maxCopiesPerDecision {
-			break
-		}
 	}
+	clear(unplaced) // All candidates have been tried.
 	return copies
 }
 
