--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -134,6 +134,7 @@
 		if state.ReadyCount() == 0 {
 			leadership.jobLog.updateWaiting(leadership.now(), nil)
 			leadership.dropReservations()
+			clear(leadership.evacuations.blocked)
 			return
 		}
 		leadership.refreshEvacuations(state)
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -16,7 +16,7 @@
 	// speculationPauseFactor is the pause after a decision as a multiple of its duration. It bounds the CPU time that
 	// decisions take in a large fleet.
 	speculationPauseFactor = 30
-	// maxCopiesPerDecision limits the cost of one decision, which looks at all workers for each copy.
+	// maxCopiesPerDecision is the maximum number of tasks for which one decision looks for a worker among all workers.
 	maxCopiesPerDecision = 16
 )
 
@@ -26,6 +26,9 @@
 	speculator *speculator.Speculator
 	// nextDecision is when copies are decided on next; only plan uses it.
 	nextDecision time.Duration
+	// unplaced holds the tasks for which recent decisions found no worker. They are tried again after all others, so that
+	// they don't use up maxCopiesPerDecision each time.
+	unplaced map[scheduler.StepTaskID]bool
 	// copies holds the tasks that have a copy, or had one of which an attempt has not ended.
 	copies map[scheduler.StepTaskID]*copiedTask
 }
@@ -41,6 +44,7 @@
 func newSpeculation(predictor scheduler.RunTimePredictor) speculation {
 	return speculation{
 		speculator: speculator.New(predictor), copies: map[scheduler.StepTaskID]*copiedTask{},
+		unplaced: map[scheduler.StepTaskID]bool{},
 	}
 }
 
@@ -84,8 +88,9 @@
 		if len(candidates) == 0 {
 			return
 		}
-		leadership.addPoolLoads(state, loads)
-		copies = leadership.placeCopies(state, candidates, running, loads)
+		workers := leadership.schedulableWorkers(state)
+		leadership.addPoolLoads(state, loads, workers)
+		copies = leadership.placeCopies(candidates, running, loads, workers)
 	})
 	return copies
 }
@@ -93,8 +98,8 @@
 // speculativeAttempts returns the running attempts that may get a copy, and counts the attempts and copies of each queue.
 func (leadership *leadership) speculativeAttempts(
 	state *jobkeeper.State,
-) (running runningAttempts, loads map[scheduler.QueueName]*speculator.QueueLoad) {
-	loads = map[scheduler.QueueName]*speculator.QueueLoad{}
+) (running runningAttempts, loads queueLoads) {
+	loads = queueLoads{}
 	for _, instance := range leadership.instances {
 		for id, attempt := range instance.attempts {
 			if !attempt.mayHaveCopy() {
@@ -105,15 +110,12 @@
 				continue
 			}
 			step := run.Task().Step()
-			queue := step.Job().Queue().Name
-			if loads[queue] == nil {
-				loads[queue] = &speculator.QueueLoad{}
-			}
-			loads[queue].Running++
+			load := loads.of(step.Job().Queue())
+			load.Running++
 			if runs := run.Task().Runs(); len(runs) > 1 {
 				leadership.speculation.adopt(id.Task, runs)
 				if id.Attempt == leadership.speculation.copies[id.Task].copy {
-					loads[queue].Copies++
+					load.Copies++
 				}
 				continue
 			}
@@ -161,61 +163,59 @@
 	speculation.copies[task] = copied
 }
 
-// addPoolLoads completes the loads of the queues with those of their pools.
-func (leadership *leadership) addPoolLoads(
-	state *jobkeeper.State, loads map[scheduler.QueueName]*speculator.QueueLoad,
-) {
-	waiting := map[scheduler.PoolName]int{}
-	state.VisitReady(func(task *jobkeeper.Task) {
-		if !task.Step().Spec().Fill {
-			waiting[task.Step().Job().Queue().Pool]++
-		}
-	})
-	for _, queue := range state.Configuration().Queues {
-		load, poolAdmitter := loads[queue.Name], leadership.admitters[queue.Pool]
-		if load == nil || poolAdmitter == nil {
-			delete(loads, queue.Name)
-			continue
-		}
-		load.WaitingTasks, load.PoolLoad = waiting[queue.Pool], poolAdmitter.ReservedFraction()
-	}
-}
-
 // placeCopies chooses workers for the candidates, within the allowance of their queues.
 func (leadership *leadership) placeCopies(
-	state *jobkeeper.State, candidates []speculator.Candidate, running runningAttempts,
-	loads map[scheduler.QueueName]*speculator.QueueLoad,
+	candidates []speculator.Candidate, running runningAttempts, loads queueLoads,
+	workers map[scheduler.PoolName][]*packer.Worker,
 ) []copyPlacement {
 	var copies []copyPlacement
-	pools := leadership.schedulableWorkers(state)
-	tried := map[scheduler.QueueName]int{}
+	attempts := stepAttempts{}
+	tried, unplaced := 0, leadership.speculation.unplaced
+	if len(unplaced) > len(candidates) {
+		clear(unplaced) // Most of them are no longer candidates.
+	}
 	for _, candidate := range candidates {
 		load := loads[candidate.Queue()]
-		if load == nil || leadership.speculation.speculator.Allowance(candidate.Queue(), *load) == 0 ||
-			tried[candidate.Queue()] >= maxCopiesPerDecision {
+		if load == nil || unplaced[candidate.Task()] ||
+			leadership.speculation.speculator.Allowance(candidate.Queue(), load.QueueLoad) == 0 {
 			continue
 		}
-		tried[candidate.Queue()]++
+		if tried == maxCopiesPerDecision {
+			return copies
+		}
+		tried++
 		step, instance := running.steps[candidate.Position()], running.instances[candidate.Position()]
-		worker, found := leadership.placeCopy(candidate.Task(), step, instance, pools[step.Job().Queue().Pool])
+		pool := step.Job().Queue().Pool
+		worker, found := leadership.placeCopy(candidate.Task(), step, instance, workers[pool], attempts)
 		if !found {
+			unplaced[candidate.Task()] = true
 			continue
 		}
 		load.Copies++
 		copies = append(copies, copyPlacement{candidate: candidate, placement: jobkeeper.Placement{
 			Task: candidate.Task(), Worker: worker, Instance: leadership.instances[worker].incarnation, Speculative: true,
 		}})
-		if len(copies) == maxCopiesPerDecision {
-			break
-		}
 	}
+	clear(unplaced) // All candidates have been tried.
 	return copies
 }
 
+// stepAttempts holds the attempts of steps by worker, with the copies that one decision has placed so far.
+type stepAttempts map[*jobkeeper.StepState]map[scheduler.WorkerName]int
+
+// of returns the attempts of a step by worker.
+func (stepAttempts stepAttempts) of(step *jobkeeper.StepState) map[scheduler.WorkerName]int {
+	if stepAttempts[step] == nil {
+		stepAttempts[step] = attemptsByWorker(step)
+	}
+	return stepAttempts[step]
+}
+
 // placeCopy chooses a worker for a copy: one that the constraints of the step allow, in the rack where its tasks run
 // fast, and neither slow nor the one on which the original runs or the task has failed.
 func (leadership *leadership) placeCopy(
 	task scheduler.StepTaskID, step *jobkeeper.StepState, original *worker, workers []*packer.Worker,
+	attempts stepAttempts,
 ) (scheduler.WorkerName, bool) {
 	spec := step.Spec()
 	rack := spec.PreferredRack
@@ -231,12 +231,15 @@
 		Step: spec, Tasks: []scheduler.StepTaskID{task}, Approved: leadership.approvedWorkers(step, 1),
 	}
 	if spec.MaxPerWorker > 0 {
-		group.AttemptsByWorker = attemptsByWorker(step)
+		group.AttemptsByWorker = attempts.of(step)
 	}
 	assignments := packer.Pack(workers, []packer.Group{group})
 	if len(assignments) == 0 {
 		return "", false
 	}
+	if spec.MaxPerWorker > 0 {
+		attempts.of(step)[assignments[0].Worker]++
+	}
 	return assignments[0].Worker, true
 }
 
