overseer: ask the workers before a refusal by forecast

Cause: the forecast compares CPU only. Tasks that wait for a label, an accelerator, an approval or a whole gang counted as ahead of a job for which workers were free, so it was refused.

Change: before a refusal, packer.Examine asks whether workers accept the first tasks of the job after all waiting tasks that fit have been placed on a copy of the workers. The copy is made at a refusal, at most once per forecastInterval and pool. The explanation of a placement asks the same and reserves nothing.

Conclusion: a job with room on free workers is admitted; one that needs the missing label too is still refused.

--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -30,6 +30,13 @@
 	Workflow *scheduler.Workflow
 	// Timeout is how long the caller waits in all, zero if that is not known.
 	Timeout time.Duration
+	// FitsNow reports whether workers accept the first tasks of the job although other tasks are waiting, for which these
+	// workers are of no use. It is called only before a refusal. If it is nil, none do.
+	FitsNow func() bool
+}
+
+func (submission *Submission) fitsNow() bool {
+	return submission.FitsNow != nil && submission.FitsNow()
 }
 
 // BacklogAdmitter refuses jobs whose result would no longer be of use when they finish. It is meant for a pool whose queue
@@ -95,7 +102,8 @@
 		return backlogAdmitter.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
 	}
 	forecast := backlogAdmitter.forecast(now, &demand, known)
-	if backlogAdmitter.isTooLate(&demand, &forecast) && (!known || ticket.refusals < maxRefusals) {
+	mayRefuse := !known || ticket.refusals < maxRefusals
+	if mayRefuse && backlogAdmitter.isTooLate(&demand, &forecast) && !submission.fitsNow() {
 		retryAfter := backlogAdmitter.tickets.add(now, &demand, forecast.end-demand.useful)
 		backlogAdmitter.audit.add(now, &demand, forecast)
 		return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
@@ -112,7 +120,7 @@
 	}
 	demand := newDemand(&submission)
 	forecast := backlogAdmitter.forecast(now, &demand, false)
-	if !backlogAdmitter.isTooLate(&demand, &forecast) {
+	if !backlogAdmitter.isTooLate(&demand, &forecast) || submission.fitsNow() {
 		return Decision{admitted: true, forecast: forecast}
 	}
 	retryAfter := returnDelay(demand.job, forecast.end-demand.useful)
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -125,7 +125,11 @@
 	}
 	backlogAdmitter := leadership.backlogAdmitters[queue.Pool]
 	if decision.Admitted() && leadership.overseer.forecastAdmission && backlogAdmitter != nil {
-		decision = backlogAdmitter.Preview(leadership.now(), admitter.Submission{Queue: queue, Workflow: workflow})
+		decision = backlogAdmitter.Preview(leadership.now(), admitter.Submission{
+			Queue: queue, Workflow: workflow, FitsNow: func() bool {
+				return leadership.spareWorkersOf(queue.Pool).accept(leadership.firstGroups(queue, workflow))
+			},
+		})
 	}
 	explanation.Admitted, explanation.Reason, explanation.RetryAfter = decision.Admitted(), decision.Reason(),
 		decision.RetryAfter()
@@ -216,15 +220,24 @@
 	}
 }
 
-// groupsAhead returns the waiting groups of a pool that are more urgent than a new job. Approvals that are still to be
-// requested count as missing.
+// groupsAhead returns the waiting groups of a pool that are more urgent than a new job.
 func (leadership *leadership) groupsAhead(
 	state *jobkeeper.State, pool scheduler.PoolName, urgency packer.Urgency,
+) []packer.Group {
+	return leadership.waitingGroups(state, func(waiting *waitingStep) bool {
+		return waiting.step.Job().Queue().Pool == pool && waiting.urgency.Compare(urgency) <= 0
+	})
+}
+
+// waitingGroups returns the groups of the waiting steps that are included. Approvals that are still to be requested
+// count as missing.
+func (leadership *leadership) waitingGroups(
+	state *jobkeeper.State, isIncluded func(waiting *waitingStep) bool,
 ) []packer.Group {
 	var steps []*waitingStep
 	var groups []packer.Group
 	for _, waiting := range waitingSteps(state) {
-		if waiting.step.Job().Queue().Pool != pool || waiting.urgency.Compare(urgency) > 0 {
+		if !isIncluded(waiting) {
 			continue
 		}
 		steps = append(steps, waiting)
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -63,6 +63,8 @@
 	// updated.
 	backlogAdmitters    map[scheduler.PoolName]*admitter.BacklogAdmitter
 	forecastsObservedAt time.Duration
+	// spareWorkers hold for each pool what the waiting tasks cannot use.
+	spareWorkers map[scheduler.PoolName]*spareWorkers
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -82,6 +84,7 @@
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
 		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
+		spareWorkers:     map[scheduler.PoolName]*spareWorkers{},
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
--- /dev/null
+++ b/internal/jobs/overseer/spareworkers.go
@@ -0,0 +1,65 @@
+package overseer
+
+import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// spareWorkers are the workers of a pool after all waiting tasks that fit have been placed on them. What is free on them
+// is capacity that no waiting task can use, because each of them needs something else, such as a label.
+type spareWorkers struct {
+	workers  []*packer.Worker
+	packedAt time.Duration
+}
+
+// spareWorkersOf returns the spare workers of a pool. They are computed at most once per forecastInterval, because that
+// costs as much as a planning cycle. The mutex must be held.
+func (leadership *leadership) spareWorkersOf(pool scheduler.PoolName) *spareWorkers {
+	now := leadership.now()
+	spare := leadership.spareWorkers[pool]
+	if spare != nil && now < spare.packedAt+forecastInterval {
+		return spare
+	}
+	spare = &spareWorkers{packedAt: now}
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		spare.workers = leadership.reservedWorkers(state, pool)
+		packer.Pack(spare.workers, leadership.waitingGroups(state, func(waiting *waitingStep) bool {
+			return waiting.step.Job().Queue().Pool == pool
+		}))
+	})
+	leadership.spareWorkers[pool] = spare
+	return spare
+}
+
+// accept reports whether each of the groups has a worker that accepts one of its tasks.
+func (spareWorkers *spareWorkers) accept(groups []packer.Group) bool {
+	for position := range groups {
+		if packer.Examine(spareWorkers.workers, &groups[position]).Accepting() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// reserve does the same as accept, and reserves the capacity for the groups if it returns true.
+func (spareWorkers *spareWorkers) reserve(groups []packer.Group) bool {
+	if !spareWorkers.accept(groups) {
+		return false
+	}
+	packer.Pack(spareWorkers.workers, groups)
+	return true
+}
+
+// firstGroups returns the groups of a new job whose tasks wait for no other step.
+func (leadership *leadership) firstGroups(queue *scheduler.Queue, workflow *scheduler.Workflow) []packer.Group {
+	var groups []packer.Group
+	for number := range workflow.Steps {
+		if step := &workflow.Steps[number]; len(step.DependsOn) == 0 {
+			groups = append(groups, leadership.newJobGroup(queue, step, number))
+		}
+	}
+	return groups
+}
