overseer: make no forecasts while many workers are unschedulable

Cause: a worker counted as heard by its last contact, but the room leaves out workers with an unanswered order or in a backoff too. One failed call to most workers emptied the room, and everything below priority 0 was refused.

Change: a pool is blind while more than a tenth of its workers, one at least, are unschedulable for a reason other than draining, maintenance, evacuation or quarantine. Workers that have ended or been silent for a whole lease do not count. The check is made for each pool.

Run: TestBlindPool and TestForecastAdmission pass with go test -race; the previous check took no note of failed orders.

Conclusion: lost calls suspend refusals instead of causing them.

--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -16,8 +16,9 @@
 	forecastInterval = 500 * time.Millisecond
 	// blindTime is the time at the start of a leadership without forecasts. It covers two heartbeats of each worker.
 	blindTime = 3 * time.Second
-	// maxSilentFraction is the fraction of the workers that may be silent while forecasts are made. One always may.
-	maxSilentFraction = 0.1
+	// maxUncertainFraction is the fraction of a pool's workers that may take no tasks for an uncertain reason while
+	// forecasts are made. One always may.
+	maxUncertainFraction = 0.1
 )
 
 // WithForecastAdmission refuses jobs that cannot finish while their result is of use. It applies to queues that have an
@@ -38,9 +39,8 @@
 		leadership.collectRooms(states, state, now)
 		leadership.collectBacklog(states, state)
 	})
-	blind := leadership.isBlind(now)
 	for pool, state := range states {
-		state.Blind = blind
+		state.Blind = leadership.isBlind(pool, now)
 		backlogAdmitter := leadership.backlogAdmitter(pool)
 		backlogAdmitter.Observe(now, *state)
 		audit := backlogAdmitter.Audit()
@@ -57,23 +57,34 @@
 	return leadership.backlogAdmitters[pool]
 }
 
-// isBlind reports whether too little is known for a forecast: the leadership has just started, or many workers are
-// silent and may be either lost or only cut off. A worker that has been silent for longer than its lease is lost.
-func (leadership *leadership) isBlind(now time.Duration) bool {
+// isBlind reports whether too little is known for a forecast: the leadership has just started, or many workers of the
+// pool take no tasks for a reason that may be short or not concern their capacity, such as an order without a response.
+// Their capacity is missing from the rooms. The mutex must be held.
+func (leadership *leadership) isBlind(pool scheduler.PoolName, now time.Duration) bool {
 	if now-leadership.startedAt < blindTime {
 		return true
 	}
-	heard, silent := 0, 0
+	heartbeatTimeout, wallTime := leadership.heartbeatTimeout(), time.Now()
+	schedulable, uncertain := 0, 0
 	for _, instance := range leadership.instances {
-		lastContact := max(instance.lastHeartbeat, instance.lastResponse, leadership.startedAt)
 		switch {
-		case instance.hasHeartbeat && instance.synced && now-lastContact < leadership.heartbeatTimeout():
-			heard++
-		case now-lastContact < leadership.overseer.leaseDuration:
-			silent++
+		case instance.hasHeartbeat && instance.heartbeat.Pool != pool || leadership.isAbsent(instance, now, wallTime):
+		case leadership.isSchedulable(instance, now, heartbeatTimeout, wallTime):
+			schedulable++
+		default:
+			uncertain++
 		}
 	}
-	return float64(silent) > max(1, maxSilentFraction*float64(heard+silent))
+	return float64(uncertain) > max(1, maxUncertainFraction*float64(schedulable+uncertain))
+}
+
+// isAbsent reports whether a worker certainly takes no tasks: it has ended, has been silent for longer than its lease, or
+// is withdrawn. The mutex must be held.
+func (leadership *leadership) isAbsent(instance *worker, now time.Duration, wallTime time.Time) bool {
+	lastContact := max(instance.lastHeartbeat, instance.lastResponse, leadership.startedAt)
+	return instance.ended || now-lastContact >= leadership.overseer.leaseDuration ||
+		instance.heartbeat.Phase == scheduler.WorkerDraining || leadership.isEvacuating(instance) ||
+		leadership.isInEvacuatedDataCentre(instance) || leadership.failureTracker.isQuarantined(instance.name, wallTime)
 }
 
 // collectRooms adds the capacity of the workers on which tasks may be placed. The mutex must be held.
--- a/internal/jobs/overseer/forecastadmission_test.go
+++ b/internal/jobs/overseer/forecastadmission_test.go
@@ -70,3 +70,46 @@
 	})
 	return leadership
 }
+
+// Guards against forecasts that take workers without a response for lost capacity, and against a pool without forecasts
+// because workers are withdrawn or lost, or because of another pool.
+func TestBlindPool(t *testing.T) {
+	const now, workers = time.Minute, 40
+	tests := map[string]struct {
+		affected int
+		change   func(instance *worker)
+		want     bool
+	}{
+		"one order without response":       {1, func(instance *worker) { instance.consecutiveFailures = 1 }, false},
+		"a tenth without response":         {4, func(instance *worker) { instance.consecutiveFailures = 1 }, false},
+		"more than a tenth":                {5, func(instance *worker) { instance.consecutiveFailures = 1 }, true},
+		"all without response":             {workers, func(instance *worker) { instance.consecutiveFailures = 1 }, true},
+		"backing off":                      {workers, func(instance *worker) { instance.backoffUntil = now + 1 }, true},
+		"not synced":                       {workers, func(instance *worker) { instance.synced = false }, true},
+		"silent for less than the lease":   {workers, func(instance *worker) { instance.lastHeartbeat = now - 5*time.Second }, true},
+		"silent for longer than the lease": {workers, func(instance *worker) { instance.lastHeartbeat = 0 }, false},
+		"draining": {workers, func(instance *worker) {
+			instance.heartbeat.Phase = scheduler.WorkerDraining
+		}, false},
+		"workers of another pool": {workers / 2, func(instance *worker) {
+			instance.heartbeat.Pool, instance.consecutiveFailures = "other", 1
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
+			for number := range workers {
+				instance := newWorker(scheduler.WorkerName(fmt.Sprintf("w%d", number)), 1)
+				instance.hasHeartbeat, instance.synced, instance.clock, instance.lastHeartbeat = true, true, time.Second, now
+				instance.heartbeat = scheduler.WorkerHeartbeat{Pool: "pool", Phase: scheduler.WorkerReady}
+				if number < test.affected {
+					test.change(instance)
+				}
+				leadership.instances[instance.name] = instance
+			}
+			if got := leadership.isBlind("pool", now); got != test.want {
+				t.Errorf("got blind %v, want %v", got, test.want)
+			}
+		})
+	}
+}
