--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -28,7 +28,7 @@
 	Job      scheduler.JobID
 	Queue    *scheduler.Queue
 	Workflow *scheduler.Workflow
-	// Timeout is how long the caller waits in all, zero if that is not known.
+	// Timeout is how long the caller goes on asking in all, including retries, zero if that is not known.
 	Timeout time.Duration
 	// FitsNow reports whether workers accept the first tasks of the job although other tasks are waiting, for which these
 	// workers are of no use. It is called only before a refusal. If it is nil, none do.
