handler: do not say that a job never runs while a copy is pending

Cause: a copy whose own proposal has not run was answered with 503, which says that the job never runs, while the proposal of another copy was pending, unresolved or already committed.

Change: such a copy gets the status unknown. A refusal repeats the check after the check of the leader lease.

The repeated check in refuse has no test of its own.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -111,7 +111,7 @@
 	return queue, Response{}
 }
 
-// submit stores a job. timeout is how long its caller waits, zero if that is not known.
+// submit stores a job. timeout is how long its caller goes on asking in all, zero if that is not known.
 func (handler *Handler) submit(ctx context.Context, request *SubmitRequest, timeout time.Duration) Response {
 	queue, response := handler.findQueue(request.Route)
 	if queue == nil {
@@ -130,12 +130,22 @@
 		Job: request.Job, Queue: queue.Name, Workflow: request.Workflow, Accepted: time.Now(),
 	}})
 	handler.overseer.RecordSubmission(request.Job, response.Status != StatusOutcomeUnknown)
+	if response.Status == StatusUnavailable && handler.overseer.MayBeStored(request.Job) {
+		response = copyPendingResponse()
+	}
 	handler.logSubmission(request, queue, response.Status, response.Reason)
 	return response
 }
 
+// copyPendingResponse is the response to a request that has not run itself while another copy of it may store the job. A
+// response that says that the job never runs would be false.
+func copyPendingResponse() Response {
+	return errorResponse(StatusOutcomeUnknown, "another copy of the request may have stored the job", 0)
+}
+
 // refuse returns the response to a job that is not admitted. The leader lease is checked after the decision: another
-// copy of the request may have been accepted by a later leader.
+// copy of the request may have been accepted by a later leader. The other copies are checked last, because a pause of the
+// process may have come between.
 func (handler *Handler) refuse(request *SubmitRequest, queue *scheduler.Queue, decision *admitter.Decision) Response {
 	if !handler.overseer.IsLeader() {
 		return Response{
@@ -143,6 +153,11 @@
 			Leader: handler.group.Status().Leader(), RetryAfter: leaderRetry,
 		}
 	}
+	if handler.overseer.MayBeStored(request.Job) {
+		response := copyPendingResponse()
+		handler.logSubmission(request, queue, response.Status, response.Reason)
+		return response
+	}
 	handler.logSubmission(request, queue, StatusRefused, decision.Reason())
 	return errorResponse(StatusRefused, decision.Reason(), decision.RetryAfter())
 }
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -83,7 +83,7 @@
 
 // admit decides on a job. The leadership may be nil; otherwise its mutex must be held.
 func (overseer *Overseer) admit(leadership *leadership, submission *admitter.Submission) admitter.Decision {
-	if overseer.submissions.contains(submission.Job, time.Now()) || overseer.hasJob(submission.Job) {
+	if overseer.MayBeStored(submission.Job) {
 		overseer.submissions.begin(submission.Job)
 		return admitter.Admitted()
 	}
@@ -97,6 +97,12 @@
 	return decision
 }
 
+// MayBeStored reports whether a job is stored, or a proposal of it may still take effect.
+func (overseer *Overseer) MayBeStored(job scheduler.JobID) bool {
+	// A proposal that ends between the two checks has stored the job before.
+	return overseer.submissions.contains(job, time.Now()) || overseer.hasJob(job)
+}
+
 // hasJob reports whether a job is stored.
 func (overseer *Overseer) hasJob(job scheduler.JobID) (found bool) {
 	overseer.keeper.View(func(state *jobkeeper.State) { _, found = state.Job(job) })
