admitter: count the arrivals of jobs that are never refused

Cause: jobs of queues with priority 0 or without an objective were not recorded, so the rate at which more urgent work arrives lacked the most urgent queue, and forecasts for the others were too short.

Change: they are recorded like other admitted jobs, except long-running and repeated ones.

Run: TestArrivalsOfUrgentJobs fails without the change (urgent job, rate 0) and passes now; go test -race of admitter passes.

Conclusion: forecasts count all more urgent work that is known to end and to start now.

--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -92,10 +92,14 @@
 
 // Admit decides whether a job is admitted at time now.
 func (backlogAdmitter *BacklogAdmitter) Admit(now time.Duration, submission Submission) Decision {
-	if !mayBeRefused(&submission) {
+	if !isForecastable(submission.Workflow) {
 		return Decision{admitted: true}
 	}
 	demand := newDemand(&submission)
+	if !mayBeRefused(&submission) {
+		backlogAdmitter.record(now, &demand)
+		return Decision{admitted: true}
+	}
 	ticket, known := backlogAdmitter.tickets.find(submission.Job, now)
 	if known && now < ticket.returnAt {
 		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
@@ -136,10 +140,13 @@
 // others, and the job starts now and ends by itself.
 func mayBeRefused(submission *Submission) bool {
 	queue := submission.Queue
-	if queue.Priority <= 0 || queue.Slowdown <= 0 && queue.LatencyTarget <= 0 || submission.Workflow.Repeat != nil {
-		return false
-	}
-	return longRunningRequest(submission.Workflow) == 0
+	hasObjective := queue.Slowdown > 0 || queue.LatencyTarget > 0
+	return queue.Priority > 0 && hasObjective && isForecastable(submission.Workflow)
+}
+
+// isForecastable reports whether a job starts now and ends by itself. Others add no work to the backlog at a known time.
+func isForecastable(workflow *scheduler.Workflow) bool {
+	return workflow.Repeat == nil && longRunningRequest(workflow) == 0
 }
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
--- a/internal/jobs/admitter/backlogadmitter_test.go
+++ b/internal/jobs/admitter/backlogadmitter_test.go
@@ -256,3 +256,32 @@
 		t.Errorf("got %d different times for 12 jobs, want at least 4: %v", len(times), times)
 	}
 }
+
+// Guards against forecasts that leave out the arrivals of the most urgent work because it is never refused, and against
+// arrivals of jobs that start later or never end.
+func TestArrivalsOfUrgentJobs(t *testing.T) {
+	urgent := simulatedQueue
+	urgent.Priority = 0
+	lasting := shortStep
+	lasting.LongRunning = true
+	repeated := submission("j", urgent, shortStep)
+	repeated.Workflow.Repeat = &scheduler.Repeat{Times: 2}
+	tests := map[string]struct {
+		submission Submission
+		want       bool
+	}{
+		"urgent":       {submission("j", urgent, shortStep), true},
+		"long-running": {submission("j", urgent, lasting), false},
+		"repeated":     {repeated, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			backlogAdmitter, now := overloadedAdmitter()
+			backlogAdmitter.Admit(now, test.submission)
+			rate := backlogAdmitter.arrivals.rate(now, CapacityReserved, rank{priority: 2})
+			if got := rate > 0; got != test.want {
+				t.Errorf("got an arrival rate of %v, want one above 0: %v", rate, test.want)
+			}
+		})
+	}
+}
