overseer: visit the pending submissions at most once a second

Cause: each submission without a result visited all pending ones while holding their mutex. With thousands of them, as at a leader change, that delays all submissions.

Change: prune does nothing within pruneInterval of its last visit. Entries stay in memory for up to a second longer; whether a submission is pending does not depend on it.

Run: TestPendingSubmissionsPruneInterval fails without the change (2 entries, want 3) and passes now; go test -race of overseer passes. The time of 8,000 ends was not measured again.

Conclusion: the visits no longer grow with the number of unknown outcomes.

--- a/internal/jobs/overseer/admission_test.go
+++ b/internal/jobs/overseer/admission_test.go
@@ -90,6 +90,30 @@
 	}
 }
 
+// Guards against a visit of all pending submissions at each unknown outcome, which blocks submissions while a leader
+// change leaves thousands of them.
+func TestPendingSubmissionsPruneInterval(t *testing.T) {
+	var pending pendingSubmissions
+	now := time.Unix(0, 0)
+	end := func(job scheduler.JobID, now time.Time) {
+		pending.begin(job)
+		pending.end(job, false, now)
+	}
+	end("a", now)
+	end("b", now.Add(unresolvedTime-pruneInterval/2))
+	end("c", now.Add(unresolvedTime))
+	if got, want := len(pending.byJob), 3; got != want {
+		t.Errorf("got %d pending submissions within pruneInterval, want %d not visited", got, want)
+	}
+	end("c", now.Add(unresolvedTime+pruneInterval/2))
+	if got, want := len(pending.byJob), 2; got != want {
+		t.Errorf("got %d pending submissions after pruneInterval, want %d", got, want)
+	}
+	if pending.contains("a", now.Add(unresolvedTime)) {
+		t.Error("got a resolved submission as pending")
+	}
+}
+
 func batchWorkflow(tasks int) *scheduler.Workflow {
 	return &scheduler.Workflow{Steps: []scheduler.Step{{Count: tasks, Request: oneCore, Estimate: time.Second}}}
 }
--- a/internal/jobs/overseer/submission.go
+++ b/internal/jobs/overseer/submission.go
@@ -10,12 +10,17 @@
 // unresolvedTime is how long a submission without a result may still take effect. It covers several elections.
 const unresolvedTime = time.Minute
 
+// pruneInterval limits how often all pending submissions are visited, because many may end at a time without a result.
+const pruneInterval = time.Second
+
 // pendingSubmissions holds the jobs whose submission has been proposed and has no result yet. A copy of such a request,
 // which may arrive at another VM, must not be refused: the caller would be told that the job never runs, and the first
 // copy stores it afterwards.
 type pendingSubmissions struct {
 	mutex sync.Mutex
 	byJob map[scheduler.JobID]pendingSubmission
+	// prunedAt is when prune last visited all jobs.
+	prunedAt time.Time
 }
 
 // pendingSubmission is the state of the proposals of one job.
@@ -61,8 +66,13 @@
 	return found && !pending.isResolved(now)
 }
 
-// prune removes the jobs whose proposals can no longer take effect. The mutex must be held.
+// prune removes the jobs whose proposals can no longer take effect, at most once per pruneInterval. The mutex must be
+// held.
 func (pendingSubmissions *pendingSubmissions) prune(now time.Time) {
+	if now.Sub(pendingSubmissions.prunedAt) < pruneInterval {
+		return
+	}
+	pendingSubmissions.prunedAt = now
 	for job, pending := range pendingSubmissions.byJob {
 		if pending.isResolved(now) {
 			delete(pendingSubmissions.byJob, job)
