--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -28,8 +28,15 @@
 	Job      scheduler.JobID
 	Queue    *scheduler.Queue
 	Workflow *scheduler.Workflow
-	// Timeout is how long the caller waits in all, zero if that is not known.
+	// Timeout is how long the caller goes on asking in all, including retries, zero if that is not known.
 	Timeout time.Duration
+	// FitsNow reports whether workers accept the first tasks of the job although other tasks are waiting, for which these
+	// workers are of no use. It is called only before a refusal. If it is nil, none do.
+	FitsNow func() bool
+}
+
+func (submission *Submission) fitsNow() bool {
+	return submission.FitsNow != nil && submission.FitsNow()
 }
 
 // BacklogAdmitter refuses jobs whose result would no longer be of use when they finish. It is meant for a pool whose queue
@@ -85,17 +92,22 @@
 
 // Admit decides whether a job is admitted at time now.
 func (backlogAdmitter *BacklogAdmitter) Admit(now time.Duration, submission Submission) Decision {
-	if !mayBeRefused(&submission) {
+	if !isForecastable(submission.Workflow) {
 		return Decision{admitted: true}
 	}
 	demand := newDemand(&submission)
+	if !mayBeRefused(&submission) {
+		backlogAdmitter.record(now, &demand)
+		return Decision{admitted: true}
+	}
 	ticket, known := backlogAdmitter.tickets.find(submission.Job, now)
 	if known && now < ticket.returnAt {
 		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
 		return backlogAdmitter.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
 	}
 	forecast := backlogAdmitter.forecast(now, &demand, known)
-	if backlogAdmitter.isTooLate(&demand, &forecast) && (!known || ticket.refusals < maxRefusals) {
+	mayRefuse := !known || ticket.refusals < maxRefusals
+	if mayRefuse && backlogAdmitter.isTooLate(&demand, &forecast) && !submission.fitsNow() {
 		retryAfter := backlogAdmitter.tickets.add(now, &demand, forecast.end-demand.useful)
 		backlogAdmitter.audit.add(now, &demand, forecast)
 		return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
@@ -112,7 +124,7 @@
 	}
 	demand := newDemand(&submission)
 	forecast := backlogAdmitter.forecast(now, &demand, false)
-	if !backlogAdmitter.isTooLate(&demand, &forecast) {
+	if !backlogAdmitter.isTooLate(&demand, &forecast) || submission.fitsNow() {
 		return Decision{admitted: true, forecast: forecast}
 	}
 	retryAfter := returnDelay(demand.job, forecast.end-demand.useful)
@@ -128,10 +140,13 @@
 // others, and the job starts now and ends by itself.
 func mayBeRefused(submission *Submission) bool {
 	queue := submission.Queue
-	if queue.Priority <= 0 || queue.Slowdown <= 0 && queue.LatencyTarget <= 0 || submission.Workflow.Repeat != nil {
-		return false
-	}
-	return longRunningRequest(submission.Workflow) == 0
+	hasObjective := queue.Slowdown > 0 || queue.LatencyTarget > 0
+	return queue.Priority > 0 && hasObjective && isForecastable(submission.Workflow)
+}
+
+// isForecastable reports whether a job starts now and ends by itself. Others add no work to the backlog at a known time.
+func isForecastable(workflow *scheduler.Workflow) bool {
+	return workflow.Repeat == nil && longRunningRequest(workflow) == 0
 }
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
