overseer: a refused copy doesn't lower the success rate

Cause: a copy that a worker refused counted as unsuccessful although it never ran, and lowered the allowance of its queue. The number of open attempts could differ from the attempts in the log, so entries of ended tasks remained for the whole term.

Refused copies don't count towards the success rate.

Conclusion: the success rate counts copies that ran, and the entries are bounded by the tasks with attempts.

--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -33,14 +33,6 @@
 	copies map[scheduler.StepTaskID]*copiedTask
 }
 
-// copiedTask is a task with a copy.
-type copiedTask struct {
-	copy scheduler.AttemptNumber
-	// open is the number of attempts that have not ended. decided is true once one has finished.
-	open    int
-	decided bool
-}
-
 func newSpeculation(predictor scheduler.RunTimePredictor) speculation {
 	return speculation{
 		speculator: speculator.New(predictor), copies: map[scheduler.StepTaskID]*copiedTask{},
@@ -83,6 +75,7 @@
 	defer leadership.mutex.Unlock()
 	var copies []copyPlacement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		leadership.speculation.prune(state)
 		running, loads := leadership.speculativeAttempts(state)
 		candidates := leadership.speculation.speculator.Choose(running.inputs)
 		if len(candidates) == 0 {
@@ -150,19 +143,6 @@
 	}
 }
 
-// adopt records a task with two attempts whose copy may have been started by an earlier leader. The attempt with the
-// higher number is the copy.
-func (speculation *speculation) adopt(task scheduler.StepTaskID, runs []*jobkeeper.Run) {
-	if speculation.copies[task] != nil {
-		return
-	}
-	copied := &copiedTask{open: len(runs)}
-	for _, run := range runs {
-		copied.copy = max(copied.copy, run.ID().Attempt)
-	}
-	speculation.copies[task] = copied
-}
-
 // placeCopies chooses workers for the candidates, within the allowance of their queues.
 func (leadership *leadership) placeCopies(
 	candidates []speculator.Candidate, running runningAttempts, loads queueLoads,
@@ -262,7 +242,7 @@
 			continue // The attempt has ended in the meantime.
 		}
 		run := scheduler.RunID{Task: copied.placement.Task, Attempt: result.Attempts[position]}
-		leadership.speculation.copies[run.Task] = &copiedTask{copy: run.Attempt, open: 2}
+		leadership.overseer.keeper.View(func(state *jobkeeper.State) { leadership.speculation.track(state, run) })
 		leadership.overseer.metrics.queueScope(copied.candidate.Queue()).Counter("copies_started").Inc(1)
 		leadership.logger.Info().Str("event", "copyStarted").Stringer("run", run).
 			Str("worker", string(copied.placement.Worker)).Str("reason", string(copied.candidate.Reason())).
@@ -272,14 +252,14 @@
 }
 
 // recordCopyEnd records the end of an attempt of a task with a copy. The first attempt that finishes decides which one
-// has won; what the other one ran is wasted. A copy that was refused, failed or was lost has not won. The mutex must be
-// held.
+// has won; what the other one ran is wasted. A copy that failed or was lost has not won; one that was refused or stopped
+// shows nothing. The mutex must be held.
 func (leadership *leadership) recordCopyEnd(end jobkeeper.End, ended *attempt) {
 	copied := leadership.speculation.copies[end.Run.Task]
 	if copied == nil {
 		return
 	}
-	if copied.open--; copied.open <= 0 {
+	if delete(copied.open, end.Run.Attempt); len(copied.open) == 0 {
 		delete(leadership.speculation.copies, end.Run.Task)
 	}
 	queue, found := leadership.queueOf(end.Run.Task.Job)
@@ -288,7 +268,7 @@
 	}
 	scope := leadership.overseer.metrics.queueScope(queue)
 	if end.Kind != scheduler.EndFinished || copied.decided {
-		if !copied.decided && end.Run.Attempt == copied.copy && end.Kind != scheduler.EndStopped {
+		if !copied.decided && end.Run.Attempt == copied.copy && isUnsuccessful(end.Kind) {
 			leadership.speculation.speculator.RecordResult(queue, false)
 		}
 		if ended != nil {
@@ -307,6 +287,11 @@
 		Msg("one attempt of a task with a copy has finished")
 }
 
+// isUnsuccessful reports whether a copy that ended without finishing lowers the success rate.
+func isUnsuccessful(kind scheduler.EndKind) bool {
+	return kind != scheduler.EndStopped && kind != scheduler.EndRefused
+}
+
 const milliCoresPerCore = 1000
 
 // queueOf returns the queue of a job.
