--- /dev/null
+++ b/internal/jobs/overseer/fake_client_test.go
@@ -0,0 +1,124 @@
+package overseer
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Stop implements scheduler.WorkerClient.
+func (fleet *fakeFleet) Stop(
+	ctx context.Context, ref scheduler.WorkerRef, run scheduler.RunID, token scheduler.Term,
+) (scheduler.OrderResponse, error) {
+	worker, err := fleet.reach(ctx, ref, func(worker *fakeWorker) { worker.stop(run, token) })
+	if err != nil {
+		return scheduler.OrderResponse{}, err
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if worker.dead {
+		return scheduler.OrderResponse{}, errWorkerDied
+	}
+	if worker.incarnation != ref.Instance {
+		return scheduler.OrderResponse{Result: scheduler.OrderIncarnationMismatch}, nil
+	}
+	return scheduler.OrderResponse{Result: worker.stop(run, token), Clock: worker.clock()}, nil
+}
+
+func (worker *fakeWorker) stop(run scheduler.RunID, token scheduler.Term) scheduler.OrderResult {
+	worker.advance()
+	if token < worker.token {
+		return scheduler.OrderFenced
+	}
+	worker.token = token
+	worker.highestAttempt[run.Task] = max(worker.highestAttempt[run.Task], run.Attempt)
+	if started := worker.runs[run]; started != nil {
+		if started.endsAt.IsZero() {
+			worker.fleet.stopped[run.Task] = true
+			worker.fleet.maxStopped = max(worker.fleet.maxStopped, len(worker.fleet.stopped))
+		}
+		worker.end(run, scheduler.EndStopped, savedCheckpoint)
+	}
+	return scheduler.OrderAccepted
+}
+
+// Renew implements scheduler.WorkerClient.
+func (fleet *fakeFleet) Renew(
+	ctx context.Context, ref scheduler.WorkerRef, order scheduler.RenewOrder,
+) (scheduler.WorkerReport, error) {
+	worker, err := fleet.reach(ctx, ref, func(worker *fakeWorker) { worker.renew(order) })
+	if err != nil {
+		return scheduler.WorkerReport{}, err
+	}
+	fleet.mutex.Lock()
+	if worker.dead {
+		fleet.mutex.Unlock()
+		return scheduler.WorkerReport{}, errWorkerDied
+	}
+	if worker.incarnation != ref.Instance {
+		fleet.mutex.Unlock()
+		return scheduler.WorkerReport{Result: scheduler.OrderIncarnationMismatch, Instance: worker.incarnation}, nil
+	}
+	result := worker.renew(order)
+	signal, waits := worker.endSignal, result == scheduler.OrderAccepted && len(worker.ends) == 0 && order.Wait > 0
+	fleet.mutex.Unlock()
+	if waits {
+		select {
+		case <-signal:
+		case <-time.After(order.Wait):
+		case <-ctx.Done():
+			return scheduler.WorkerReport{}, scheduler.ErrOutcomeUnknown.Wrap(ctx.Err())
+		}
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if worker.dead || worker.partitioned {
+		return scheduler.WorkerReport{}, scheduler.ErrOutcomeUnknown.New("the worker is unreachable")
+	}
+	report := scheduler.WorkerReport{
+		Result: result, Instance: worker.incarnation, Clock: worker.clock(),
+		Ended: append([]scheduler.AttemptEnd(nil), worker.ends...),
+	}
+	for id, run := range worker.runs {
+		report.Running = append(report.Running, scheduler.RunningAttempt{
+			Run: id, Checkpoint: run.checkpoint, Progress: operationalProgress,
+		})
+	}
+	return report, nil
+}
+
+func (worker *fakeWorker) renew(order scheduler.RenewOrder) scheduler.OrderResult {
+	worker.advance()
+	if order.Token < worker.token {
+		return scheduler.OrderFenced
+	}
+	worker.token = order.Token
+	if worker.clock() > order.LeaseEnd {
+		return scheduler.OrderLeaseExpired
+	}
+	worker.leaseEnd = max(worker.leaseEnd, min(order.LeaseEnd, worker.clock()+fakeLease))
+	var kept []scheduler.AttemptEnd
+	for _, end := range worker.ends {
+		if end.Number > order.Acknowledged {
+			kept = append(kept, end)
+			continue
+		}
+		if end.Kind == scheduler.EndFinished && end.Number > worker.expiredUpTo {
+			worker.fleet.finished[end.Run.Task] = true
+			if worker.fleet.finishedAt[end.Run.Task].IsZero() {
+				worker.fleet.finishedAt[end.Run.Task] = time.Now()
+			}
+		}
+	}
+	worker.ends = kept
+	return scheduler.OrderAccepted
+}
+
+// Throttle implements scheduler.WorkerClient.
+func (fleet *fakeFleet) Throttle(
+	ctx context.Context, ref scheduler.WorkerRef, _ scheduler.RunID, _ int, _ scheduler.Term,
+) (scheduler.OrderResponse, error) {
+	_, err := fleet.reach(ctx, ref, func(*fakeWorker) {})
+	return scheduler.OrderResponse{Result: scheduler.OrderAccepted}, err
+}
