--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -147,7 +147,10 @@
 			Format: snapshotFormat3, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
 		}, nil
 	}
-	return nil, Error.New("snapshot of format %d, want %d at most: %w", stored.Format, snapshotFormat3, err)
+	if err != nil {
+		return nil, Error.New("cannot decode the snapshot: %w", err)
+	}
+	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat3)
 }
 
 func (state *State) store() storedState {
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -46,7 +46,7 @@
 		}
 		load := loadOf(instance.heartbeat.Pool)
 		if leadership.isInEvacuatedDataCentre(instance) {
-			continue // As on a draining worker, neither its capacity nor the tasks that it finishes count.
+			continue // As with a draining worker, neither its capacity nor its running tasks count.
 		}
 		load.Capacity += instance.heartbeat.Capacity.MilliCores
 		for _, attempt := range instance.attempts {
--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -30,6 +30,8 @@
 // evacuationProgress is the progress of one evacuation.
 type evacuationProgress struct {
 	beganAt time.Time
+	// revision is the revision with which the evacuation began.
+	revision uint64
 	// observed is true if this leadership has seen the evacuation begin or a task in the data centre. Otherwise an
 	// earlier leader may have recorded that the data centre is empty.
 	observed bool
@@ -77,13 +79,13 @@
 func (leadership *leadership) refreshEvacuations(state *jobkeeper.State) {
 	active := leadership.evacuations.active
 	state.VisitEvacuations(func(dataCentre scheduler.DataCentreName, evacuation jobkeeper.Evacuation) {
-		_, known := active[dataCentre]
-		if known == evacuation.Active() {
+		current := active[dataCentre]
+		if current == nil && !evacuation.Active() || current != nil && current.revision == evacuation.Revision() {
 			return
 		}
 		if evacuation.Active() {
 			active[dataCentre] = &evacuationProgress{
-				beganAt: evacuation.ChangedAt(), observed: leadership.evacuations.adopted,
+				beganAt: evacuation.ChangedAt(), revision: evacuation.Revision(), observed: leadership.evacuations.adopted,
 			}
 		} else {
 			delete(active, dataCentre)
@@ -92,7 +94,7 @@
 		leadership.overseer.metrics.evacuation.dataCentres.Update(float64(len(active)))
 		leadership.logger.Info().Str("event", "evacuationChanged").Str("dataCentre", string(dataCentre)).
 			Bool("evacuated", evacuation.Active()).Uint64("revision", evacuation.Revision()).
-			Time("changedAt", evacuation.ChangedAt()).Msg("the leader follows the evacuation state of a data centre")
+			Time("changedAt", evacuation.ChangedAt()).Msg("evacuation of a data centre began or ended")
 	})
 	leadership.evacuations.adopted = true
 }
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -81,6 +81,8 @@
 const (
 	UnavailableDraining    UnavailableReason = "draining"
 	UnavailableMaintenance UnavailableReason = "maintenance"
+	// UnavailableEvacuated means that the worker's data centre is evacuated.
+	UnavailableEvacuated   UnavailableReason = "evacuated"
 	UnavailableQuarantined UnavailableReason = "quarantined"
 	// UnavailableUnsynced means that the worker has not confirmed its attempts to the new leader yet.
 	UnavailableUnsynced UnavailableReason = "unsynced"
@@ -94,7 +96,8 @@
 const explainedQuantile = 0.5
 
 // ExplainPlacement returns where the tasks of a job would go if it were submitted now. It takes the decisions of a
-// planning cycle on a copy of the workers and changes nothing. It returns the same error as HandleHeartbeat.
+// planning cycle on a copy of the workers and changes nothing; starved steps and new reservations are not considered. It
+// returns an error of class ErrNotRun if this VM is not the leader.
 func (overseer *Overseer) ExplainPlacement(
 	queue *scheduler.Queue, workflow *scheduler.Workflow,
 ) (PlacementExplanation, error) {
@@ -139,12 +142,12 @@
 	explanation *PlacementExplanation, pool scheduler.PoolName, wallTime time.Time,
 ) {
 	unavailable := map[UnavailableReason]int{}
-	now := leadership.now()
+	now, heartbeatTimeout := leadership.now(), leadership.heartbeatTimeout()
 	for _, instance := range leadership.instances {
 		if !instance.hasHeartbeat || instance.heartbeat.Pool != pool {
 			continue
 		}
-		if reason := leadership.unavailableReason(instance, now, wallTime); reason != "" {
+		if reason := leadership.unavailableReason(instance, now, heartbeatTimeout, wallTime); reason != "" {
 			unavailable[reason]++
 			continue
 		}
@@ -153,29 +156,32 @@
 	explanation.Unavailable = workerCounts(unavailable)
 }
 
-// unavailableReason returns why schedulableWorkers leaves a worker out, or an empty string if it does not.
+// unavailableReason returns why no tasks may be placed on a worker, or an empty string if they may. The mutex must be
+// held.
 func (leadership *leadership) unavailableReason(
-	instance *worker, now time.Duration, wallTime time.Time,
+	instance *worker, now, heartbeatTimeout time.Duration, wallTime time.Time,
 ) UnavailableReason {
 	switch {
 	case instance.heartbeat.Phase == scheduler.WorkerDraining:
 		return UnavailableDraining
 	case leadership.isEvacuating(instance):
 		return UnavailableMaintenance
+	case leadership.isInEvacuatedDataCentre(instance):
+		return UnavailableEvacuated
 	case leadership.failureTracker.isQuarantined(instance.name, wallTime):
 		return UnavailableQuarantined
 	case !instance.synced:
 		return UnavailableUnsynced
 	case now < instance.backoffUntil:
 		return UnavailableBackingOff
-	case !instance.acceptsWork(now, leadership.heartbeatTimeout()):
+	case !instance.acceptsWork(now, heartbeatTimeout):
 		return UnavailableSilent
 	}
 	return ""
 }
 
 // explainSteps places the more urgent waiting tasks and then those of the job, in one decision as a planning cycle does.
-// A second copy of the workers, on which only the more urgent ones are placed, gives the reasons.
+// The reasons are determined on workers on which only the more urgent tasks are placed.
 func (leadership *leadership) explainSteps(
 	explanation *PlacementExplanation, state *jobkeeper.State, queue *scheduler.Queue, workflow *scheduler.Workflow,
 	now time.Time,
@@ -186,7 +192,7 @@
 	for _, group := range ahead {
 		explanation.TasksAhead += len(group.Tasks)
 	}
-	considered := leadership.reservedWorkers(state, queue.Pool)
+	considered := leadership.workersWithHolds(state, queue.Pool)
 	packer.Pack(considered, ahead)
 	var groups []packer.Group
 	for number := range workflow.Steps {
@@ -203,7 +209,7 @@
 		}
 		explanation.Steps = append(explanation.Steps, explained)
 	}
-	explanation.addAssignments(packer.Pack(leadership.reservedWorkers(state, queue.Pool), append(ahead, groups...)))
+	explanation.addAssignments(packer.Pack(leadership.workersWithHolds(state, queue.Pool), append(ahead, groups...)))
 }
 
 // addAssignments records the assignments of the explained job, whose tasks have an empty job ID.
@@ -220,7 +226,7 @@
 	}
 }
 
-// groupsAhead returns the waiting groups of a pool that are more urgent than a new job.
+// groupsAhead returns the waiting groups of a pool that are at least as urgent as a new job.
 func (leadership *leadership) groupsAhead(
 	state *jobkeeper.State, pool scheduler.PoolName, urgency packer.Urgency,
 ) []packer.Group {
@@ -247,8 +253,8 @@
 	return groups
 }
 
-// reservedWorkers returns the workers of a pool that accept new work, with the current reservations.
-func (leadership *leadership) reservedWorkers(state *jobkeeper.State, pool scheduler.PoolName) []*packer.Worker {
+// workersWithHolds returns the workers of a pool that accept new work, with the holds of the current reservations.
+func (leadership *leadership) workersWithHolds(state *jobkeeper.State, pool scheduler.PoolName) []*packer.Worker {
 	workers := leadership.schedulableWorkers(state)[pool]
 	if poolReserver := leadership.lookAhead.reservers[pool]; poolReserver != nil {
 		poolReserver.SetHolds(leadership.now(), workers)
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -43,6 +43,8 @@
 		state.Blind = leadership.isBlind(pool, now)
 		backlogAdmitter := leadership.backlogAdmitter(pool)
 		backlogAdmitter.Observe(now, *state)
+	}
+	for _, backlogAdmitter := range leadership.backlogAdmitters {
 		audit := backlogAdmitter.Audit()
 		wrong, right, served = wrong+audit.Wrong(), right+audit.Right(), served+backlogAdmitter.ReturnsServed()
 	}
@@ -205,7 +207,8 @@
 
 // recordFinishedWork adds the work of a finished attempt to the drain rate of its pool. The mutex must be held.
 func (leadership *leadership) recordFinishedWork(instance *worker, ended *attempt, end jobkeeper.End) {
-	if !leadership.overseer.forecastAdmission || ended == nil || end.Kind != scheduler.EndFinished || ended.spec.LongRunning {
+	if !leadership.overseer.forecastAdmission || ended == nil || end.Kind != scheduler.EndFinished ||
+		ended.spec.LongRunning || leadership.isInEvacuatedDataCentre(instance) {
 		return
 	}
 	leadership.backlogAdmitter(instance.heartbeat.Pool).RecordFinished(admitter.KindOf(&ended.spec), admitter.WorkOf(&ended.spec))
--- a/internal/jobs/overseer/lookahead.go
+++ b/internal/jobs/overseer/lookahead.go
@@ -53,6 +53,7 @@
 	state *jobkeeper.State, name scheduler.PoolName, workers []*packer.Worker, steps []*waitingStep, groups []packer.Group,
 ) []packer.Assignment {
 	if leadership.overseer.maxIdle <= 0 || !usesReservations(state, name, workers) {
+		leadership.dropPoolReservations(name)
 		return packer.Pack(workers, groups)
 	}
 	poolReserver := leadership.lookAhead.reservers[name]
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -221,8 +221,7 @@
 func (leadership *leadership) isSchedulable(
 	instance *worker, now, heartbeatTimeout time.Duration, wallTime time.Time,
 ) bool {
-	return instance.acceptsWork(now, heartbeatTimeout) && instance.synced && !leadership.isEvacuating(instance) &&
-		!leadership.isInEvacuatedDataCentre(instance) && !leadership.failureTracker.isQuarantined(instance.name, wallTime)
+	return leadership.unavailableReason(instance, now, heartbeatTimeout, wallTime) == ""
 }
 
 // isEvacuating reports whether the worker's VM is being evacuated for maintenance.
--- a/internal/jobs/overseer/reservationlog.go
+++ b/internal/jobs/overseer/reservationlog.go
@@ -50,6 +50,12 @@
 	reserver.EventMade: "reservationMade", reserver.EventUsed: "reservationUsed", reserver.EventBroken: "reservationBroken",
 }
 
+// reservationMessages are the messages of the log events.
+var reservationMessages = map[reserver.EventKind]string{
+	reserver.EventMade: "worker reserved for a large task", reserver.EventUsed: "large task placed on its reserved worker",
+	reserver.EventBroken: "reservation for a large task dropped",
+}
+
 // recordReservations logs and counts changes of reservations. The mutex must be held.
 func (leadership *leadership) recordReservations(events []reserver.Event) {
 	log := &leadership.lookAhead.log
@@ -72,7 +78,7 @@
 			line = line.Int("omitted", log.omitted)
 			log.omitted = 0
 		}
-		line.Msg("reservation for a large task changed")
+		line.Msg(reservationMessages[event.Kind()])
 	}
 }
 
@@ -98,12 +104,22 @@
 
 // dropReservations drops all reservations when no task waits. The mutex must be held.
 func (leadership *leadership) dropReservations() {
-	for name, poolReserver := range leadership.lookAhead.reservers {
-		events := poolReserver.Plan(&reserver.Pool{Now: leadership.now()})
-		if len(events) == 0 {
-			continue
-		}
-		leadership.recordReservations(events)
-		leadership.recordHeldIdle(name, poolReserver, nil)
+	for name := range leadership.lookAhead.reservers {
+		leadership.dropPoolReservations(name)
+	}
+}
+
+// dropPoolReservations drops the reservations of a pool, which keep capacity only for waiting tasks of a pool that uses
+// reservations. The mutex must be held.
+func (leadership *leadership) dropPoolReservations(name scheduler.PoolName) {
+	poolReserver := leadership.lookAhead.reservers[name]
+	if poolReserver == nil {
+		return
+	}
+	events := poolReserver.Plan(&reserver.Pool{Now: leadership.now()})
+	if len(events) == 0 {
+		return
 	}
+	leadership.recordReservations(events)
+	leadership.recordHeldIdle(name, poolReserver, nil)
 }
--- a/internal/jobs/overseer/spareworkers.go
+++ b/internal/jobs/overseer/spareworkers.go
@@ -25,7 +25,7 @@
 	}
 	spare = &spareWorkers{packedAt: now}
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
-		spare.workers = leadership.reservedWorkers(state, pool)
+		spare.workers = leadership.workersWithHolds(state, pool)
 		packer.Pack(spare.workers, leadership.waitingGroups(state, func(waiting *waitingStep) bool {
 			return waiting.step.Job().Queue().Pool == pool
 		}))
--- a/internal/operating/explainer/printer.go
+++ b/internal/operating/explainer/printer.go
@@ -29,7 +29,7 @@
 	row("objective", explanation.Prospect)
 	row("tasks ahead", explanation.TasksAhead)
 	row("unavailable workers", countsText(explanation.Unavailable))
-	row("view", fmt.Sprintf("%v old, oldest heartbeat %v, term %d, leading for %v", round(now.Sub(explanation.At)),
+	row("view", fmt.Sprintf("%v old, oldest heartbeat %v, term %d, leading for %v", round(max(0, now.Sub(explanation.At))),
 		round(explanation.OldestHeartbeat), explanation.Term, round(explanation.LeadingFor)))
 	row()
 	row("STEP", "TASKS", "NOW", "RUN TIME", "ACCEPTING", "EXCLUDED", "WORKERS")
--- a/internal/trials/tracer/command.go
+++ b/internal/trials/tracer/command.go
@@ -12,8 +12,8 @@
 		Use:   "trace [FILE...]",
 		Short: "Show from the logs of a domain's VMs where time and work went",
 		Long: "Show from the logs of a domain's VMs where the time of jobs and the work of attempts went, as Markdown tables.\n" +
-			"The lines of each file must be in the order of time; several files are read one after the other. Without a\n" +
-			"file, the standard input is read. Text before the JSON object of a line is ignored.",
+			"The lines of all files are sorted by time. Without a file, the standard input is read. Text before the JSON\n" +
+			"object of a line is ignored.",
 		SilenceUsage: true,
 		RunE: func(command *cobra.Command, files []string) error {
 			trace := New()
--- a/internal/trials/tracer/event.go
+++ b/internal/trials/tracer/event.go
@@ -67,9 +67,9 @@
 	maxLineBytes = 4 << 20
 )
 
-// readEvents calls observe for each event with a name in wanted. Text before the first brace of a line is ignored, and
-// so are lines without an event. It returns the number of lines that look like an event and cannot be decoded.
-func readEvents(reader io.Reader, wanted map[string]func(*event)) (malformed int, err error) {
+// readEvents returns the events for which there is an observer. Text before the first brace of a line is ignored, and so
+// are lines without an event. malformed is the number of lines that look like an event and cannot be decoded.
+func readEvents(reader io.Reader) (events []*event, malformed int, err error) {
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -85,16 +85,15 @@
 			malformed++
 			continue
 		}
-		observe, found := wanted[name.Event]
-		if !found {
+		if observers[name.Event] == nil {
 			continue
 		}
-		var decoded event
-		if json.Unmarshal(line[brace:], &decoded) != nil {
+		decoded := &event{}
+		if json.Unmarshal(line[brace:], decoded) != nil {
 			malformed++
 			continue
 		}
-		observe(&decoded)
+		events = append(events, decoded)
 	}
-	return malformed, Error.Wrap(scanner.Err())
+	return events, malformed, Error.Wrap(scanner.Err())
 }
--- a/internal/trials/tracer/table.go
+++ b/internal/trials/tracer/table.go
@@ -14,6 +14,7 @@
 
 // PrintTables writes the trace as Markdown tables.
 func (trace *Trace) PrintTables(writer io.Writer) error {
+	trace.observeEvents()
 	var text strings.Builder
 	trace.printJobs(&text)
 	trace.printStages(&text)
@@ -35,7 +36,7 @@
 	fmt.Fprintf(text, "\n## %s\n\n| %s |\n|%s\n", title, strings.Join(columns, " | "), strings.Repeat("---|", len(columns)))
 }
 
-// quantile returns a quantile of the values, or 0 if there are none.
+// quantile sorts the values and returns a quantile of them, or 0 if there are none.
 func quantile(values []float64, fraction float64) float64 {
 	if len(values) == 0 {
 		return 0
--- a/internal/trials/tracer/tracer.go
+++ b/internal/trials/tracer/tracer.go
@@ -3,7 +3,9 @@
 package tracer
 
 import (
+	"cmp"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/errs"
@@ -17,6 +19,8 @@
 
 // Trace collects log events. The zero value is not usable, see New.
 type Trace struct {
+	// events holds the events that have been read and not been observed yet.
+	events      []*event
 	jobs        map[string]*job
 	answers     map[answer]int
 	stages      map[string]*stageSums
@@ -89,17 +93,30 @@
 	}
 }
 
-// Read adds the events of a log.
+// observers holds the method that observes an event, by the event's name.
+var observers = map[string]func(*Trace, *event){
+	"jobSubmitted": (*Trace).observeSubmission, "tasksPlaced": (*Trace).observePlacement,
+	"jobEnded": (*Trace).observeJobEnd, "stepEnded": (*Trace).observeStep, "attemptEnded": (*Trace).observeAttempt,
+	"leadershipTaken": (*Trace).observeLeadership, "load": (*Trace).observeLoad,
+}
+
+// Read adds the events of a log. Logs of several VMs may be read in any order.
 func (trace *Trace) Read(reader io.Reader) error {
-	malformed, err := readEvents(reader, map[string]func(*event){
-		"jobSubmitted": trace.observeSubmission, "tasksPlaced": trace.observePlacement, "jobEnded": trace.observeJobEnd,
-		"stepEnded": trace.observeStep, "attemptEnded": trace.observeAttempt,
-		"leadershipTaken": trace.observeLeadership, "load": trace.observeLoad,
-	})
+	events, malformed, err := readEvents(reader)
+	trace.events = append(trace.events, events...)
 	trace.malformed += malformed
 	return err
 }
 
+// observeEvents observes the events that have been read, in the order of their times.
+func (trace *Trace) observeEvents() {
+	slices.SortStableFunc(trace.events, func(a, b *event) int { return cmp.Compare(a.Time, b.Time) })
+	for _, event := range trace.events {
+		observers[event.Name](trace, event)
+	}
+	trace.events = nil
+}
+
 // job returns the record of a job, which is created if its events come before its submission.
 func (trace *Trace) job(id string) *job {
 	if trace.jobs[id] == nil {
--- a/internal/trials/tracer/tracer_test.go
+++ b/internal/trials/tracer/tracer_test.go
@@ -28,6 +28,7 @@
 	if err := trace.Read(strings.NewReader(log)); err != nil {
 		t.Fatal(err)
 	}
+	trace.observeEvents()
 	return trace
 }
 
@@ -108,3 +109,28 @@
 		t.Error(err)
 	}
 }
+
+// Guards against times that are counted from the wrong event because the log of the second leader was read first.
+func TestOrderOfLogs(t *testing.T) {
+	first := `{"event":"leadershipTaken","vm":"a","term":1,"time":1000}
+{"event":"tasksPlaced","job":"j","tasks":1,"waited":100,"time":2000}
+`
+	second := `{"event":"leadershipTaken","vm":"b","term":2,"time":5000}
+{"event":"tasksPlaced","job":"j","tasks":1,"again":1,"waited":50,"time":6000}
+`
+	var tables [2]strings.Builder
+	for position, logs := range [][]string{{first, second}, {second, first}} {
+		trace := New()
+		for _, log := range logs {
+			if err := trace.Read(strings.NewReader(log)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := trace.PrintTables(&tables[position]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := tables[1].String(), tables[0].String(); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
