--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -1,6 +1,7 @@
-// Package admitter implements admission control for jobs. It contains only decision logic. It is meant for pools that
-// fill up with long-running tasks before short jobs arrive or workers are lost: a long-running task that takes the last
-// free capacity keeps it for a minute, in which dozens of short jobs could have run.
+// Package admitter implements admission control for jobs. It contains only decision logic. Admitter is meant for pools
+// that fill up with long-running tasks before short jobs arrive or workers are lost: a long-running task that takes the
+// last free capacity keeps it for a minute, in which dozens of short jobs could have run. BacklogAdmitter refuses jobs
+// that would finish too late to be of use.
 package admitter
 
 import (
@@ -97,12 +98,12 @@
 func (admitter *Admitter) Admit(workflow *scheduler.Workflow) Decision {
 	requested := longRunningRequest(workflow)
 	if requested == 0 || !admitter.observed {
-		return Decision{admitted: true}
+		return Admitted()
 	}
 	capacity := float64(admitter.load.Capacity)
 	free := capacity - max(minReserveFraction*capacity, shortReserveFactor*admitter.averageShort) - float64(admitter.load.LongRunning)
 	if float64(requested) <= free {
-		return Decision{admitted: true}
+		return Admitted()
 	}
 	return Decision{
 		reason:     "the remaining capacity is reserved for short jobs",
--- a/internal/jobs/admitter/audit.go
+++ b/internal/jobs/admitter/audit.go
@@ -1,6 +1,9 @@
 package admitter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minMargin and maxMargin limit the factor by which a job must miss its useful time to be refused.
@@ -21,11 +24,11 @@
 	margin float64
 }
 
-// Right returns the number of refused jobs that could not have started in time.
+// Right returns the number of checked refusals of jobs that could not have started in time.
 func (audit Audit) Right() int { return audit.right }
 
-// Wrong returns the number of refused jobs for which capacity became free in time. It is an upper bound on the error,
-// because each refusal is checked as if it had been the only one.
+// Wrong returns the number of checked refusals of jobs for which capacity became free in time. It is an upper bound on
+// the error, because each refusal is checked as if it had been the only one.
 func (audit Audit) Wrong() int { return audit.wrong }
 
 // Margin returns the factor by which a job must miss its useful time to be refused.
@@ -50,8 +53,8 @@
 
 func (audit *audit) summary() Audit { return audit.result }
 
-// scaled returns the predicted end from which on a job with the given useful time is refused.
-func (audit *audit) scaled(useful time.Duration) time.Duration {
+// refusalLimit returns the predicted end from which on a job with the given useful time is refused.
+func (audit *audit) refusalLimit(useful time.Duration) time.Duration {
 	return time.Duration(audit.result.margin * float64(useful))
 }
 
@@ -65,6 +68,11 @@
 	})
 }
 
+// dropUnobserved drops the refusals whose outcome came due while the state of the pool was unknown.
+func (audit *audit) dropUnobserved(now time.Duration) {
+	audit.pending = slices.DeleteFunc(audit.pending, func(check check) bool { return now > check.latestStart })
+}
+
 // check checks the pending refusals. startsNow reports whether a job could start now.
 func (audit *audit) check(now time.Duration, startsNow func(kind CapacityKind, rank rank, initial int64) bool) {
 	remaining := audit.pending[:0]
--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -28,10 +28,10 @@
 	Job      scheduler.JobID
 	Queue    *scheduler.Queue
 	Workflow *scheduler.Workflow
-	// Timeout is how long the caller goes on asking in all, including retries, zero if that is not known.
+	// Timeout is the total time for which the caller retries, or zero if it is unknown.
 	Timeout time.Duration
-	// FitsNow reports whether workers accept the first tasks of the job although other tasks are waiting, for which these
-	// workers are of no use. It is called only before a refusal. If it is nil, none do.
+	// FitsNow reports whether workers would accept the job's first tasks after all waiting tasks have been placed. It is
+	// called only before a refusal, and may reserve that capacity. If it is nil, no worker would.
 	FitsNow func() bool
 }
 
@@ -74,6 +74,9 @@
 		supply.observe(now, elapsed, state.Rooms[kind], backlogAdmitter.backlog.waiting(kind), continuous)
 	}
 	backlogAdmitter.tickets.expire(now)
+	if !continuous {
+		backlogAdmitter.audit.dropUnobserved(now)
+	}
 	if !state.Blind {
 		backlogAdmitter.audit.check(now, backlogAdmitter.startsNow)
 	}
@@ -93,24 +96,30 @@
 // Admit decides whether a job is admitted at time now.
 func (backlogAdmitter *BacklogAdmitter) Admit(now time.Duration, submission Submission) Decision {
 	if !isForecastable(submission.Workflow) {
-		return Decision{admitted: true}
+		return Admitted()
 	}
 	demand := newDemand(&submission)
 	if !mayBeRefused(&submission) {
 		backlogAdmitter.record(now, &demand)
-		return Decision{admitted: true}
+		return Admitted()
 	}
 	ticket, known := backlogAdmitter.tickets.find(submission.Job, now)
 	if known && now < ticket.returnAt {
 		// A copy of the request that was refused may arrive late. Admitting it would make that answer false.
-		return backlogAdmitter.refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
+		decision := refuse(&submission, Forecast{}, ticket.returnAt-now, ReasonEarlyReturn)
+		ticket.returning = decision.retryAfter > 0
+		return decision
 	}
 	forecast := backlogAdmitter.forecast(now, &demand, known)
 	mayRefuse := !known || ticket.refusals < maxRefusals
 	if mayRefuse && backlogAdmitter.isTooLate(&demand, &forecast) && !submission.fitsNow() {
 		retryAfter := backlogAdmitter.tickets.add(now, &demand, forecast.end-demand.useful)
 		backlogAdmitter.audit.add(now, &demand, forecast)
-		return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
+		decision := refuse(&submission, forecast, retryAfter, ReasonTooLate)
+		if decision.retryAfter == 0 {
+			backlogAdmitter.tickets.markNotReturning(submission.Job)
+		}
+		return decision
 	}
 	backlogAdmitter.tickets.remove(submission.Job)
 	backlogAdmitter.record(now, &demand)
@@ -120,7 +129,7 @@
 // Preview returns the decision on a job that is submitted for the first time, without recording it.
 func (backlogAdmitter *BacklogAdmitter) Preview(now time.Duration, submission Submission) Decision {
 	if !mayBeRefused(&submission) {
-		return Decision{admitted: true}
+		return Admitted()
 	}
 	demand := newDemand(&submission)
 	forecast := backlogAdmitter.forecast(now, &demand, false)
@@ -128,12 +137,12 @@
 		return Decision{admitted: true, forecast: forecast}
 	}
 	retryAfter := returnDelay(demand.job, forecast.end-demand.useful)
-	return backlogAdmitter.refuse(&submission, forecast, retryAfter, ReasonTooLate)
+	return refuse(&submission, forecast, retryAfter, ReasonTooLate)
 }
 
 // isTooLate reports whether a job is forecast to finish when its result is no longer of use.
 func (backlogAdmitter *BacklogAdmitter) isTooLate(demand *demand, forecast *Forecast) bool {
-	return forecast.certain && forecast.end > backlogAdmitter.audit.scaled(demand.useful)
+	return forecast.certain && forecast.end > backlogAdmitter.audit.refusalLimit(demand.useful)
 }
 
 // mayBeRefused reports whether a job may be refused because of a forecast: its queue has an objective and gives way to
@@ -150,14 +159,16 @@
 }
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
-func (backlogAdmitter *BacklogAdmitter) refuse(
+func refuse(
 	submission *Submission, forecast Forecast, retryAfter time.Duration, reason string,
 ) Decision {
-	if submission.Timeout > 0 && retryAfter >= submission.Timeout {
-		backlogAdmitter.tickets.markNotReturning(submission.Job)
-		return Decision{reason: ReasonNoReturn, forecast: forecast}
+	switch {
+	case submission.Timeout == 0 || retryAfter < submission.Timeout:
+		return Decision{reason: reason, retryAfter: roundUp(retryAfter), forecast: forecast}
+	case reason == ReasonTooLate:
+		reason = ReasonNoReturn
 	}
-	return Decision{reason: reason, retryAfter: roundUp(retryAfter), forecast: forecast}
+	return Decision{reason: reason, forecast: forecast}
 }
 
 // record adds an admitted job to the backlog, so that jobs submitted before the next observation see it.
--- a/internal/jobs/admitter/ticket.go
+++ b/internal/jobs/admitter/ticket.go
@@ -41,8 +41,8 @@
 	return found, found != nil && now <= found.returnAt+returnGrace
 }
 
-// returnDelay returns the time after which a job may return that would be late by excess: that time, within bounds, plus a
-// part that depends on the job alone, so that jobs that are refused together do not return together.
+// returnDelay returns excess, the time by which a job would be late, within bounds, plus a delay that is derived from the
+// job ID, so that jobs that are refused together return apart.
 func returnDelay(job scheduler.JobID, excess time.Duration) time.Duration {
 	delay := min(max(excess, minRetryAfter), maxRetryAfter*2/3)
 	spread := max(minReturnSpread, delay/2)
--- a/internal/jobs/forecaster/digest.go
+++ b/internal/jobs/forecaster/digest.go
@@ -66,7 +66,7 @@
 		return included
 	})
 	forecaster.fleet.workers.visit(func(worker scheduler.WorkerName, workerSpeed *workerSpeed) bool {
-		entry := workerDigest{Worker: worker, Ratios: workerSpeed.ratios}
+		entry := workerDigest{Worker: worker, Ratios: workerSpeed.oldestFirst()}
 		included := fits(entry)
 		if included {
 			result.Workers = append(result.Workers, entry)
--- a/internal/jobs/forecaster/forecaster.go
+++ b/internal/jobs/forecaster/forecaster.go
@@ -33,9 +33,9 @@
 	maxPrediction = 10_000 * time.Hour
 	// minRemaining is the least remaining time that is predicted for a running task.
 	minRemaining = time.Millisecond
-	// medianQuantile and upperQuantile are the quantiles whose calibration is measured.
-	medianQuantile = 0.5
-	upperQuantile  = 0.9
+	// medianQuantile and calibrationQuantile are the quantiles whose calibration is measured.
+	medianQuantile      = 0.5
+	calibrationQuantile = 0.9
 )
 
 // Observation describes an attempt that has ended.
@@ -140,7 +140,7 @@
 	return Calibration{
 		predicted:   true,
 		belowMedian: runTime <= forecaster.RunTime(observation.Kind, observation.Estimate, medianQuantile),
-		belowUpper:  runTime <= forecaster.RunTime(observation.Kind, observation.Estimate, upperQuantile),
+		belowUpper:  runTime <= forecaster.RunTime(observation.Kind, observation.Estimate, calibrationQuantile),
 	}
 }
 
--- a/internal/jobs/forecaster/worker.go
+++ b/internal/jobs/forecaster/worker.go
@@ -46,6 +46,11 @@
 	}
 }
 
+// oldestFirst returns the ratios in the order in which they were added.
+func (workerSpeed *workerSpeed) oldestFirst() []float32 {
+	return slices.Concat(workerSpeed.ratios[workerSpeed.next:], workerSpeed.ratios[:workerSpeed.next])
+}
+
 // medianOf returns the median of the values, which it sorts.
 func medianOf(values []float32) float64 {
 	slices.Sort(values)
--- a/internal/jobs/handler/evacuation.go
+++ b/internal/jobs/handler/evacuation.go
@@ -10,8 +10,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// disconnectDelay is the time that the server gets to notice that the caller has closed the connection, in case the
-// request waited in the socket of a suspended VM.
+// disconnectDelay lets the server detect that the caller has disconnected. A request may have waited while the VM was
+// suspended.
 const disconnectDelay = 20 * time.Millisecond
 
 // EvacuateRequest begins or ends the evacuation of a data centre if Revision is the current revision of its evacuation
@@ -30,9 +30,9 @@
 	DataCentre scheduler.DataCentreName
 }
 
-// Evacuate begins or ends the evacuation of a data centre. It reads the current revision first, so that a copy of the
-// request that arrives late cannot undo a request that was accepted after it. It repeats a request that had no effect
-// for as long as ctx lasts, for example until there is a new leader. requester is the address of the operator.
+// Evacuate begins or ends the evacuation of a data centre. It reads the current revision first, so that a message that
+// arrives after its return cannot undo a later request. Until it returns, it repeats the request with the current
+// revision, so the request may be applied again after an opposite one. requester is the address of the operator.
 func (leaderClient *LeaderClient) Evacuate(
 	ctx context.Context, evacuation scheduler.Evacuation, requester string,
 ) Response {
--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -111,7 +111,7 @@
 	return queue, Response{}
 }
 
-// submit stores a job. timeout is how long its caller goes on asking in all, zero if that is not known.
+// submit stores a job. timeout is the total time for which its caller retries, or zero if it is unknown.
 func (handler *Handler) submit(ctx context.Context, request *SubmitRequest, timeout time.Duration) Response {
 	queue, response := handler.findQueue(request.Route)
 	if queue == nil {
--- a/internal/jobs/handler/leaderclient.go
+++ b/internal/jobs/handler/leaderclient.go
@@ -171,7 +171,8 @@
 }
 
 // isConclusive reports whether a response to a retried change also holds for the first attempt, which may still take
-// effect. An error such as StatusRefused holds for the retry only. After StatusSuperseded, no copy can take effect.
+// effect. An error such as StatusRefused holds for the retry only. After StatusSuperseded, no earlier attempt can still
+// take effect.
 func (response *Response) isConclusive() bool {
 	return response.Status == StatusDone || response.Status == StatusInvalid || response.Status == StatusSuperseded
 }
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -25,7 +25,7 @@
 	Evacuate           *EvacuateRequest              `cbor:"13,keyasint,omitempty"`
 	EvacuationRevision *EvacuationRevisionRequest    `cbor:"14,keyasint,omitempty"`
 	Explain            *ExplainRequest               `cbor:"20,keyasint,omitempty"`
-	// Timeout is how long the caller goes on asking in all, including retries, zero if that is not known.
+	// Timeout is the total time for which the caller retries, or zero if it is unknown. No sender sets it yet.
 	Timeout time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -125,7 +125,7 @@
 	decision := poolAdmitter.Admit(submission.Workflow)
 	if decision.Admitted() && leadership.overseer.forecastAdmission {
 		submission.FitsNow = func() bool {
-			return leadership.spareWorkersOf(pool).reserve(leadership.firstGroups(submission.Queue, submission.Workflow))
+			return leadership.packedWorkersOf(pool).reserve(leadership.firstGroups(submission.Queue, submission.Workflow))
 		}
 		decision = leadership.backlogAdmitter(pool).Admit(leadership.now(), *submission)
 		if !decision.Admitted() {
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -120,7 +120,7 @@
 	heartbeatTimeout, now := leadership.heartbeatTimeout(), leadership.now()
 	for _, instance := range leadership.instances {
 		if instance.heartbeat.Pool == step.Job().Queue().Pool && instance.acceptsWork(now, heartbeatTimeout) &&
-			!leadership.isEvacuating(instance) && !leadership.isInEvacuatedDataCentre(instance) && !known.requested[instance.key()] {
+			!leadership.isInMaintenance(instance) && !leadership.isInEvacuatedDataCentre(instance) && !known.requested[instance.key()] {
 			instances = append(instances, instance)
 		}
 	}
--- a/internal/jobs/overseer/attemptlog.go
+++ b/internal/jobs/overseer/attemptlog.go
@@ -108,7 +108,7 @@
 func (leadership *leadership) addResult(ended *attempt, end jobkeeper.End) {
 	key := keyOf(end.Run.Task)
 	if leadership.jobLog.reported[key.job] {
-		return // No later event would remove the results.
+		return // Results are removed when the job ends; this job already has.
 	}
 	results := leadership.jobLog.results[key.job]
 	if results == nil {
--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -13,8 +13,8 @@
 // only evacuated workers can run.
 const evacuationInterval = time.Second
 
-// evacuations is the leadership's view of evacuated data centres. The leadership's mutex guards it. Decisions between
-// planning cycles, such as planStart, read the replicated state instead.
+// evacuations is the leadership's view of evacuated data centres. The leadership's mutex guards it. planStart reads
+// the replicated state itself, because this view may be a planning cycle old.
 type evacuations struct {
 	// active holds the evacuated data centres, as of the last planning cycle.
 	active     map[scheduler.DataCentreName]*evacuationProgress
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -130,7 +130,7 @@
 	if decision.Admitted() && leadership.overseer.forecastAdmission && backlogAdmitter != nil {
 		decision = backlogAdmitter.Preview(leadership.now(), admitter.Submission{
 			Queue: queue, Workflow: workflow, FitsNow: func() bool {
-				return leadership.spareWorkersOf(queue.Pool).accept(leadership.firstGroups(queue, workflow))
+				return leadership.packedWorkersOf(queue.Pool).accept(leadership.firstGroups(queue, workflow))
 			},
 		})
 	}
@@ -164,7 +164,7 @@
 	switch {
 	case instance.heartbeat.Phase == scheduler.WorkerDraining:
 		return UnavailableDraining
-	case leadership.isEvacuating(instance):
+	case leadership.isInMaintenance(instance):
 		return UnavailableMaintenance
 	case leadership.isInEvacuatedDataCentre(instance):
 		return UnavailableEvacuated
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -17,7 +17,7 @@
 	// blindTime is the time at the start of a leadership without forecasts. It covers two heartbeats of each worker.
 	blindTime = 3 * time.Second
 	// maxUncertainFraction is the fraction of a pool's workers that may take no tasks for an uncertain reason while
-	// forecasts are made. One always may.
+	// forecasts are made. One worker may always do so, for the sake of small pools.
 	maxUncertainFraction = 0.1
 )
 
@@ -85,7 +85,7 @@
 func (leadership *leadership) isAbsent(instance *worker, now time.Duration, wallTime time.Time) bool {
 	lastContact := max(instance.lastHeartbeat, instance.lastResponse, leadership.startedAt)
 	return instance.ended || now-lastContact >= leadership.overseer.leaseDuration ||
-		instance.heartbeat.Phase == scheduler.WorkerDraining || leadership.isEvacuating(instance) ||
+		instance.heartbeat.Phase == scheduler.WorkerDraining || leadership.isInMaintenance(instance) ||
 		leadership.isInEvacuatedDataCentre(instance) || leadership.failureTracker.isQuarantined(instance.name, wallTime)
 }
 
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -48,12 +48,12 @@
 
 // logPlacements logs one event for each step that had tasks placed. The mutex must be held.
 func (leadership *leadership) logPlacements(placements []jobkeeper.Placement, attempts []scheduler.AttemptNumber) {
-	counts, resumed := map[stepKey]int{}, map[stepKey]int{}
+	counts, repeated := map[stepKey]int{}, map[stepKey]int{}
 	for position, placement := range placements {
 		if position < len(attempts) && attempts[position] > 0 {
 			counts[keyOf(placement.Task)]++
 			if attempts[position] > 1 {
-				resumed[keyOf(placement.Task)]++
+				repeated[keyOf(placement.Task)]++
 			}
 		}
 	}
@@ -65,7 +65,7 @@
 		}
 		leadership.logger.Info().Str("event", "tasksPlaced").Str("job", string(key.job)).
 			Int("occurrence", key.occurrence).Int("step", key.step).
-			Int("tasks", count).Int("again", resumed[key]).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
+			Int("tasks", count).Int("again", repeated[key]).Dur("waited", now-stepWait.since).Str("prospect", string(stepWait.prospect)).
 			Int64("milliCores", stepWait.request.MilliCores).
 			Msg("tasks placed")
 	}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -63,8 +63,8 @@
 	// updated.
 	backlogAdmitters    map[scheduler.PoolName]*admitter.BacklogAdmitter
 	forecastsObservedAt time.Duration
-	// spareWorkers hold for each pool what the waiting tasks cannot use.
-	spareWorkers map[scheduler.PoolName]*spareWorkers
+	// packedWorkers holds for each pool what the waiting tasks cannot use.
+	packedWorkers map[scheduler.PoolName]*packedWorkers
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -84,7 +84,7 @@
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
 		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
-		spareWorkers:     map[scheduler.PoolName]*spareWorkers{},
+		packedWorkers:    map[scheduler.PoolName]*packedWorkers{},
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
--- a/internal/jobs/overseer/lookahead.go
+++ b/internal/jobs/overseer/lookahead.go
@@ -16,8 +16,8 @@
 }
 
 const (
-	// endQuantile is the quantile at which running tasks are expected to end. A later one would predict late starts, and
-	// longer tasks would then be admitted to capacity that is free before.
+	// endQuantile is the quantile at which running tasks are expected to end. A higher quantile would
+	// predict later starts and let longer tasks delay the reserved one.
 	endQuantile = 0.5
 	// runTimeQuantile is the quantile that decides whether a task ends before the start of a reserved one.
 	runTimeQuantile = 0.95
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -193,7 +193,7 @@
 	})
 }
 
-// abandonStart ends an attempt that is no longer wanted and whose start order was not answered.
+// abandonStart ends an attempt whose start is no longer wanted.
 func (leadership *leadership) abandonStart(instance *worker, id scheduler.RunID) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
--- a/internal/jobs/overseer/spareworkers.go
+++ b/internal/jobs/overseer/packedworkers.go
@@ -8,36 +8,36 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// spareWorkers are the workers of a pool after all waiting tasks that fit have been placed on them. What is free on them
+// packedWorkers are the workers of a pool after all waiting tasks that fit have been placed on them. What is free on them
 // is capacity that no waiting task can use, because each of them needs something else, such as a label.
-type spareWorkers struct {
+type packedWorkers struct {
 	workers  []*packer.Worker
 	packedAt time.Duration
 }
 
-// spareWorkersOf returns the spare workers of a pool. They are computed at most once per forecastInterval, because that
+// packedWorkersOf returns the packed workers of a pool. They are computed at most once per forecastInterval, because that
 // costs as much as a planning cycle. The mutex must be held.
-func (leadership *leadership) spareWorkersOf(pool scheduler.PoolName) *spareWorkers {
+func (leadership *leadership) packedWorkersOf(pool scheduler.PoolName) *packedWorkers {
 	now := leadership.now()
-	spare := leadership.spareWorkers[pool]
-	if spare != nil && now < spare.packedAt+forecastInterval {
-		return spare
+	packed := leadership.packedWorkers[pool]
+	if packed != nil && now < packed.packedAt+forecastInterval {
+		return packed
 	}
-	spare = &spareWorkers{packedAt: now}
+	packed = &packedWorkers{packedAt: now}
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
-		spare.workers = leadership.workersWithHolds(state, pool)
-		packer.Pack(spare.workers, leadership.waitingGroups(state, func(waiting *waitingStep) bool {
+		packed.workers = leadership.workersWithHolds(state, pool)
+		packer.Pack(packed.workers, leadership.waitingGroups(state, func(waiting *waitingStep) bool {
 			return waiting.step.Job().Queue().Pool == pool
 		}))
 	})
-	leadership.spareWorkers[pool] = spare
-	return spare
+	leadership.packedWorkers[pool] = packed
+	return packed
 }
 
 // accept reports whether each of the groups has a worker that accepts one of its tasks.
-func (spareWorkers *spareWorkers) accept(groups []packer.Group) bool {
+func (packedWorkers *packedWorkers) accept(groups []packer.Group) bool {
 	for position := range groups {
-		if packer.Examine(spareWorkers.workers, &groups[position]).Accepting() == 0 {
+		if packer.Examine(packedWorkers.workers, &groups[position]).Accepting() == 0 {
 			return false
 		}
 	}
@@ -45,11 +45,11 @@
 }
 
 // reserve does the same as accept, and reserves the capacity for the groups if it returns true.
-func (spareWorkers *spareWorkers) reserve(groups []packer.Group) bool {
-	if !spareWorkers.accept(groups) {
+func (packedWorkers *packedWorkers) reserve(groups []packer.Group) bool {
+	if !packedWorkers.accept(groups) {
 		return false
 	}
-	packer.Pack(spareWorkers.workers, groups)
+	packer.Pack(packedWorkers.workers, groups)
 	return true
 }
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -224,8 +224,8 @@
 	return leadership.unavailableReason(instance, now, heartbeatTimeout, wallTime) == ""
 }
 
-// isEvacuating reports whether the worker's VM is being evacuated for maintenance.
-func (leadership *leadership) isEvacuating(instance *worker) bool {
+// isInMaintenance reports whether the worker's VM is being evacuated for maintenance.
+func (leadership *leadership) isInMaintenance(instance *worker) bool {
 	_, evacuating := leadership.maintenance.evacuating[instance.heartbeat.VM]
 	return evacuating
 }
--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -11,9 +11,9 @@
 	ExcludedBySlack Exclusion = "insufficientSlack"
 	// ExcludedByInterference means that a fill task is predicted to slow a serving task beyond its limit.
 	ExcludedByInterference Exclusion = "interference"
-	// ExcludedByHold means that the whole worker is kept for a long-running task that fits on no worker yet, for the rest
-	// of this decision, see Worker. It is unrelated to Worker.Hold, for which ExcludedByReservation stands.
-	ExcludedByHold Exclusion = "heldForLongRunning"
+	// ExcludedByLongRunning means that the whole worker is kept, for the rest of this decision, for a long-running task
+	// that fits on no worker yet.
+	ExcludedByLongRunning Exclusion = "heldForLongRunning"
 	// ExcludedByCapacity means that the request exceeds the worker's free capacity.
 	ExcludedByCapacity Exclusion = "insufficientCapacity"
 	// ExcludedByLabel means that the worker lacks the required label.
@@ -22,9 +22,8 @@
 	ExcludedByTaskLimit Exclusion = "tasksPerWorker"
 	// ExcludedByApproval means that the approval service has not approved the worker for the step.
 	ExcludedByApproval Exclusion = "notApproved"
-	// ExcludedByReservation means that Worker.Hold keeps the free capacity for a task that is expected to start later.
-	// Unlike with ExcludedByHold, tasks that end before or fit beside it are accepted.
-	ExcludedByReservation Exclusion = "reserved"
+	// ExcludedByHold means that Worker.Hold keeps the free capacity for a task that is expected to start later.
+	ExcludedByHold Exclusion = "reserved"
 	// ExcludedByFailure means that a task of the group failed on the worker and is to run elsewhere.
 	ExcludedByFailure Exclusion = "failedThere"
 )
@@ -54,7 +53,7 @@
 	step := group.Step
 	switch {
 	case worker.heldForLongRunning && !step.Fill:
-		return ExcludedByHold
+		return ExcludedByLongRunning
 	case !step.Reserved().FitsIn(worker.Free):
 		return ExcludedByCapacity
 	case !worker.hasLabel(step.RequiredLabel):
@@ -66,7 +65,7 @@
 	case group.Avoid[worker.Name]:
 		return ExcludedByFailure
 	case !worker.admits(group):
-		return ExcludedByReservation
+		return ExcludedByHold
 	}
 	return NotExcluded
 }
--- a/internal/jobs/packer/hold.go
+++ b/internal/jobs/packer/hold.go
@@ -55,7 +55,16 @@
 
 // leavesRoom reports whether another task of the group needs none of the capacity that is kept.
 func (hold *Hold) leavesRoom(group *Group) bool {
-	return group.endsWithin(hold.start) || group.Step.Reserved().FitsIn(hold.spare)
+	// The spare capacity is negative after a task of a higher priority has used held capacity. Tasks that reserve none of a
+	// resource still fit.
+	return group.endsWithin(hold.start) || group.Step.Reserved().FitsIn(atLeastZero(hold.spare))
+}
+
+func atLeastZero(resources scheduler.Resources) scheduler.Resources {
+	return scheduler.Resources{
+		MilliCores: max(resources.MilliCores, 0), MemoryBytes: max(resources.MemoryBytes, 0),
+		Accelerators: max(resources.Accelerators, 0),
+	}
 }
 
 // stepsWithHolds returns the steps for which workers hold capacity, or nil if there are none.
--- a/internal/jobs/reserver/reservation.go
+++ b/internal/jobs/reserver/reservation.go
@@ -98,7 +98,7 @@
 	ReasonUnsuitable Reason = "unsuitable"
 	// ReasonExpired means that the reservation has held capacity idle for the maximum time.
 	ReasonExpired Reason = "expired"
-	// ReasonDelayed means that the tasks on the worker are now expected to end later than when the reservation was made.
+	// ReasonDelayed means that the tasks on the worker are now expected to end later than predicted when the reservation was made.
 	// The next reservation may be on the same worker if that is still the earliest.
 	ReasonDelayed Reason = "delayed"
 	// ReasonIncomplete means that the reservation of another member of the gang was broken.
--- a/internal/jobs/reserver/slot.go
+++ b/internal/jobs/reserver/slot.go
@@ -14,7 +14,7 @@
 	worker *packer.Worker
 	// after is the time from now until the capacity is expected to be free.
 	after time.Duration
-	// spare is the capacity that is expected to be free at any time of the slots up to this one.
+	// spare is the least capacity that is expected to be left free after any of the slots up to this one.
 	spare scheduler.Resources
 }
 
@@ -69,8 +69,8 @@
 		candidates = earliestRack(candidates, count, maxWorkers)
 	}
 	chosen := choose(candidates, count, maxWorkers)
-	if group.Step.Gang && len(chosen) < count {
-		chosen = choose(onFewestWorkers(candidates, maxWorkers), count, maxWorkers)
+	if group.Step.Gang {
+		chosen = chooseAll(candidates, count, maxWorkers)
 	}
 	if group.Step.Gang && len(chosen) < count {
 		return nil
@@ -150,6 +150,15 @@
 	return chosen
 }
 
+// chooseAll returns the first count slots on at most maxWorkers workers. If these workers have too few slots, it uses those
+// with the most.
+func chooseAll(slots []slot, count, maxWorkers int) []slot {
+	if chosen := choose(slots, count, maxWorkers); len(chosen) == count {
+		return chosen
+	}
+	return choose(onFewestWorkers(slots, maxWorkers), count, maxWorkers)
+}
+
 // onFewestWorkers returns the slots of the maxWorkers workers with the most slots, in the given order.
 func onFewestWorkers(slots []slot, maxWorkers int) []slot {
 	counts := map[*packer.Worker]int{}
@@ -179,7 +188,7 @@
 	for _, slot := range slots {
 		inRack := racks[slot.worker.Rack]
 		delete(racks, slot.worker.Rack)
-		chosen := choose(inRack, count, maxWorkers)
+		chosen := chooseAll(inRack, count, maxWorkers)
 		if len(chosen) < count {
 			continue
 		}
--- a/pkg/scheduler/runtime.go
+++ b/pkg/scheduler/runtime.go
@@ -19,8 +19,8 @@
 // Image returns the image of the tasks.
 func (taskKind TaskKind) Image() string { return taskKind.image }
 
-// RunTimePredictor predicts how long tasks run. Its predictions are quantiles between 0 and 1 of distributions that it
-// has learned from tasks that have ended. They apply to a healthy worker near the data and exclude waiting time. For a
+// RunTimePredictor predicts how long tasks run. A prediction is the given quantile, from 0 to 1, of the run times
+// of tasks of the kind that have ended. They apply to a healthy worker near the data and exclude waiting time. For a
 // kind of which too few tasks have ended, a prediction is the submitter's estimate.
 type RunTimePredictor interface {
 	// RunTime returns a quantile of the run time of a task with the given estimate.
