overseer: count the work of a task once when both of its attempts finish

Cause: an original and its copy that both finished counted twice in the steps' log and in the drain rate. Change: recordCopyEnd tells whether the other attempt has finished before. Run: go vet; go test of overseer passes.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -295,10 +295,12 @@
 		ended := instance.attempts[end.Run]
 		delete(instance.attempts, end.Run)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
-		leadership.recordCopyEnd(end, ended)
-		leadership.recordFinishedWork(instance, ended, end)
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
+		if repeated := leadership.recordCopyEnd(end, ended); repeated {
+			continue // The other attempt has finished before, so the task and its work have been counted.
+		}
+		leadership.recordFinishedWork(instance, ended, end)
 		leadership.logAttemptEnd(instance, ended, end)
 	}
 	leadership.logEndedJobs(ends)
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -253,18 +253,19 @@
 
 // recordCopyEnd records the end of an attempt of a task with a copy. The first attempt that finishes decides which one
 // has won; what the other one ran is wasted. A copy that failed or was lost has not won; one that was refused or stopped
-// shows nothing. The mutex must be held.
-func (leadership *leadership) recordCopyEnd(end jobkeeper.End, ended *attempt) {
+// shows nothing. repeated is true if the attempt has finished after the other one. The mutex must be held.
+func (leadership *leadership) recordCopyEnd(end jobkeeper.End, ended *attempt) (repeated bool) {
 	copied := leadership.speculation.copies[end.Run.Task]
 	if copied == nil {
-		return
+		return false
 	}
+	repeated = end.Kind == scheduler.EndFinished && copied.decided
 	if delete(copied.open, end.Run.Attempt); len(copied.open) == 0 {
 		delete(leadership.speculation.copies, end.Run.Task)
 	}
 	queue, found := leadership.queueOf(end.Run.Task.Job)
 	if !found {
-		return
+		return repeated
 	}
 	scope := leadership.overseer.metrics.queueScope(queue)
 	if end.Kind != scheduler.EndFinished || copied.decided {
@@ -275,7 +276,7 @@
 			wasted := ended.timing.elapsed(leadership.now()).Milliseconds() * ended.spec.Request.MilliCores
 			scope.Counter("copies_wasted_core_milliseconds").Inc(wasted / milliCoresPerCore)
 		}
-		return
+		return repeated
 	}
 	copied.decided = true
 	won := end.Run.Attempt == copied.copy
@@ -285,6 +286,7 @@
 	}
 	leadership.logger.Info().Str("event", "copyDecided").Stringer("run", end.Run).Bool("copyWon", won).
 		Msg("one attempt of a task with a copy has finished")
+	return false
 }
 
 // isUnsuccessful reports whether a copy that ended without finishing lowers the success rate.
