overseer: check payloads, checkpoints and cancelled jobs in the random schedules

The schedules cancelled jobs, but no check looked at what became of them, all jobs had the empty payload and all tasks the same checkpoint. Foreign work could not be seen.

Each job now has its own payload and each task, or gang, its own checkpoint. A start order that is sent more than 1 s after its job was cancelled is a violation in all schedules.

--- a/internal/jobs/overseer/fake_client_test.go
+++ b/internal/jobs/overseer/fake_client_test.go
@@ -38,7 +38,7 @@
 			worker.fleet.stopped[run.Task] = true
 			worker.fleet.maxStopped = max(worker.fleet.maxStopped, len(worker.fleet.stopped))
 		}
-		worker.end(run, scheduler.EndStopped, savedCheckpoint)
+		worker.end(run, scheduler.EndStopped, worker.fleet.checkpointOf(run.Task))
 	}
 	return scheduler.OrderAccepted
 }
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -51,7 +51,8 @@
 	// lateStart is the run whose first start order is not answered and takes effect seconds later.
 	lateStart scheduler.RunID
 	// finishedAt is when the finish of each task was acknowledged for the first time.
-	finishedAt map[scheduler.StepTaskID]time.Time
+	finishedAt    map[scheduler.StepTaskID]time.Time
+	cancellations cancellations
 }
 
 // fakeWorker is one instance of a worker.
@@ -97,10 +98,7 @@
 const stragglerRunTime = 10 * time.Second
 
 // A run has a checkpoint after saveInterval.
-const (
-	saveInterval    = 500 * time.Millisecond
-	savedCheckpoint = "saved"
-)
+const saveInterval = 500 * time.Millisecond
 
 func newFleet(seed uint64) *fakeFleet {
 	return &fakeFleet{
@@ -111,7 +109,7 @@
 		finishedAt: map[scheduler.StepTaskID]time.Time{},
 		history:    map[scheduler.StepTaskID][]string{}, stopped: map[scheduler.StepTaskID]bool{}, runTime: 2 * time.Second,
 		dataCentres: map[scheduler.WorkerName]scheduler.DataCentreName{},
-		evacuated:   map[scheduler.DataCentreName]time.Time{},
+		evacuated:   map[scheduler.DataCentreName]time.Time{}, cancellations: newCancellations(),
 	}
 }
 
@@ -196,7 +194,7 @@
 	}
 	for id, run := range worker.runs {
 		if time.Since(run.startedAt) > saveInterval {
-			run.checkpoint = savedCheckpoint
+			run.checkpoint = worker.fleet.checkpointOf(id.Task)
 		}
 		switch {
 		case expired:
@@ -216,6 +214,7 @@
 	for _, worker := range fleet.workers {
 		if !worker.dead {
 			worker.advance()
+			worker.checkCancelled()
 		}
 	}
 }
@@ -255,6 +254,9 @@
 	late := (fleet.random.Float64() < fleet.lateRate || isLate(ctx)) && !other
 	delay := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
 	unreachable := worker == nil || worker.dead || worker.partitioned
+	if late {
+		fleet.cancellations.lateAt[ref.Worker] = time.Now()
+	}
 	fleet.mutex.Unlock()
 	if late && !unreachable {
 		go func() {
@@ -308,6 +310,7 @@
 		fleet.reportViolation("%v is sent %v after the finish of its task was acknowledged: %v", order.Run,
 			time.Since(finishedAt), fleet.history[task])
 	}
+	fleet.checkSent(order)
 	if order.Run != fleet.lateStart {
 		return ctx
 	}
@@ -373,7 +376,8 @@
 	if fleet.running[task] > 0 {
 		fleet.copies++
 	}
-	if order.Checkpoint == savedCheckpoint {
+	fleet.checkContent(order)
+	if order.Checkpoint != "" {
 		fleet.resumed++
 	}
 	run := &fakeRun{startedAt: time.Now(), fails: fleet.random.Float64() < fleet.failureRate, checkpoint: order.Checkpoint}
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -242,6 +242,7 @@
 	id := scheduler.JobID(fmt.Sprintf("job%d", simulation.jobs))
 	simulation.jobs++
 	simulation.fleet.mutex.Lock()
+	workflow.Payload = "payload of " + string(id)
 	simulation.fleet.workflows[id] = workflow
 	simulation.fleet.mutex.Unlock()
 	simulation.apply(jobkeeper.Command{Submit: &jobkeeper.Submit{
@@ -287,7 +288,7 @@
 	case 5:
 		if simulation.jobs > 0 {
 			id := scheduler.JobID(fmt.Sprintf("job%d", simulation.random.IntN(simulation.jobs)))
-			simulation.apply(jobkeeper.Command{Cancel: &id})
+			simulation.cancel(id)
 		}
 	}
 }
