jobkeeper, handler: remember the cancellation of a job that has not been submitted yet

Cause: the leader answered "no such job" to the cancelling of an unknown job from its own state, without a trace. If the response to the submission was lost, or its proposal was slow, the submission was stored afterwards and the job ran.

Change: the cancelling of an unknown job is replicated as a withdrawal, with the same answer. A submission that is accepted later creates the job in the state cancelled, so that no task ever starts and its state can be read. A cancelling of a job of another queue is still refused.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -182,20 +182,28 @@
 	return work
 }
 
+// cancel cancels a job. The cancellation of an unknown job is replicated too, because a copy of its submission may be
+// accepted later.
 func (handler *Handler) cancel(ctx context.Context, request *JobRequest) Response {
 	queue, response := handler.findQueue(request.Route)
 	if queue == nil {
 		return response
 	}
+	command := jobkeeper.Command{Cancel: &request.Job}
 	if _, found := handler.job(queue, request.Job); !found {
-		return errorResponse(StatusNoJob, "the job does not exist", 0)
+		if handler.overseer.HasJob(request.Job) {
+			return errorResponse(StatusNoJob, "the job belongs to another queue", 0)
+		}
+		command = jobkeeper.Command{Withdraw: &jobkeeper.Withdraw{Job: request.Job, Requested: time.Now()}}
 	}
-	response = handler.command(ctx, jobkeeper.Command{Cancel: &request.Job})
+	response = handler.command(ctx, command)
 	handler.logger.Info().Str("event", "jobCancelled").Str("job", string(request.Job)).
-		Str("status", string(response.Status)).Str("reason", response.Reason).Msg("job cancelled")
+		Bool("submitted", command.Cancel != nil).Str("status", string(response.Status)).Str("reason", response.Reason).
+		Msg("job cancelled")
 	return response
 }
 
+// job returns the state of a job of a queue.
 func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (state scheduler.WorkflowState, found bool) {
 	handler.keeper.View(func(view *jobkeeper.State) {
 		job, known := view.Job(id)
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -14,6 +14,8 @@
 		return Result{Status: state.submit(command.Submit)}
 	case command.Cancel != nil:
 		return Result{Status: state.cancel(*command.Cancel)}
+	case command.Withdraw != nil:
+		return Result{Status: state.withdraw(command.Withdraw)}
 	case command.StartOccurrence != nil:
 		return Result{Status: state.startOccurrence(command.StartOccurrence)}
 	case command.Place != nil:
@@ -78,6 +80,10 @@
 	}
 	state.jobs[job.id] = job
 	state.queued[queue.Name]++
+	if state.takeWithdrawal(job.id) {
+		state.finish(job, scheduler.WorkflowCancelled)
+		return StatusDone
+	}
 	if job.workflow.Repeat != nil {
 		state.repeated[job.id] = job
 		return StatusDone
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -18,6 +18,7 @@
 	SubmitWave       *SubmitWave                   `cbor:"7,keyasint,omitempty"`
 	MaintenanceSteps []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
 	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
+	Withdraw         *Withdraw                     `cbor:"12,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -10,11 +10,13 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// Versions of the snapshot format. Version 1 had no waves and version 2 no evacuations.
+// Versions of the snapshot format. Version 1 had no waves, version 2 no evacuations and version 3 no withdrawals. Version
+// 4 is reserved.
 const (
 	snapshotFormat1 = 1
 	snapshotFormat2 = 2
 	snapshotFormat3 = 3
+	snapshotFormat5 = 5
 )
 
 // The types below define the encoding of a snapshot. Lists have a fixed order, so that equal states have equal
@@ -27,6 +29,18 @@
 	Jobs          []storedJob
 	Waves         []storedWave
 	Evacuations   []storedEvacuation
+	Withdrawals   []storedWithdrawal
+}
+
+// storedStateV3 is storedState in format version 3.
+type storedStateV3 struct {
+	_             struct{} `cbor:",toarray"`
+	Format        int
+	Configuration *scheduler.QueueConfiguration
+	Sequence      uint64
+	Jobs          []storedJob
+	Waves         []storedWave
+	Evacuations   []storedEvacuation
 }
 
 // storedStateV2 is storedState in format version 2.
@@ -116,11 +130,17 @@
 }
 
 // encodable returns the state in the oldest format that can hold it, so that an earlier build can read the snapshots of
-// a domain in which no data centre was ever evacuated.
+// a domain that does not use what was added later.
 func (stored storedState) encodable() any {
-	if len(stored.Evacuations) > 0 {
+	if len(stored.Withdrawals) > 0 {
 		return stored
 	}
+	if len(stored.Evacuations) > 0 {
+		return storedStateV3{
+			Format: snapshotFormat3, Configuration: stored.Configuration, Sequence: stored.Sequence, Jobs: stored.Jobs,
+			Waves: stored.Waves, Evacuations: stored.Evacuations,
+		}
+	}
 	return storedStateV2{
 		Format: snapshotFormat2, Configuration: stored.Configuration, Sequence: stored.Sequence, Jobs: stored.Jobs,
 		Waves: stored.Waves,
@@ -131,32 +151,47 @@
 func decodeSnapshot(data []byte) (*storedState, error) {
 	var stored storedState
 	err := encoder.Unmarshal(data, &stored)
-	if err == nil && stored.Format == snapshotFormat3 {
+	if err == nil && stored.Format == snapshotFormat5 {
 		return &stored, nil
 	}
+	if earlier := decodeEarlierFormat(data); earlier != nil {
+		return earlier, nil
+	}
+	if err != nil {
+		return nil, Error.New("cannot decode the snapshot: %w", err)
+	}
+	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat5)
+}
+
+// decodeEarlierFormat decodes a snapshot of an earlier format version. It returns nil for any other snapshot.
+func decodeEarlierFormat(data []byte) *storedState {
+	var version3 storedStateV3
+	if encoder.Unmarshal(data, &version3) == nil && version3.Format == snapshotFormat3 {
+		return &storedState{
+			Format: snapshotFormat5, Configuration: version3.Configuration, Sequence: version3.Sequence, Jobs: version3.Jobs,
+			Waves: version3.Waves, Evacuations: version3.Evacuations,
+		}
+	}
 	var version2 storedStateV2
 	if encoder.Unmarshal(data, &version2) == nil && version2.Format == snapshotFormat2 {
 		return &storedState{
-			Format: snapshotFormat3, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
+			Format: snapshotFormat5, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
 			Waves: version2.Waves,
-		}, nil
+		}
 	}
 	var version1 storedStateV1
 	if encoder.Unmarshal(data, &version1) == nil && version1.Format == snapshotFormat1 {
 		return &storedState{
-			Format: snapshotFormat3, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
-		}, nil
-	}
-	if err != nil {
-		return nil, Error.New("cannot decode the snapshot: %w", err)
+			Format: snapshotFormat5, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
+		}
 	}
-	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat3)
+	return nil
 }
 
 func (state *State) store() storedState {
 	stored := storedState{
-		Format: snapshotFormat3, Configuration: state.configuration, Sequence: state.sequence,
-		Evacuations: state.storeEvacuations(),
+		Format: snapshotFormat5, Configuration: state.configuration, Sequence: state.sequence,
+		Evacuations: state.storeEvacuations(), Withdrawals: state.storeWithdrawals(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
@@ -208,6 +243,7 @@
 		state.waves = append(state.waves, stored.Waves[position].restore())
 	}
 	state.restoreEvacuations(stored.Evacuations)
+	state.restoreWithdrawals(stored.Withdrawals)
 	return state
 }
 
--- a/internal/jobs/jobkeeper/snapshot_test.go
+++ b/internal/jobs/jobkeeper/snapshot_test.go
@@ -51,7 +51,9 @@
 func randomCommand(random *rand.Rand) Command {
 	id := scheduler.JobID(fmt.Sprintf("j%d", random.IntN(8)))
 	task := scheduler.StepTaskID{Job: id, Step: random.IntN(2), Index: random.IntN(3), Occurrence: random.IntN(2)}
-	switch random.IntN(8) {
+	switch random.IntN(9) {
+	case 8:
+		return Command{Withdraw: &Withdraw{Job: id, Requested: time.Unix(random.Int64N(1200), 7).UTC()}}
 	case 7:
 		actions := []scheduler.EvacuationAction{scheduler.EvacuationBegin, scheduler.EvacuationEnd}
 		dataCentre := scheduler.DataCentreName(fmt.Sprintf("d%d", random.IntN(3)))
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -17,7 +17,11 @@
 	waves []*Wave
 	// evacuations holds the data centres that are or were evacuated.
 	evacuations map[scheduler.DataCentreName]Evacuation
+	// withdrawals holds the jobs that were cancelled before their submission was accepted, in the order of the requests.
+	withdrawals []withdrawal
 
+	// withdrawn holds the jobs in withdrawals.
+	withdrawn map[scheduler.JobID]struct{}
 	// ready holds the tasks that can be placed.
 	ready map[*Task]struct{}
 	// runs holds the attempts on each worker.
@@ -36,6 +40,7 @@
 	return &State{
 		jobs:        map[scheduler.JobID]*Job{},
 		evacuations: map[scheduler.DataCentreName]Evacuation{},
+		withdrawn:   map[scheduler.JobID]struct{}{},
 		ready:       map[*Task]struct{}{},
 		runs:        map[scheduler.WorkerName]map[scheduler.RunID]*Run{},
 		reserved:    map[scheduler.WorkerName]scheduler.Resources{},
