handler, scheduler: find the jobs of a renamed queue

What callers saw: after a configuration gave the queue at a host and path another name, a cancelling of an earlier job was answered "no such job" while its tasks ran on, and so was a query of its state.

Cause: the handler compared only the name of the queue at the route with the name under which the job was submitted.

Change: a job also belongs to the queue that now has its host and path prefix. Jobs of a removed route are still answered with "no such queue", because a removed route must not be served.

Evidence: TestJobOfRenamedQueue failed before with "Status:noJob Reason:the job belongs to another queue" and "got job state , want cancelled". go test ./internal/jobs/handler ./pkg/... passes. Not seen on a deployment.

--- a/internal/jobs/handler/cancellation_test.go
+++ b/internal/jobs/handler/cancellation_test.go
@@ -88,3 +88,21 @@
 		t.Errorf("got job state %s, want %s", got, scheduler.WorkflowQueued)
 	}
 }
+
+// Guards against a job that can be neither cancelled nor read after a configuration has renamed its queue.
+func TestJobOfRenamedQueue(t *testing.T) {
+	handler := newKeeperHandler(t, testQueue)
+	submission := &SubmitRequest{Route: testRoute, Job: "job", Workflow: testWorkflow}
+	if got := handler.submit(t.Context(), submission, 0); got.Status != StatusDone {
+		t.Fatalf("got %+v for the submission, want status %s", got, StatusDone)
+	}
+	renamed := testQueue
+	renamed.Name = "renamed"
+	replaceQueue(t, handler, 2, renamed)
+	if got := handler.cancel(t.Context(), &JobRequest{Route: testRoute, Job: "job"}); got.Status != StatusDone {
+		t.Errorf("got %+v, want status %s", got, StatusDone)
+	}
+	if got, _ := handler.job(&renamed, "job"); got != scheduler.WorkflowCancelled {
+		t.Errorf("got job state %s, want %s", got, scheduler.WorkflowCancelled)
+	}
+}
--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -203,11 +203,15 @@
 	return response
 }
 
-// job returns the state of a job of a queue.
+// job returns the state of a job of a queue. A queue with another name for the same host and path is the renamed queue of
+// the job.
 func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (state scheduler.WorkflowState, found bool) {
 	handler.keeper.View(func(view *jobkeeper.State) {
 		job, known := view.Job(id)
-		if known && job.Queue().Name == queue.Name {
+		if !known {
+			return
+		}
+		if submitted := job.Queue(); submitted.Name == queue.Name || submitted.HasRouteOf(queue) {
 			state, found = job.State(), true
 		}
 	})
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -33,6 +33,11 @@
 	Approval *Approval `json:"approval,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
+// HasRouteOf reports whether another queue has the same host and path prefix.
+func (queue *Queue) HasRouteOf(other *Queue) bool {
+	return strings.EqualFold(queue.Host, other.Host) && queue.PathPrefix == other.PathPrefix
+}
+
 // Approval describes the approval service of a queue. It is a wire type.
 type Approval struct {
 	// BaseLatency is how long the service takes for a call, and PerWorkerLatency how much longer for each worker
