overseer: compare a start order with the worker's capacity before it is sent

Workers of a pool that does not guard its capacity start whatever they are told to. The capacity was compared once, when a task was placed. A start order that waited then, because the worker did not answer or because a new leader adopted it, was sent however small the worker had become meanwhile.

planStart builds each transmission of a start order, also those of adopted attempts. It now withholds the start while the attempts that run, are being stopped or are to be started would exceed the newest capacity. What runs already is not stopped. The line startOverCapacity and the counter starts_over_capacity show it.

--- /dev/null
+++ b/internal/jobs/overseer/capacity_test.go
@@ -0,0 +1,91 @@
+package overseer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// longTasks is a job of long-running tasks of one core.
+func longTasks(count int) *scheduler.Workflow {
+	return &scheduler.Workflow{Steps: []scheduler.Step{{Count: count, Request: oneCore, LongRunning: true}}}
+}
+
+// Guards against starts that bring a worker over its capacity after it has shrunk.
+func TestNoStartOverShrunkCapacity(t *testing.T) {
+	tests := map[string]func(simulation *simulation, worker scheduler.WorkerName){
+		"the start order waits": func(simulation *simulation, worker scheduler.WorkerName) {
+			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = true })
+			simulation.submitWorkflow(longTasks(4))
+			time.Sleep(time.Second)
+			simulation.changeCapacity(worker, 2)
+			time.Sleep(shrinkBound + time.Second)
+			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = false })
+		},
+		"a new leader adopts the start": func(simulation *simulation, worker scheduler.WorkerName) {
+			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = true })
+			simulation.submitWorkflow(longTasks(4))
+			time.Sleep(time.Second)
+			simulation.changeCapacity(worker, 2)
+			simulation.domain.elect(1)
+			time.Sleep(shrinkBound + time.Second)
+			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = false })
+		},
+	}
+	for name, shrink := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				simulation.names, simulation.fleet.unguarded = simulation.names[:1], true
+				stop := simulation.start()
+				simulation.submitWorkflow(longTasks(1))
+				time.Sleep(3 * time.Second)
+				shrink(simulation, simulation.names[0])
+				time.Sleep(15 * time.Second)
+				for _, violation := range simulation.fleet.violations {
+					t.Error(violation)
+				}
+				if got := simulation.runningOn(simulation.names[0]); got == 0 {
+					t.Error("got no task on the shrunk worker, want the one that ran before")
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against capacity that stays unused after a worker has grown again, and against tasks of a shrunk worker that are
+// stopped.
+func TestGrownWorkerIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.names, simulation.fleet.unguarded = simulation.names[:1], true
+		worker := simulation.names[0]
+		stop := simulation.start()
+		time.Sleep(3 * time.Second)
+		simulation.submitWorkflow(longTasks(6))
+		time.Sleep(time.Second)
+		simulation.changeCapacity(worker, 3)
+		time.Sleep(5 * time.Second)
+		simulation.submitWorkflow(longTasks(2))
+		time.Sleep(5 * time.Second)
+		if got := simulation.runningOn(worker); got != 6 {
+			t.Errorf("got %d tasks on the shrunk worker, want the 6 that ran before", got)
+		}
+		simulation.changeCapacity(worker, 8)
+		time.Sleep(1500 * time.Millisecond) // A heartbeat, a decision and a start.
+		if got := simulation.runningOn(worker); got != 8 {
+			t.Errorf("got %d tasks on the grown worker, want 8", got)
+		}
+		simulation.fleet.mutex.Lock()
+		if got := len(simulation.fleet.stopped); got != 0 {
+			t.Errorf("got %d stopped tasks, want none", got)
+		}
+		simulation.fleet.mutex.Unlock()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -52,17 +52,21 @@
 	lateStart scheduler.RunID
 	// finishedAt is when the finish of each task was acknowledged for the first time.
 	finishedAt map[scheduler.StepTaskID]time.Time
+	// unguarded is true if the workers start whatever they are told to, and their capacity changes.
+	unguarded bool
 }
 
 // fakeWorker is one instance of a worker.
 type fakeWorker struct {
-	fleet          *fakeFleet
-	name           scheduler.WorkerName
-	incarnation    scheduler.Incarnation
-	address        string
-	startedAt      time.Time
-	clockRate      float64
-	capacity       scheduler.Resources
+	fleet       *fakeFleet
+	name        scheduler.WorkerName
+	incarnation scheduler.Incarnation
+	address     string
+	startedAt   time.Time
+	clockRate   float64
+	capacity    scheduler.Resources
+	// capacities is set in the schedules in which capacities change.
+	capacities     *fakeCapacities
 	used           scheduler.Resources
 	token          scheduler.Term
 	leaseEnd       time.Duration
@@ -129,6 +133,9 @@
 		capacity:  scheduler.Resources{MilliCores: 8000, MemoryBytes: 8 << 30}, runs: map[scheduler.RunID]*fakeRun{},
 		highestAttempt: map[scheduler.StepTaskID]scheduler.AttemptNumber{}, endSignal: make(chan struct{}),
 	}
+	if fleet.unguarded {
+		worker.capacities = newFakeCapacities(worker.capacity)
+	}
 	fleet.workers[address] = worker
 	return worker
 }
@@ -224,7 +231,7 @@
 func (worker *fakeWorker) heartbeat() (scheduler.WorkerHeartbeat, bool) {
 	worker.fleet.mutex.Lock()
 	defer worker.fleet.mutex.Unlock()
-	if worker.dead || worker.partitioned {
+	if worker.dead || worker.partitioned || worker.capacities.losesHeartbeats() {
 		return scheduler.WorkerHeartbeat{}, false
 	}
 	worker.sequence++
@@ -254,7 +261,7 @@
 	other := worker != nil && worker.incarnation != ref.Instance
 	late := (fleet.random.Float64() < fleet.lateRate || isLate(ctx)) && !other
 	delay := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
-	unreachable := worker == nil || worker.dead || worker.partitioned
+	unreachable := worker == nil || worker.dead || worker.partitioned || worker.capacities.losesOrders()
 	fleet.mutex.Unlock()
 	if late && !unreachable {
 		go func() {
@@ -278,7 +285,8 @@
 	ctx context.Context, ref scheduler.WorkerRef, order scheduler.StartOrder,
 ) (scheduler.OrderResponse, error) {
 	fleet.checkEvacuation(ref, order)
-	worker, err := fleet.reach(fleet.checkStart(ctx, order), ref, func(worker *fakeWorker) { worker.start(order) })
+	sent := time.Now()
+	worker, err := fleet.reach(fleet.checkStart(ctx, order), ref, func(worker *fakeWorker) { worker.startLate(order, sent) })
 	if err != nil {
 		return scheduler.OrderResponse{}, err
 	}
@@ -332,7 +340,7 @@
 	if order.Run.Attempt <= worker.highestAttempt[order.Run.Task] {
 		return scheduler.OrderStaleAttempt
 	}
-	if !worker.used.Plus(oneCore).FitsIn(worker.capacity) {
+	if worker.capacities == nil && !worker.used.Plus(oneCore).FitsIn(worker.capacity) {
 		return scheduler.OrderInsufficientCapacity
 	}
 	worker.begin(order)
@@ -343,6 +351,7 @@
 func (worker *fakeWorker) begin(order scheduler.StartOrder) {
 	fleet, task := worker.fleet, order.Run.Task
 	fleet.starts++
+	worker.checkCapacity(order)
 	delete(fleet.stopped, task)
 	worker.logEvent(order.Run, "began")
 	workflow := fleet.workflows[task.Job]
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -17,9 +17,11 @@
 	ended     tally.Counter
 	expired   tally.Counter
 	throttled tally.Counter
-	ready     tally.Gauge
-	startTime tally.Histogram
-	planTime  tally.Histogram
+	// overCapacity counts starts that were not sent because their worker had become smaller.
+	overCapacity tally.Counter
+	ready        tally.Gauge
+	startTime    tally.Histogram
+	planTime     tally.Histogram
 	// reservations counts the current reservations for large tasks, heldIdle the core-seconds that they held idle, and
 	// reservedWait how long the steps of tasks that used a reservation had waited.
 	reservations tally.Gauge
@@ -37,7 +39,8 @@
 		started: scope.Counter("attempts_started"), refused: scope.Counter("attempts_refused"),
 		repeated: scope.Counter("orders_repeated"), ended: scope.Counter("attempts_ended"),
 		expired: scope.Counter("attempts_expired"), throttled: scope.Counter("attempts_throttled"),
-		ready: scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
+		overCapacity: scope.Counter("starts_over_capacity"),
+		ready:        scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -54,6 +54,10 @@
 	if instance.heartbeat.Phase != scheduler.WorkerReady {
 		return startPlan{}
 	}
+	if instance.exceedsCapacity() {
+		leadership.recordStartOverCapacity(instance, id)
+		return startPlan{}
+	}
 	plan, withheld := startPlan{}, false
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		run, found := state.Run(instance.name, id)
