overseer: place nothing by a capacity that may be out of date

A worker counted as available while it sent heartbeats or answered orders. Only heartbeats tell its capacity. A worker whose heartbeats were lost, but which answered renewals, therefore got work for its former capacity for as long as that lasted, and one that does not guard its capacity started it.

Workers of pools that don't guard now take no new work, and no pending start, once the last heartbeat is as old as the time after which a silent worker is left out (2.5 heartbeats). The age also follows from the worker's clock, so a heartbeat that waited in the socket of a suspended VM does not count as new. What runs there goes on. Pools that guard are not affected: their workers reject what does not fit. explain shows such workers as capacityOutdated.

--- a/internal/jobs/overseer/capacity.go
+++ b/internal/jobs/overseer/capacity.go
@@ -1,6 +1,9 @@
 package overseer
 
 import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -24,12 +27,54 @@
 	return !worker.occupied().FitsIn(worker.heartbeat.Capacity)
 }
 
-// recordStartOverCapacity records that a start was not sent because its worker has shrunk.
+// heartbeatAge returns the time since the worker sent the heartbeat that its capacity is known from. The worker's clock
+// shows it even if the heartbeat waited in the socket of a suspended VM.
+func (worker *worker) heartbeatAge(now time.Duration) time.Duration {
+	age := now - worker.lastHeartbeat
+	if worker.clock > 0 && worker.heartbeat.Clock > 0 {
+		age = max(age, worker.clock+(now-worker.clockReadAt)-worker.heartbeat.Clock)
+	}
+	return age
+}
+
+// observePools reads which pools guard their capacity.
+func (leadership *leadership) observePools() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	clear(leadership.guardedPools)
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		configuration := state.Configuration()
+		if configuration == nil {
+			return
+		}
+		for _, pool := range configuration.Pools {
+			if pool.GuardsCapacity {
+				leadership.guardedPools[pool.Name] = true
+			}
+		}
+	})
+}
+
+// isCapacityOutdated reports whether a worker may have shrunk without the leader's knowledge: it does not reject what
+// exceeds its capacity, and its last heartbeat is too old. A worker can answer orders while its heartbeats are lost. The
+// mutex must be held.
+func (leadership *leadership) isCapacityOutdated(instance *worker, now time.Duration) bool {
+	return !leadership.guardedPools[instance.heartbeat.Pool] && instance.heartbeatAge(now) >= leadership.heartbeatTimeout()
+}
+
+// mayExceedCapacity reports whether the attempts on a worker might exceed its capacity if all of them ran. The mutex must
+// be held.
+func (leadership *leadership) mayExceedCapacity(instance *worker) bool {
+	return instance.exceedsCapacity() || leadership.isCapacityOutdated(instance, leadership.now())
+}
+
+// recordStartOverCapacity records that a start was not sent because its worker has shrunk, or may have.
 func (leadership *leadership) recordStartOverCapacity(instance *worker, id scheduler.RunID) {
 	leadership.overseer.metrics.overCapacity.Inc(1)
 	occupied, capacity := instance.occupied(), instance.heartbeat.Capacity
 	leadership.logger.Info().Str("event", "startOverCapacity").Stringer("run", id).Str("worker", string(instance.name)).
 		Int64("occupiedMilliCores", occupied.MilliCores).Int64("milliCores", capacity.MilliCores).
 		Int64("occupiedBytes", occupied.MemoryBytes).Int64("memoryBytes", capacity.MemoryBytes).
-		Msg("start withheld because the worker has become smaller; the task is placed elsewhere")
+		Dur("heartbeatAge", instance.heartbeatAge(leadership.now())).
+		Msg("start withheld because the worker has or may have become smaller; the task is placed elsewhere")
 }
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +26,12 @@
 			time.Sleep(shrinkBound + time.Second)
 			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = false })
 		},
+		"the new capacity is not heard of": func(simulation *simulation, worker scheduler.WorkerName) {
+			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.heartbeatsLost = true })
+			simulation.changeCapacity(worker, 2)
+			time.Sleep(shrinkBound + time.Second)
+			simulation.submitWorkflow(longTasks(4))
+		},
 		"a new leader adopts the start": func(simulation *simulation, worker scheduler.WorkerName) {
 			simulation.changeWorker(worker, func(worker *fakeWorker) { worker.capacities.ordersLost = true })
 			simulation.submitWorkflow(longTasks(4))
@@ -89,3 +97,55 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Guards against starts over the capacity of workers that shrink and grow under random failures, and against work that is
+// never resumed when they have grown again.
+func TestRandomCapacities(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, uint64(seed))
+				simulation.fleet.lateRate, simulation.fleet.failureRate = 0.05, 0.05
+				simulation.fleet.unguarded, simulation.fleet.runTime = true, 4*time.Second
+				go simulation.changeCapacities(rand.New(rand.NewPCG(uint64(seed), 4)), 30*time.Second)
+				go simulation.relayOldHeartbeats(rand.New(rand.NewPCG(uint64(seed), 5)), 30*time.Second)
+				simulation.run()
+				time.Sleep(20 * time.Second) // Late orders must end before the synctest bubble does.
+				for _, violation := range simulation.fleet.violations {
+					t.Error(violation)
+				}
+				if got := simulation.openJobs(); got != 0 {
+					t.Errorf("got %d jobs that have not ended, want 0", got)
+				}
+				if simulation.fleet.starts == 0 {
+					t.Error("no task was started")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a capacity that counts as new because its heartbeat waited in the socket of a suspended VM.
+func TestHeartbeatAge(t *testing.T) {
+	const now = time.Minute
+	tests := map[string]struct {
+		change func(instance *worker)
+		want   time.Duration
+	}{
+		"just sent":               {func(*worker) {}, 0},
+		"relayed":                 {func(instance *worker) { instance.lastHeartbeat = now - time.Second }, time.Second},
+		"waited in a socket":      {func(instance *worker) { instance.heartbeat.Clock -= 5 * time.Second }, 5 * time.Second},
+		"without a clock reading": {func(instance *worker) { instance.heartbeat.Clock = 0 }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			instance := newWorker("w", 1)
+			instance.clock, instance.clockReadAt, instance.lastHeartbeat = 10*time.Second, now-time.Second, now
+			instance.heartbeat.Clock = 11 * time.Second
+			test.change(instance)
+			if got := instance.heartbeatAge(now); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -90,6 +90,8 @@
 	UnavailableBackingOff UnavailableReason = "backingOff"
 	// UnavailableSilent means that the worker does not respond.
 	UnavailableSilent UnavailableReason = "silent"
+	// UnavailableOutdated means that the worker responds, but its capacity may have changed since its last heartbeat.
+	UnavailableOutdated UnavailableReason = "capacityOutdated"
 )
 
 // explainedQuantile is the quantile of the run time that an explanation states.
@@ -176,6 +178,8 @@
 		return UnavailableBackingOff
 	case !instance.acceptsWork(now, heartbeatTimeout):
 		return UnavailableSilent
+	case leadership.isCapacityOutdated(instance, now):
+		return UnavailableOutdated
 	}
 	return ""
 }
--- a/internal/jobs/overseer/fake_capacity_test.go
+++ b/internal/jobs/overseer/fake_capacity_test.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
@@ -88,6 +89,55 @@
 	}
 }
 
+// changeCapacities changes random capacities for a time, and loses heartbeats of single workers meanwhile. At the end all
+// workers have their full capacity.
+func (simulation *simulation) changeCapacities(random *rand.Rand, duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
+		time.Sleep(time.Duration(random.Int64N(int64(600 * time.Millisecond))))
+		name := simulation.names[random.IntN(len(simulation.names))]
+		if random.IntN(4) == 0 {
+			lost := random.IntN(2) == 0
+			simulation.changeWorker(name, func(worker *fakeWorker) { worker.capacities.heartbeatsLost = lost })
+			continue
+		}
+		simulation.changeCapacity(name, random.Int64N(4))
+	}
+	for _, name := range simulation.names {
+		simulation.changeWorker(name, func(worker *fakeWorker) { worker.capacities.heartbeatsLost = false })
+		simulation.changeCapacity(name, 8)
+	}
+}
+
+// relayOldHeartbeats relays heartbeats to the leader up to 2 s after they were sent, in any order.
+func (simulation *simulation) relayOldHeartbeats(random *rand.Rand, duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); {
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+		var heartbeat scheduler.WorkerHeartbeat
+		found := false
+		name := simulation.names[random.IntN(len(simulation.names))]
+		simulation.fleet.mutex.Lock()
+		worker := simulation.fleet.workers["10.0.0.1:"+string(name)]
+		simulation.fleet.mutex.Unlock()
+		if worker != nil {
+			heartbeat, found = worker.heartbeat()
+		}
+		if !found {
+			continue
+		}
+		received := time.Now()
+		age := time.Duration(random.Int64N(int64(2 * time.Second)))
+		go func() {
+			time.Sleep(age)
+			for _, overseer := range simulation.overseers {
+				relayed := []RelayedHeartbeat{{Heartbeat: heartbeat, Age: time.Since(received)}}
+				if _, err := overseer.HandleRelayedHeartbeats(nil, relayed); err == nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
 // runningOn counts the attempts in the log on a worker.
 func (simulation *simulation) runningOn(name scheduler.WorkerName) int {
 	count := 0
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -52,6 +52,8 @@
 	// maintenance is the state of maintenance waves.
 	maintenance maintenance
 	evacuations evacuations
+	// guardedPools holds the pools whose workers reject what exceeds their capacity.
+	guardedPools map[scheduler.PoolName]bool
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
@@ -81,7 +83,7 @@
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
-		evacuations: newEvacuations(), runTimes: forecaster.New(),
+		evacuations: newEvacuations(), guardedPools: map[scheduler.PoolName]bool{}, runTimes: forecaster.New(),
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
 		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
 		packedWorkers:    map[scheduler.PoolName]*packedWorkers{},
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -17,7 +17,7 @@
 	ended     tally.Counter
 	expired   tally.Counter
 	throttled tally.Counter
-	// overCapacity counts starts that were not sent because their worker had become smaller.
+	// overCapacity counts starts that were not sent because their worker had, or might have, become smaller.
 	overCapacity tally.Counter
 	ready        tally.Gauge
 	startTime    tally.Histogram
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -54,7 +54,7 @@
 	if instance.heartbeat.Phase != scheduler.WorkerReady {
 		return startPlan{}
 	}
-	if instance.exceedsCapacity() {
+	if leadership.mayExceedCapacity(instance) {
 		leadership.recordStartOverCapacity(instance, id)
 		return startPlan{}
 	}
