handler, overseer: send a heartbeat after a gap in full

A VM that receives heartbeats sends one in brief if it only repeats what this VM had received before. If the worker had sent a heartbeat to another VM in between, with another capacity, the leader held that one and took the brief one as its confirmation: after a worker had grown and shrunk again, the leader went on with the larger capacity, with newer and newer sequence numbers. The same happened when a VM led again and had been told of an older heartbeat by another VM.

A heartbeat now counts as repeated only if its sequence number directly follows that of the previous one received here, and the leader accepts it in brief only if it holds exactly that previous one; otherwise it asks for the full one, as for an unknown worker. Both are needed, and neither changes the format of the messages. A worker sends to one VM until a heartbeat fails there, so full ones stay rare.

Before: TestHeartbeatAfterGapIsForwardedInFull: got requests [], want heartbeat 3 TestRepeatedHeartbeatAfterGap/gap: got known true, want false

--- a/internal/jobs/handler/heartbeatcollector.go
+++ b/internal/jobs/handler/heartbeatcollector.go
@@ -85,7 +85,8 @@
 
 // acceptRepeated reports whether a heartbeat only repeats content that the current leader has received. If so, the
 // heartbeat is queued for the next batch. Heartbeats of workers that are not ready never count as repeated, because the
-// state that a draining worker reports changes each time.
+// state that a draining worker reports changes each time. Neither do heartbeats that do not directly follow the last one
+// received here: another VM may have received one in between, with other content that the leader now holds.
 func (heartbeatCollector *HeartbeatCollector) acceptRepeated(heartbeat *scheduler.WorkerHeartbeat) bool {
 	heartbeatCollector.mutex.Lock()
 	defer heartbeatCollector.mutex.Unlock()
@@ -95,7 +96,7 @@
 		return false
 	}
 	if heartbeat.Phase != scheduler.WorkerReady || !sameContent(&known.heartbeat, heartbeat) ||
-		heartbeat.Sequence <= known.heartbeat.Sequence {
+		heartbeat.Sequence != known.heartbeat.Sequence+1 {
 		return false
 	}
 	heartbeatCollector.latest[heartbeat.Worker] = receivedHeartbeat{heartbeat: *heartbeat, receivedAt: time.Now()}
--- a/internal/jobs/handler/heartbeatcollector_test.go
+++ b/internal/jobs/handler/heartbeatcollector_test.go
@@ -149,6 +149,20 @@
 	}
 }
 
+// Guards against a leader that takes the capacity of a heartbeat that another VM received for the current one, because the
+// next heartbeat only repeats what this VM received before that.
+func TestHeartbeatAfterGapIsForwardedInFull(t *testing.T) {
+	runCollectorTest(t, func(t *testing.T, test *collectorTest) {
+		test.heartbeat(t, readyHeartbeat(1))
+		time.Sleep(time.Second)
+		test.network.takeRequests()
+		test.heartbeat(t, readyHeartbeat(3))
+		if got := test.network.takeRequests(); len(got) != 1 || got[0].Heartbeat == nil || got[0].Heartbeat.Sequence != 3 {
+			t.Errorf("got requests %+v, want heartbeat 3", got)
+		}
+	})
+}
+
 // Guards against a new leader that knows no workers until each of them has sent its next heartbeat.
 func TestNewLeaderReceivesRecentHeartbeats(t *testing.T) {
 	tests := map[string]func(test *collectorTest){
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -149,3 +150,28 @@
 		})
 	}
 }
+
+// Guards against a leader that keeps the capacity of an earlier heartbeat of a worker because a later one only repeats what
+// its relay received even earlier.
+func TestRepeatedHeartbeatAfterGap(t *testing.T) {
+	tests := map[string]struct {
+		sequence uint64
+		known    bool
+	}{
+		"next":         {3, true},
+		"already seen": {2, true},
+		"gap":          {4, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
+			instance := newWorker("w", 1)
+			instance.hasHeartbeat, leadership.instances["w"] = true, instance
+			instance.heartbeat = scheduler.WorkerHeartbeat{Phase: scheduler.WorkerReady, Sequence: 2, Clock: time.Second}
+			delta := HeartbeatDelta{Worker: "w", Instance: 1, Sequence: test.sequence, Clock: 2 * time.Second}
+			if got := leadership.applyDelta(&delta); got != test.known {
+				t.Errorf("got known %v, want %v", got, test.known)
+			}
+		})
+	}
+}
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -6,8 +6,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// HeartbeatDelta reports that a worker's state is unchanged since the last heartbeat that the leader received in
-// full. It is a wire type.
+// HeartbeatDelta reports that a worker's state is unchanged since its previous heartbeat, the one with the preceding
+// sequence number. It is a wire type.
 type HeartbeatDelta struct {
 	_        struct{} `cbor:",toarray"`
 	Worker   scheduler.WorkerName
@@ -83,8 +83,8 @@
 	return leadership, nil
 }
 
-// applyDelta processes a heartbeat without state changes. It returns false if the state of the worker instance is not
-// known. The mutex must be held.
+// applyDelta processes a heartbeat without state changes. It returns false if the state of the worker instance in its
+// previous heartbeat is not known. The mutex must be held.
 func (leadership *leadership) applyDelta(delta *HeartbeatDelta) bool {
 	instance := leadership.instances[delta.Worker]
 	if instance == nil || !instance.hasHeartbeat || instance.ended || instance.incarnation != delta.Instance ||
@@ -94,6 +94,9 @@
 	if delta.Sequence <= instance.heartbeat.Sequence {
 		return true
 	}
+	if delta.Sequence != instance.heartbeat.Sequence+1 {
+		return false
+	}
 	now := leadership.now()
 	instance.heartbeat.Sequence, instance.heartbeat.Clock = delta.Sequence, delta.Clock
 	instance.lastHeartbeat = max(instance.lastHeartbeat, now-delta.Age)
