overseer: log and count changes of a worker's capacity

A leader took over a new capacity without a word, so nobody could see why a worker got no more work. workerCapacityChanged names the capacity before and after and what is occupied, load counts the workers on which more runs than fits, and worker_capacity_changes and workers_over_capacity are metrics.

TestGrownWorkerIsUsedAgain now reads both metrics; before, neither existed.

--- a/internal/jobs/overseer/capacity.go
+++ b/internal/jobs/overseer/capacity.go
@@ -27,6 +27,22 @@
 	return !worker.occupied().FitsIn(worker.heartbeat.Capacity)
 }
 
+// recordCapacityChange records that a worker has become larger or smaller, and requests a planning cycle that uses or
+// spares the difference. The mutex must be held.
+func (leadership *leadership) recordCapacityChange(instance *worker, capacity scheduler.Resources) {
+	former, occupied := instance.heartbeat.Capacity, instance.occupied()
+	leadership.overseer.metrics.capacityChanges.Inc(1)
+	leadership.logger.Info().Str("event", "workerCapacityChanged").Str("worker", string(instance.name)).
+		Int64("formerMilliCores", former.MilliCores).Int64("milliCores", capacity.MilliCores).
+		Int64("occupiedMilliCores", occupied.MilliCores).
+		Int64("formerBytes", former.MemoryBytes).Int64("memoryBytes", capacity.MemoryBytes).
+		Int64("occupiedBytes", occupied.MemoryBytes).
+		Int64("formerAccelerators", former.Accelerators).Int64("accelerators", capacity.Accelerators).
+		Int64("occupiedAccelerators", occupied.Accelerators).Int("attempts", len(instance.attempts)).
+		Bool("exceeded", !occupied.FitsIn(capacity)).Msg("capacity of a worker changed")
+	leadership.replan()
+}
+
 // heartbeatAge returns the time since the worker sent the heartbeat that its capacity is known from. The worker's clock
 // shows it even if the heartbeat waited in the socket of a suspended VM.
 func (worker *worker) heartbeatAge(now time.Duration) time.Duration {
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -66,11 +68,12 @@
 	}
 }
 
-// Guards against capacity that stays unused after a worker has grown again, and against tasks of a shrunk worker that are
-// stopped.
+// Guards against capacity that stays unused after a worker has grown again, against tasks of a shrunk worker that are
+// stopped, and against operators who can't see that a worker has shrunk.
 func TestGrownWorkerIsUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		simulation := newSimulation(t, 1)
+		scope := tally.NewTestScope("", nil)
+		simulation := newSimulation(t, 1, WithScope(scope))
 		simulation.names, simulation.fleet.unguarded = simulation.names[:1], true
 		worker := simulation.names[0]
 		stop := simulation.start()
@@ -84,11 +87,17 @@
 		if got := simulation.runningOn(worker); got != 6 {
 			t.Errorf("got %d tasks on the shrunk worker, want the 6 that ran before", got)
 		}
+		if got := scope.Snapshot().Gauges()["workers_over_capacity+"]; got == nil || got.Value() != 1 {
+			t.Errorf("got workers over capacity %v, want 1", got)
+		}
 		simulation.changeCapacity(worker, 8)
 		time.Sleep(1500 * time.Millisecond) // A heartbeat, a decision and a start.
 		if got := simulation.runningOn(worker); got != 8 {
 			t.Errorf("got %d tasks on the grown worker, want 8", got)
 		}
+		if got := scope.Snapshot().Counters()["worker_capacity_changes+"]; got == nil || got.Value() != 2 {
+			t.Errorf("got capacity changes %v, want 2", got)
+		}
 		simulation.fleet.mutex.Lock()
 		if got := len(simulation.fleet.stopped); got != 0 {
 			t.Errorf("got %d stopped tasks, want none", got)
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -134,6 +134,9 @@
 			Str("address", heartbeat.Address).Msg("worker state changed")
 		leadership.replan()
 	}
+	if instance.hasHeartbeat && instance.heartbeat.Capacity != heartbeat.Capacity {
+		leadership.recordCapacityChange(instance, heartbeat.Capacity)
+	}
 	now := leadership.now()
 	instance.hasHeartbeat, instance.heartbeat, instance.lastHeartbeat = true, heartbeat,
 		max(instance.lastHeartbeat, now-age)
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -13,8 +13,10 @@
 
 // load summarises the work on the domain's workers.
 type load struct {
-	workers, schedulable    int
-	withoutServing          int
+	workers, schedulable int
+	withoutServing       int
+	// exceeded counts the workers that have shrunk below what is running on them.
+	exceeded                int
 	capacity, reserved      int64
 	serving, running, fills int
 	fillUsage               int64
@@ -30,8 +32,9 @@
 // logLoad logs the load, so that the cause of a late job can be analysed afterwards.
 func (leadership *leadership) logLoad() {
 	load := leadership.summariseLoad()
+	leadership.overseer.metrics.exceeded.Update(float64(load.exceeded))
 	leadership.logger.Info().Str("event", "load").Int("workers", load.workers).Int("usable", load.schedulable).
-		Int("withoutServing", load.withoutServing).
+		Int("withoutServing", load.withoutServing).Int("overCapacity", load.exceeded).
 		Int64("capacity", load.capacity).Int64("reserved", load.reserved).Int("serving", load.serving).
 		Int("running", load.running).
 		Int("fills", load.fills).Int64("fillUsage", load.fillUsage).Int("held", load.paused).
@@ -55,6 +58,9 @@
 		if instance.acceptsWork(now, heartbeatTimeout) {
 			load.schedulable++
 		}
+		if instance.hasHeartbeat && instance.exceedsCapacity() {
+			load.exceeded++
+		}
 		load.capacity += instance.heartbeat.Capacity.MilliCores
 		for _, attempt := range instance.attempts {
 			load.add(attempt)
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -19,9 +19,13 @@
 	throttled tally.Counter
 	// overCapacity counts starts that were not sent because their worker had, or might have, become smaller.
 	overCapacity tally.Counter
-	ready        tally.Gauge
-	startTime    tally.Histogram
-	planTime     tally.Histogram
+	// capacityChanges counts workers that became larger or smaller, and exceeded the workers on which more is running than
+	// fits.
+	capacityChanges tally.Counter
+	exceeded        tally.Gauge
+	ready           tally.Gauge
+	startTime       tally.Histogram
+	planTime        tally.Histogram
 	// reservations counts the current reservations for large tasks, heldIdle the core-seconds that they held idle, and
 	// reservedWait how long the steps of tasks that used a reservation had waited.
 	reservations tally.Gauge
@@ -39,8 +43,9 @@
 		started: scope.Counter("attempts_started"), refused: scope.Counter("attempts_refused"),
 		repeated: scope.Counter("orders_repeated"), ended: scope.Counter("attempts_ended"),
 		expired: scope.Counter("attempts_expired"), throttled: scope.Counter("attempts_throttled"),
-		overCapacity: scope.Counter("starts_over_capacity"),
-		ready:        scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
+		overCapacity: scope.Counter("starts_over_capacity"), capacityChanges: scope.Counter("worker_capacity_changes"),
+		exceeded: scope.Gauge("workers_over_capacity"),
+		ready:    scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
