overseer: count a worker's former capacity in forecasts for a moment

The forecast of a pool's backlog scales the measured drain rate with the sum of the workers' capacities. When a worker shrank for a moment, the forecast end of a job moved out with it, and a job could be refused that a few seconds later would have been in time; what it finishes on is the capacity of the seconds to come. The total now has the largest capacity of the last 5 s. The free capacity stays the newest one, and tasks are placed by the newest one alone.

TestRoomOfShrunkWorker, "just shrunk", printed before: got a total of 2000, want 8000

--- a/internal/jobs/overseer/capacity.go
+++ b/internal/jobs/overseer/capacity.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
@@ -27,10 +28,40 @@
 	return !worker.occupied().FitsIn(worker.heartbeat.Capacity)
 }
 
+// dipTime is how long a worker's former capacity counts in forecasts. Jobs that finish after several times that should not
+// be refused because a worker is small for a moment.
+const dipTime = 5 * time.Second
+
+// formerCapacity is a capacity that a worker had until a time.
+type formerCapacity struct {
+	capacity scheduler.Resources
+	until    time.Duration
+}
+
+// dip returns by how many millicores the worker is smaller than it was within dipTime.
+func (worker *worker) dip(now time.Duration) int64 {
+	dip := int64(0)
+	for _, former := range worker.formerCapacities {
+		if now < former.until+dipTime {
+			dip = max(dip, former.capacity.MilliCores-worker.heartbeat.Capacity.MilliCores)
+		}
+	}
+	return dip
+}
+
+// recordFormerCapacity records the present capacity, which is about to change, and drops those that count no more.
+func (worker *worker) recordFormerCapacity(now time.Duration) {
+	worker.formerCapacities = slices.DeleteFunc(worker.formerCapacities, func(former formerCapacity) bool {
+		return now >= former.until+dipTime
+	})
+	worker.formerCapacities = append(worker.formerCapacities, formerCapacity{capacity: worker.heartbeat.Capacity, until: now})
+}
+
 // recordCapacityChange records that a worker has become larger or smaller, and requests a planning cycle that uses or
 // spares the difference. The mutex must be held.
 func (leadership *leadership) recordCapacityChange(instance *worker, capacity scheduler.Resources) {
 	former, occupied := instance.heartbeat.Capacity, instance.occupied()
+	instance.recordFormerCapacity(leadership.now())
 	leadership.overseer.metrics.capacityChanges.Inc(1)
 	leadership.logger.Info().Str("event", "workerCapacityChanged").Str("worker", string(instance.name)).
 		Int64("formerMilliCores", former.MilliCores).Int64("milliCores", capacity.MilliCores).
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -184,3 +185,42 @@
 		})
 	}
 }
+
+// Guards against jobs that are refused by a forecast because a worker is small for a moment, and against forecasts that
+// count a capacity for longer, or capacity that is not there as free.
+func TestRoomOfShrunkWorker(t *testing.T) {
+	const changedAt = time.Minute
+	tests := map[string]struct {
+		now  time.Duration
+		want int64
+	}{
+		"just shrunk": {changedAt, 8000},
+		"for long":    {changedAt + dipTime, 2000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
+			instance := newWorker("w", 1)
+			instance.hasHeartbeat, instance.synced, instance.clock, instance.lastHeartbeat = true, true, time.Second, test.now
+			instance.heartbeat = scheduler.WorkerHeartbeat{
+				Pool: "pool", Phase: scheduler.WorkerReady, Capacity: scheduler.Resources{MilliCores: 8000},
+			}
+			for number := range 3 {
+				run := scheduler.RunID{Task: scheduler.StepTaskID{Index: number}, Attempt: 1}
+				instance.attempts[run] = &attempt{state: attemptRunning, spec: scheduler.Step{Request: oneCore}}
+			}
+			instance.recordFormerCapacity(changedAt)
+			instance.heartbeat.Capacity.MilliCores = 2000
+			leadership.instances["w"] = instance
+			states := map[scheduler.PoolName]*admitter.PoolState{}
+			leadership.overseer.keeper.View(func(state *jobkeeper.State) { leadership.collectRooms(states, state, test.now) })
+			rooms := states["pool"].Rooms
+			if got := rooms[admitter.CapacityReserved].Total; got != test.want {
+				t.Errorf("got a total of %d, want %d", got, test.want)
+			}
+			if got := rooms[admitter.CapacityFill].Free; got != 0 {
+				t.Errorf("got %d free for fill tasks, want 0", got)
+			}
+		})
+	}
+}
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -89,7 +89,8 @@
 		leadership.isInEvacuatedDataCentre(instance) || leadership.failureTracker.isQuarantined(instance.name, wallTime)
 }
 
-// collectRooms adds the capacity of the workers on which tasks may be placed. The mutex must be held.
+// collectRooms adds the capacity of the workers on which tasks may be placed. What a worker has had until a moment ago
+// counts in the total, but not as free. The mutex must be held.
 func (leadership *leadership) collectRooms(
 	states map[scheduler.PoolName]*admitter.PoolState, state *jobkeeper.State, now time.Duration,
 ) {
@@ -98,8 +99,9 @@
 		if !leadership.isSchedulable(instance, now, heartbeatTimeout, wallTime) {
 			continue
 		}
+		dip := instance.dip(now)
 		reserved := admitter.Room{
-			Total: instance.heartbeat.Capacity.MilliCores,
+			Total: instance.heartbeat.Capacity.MilliCores + dip,
 			Free:  instance.heartbeat.Capacity.MilliCores - state.Reserved(name).MilliCores,
 		}
 		fill := int64(0)
@@ -114,7 +116,7 @@
 		slack := instance.usageSummary().slack
 		rooms := poolState(states, instance.heartbeat.Pool).Rooms
 		addRoom(rooms, admitter.CapacityReserved, reserved)
-		addRoom(rooms, admitter.CapacityFill, admitter.Room{Total: slack + fill, Free: slack})
+		addRoom(rooms, admitter.CapacityFill, admitter.Room{Total: slack + fill + dip, Free: slack})
 	}
 }
 
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -20,6 +20,8 @@
 	// hasHeartbeat is false while the instance is known only from attempts in the log.
 	hasHeartbeat bool
 	heartbeat    scheduler.WorkerHeartbeat
+	// formerCapacities holds the capacities that the instance had recently, in the order of time.
+	formerCapacities []formerCapacity
 	// lastHeartbeat is when the last heartbeat was received. lastResponse is when the worker last answered an order.
 	lastHeartbeat time.Duration
 	lastResponse  time.Duration
