overseer: log the durations of planning cycles

The load event now holds the number of planning cycles since the last one, their total and longest duration, and the number of steps with approvals.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -45,6 +45,8 @@
 	approvals        map[stepKey]*approvals
 	approvalRequests chan approvalRequest
 	jobLog           jobLog
+	// planning holds the durations of the planning cycles since the last load event; only plan uses it.
+	planning planningTimes
 	// starved holds all tasks of the groups that the last planning cycle found starved, from before their placement
 	// on. A task is removed when its attempt is launched; the next planning cycle clears the rest.
 	starved        map[scheduler.StepTaskID]bool
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -23,10 +23,26 @@
 	readyFill               int
 	ready                   int
 	readyMilliCores         int64
+	// approvalSteps is the number of steps with approvals, or with requests for them.
+	approvalSteps int
+	planning      planningTimes
 	// accuracy compares the predicted interference with the samples since the last event.
 	accuracy pacer.Accuracy
 }
 
+// planningTimes sums up the durations of planning cycles, without the time to replicate placements. The mutex is held
+// for most of a cycle, so a long cycle delays orders and reports.
+type planningTimes struct {
+	cycles         int
+	total, longest time.Duration
+}
+
+func (planningTimes *planningTimes) add(took time.Duration) {
+	planningTimes.cycles++
+	planningTimes.total += took
+	planningTimes.longest = max(planningTimes.longest, took)
+}
+
 // logLoad logs the load, so that the cause of a late job can be analysed afterwards.
 func (leadership *leadership) logLoad() {
 	load := leadership.summariseLoad()
@@ -40,6 +56,8 @@
 		Int("servingSamples", load.accuracy.Samples()).Int("aboveTarget", load.accuracy.AboveTarget()).
 		Int("aboveTargetBesideFill", load.accuracy.AboveTargetBesideFill()).
 		Int("predicted", load.accuracy.Predicted()).Int("missed", load.accuracy.Missed()).Int("falseAlarms", load.accuracy.FalseAlarms()).
+		Int("approvalSteps", load.approvalSteps).Int("plans", load.planning.cycles).
+		Dur("planning", load.planning.total).Dur("longestPlan", load.planning.longest).
 		Float64("bias", load.accuracy.Bias()).Float64("meanError", load.accuracy.MeanAbsoluteError()).
 		Msg("domain load")
 }
@@ -47,7 +65,10 @@
 func (leadership *leadership) summariseLoad() load {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	load := load{accuracy: leadership.interference.TakeAccuracy()}
+	load := load{
+		accuracy: leadership.interference.TakeAccuracy(), planning: leadership.planning, approvalSteps: len(leadership.approvals),
+	}
+	leadership.planning = planningTimes{}
 	now := leadership.now()
 	heartbeatTimeout := leadership.heartbeatTimeout()
 	for _, instance := range leadership.instances {
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -33,7 +33,9 @@
 			leadership.logLoad()
 		}
 		// planOnce runs the planning cycle; the pause after it is proportional to the cycle's duration.
-		pauseDuration := max(planBatchDelay, planPauseFactor*leadership.planOnce())
+		took := leadership.planOnce()
+		leadership.planning.add(took)
+		pauseDuration := max(planBatchDelay, planPauseFactor*took)
 		select {
 		case <-leadership.context.Done():
 			return
