overseer: rank the candidates for approvals once per decision

Each step that waits for approvals sorted all workers of its pool in every planning cycle, and each comparison computed the usage summaries of two workers from their attempts. The leader's mutex is held meanwhile, so that orders, reports and lease renewals wait.

The workers of a pool are now ranked once in a decision, for all of its steps, and not at all while the queue of requests is full.

TestStepsShareRankingOfApprovalCandidates before: "got 3114.175 allocations for each further step, want at most 200".

--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -86,7 +86,7 @@
 		}
 	}
 	if !known.pending && len(workers) < waiting {
-		leadership.enqueueApprovalRequest(key, known, step, waiting-len(workers)+approvalSurplus)
+		leadership.enqueueApprovalRequest(key, known, step.Job().Queue().Pool, waiting-len(workers)+approvalSurplus)
 	}
 	return workers
 }
@@ -114,27 +114,24 @@
 // enqueueApprovalRequest queues a request for the workers with the most free capacity among those for which approval
 // has not been requested yet. The mutex must be held.
 func (leadership *leadership) enqueueApprovalRequest(
-	key stepKey, known *approvals, step *jobkeeper.StepState, count int,
+	key stepKey, known *approvals, pool scheduler.PoolName, count int,
 ) {
-	var instances []*worker
-	heartbeatTimeout, now := leadership.heartbeatTimeout(), leadership.now()
-	for _, instance := range leadership.instances {
-		if instance.heartbeat.Pool == step.Job().Queue().Pool && instance.acceptsWork(now, heartbeatTimeout) &&
-			!leadership.isInMaintenance(instance) && !leadership.isInEvacuatedDataCentre(instance) && !known.requested[instance.key()] {
-			instances = append(instances, instance)
+	if len(leadership.approvalRequests) == cap(leadership.approvalRequests) {
+		return // The next planning cycle tries again.
+	}
+	approvalRequest := approvalRequest{key: key}
+	count = min(count, maxApprovalCandidates)
+	for _, candidate := range leadership.approvalCandidates.of(leadership, pool) {
+		if len(approvalRequest.candidates) == count {
+			break
+		}
+		if !known.requested[candidate] {
+			approvalRequest.candidates = append(approvalRequest.candidates, candidate)
 		}
 	}
-	slices.SortFunc(instances, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.usageSummary().slack, a.usageSummary().slack), cmp.Compare(a.name, b.name))
-	})
-	instances = instances[:min(len(instances), count, maxApprovalCandidates)]
-	if len(instances) == 0 {
+	if len(approvalRequest.candidates) == 0 {
 		return
 	}
-	approvalRequest := approvalRequest{key: key}
-	for _, instance := range instances {
-		approvalRequest.candidates = append(approvalRequest.candidates, instance.key())
-	}
 	select {
 	case leadership.approvalRequests <- approvalRequest:
 		known.pending = true
@@ -142,6 +139,38 @@
 	}
 }
 
+// approvalCandidates holds for each pool the workers for which approval may be requested, in descending order of slack.
+// Ranking the workers of a large pool takes milliseconds, so that one decision does it once for all steps.
+type approvalCandidates map[scheduler.PoolName][]instanceKey
+
+// of returns the candidates of a pool. The leadership's mutex must be held.
+func (approvalCandidates approvalCandidates) of(leadership *leadership, pool scheduler.PoolName) []instanceKey {
+	if candidates, found := approvalCandidates[pool]; found {
+		return candidates
+	}
+	type ranked struct {
+		key   instanceKey
+		slack int64
+	}
+	var ranking []ranked
+	heartbeatTimeout, now := leadership.heartbeatTimeout(), leadership.now()
+	for _, instance := range leadership.instances {
+		if instance.heartbeat.Pool == pool && instance.acceptsWork(now, heartbeatTimeout) &&
+			!leadership.isInMaintenance(instance) && !leadership.isInEvacuatedDataCentre(instance) {
+			ranking = append(ranking, ranked{key: instance.key(), slack: instance.usageSummary().slack})
+		}
+	}
+	slices.SortFunc(ranking, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.slack, a.slack), cmp.Compare(a.key.worker, b.key.worker))
+	})
+	candidates := make([]instanceKey, len(ranking))
+	for position := range ranking {
+		candidates[position] = ranking[position].key
+	}
+	approvalCandidates[pool] = candidates
+	return candidates
+}
+
 func (worker *worker) key() instanceKey {
 	return instanceKey{worker: worker.name, incarnation: worker.incarnation}
 }
--- a/internal/jobs/overseer/approval_test.go
+++ b/internal/jobs/overseer/approval_test.go
@@ -92,3 +92,36 @@
 		})
 	}
 }
+
+// Guards against planning cycles in which each step that waits for approvals ranks all workers of a large pool again.
+func TestStepsShareRankingOfApprovalCandidates(t *testing.T) {
+	const workers = 200
+	allocations := func(steps int) float64 {
+		leadership := waitingLeadership(t, workers, steps, &scheduler.Approval{Validity: time.Minute})
+		return testing.AllocsPerRun(1, func() {
+			leadership.choosePlacements()
+			if got := len(leadership.takeApprovalRequests()); got != steps {
+				t.Errorf("got %d requests, want %d", got, steps)
+			}
+		})
+	}
+	got := (allocations(41) - allocations(1)) / 40
+	if want := float64(workers); got > want {
+		t.Errorf("got %g allocations for each further step, want at most %g", got, want)
+	}
+}
+
+// Guards against requests for workers that drain since an earlier decision ranked them.
+func TestApprovalCandidatesAreCurrent(t *testing.T) {
+	leadership := waitingLeadership(t, 2, 1, &scheduler.Approval{Validity: time.Minute})
+	leadership.choosePlacements()
+	first := leadership.takeApprovalRequests()
+	drained := first[0].candidates[0]
+	leadership.instances[drained.worker].heartbeat.Phase = scheduler.WorkerDraining
+	leadership.choosePlacements()
+	for _, request := range leadership.takeApprovalRequests() {
+		if slices.Contains(request.candidates, drained) {
+			t.Errorf("got a request for %s, which is draining", drained.worker)
+		}
+	}
+}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -44,7 +44,9 @@
 	// approvals holds the responses of the approval service. approvalRequests holds the requests to be sent.
 	approvals        map[stepKey]*approvals
 	approvalRequests chan approvalRequest
-	jobLog           jobLog
+	// approvalCandidates is cleared at the start of each decision.
+	approvalCandidates approvalCandidates
+	jobLog             jobLog
 	// planning holds the durations of the planning cycles since the last load event; only plan uses it.
 	planning planningTimes
 	// starved holds all tasks of the groups that the last planning cycle found starved, from before their placement
@@ -81,7 +83,8 @@
 		instances:    map[scheduler.WorkerName]*worker{}, occupants: map[location]scheduler.WorkerName{},
 		interference: pacer.NewInterference(),
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
-		starved: map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
+		approvalCandidates: approvalCandidates{},
+		starved:            map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -130,6 +130,7 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	clear(leadership.starved)
+	clear(leadership.approvalCandidates)
 	var placements []jobkeeper.Placement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -73,6 +73,7 @@
 func (leadership *leadership) chooseCopies() []copyPlacement {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
+	clear(leadership.approvalCandidates)
 	var copies []copyPlacement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.speculation.prune(state)
