handler: send a failed batch of heartbeats again as a batch

Cause: if a batch of heartbeats gets no response within 700 ms, the VM that collected them forwards every further heartbeat on its own, until a batch with all workers in full has succeeded. A leader that is slow for a second thus gets 2,000 calls a second instead of 20, and becomes slower. A request without a response also clears the known leader, which had the same effect.

Change: heartbeats of a failed batch are queued again, and repeated heartbeats are accepted while the leader is unknown for less than reachabilityTimeout (1.5 s), as they were for a known one. A leader that has lost the workers reports them as unknown, as before.

TestFailedBatchIsSentAgain before: requests outside of batches, want none; it printed two heartbeats that were forwarded on their own.

--- a/internal/jobs/handler/heartbeatcollector.go
+++ b/internal/jobs/handler/heartbeatcollector.go
@@ -36,7 +36,7 @@
 	latest map[scheduler.WorkerName]receivedHeartbeat
 	// pending holds the workers with a repeated heartbeat that has not been forwarded yet.
 	pending map[scheduler.WorkerName]bool
-	// syncedLeader is the leader to which the heartbeats were forwarded. It is empty after a batch has failed.
+	// syncedLeader is the leader to which all recent heartbeats were forwarded in full. It is empty if there is none.
 	syncedLeader scheduler.VMName
 }
 
@@ -90,8 +90,7 @@
 	heartbeatCollector.mutex.Lock()
 	defer heartbeatCollector.mutex.Unlock()
 	known, found := heartbeatCollector.latest[heartbeat.Worker]
-	if !found || heartbeatCollector.syncedLeader == "" || !heartbeatCollector.leaderClient.Reachable() ||
-		heartbeatCollector.leaderClient.Leader() != heartbeatCollector.syncedLeader {
+	if !found || !heartbeatCollector.isSynced(heartbeatCollector.leaderClient.Leader()) {
 		return false
 	}
 	if heartbeat.Phase != scheduler.WorkerReady || !sameContent(&known.heartbeat, heartbeat) ||
@@ -103,6 +102,13 @@
 	return true
 }
 
+// isSynced reports whether the current leader has received all recent heartbeats in full. leader is the known leader. After
+// a request without a response it is empty, until the same or another leader responds. The mutex must be held.
+func (heartbeatCollector *HeartbeatCollector) isSynced(leader scheduler.VMName) bool {
+	return heartbeatCollector.syncedLeader != "" && heartbeatCollector.leaderClient.Reachable() &&
+		(leader == "" || leader == heartbeatCollector.syncedLeader)
+}
+
 // sameContent reports whether two heartbeats of a worker differ only in sequence number and clock.
 func sameContent(a, b *scheduler.WorkerHeartbeat) bool {
 	return a.Instance == b.Instance && a.VM == b.VM && a.Pool == b.Pool && a.Address == b.Address &&
@@ -131,7 +137,7 @@
 	}
 	response := heartbeatCollector.leaderClient.Do(ctx, request)
 	if response.Status != StatusDone {
-		heartbeatCollector.setSyncedLeader("")
+		heartbeatCollector.handleFailedBatch(request.Heartbeats, handover)
 		return
 	}
 	if handover {
@@ -144,6 +150,24 @@
 	}
 }
 
+// handleFailedBatch queues repeated heartbeats again. The leader still holds their content, or reports the workers as
+// unknown if it has lost it. Forwarding each heartbeat on its own instead would multiply the load of a leader that is slow
+// to respond.
+func (heartbeatCollector *HeartbeatCollector) handleFailedBatch(batch *HeartbeatBatch, handover bool) {
+	heartbeatCollector.mutex.Lock()
+	defer heartbeatCollector.mutex.Unlock()
+	if handover {
+		heartbeatCollector.syncedLeader = ""
+		return
+	}
+	for position := range batch.Repeated {
+		worker := batch.Repeated[position].Worker
+		if _, found := heartbeatCollector.latest[worker]; found {
+			heartbeatCollector.pending[worker] = true
+		}
+	}
+}
+
 // nextBatch returns the next batch for the leader, or nil if there is nothing to forward. handover is true if the batch
 // holds all recent heartbeats for a new leader.
 func (heartbeatCollector *HeartbeatCollector) nextBatch(leader scheduler.VMName) (request *Request, handover bool) {
@@ -151,7 +175,9 @@
 	defer heartbeatCollector.mutex.Unlock()
 	heartbeatCollector.evictExpired()
 	if leader == "" {
-		heartbeatCollector.syncedLeader = ""
+		if !heartbeatCollector.isSynced(leader) {
+			heartbeatCollector.syncedLeader = ""
+		}
 		return nil, false
 	}
 	batch := &HeartbeatBatch{}
--- a/internal/jobs/handler/heartbeatcollector_test.go
+++ b/internal/jobs/handler/heartbeatcollector_test.go
@@ -19,19 +19,27 @@
 	leader         scheduler.VMName
 	unknownWorkers []scheduler.WorkerName
 	requests       []Request
+	// ignoresBatches is true while batches of heartbeats get no response.
+	ignoresBatches bool
 }
 
 func (network *recordingNetwork) Call(
-	_ context.Context, to scheduler.VMName, _ scheduler.GroupName, _ scheduler.MessageKind, body []byte,
+	ctx context.Context, to scheduler.VMName, _ scheduler.GroupName, _ scheduler.MessageKind, body []byte,
 ) ([]byte, error) {
+	var request Request
+	if err := encoder.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
 	network.mutex.Lock()
 	defer network.mutex.Unlock()
 	if to != network.leader {
 		return encoder.Marshal(Response{Status: StatusNotLeader, Leader: network.leader})
 	}
-	var request Request
-	if err := encoder.Unmarshal(body, &request); err != nil {
-		return nil, err
+	if request.Heartbeats != nil && network.ignoresBatches {
+		network.mutex.Unlock()
+		<-ctx.Done()
+		network.mutex.Lock()
+		return nil, scheduler.ErrOutcomeUnknown.Wrap(ctx.Err())
 	}
 	response := Response{Status: StatusDone}
 	if request.Heartbeats != nil {
@@ -66,6 +74,13 @@
 	network.leader = leader
 }
 
+// ignoreBatches determines whether batches of heartbeats get no response.
+func (network *recordingNetwork) ignoreBatches(ignores bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.ignoresBatches = ignores
+}
+
 // reportUnknown makes the leader report a worker as unknown once.
 func (network *recordingNetwork) reportUnknown(worker scheduler.WorkerName) {
 	network.mutex.Lock()
@@ -122,6 +137,31 @@
 	})
 }
 
+// Guards against one call for each heartbeat to a leader that is too slow to respond to batches, and against heartbeats
+// that are lost with a batch.
+func TestFailedBatchIsSentAgain(t *testing.T) {
+	runCollectorTest(t, func(t *testing.T, test *collectorTest) {
+		test.heartbeat(t, readyHeartbeat(1))
+		time.Sleep(time.Second)
+		test.network.takeRequests()
+		test.network.ignoreBatches(true)
+		for sequence := uint64(2); sequence < 5; sequence++ {
+			test.heartbeat(t, readyHeartbeat(sequence))
+			time.Sleep(batchTimeout)
+		}
+		if got := test.network.takeRequests(); len(got) != 0 {
+			t.Errorf("got %d requests outside of batches, want none", len(got))
+		}
+		test.network.ignoreBatches(false)
+		time.Sleep(batchTimeout + 2*batchInterval)
+		got := test.network.takeRequests()
+		if len(got) != 1 || got[0].Heartbeats == nil || len(got[0].Heartbeats.Repeated) != 1 ||
+			got[0].Heartbeats.Repeated[0].Sequence != 4 {
+			t.Errorf("got %d requests, want one batch with heartbeat 4", len(got))
+		}
+	})
+}
+
 // Guards against a heartbeat with a new phase or other changed content that is acknowledged before the leader has
 // received it.
 func TestChangedHeartbeatsAreForwardedImmediately(t *testing.T) {
