--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -33,7 +33,9 @@
 			leadership.logLoad()
 		}
 		// planOnce runs the planning cycle; the pause after it is proportional to the cycle's duration.
-		pauseDuration := max(planBatchDelay, planPauseFactor*leadership.planOnce())
+		took := leadership.planOnce()
+		leadership.planning.add(took)
+		pauseDuration := max(planBatchDelay, planPauseFactor*took)
 		select {
 		case <-leadership.context.Done():
 			return
@@ -129,6 +131,7 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	clear(leadership.starved)
+	clear(leadership.approvalCandidates)
 	var placements []jobkeeper.Placement
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
