isolator: give up requests that crash the endpoints that run them

Callers saw: a request that ends the process of its endpoint was retried at up to four endpoints, each resend took up to four more, and requests that ran beside it failed with 502 or 503 once the retry budget was used up.

Cause: a broken connection counted against the endpoint alone. Nothing counted crashes against the request.

Change: the isolator counts a crash when the endpoint closed the connection without an answer and refuses new connections or comes back with a later incarnation. Requests that had just begun are blamed before older ones, a suspect before all. A suspect runs at an endpoint without another suspect and takes its turn; a complete answer clears it. After two crashes the request and those with the same content are answered 422 endpointsCrashed for 5 minutes. A retry after the endpoint's process has ended needs no retry budget, and endpoints that refuse connections are passed over while others are left.

--- a/internal/operating/composer/metrics.go
+++ b/internal/operating/composer/metrics.go
@@ -78,4 +78,7 @@
 		tagged.Gauge("slots_free").Update(float64(gatewayRole.shareClient.FreeForService(service)))
 		tagged.Gauge("requests_waiting").Update(float64(gatewayRole.queue.QueuedRequests(service)))
 	}
+	crashes := gatewayRole.gateway.Crashes()
+	scope.Gauge("endpoint_crashes").Update(float64(crashes.Crashes))
+	scope.Gauge("requests_given_up").Update(float64(crashes.GivenUp))
 }
--- a/internal/requests/forwarder/connection.go
+++ b/internal/requests/forwarder/connection.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -118,6 +121,17 @@
 	permit   scheduler.Slot
 	written  atomic.Int64
 	mayStart atomic.Pointer[func() bool]
+	// closedByPeer is true once the endpoint has closed or reset the connection.
+	closedByPeer atomic.Bool
+}
+
+// Read reads from the connection and records whether the endpoint has closed it.
+func (connection *connection) Read(buffer []byte) (int, error) {
+	count, err := connection.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		connection.closedByPeer.Store(true)
+	}
+	return count, err
 }
 
 func (connection *connection) Write(buffer []byte) (int, error) {
@@ -128,6 +142,9 @@
 	connection.written.Add(int64(len(buffer)))
 	count, err := connection.Conn.Write(buffer)
 	connection.written.Add(int64(count - len(buffer)))
+	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
+		connection.closedByPeer.Store(true)
+	}
 	return count, err
 }
 
@@ -184,3 +201,14 @@
 	}
 	return false
 }
+
+// closedByPeer reports whether the endpoint closed the last connection on which the request was written.
+func (requestTracker *requestTracker) closedByPeer() bool {
+	requestTracker.mutex.Lock()
+	defer requestTracker.mutex.Unlock()
+	if len(requestTracker.acquired) == 0 {
+		return false
+	}
+	last := requestTracker.acquired[len(requestTracker.acquired)-1].connection
+	return last.closedByPeer.Load()
+}
--- a/internal/requests/forwarder/forwarder.go
+++ b/internal/requests/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,7 +121,11 @@
 	Refused bool
 	// Stalled is true if the attempt was cancelled because the connection had stalled.
 	Stalled bool
-	Latency time.Duration
+	// Closed is true if the endpoint closed the connection after the request was written and did not respond.
+	Closed bool
+	// ConnectionRefused is true if nothing listens at the address of the endpoint.
+	ConnectionRefused bool
+	Latency           time.Duration
 }
 
 // Send sends a request. It returns when the response headers have arrived or the attempt has failed.
@@ -146,7 +151,9 @@
 		cancel(nil)
 		return forwarder.classifyFailure(call, tracker, err, latency)
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, slot: call.Slot, cancel: func() { cancel(nil) }}
+	response.Body = &responseBody{
+		ReadCloser: response.Body, slot: call.Slot, cancel: func() { cancel(nil) }, closedByPeer: tracker.closedByPeer,
+	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderOutcome) == string(scheduler.OutcomeNotRun) {
 		call.Slot.Release()
 		// The connection is closed rather than drained: a refusal has a short body, if any.
@@ -161,10 +168,11 @@
 func (forwarder *Forwarder) classifyFailure(call Call, tracker *requestTracker, err error, latency time.Duration) Result {
 	result := Result{Outcome: scheduler.OutcomeUnknown, Err: Error.Wrap(err), Latency: latency, Stalled: errors.Is(err, errStalled)}
 	if !tracker.requestWritten() {
-		result.Outcome = scheduler.OutcomeNotRun
+		result.Outcome, result.ConnectionRefused = scheduler.OutcomeNotRun, errors.Is(err, syscall.ECONNREFUSED)
 		call.Slot.Release()
 		return result
 	}
+	result.Closed = !result.Stalled && call.Incoming.Context().Err() == nil && tracker.closedByPeer()
 	// The endpoint may still be executing the request.
 	call.Slot.Abandon()
 	return result
@@ -227,8 +235,17 @@
 // end. Otherwise it abandons the slot, because the endpoint may still be executing the request.
 type responseBody struct {
 	io.ReadCloser
-	slot   scheduler.Slot
-	cancel func()
+	slot         scheduler.Slot
+	cancel       func()
+	closedByPeer func() bool
+	// interrupted is true if the endpoint closed the connection before the end of the body.
+	interrupted bool
+}
+
+// Interrupted reports whether the endpoint closed the connection before the end of the response.
+func Interrupted(response *http.Response) bool {
+	body, ok := response.Body.(*responseBody)
+	return ok && body.interrupted
 }
 
 func (responseBody *responseBody) Read(buffer []byte) (int, error) {
@@ -237,6 +254,7 @@
 	case errors.Is(err, io.EOF):
 		responseBody.slot.Release()
 	case err != nil:
+		responseBody.interrupted = responseBody.closedByPeer()
 		responseBody.slot.Abandon()
 	}
 	return count, err
--- a/internal/requests/forwarder/probe.go
+++ b/internal/requests/forwarder/probe.go
@@ -6,7 +6,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // startStallCheck starts a timer for a request that waits for its response headers. If they have not arrived within half
@@ -71,3 +74,14 @@
 	_ = response.Body.Close()
 	return true, true
 }
+
+// Refuses reports whether an endpoint refuses new connections, which shows that its process has ended. A connection
+// attempt that is not answered shows nothing.
+func (forwarder *Forwarder) Refuses(ctx context.Context, endpoint scheduler.Announcement) bool {
+	conn, err := forwarder.dial(ctx, forwarder.endpointPool(endpoint))
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/requests/gateway/gateway.go
+++ b/internal/requests/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/isolator"
 	"github.com/crocusplank/crocusplank/internal/requests/limiter"
 	"github.com/crocusplank/crocusplank/internal/requests/retrier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -53,6 +54,7 @@
 	dependencies    Dependencies
 	vm              scheduler.VMName
 	remoteForwarder *forwarder.Forwarder
+	isolator        *isolator.Isolator
 	idempotent      func(service scheduler.ServiceName) (idempotent, configured bool)
 	callerID        func(r *http.Request) string
 	releaseSlots    func()
@@ -126,6 +128,7 @@
 	for _, option := range options {
 		option(gateway)
 	}
+	gateway.isolator = isolator.New(dependencies.Directory.LastAnnouncement, isolator.WithLogger(gateway.log))
 	return gateway
 }
 
@@ -137,6 +140,9 @@
 	return nil
 }
 
+// Crashes returns how often endpoints crashed under requests of this gateway, and how many requests were given up.
+func (gateway *Gateway) Crashes() isolator.Counts { return gateway.isolator.Counts() }
+
 // Ready reports whether the gateway accepts requests.
 func (gateway *Gateway) Ready() bool { return !gateway.stopping.Load() }
 
--- a/internal/requests/gateway/request.go
+++ b/internal/requests/gateway/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/isolator"
 	"github.com/crocusplank/crocusplank/internal/requests/limiter"
 	"github.com/crocusplank/crocusplank/internal/requests/retrier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -59,6 +60,10 @@
 	// mayHaveRun is true if the outcome of an attempt is unknown.
 	mayHaveRun     bool
 	triedEndpoints map[scheduler.EndpointName]bool
+	// identify returns the fingerprint of the request. It is computed when it is first needed.
+	identify func() isolator.Fingerprint
+	// broken are the attempts that ended because the endpoint closed the connection.
+	broken []*isolator.Run
 }
 
 // parseRequest parses and validates a request. It returns a request even on failure, because the error response needs
@@ -232,6 +237,19 @@
 	return hash.Sum(nil)
 }
 
+// fingerprint identifies resends of the request. A body that is not buffered is not part of the digest, so that such a
+// request is identified only by the key that its caller gave.
+func (request *callerRequest) fingerprint() isolator.Fingerprint {
+	key := request.incoming.Header.Get(forwarder.HeaderIdempotencyKey)
+	switch {
+	case request.replayable():
+		return isolator.Fingerprint(request.digest())
+	case key != "":
+		return sha256.Sum256([]byte(string(request.service) + "\x00" + key))
+	}
+	return isolator.Fingerprint{}
+}
+
 // keyRequest returns the arguments for the key store.
 func (request *callerRequest) keyRequest() scheduler.KeyRequest {
 	return scheduler.KeyRequest{Key: request.key, Digest: request.digest(), Deadline: request.deadline}
--- a/internal/requests/gateway/serve.go
+++ b/internal/requests/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/internal/requests/isolator"
 	"github.com/crocusplank/crocusplank/internal/requests/limiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -43,9 +44,12 @@
 		gateway.writeFailure(w, request, failed)
 		return
 	}
+	request.identify = sync.OnceValue(request.fingerprint)
 	request.retry = gateway.dependencies.Retrier.Begin(request.idempotent, request.forwarded, request.deadline)
 	defer request.retry.End()
-	if remote, ok := gateway.selectRemote(request); ok && gateway.forwardToRemote(w, request, remote) {
+	// Suspects stay here, where their crashes are counted.
+	suspect := gateway.isolator.Crashes(request.identify) > 0
+	if remote, ok := gateway.selectRemote(request); ok && !suspect && gateway.forwardToRemote(w, request, remote) {
 		return
 	}
 	if request.idempotent {
@@ -123,30 +127,52 @@
 	done func(scheduler.Outcome, scheduler.StoredResponse),
 ) {
 	for {
-		endpoint, slot, failed := gateway.acquireSlot(request)
+		failed, finished := gateway.runAttempt(w, request, done)
+		if finished {
+			return
+		}
 		if failed != nil {
 			done(failed.outcome, scheduler.StoredResponse{})
 			gateway.writeFailure(w, request, failed)
 			return
 		}
-		result := gateway.attempt(request, endpoint, slot)
-		if result.Outcome == scheduler.OutcomeDone {
-			gateway.relayResponse(w, request, endpoint.Endpoint, result, done)
-			return
-		}
-		if request.triedEndpoints == nil {
-			request.triedEndpoints = map[scheduler.EndpointName]bool{}
-		}
-		request.triedEndpoints[endpoint.Endpoint] = true
-		delay, retry := request.retry.Retry(result.Outcome)
-		if retry && request.replayable() && waiter.Sleep(request.incoming.Context(), delay) {
-			continue
+	}
+}
+
+// runAttempt sends the request once. finished is true if the response has been relayed and done has been called. The
+// request may be sent again if it is false and failed is nil.
+func (gateway *Gateway) runAttempt(w http.ResponseWriter, request *callerRequest,
+	done func(scheduler.Outcome, scheduler.StoredResponse),
+) (failed *failure, finished bool) {
+	suspect, endTurn, failed := gateway.admit(request)
+	if failed != nil {
+		return failed, false
+	}
+	defer endTurn()
+	attempt, failed := gateway.acquireSlot(request, suspect)
+	if failed != nil {
+		return failed, false
+	}
+	result := gateway.send(request, attempt)
+	if result.Outcome == scheduler.OutcomeDone {
+		gateway.relayResponse(w, request, attempt, result, done)
+		return nil, true
+	}
+	if request.triedEndpoints == nil {
+		request.triedEndpoints = map[scheduler.EndpointName]bool{}
+	}
+	request.triedEndpoints[attempt.endpoint.Endpoint] = true
+	if request.idempotent {
+		if crashes := gateway.countCrashes(request); crashes >= isolator.CrashLimit {
+			return gateway.giveUp(request, crashes), false
 		}
-		failed = attemptFailure(request, result)
-		done(failed.outcome, scheduler.StoredResponse{})
-		gateway.writeFailure(w, request, failed)
-		return
 	}
+	delay, retry := request.retry.Retry(result.Outcome, result.ConnectionRefused || attempt.run.Crashed())
+	if retry && request.replayable() && waiter.Sleep(request.incoming.Context(), delay) &&
+		gateway.awaitEvidence(request) {
+		return nil, false
+	}
+	return attemptFailure(request, result), false
 }
 
 // attemptFailure converts the result of the last attempt into a failure. The outcome is unknown if an earlier attempt
@@ -175,33 +201,55 @@
 		"no endpoint of service "+string(request.service)+" is registered")
 }
 
+// attempt is a request that has a slot at an endpoint.
+type attempt struct {
+	endpoint scheduler.Announcement
+	slot     scheduler.Slot
+	run      *isolator.Run
+}
+
 // acquireSlot waits for a slot at one of the candidates of the request.
-func (gateway *Gateway) acquireSlot(request *callerRequest) (scheduler.Announcement, scheduler.Slot, *failure) {
-	var endpoint scheduler.Announcement
-	var slot scheduler.Slot
+func (gateway *Gateway) acquireSlot(request *callerRequest, suspect bool) (attempt, *failure) {
+	var acquired attempt
 	if len(gateway.dependencies.Directory.Endpoints(request.service)) == 0 {
-		return endpoint, nil, request.markPossibleRun(unknownService(request))
+		return acquired, request.markPossibleRun(unknownService(request))
 	}
 	retryAfter, err := gateway.dependencies.Limiter.Wait(request.incoming.Context(), limiter.Request{
 		Service: request.service, Caller: request.callerID, Priority: request.priority,
 		TryAcquire: func() (ok bool) {
-			endpoint, slot, ok = gateway.dependencies.Balancer.Choose(gateway.candidates(request))
+			acquired, ok = gateway.tryAcquire(request, suspect)
 			return ok
 		},
 	})
 	switch {
 	case err == nil:
 		request.leaveQueue()
-		return endpoint, slot, nil
+		return acquired, nil
 	case limiter.ErrQueueFull.Has(err):
-		return endpoint, nil, request.markPossibleRun(
+		return acquired, request.markPossibleRun(
 			reject(http.StatusServiceUnavailable, "overloaded", err.Error()).withRetryAfter(retryAfter))
 	default:
-		return endpoint, nil, request.markPossibleRun(
+		return acquired, request.markPossibleRun(
 			reject(http.StatusServiceUnavailable, "noSlot", err.Error()).withRetryAfter(retryAfter))
 	}
 }
 
+// tryAcquire takes a slot at a candidate. A suspect prefers the endpoints with the fewest requests, because its crash
+// ends them too.
+func (gateway *Gateway) tryAcquire(request *callerRequest, suspect bool) (attempt, bool) {
+	candidates := gateway.isolator.Candidates(gateway.candidates(request), suspect)
+	choices := [][]scheduler.Announcement{candidates}
+	if suspect {
+		choices = [][]scheduler.Announcement{gateway.isolator.LeastUsed(candidates), candidates}
+	}
+	for _, choice := range choices {
+		if endpoint, slot, ok := gateway.dependencies.Balancer.Choose(choice); ok {
+			return attempt{endpoint, slot, gateway.isolator.Start(endpoint, request.identify, suspect)}, true
+		}
+	}
+	return attempt{}, false
+}
+
 // markPossibleRun changes the outcome of a rejection to unknown if an earlier attempt may have run.
 func (request *callerRequest) markPossibleRun(failed *failure) *failure {
 	if request.mayHaveRun {
@@ -228,28 +276,35 @@
 	return untried
 }
 
-// attempt sends the request once and reports the result to the balancer.
-func (gateway *Gateway) attempt(request *callerRequest, endpoint scheduler.Announcement,
-	slot scheduler.Slot,
-) forwarder.Result {
+// send sends the request once and reports the result to the balancer and the isolator.
+func (gateway *Gateway) send(request *callerRequest, attempt attempt) forwarder.Result {
 	result := gateway.dependencies.Forwarder.Send(forwarder.Call{
-		Endpoint: endpoint, Slot: slot, Incoming: request.incoming, Target: request.target,
+		Endpoint: attempt.endpoint, Slot: attempt.slot, Incoming: request.incoming, Target: request.target,
 		Body: request.nextBody(), Length: request.length, RequestID: request.id, IdempotencyKey: request.key,
 		Restart: func() bool { return request.replayable() && request.retry.Restart() },
 	})
 	request.mayHaveRun = request.mayHaveRun || result.Outcome == scheduler.OutcomeUnknown
 	callerDisconnected := request.incoming.Context().Err() != nil && time.Now().Before(request.deadline)
-	gateway.dependencies.Balancer.Report(endpoint.Endpoint, scheduler.EndpointResult{
+	gateway.dependencies.Balancer.Report(attempt.endpoint.Endpoint, scheduler.EndpointResult{
 		Failed: result.Outcome != scheduler.OutcomeDone && !result.Refused && !result.Stalled && !callerDisconnected ||
 			result.Response != nil && result.Response.StatusCode >= http.StatusInternalServerError,
 		Refused: result.Refused || result.Stalled || callerDisconnected,
 		Latency: result.Latency,
 	})
+	switch {
+	case result.Outcome == scheduler.OutcomeDone:
+	case result.Closed:
+		gateway.recordBreak(request, attempt)
+	case result.ConnectionRefused:
+		attempt.run.Refused()
+	default:
+		attempt.run.Abandoned()
+	}
 	return result
 }
 
 // relayResponse streams the response of the endpoint to the caller.
-func (gateway *Gateway) relayResponse(w http.ResponseWriter, request *callerRequest, endpoint scheduler.EndpointName,
+func (gateway *Gateway) relayResponse(w http.ResponseWriter, request *callerRequest, attempt attempt,
 	result forwarder.Result, done func(scheduler.Outcome, scheduler.StoredResponse),
 ) {
 	gateway.dependencies.Limiter.Observe(request.service, result.Latency)
@@ -260,10 +315,20 @@
 	}
 	// The outcome is recorded in a deferred call, because Relay may reset the connection by a panic.
 	outcome := scheduler.OutcomeUnknown
-	defer func() { done(outcome, recorder.response) }()
+	defer func() {
+		done(outcome, recorder.response)
+		switch {
+		case outcome == scheduler.OutcomeDone:
+			attempt.run.Answered()
+		case forwarder.Interrupted(result.Response):
+			gateway.recordBreak(request, attempt)
+		default:
+			attempt.run.Abandoned()
+		}
+	}()
 	if err := forwarder.Relay(w, result.Response, scheduler.OutcomeDone, request.id, record); err != nil {
-		gateway.log.Info().Str("event", "responseBroken").Str("request", request.id).Str("endpoint", string(endpoint)).
-			Err(err).Msg("response interrupted")
+		gateway.log.Info().Str("event", "responseBroken").Str("request", request.id).
+			Str("endpoint", string(attempt.endpoint.Endpoint)).Err(err).Msg("response interrupted")
 		return
 	}
 	outcome = scheduler.OutcomeDone
--- a/internal/requests/retrier/retrier.go
+++ b/internal/requests/retrier/retrier.go
@@ -80,8 +80,9 @@
 }
 
 // Retry reports whether the request may be retried after an attempt with the given outcome, and the backoff before the
-// retry. A request is retried only if it is idempotent or certainly did not run.
-func (request *Request) Retry(outcome scheduler.Outcome) (backoff time.Duration, ok bool) {
+// retry. A request is retried only if it is idempotent or certainly did not run. ended is true if the process
+// of the endpoint has ended. Such a retry needs no budget: it adds no load, because the attempt before costs nothing more.
+func (request *Request) Retry(outcome scheduler.Outcome, ended bool) (backoff time.Duration, ok bool) {
 	request.attempts++
 	if request.forwarded || request.attempts >= maxAttempts || outcome == scheduler.OutcomeDone {
 		return 0, false
@@ -93,7 +94,7 @@
 	if time.Until(request.deadline) <= backoff {
 		return 0, false
 	}
-	return backoff, request.acquireBudget()
+	return backoff, ended || request.acquireBudget()
 }
 
 // Restart reports whether an attempt that waits for a response may be aborted and retried. It returns true at most once
--- a/internal/requests/retrier/retrier_test.go
+++ b/internal/requests/retrier/retrier_test.go
@@ -35,7 +35,7 @@
 				request := retrier.Begin(test.idempotent, test.forwarded, time.Now().Add(test.remaining))
 				got := false
 				for _, outcome := range test.outcomes {
-					_, got = request.Retry(outcome)
+					_, got = request.Retry(outcome, false)
 				}
 				if got != test.want {
 					t.Errorf("retry: got %v, want %v", got, test.want)
@@ -52,7 +52,7 @@
 		requests = append(requests, retrier.Begin(true, false, time.Now().Add(time.Hour)))
 	}
 	for _, request := range requests {
-		if _, ok := request.Retry(scheduler.OutcomeUnknown); ok {
+		if _, ok := request.Retry(scheduler.OutcomeUnknown, false); ok {
 			retries++
 		}
 	}
