overseer: reproduce tasks that crash worker after worker

Callers see jobs with such a task active for ever, and jobs beside it late or never finished, because each crash takes the attempts of all tasks of the worker with it.

The simulated workers now know deadly tasks: a task that crashes each worker that starts it, at once, after some hundred milliseconds or after seconds. The connections of a crashed process are closed, and three seconds later a later instance runs at the same address, by turns under its own name and under a new one. Every third schedule has copies, every third one gangs.

TestRandomDeadlyTasks checks that a task starts at most twice more after three workers have crashed under it, that exactly the jobs with a deadly task fail, and that all others finish.

The fake group moves to a file of its own, unchanged.

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -105,7 +105,7 @@
 		simulation.setPartitioned(simulation.names[0], false)
 		time.Sleep(4 * time.Second)
 		simulation.fleet.mutex.Lock()
-		if got := len(simulation.fleet.workers["10.0.0.1:"+string(simulation.names[0])].ends); got != 0 {
+		if got := len(simulation.fleet.workers[addressOf(simulation.names[0])].ends); got != 0 {
 			t.Errorf("got %d unacknowledged ends, want none", got)
 		}
 		simulation.fleet.mutex.Unlock()
--- a/internal/jobs/overseer/fake_client_test.go
+++ b/internal/jobs/overseer/fake_client_test.go
@@ -7,6 +7,45 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// reach returns the instance at an address. An error means that the order was not answered; it may still take effect
+// later. An order for a different instance has no effect, see scheduler.WorkerClient.
+func (fleet *fakeFleet) reach(
+	ctx context.Context, ref scheduler.WorkerRef, effect func(worker *fakeWorker),
+) (*fakeWorker, error) {
+	time.Sleep(time.Millisecond)
+	fleet.mutex.Lock()
+	worker := fleet.workers[ref.Address]
+	other := worker != nil && worker.incarnation != ref.Instance
+	late := (fleet.random.Float64() < fleet.lateRate || isLate(ctx)) && !other
+	delay := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
+	closed := worker != nil && worker.closed && !worker.partitioned
+	unreachable := worker == nil || worker.dead || worker.partitioned
+	fleet.mutex.Unlock()
+	if closed {
+		return nil, errConnectionRefused
+	}
+	if late && !unreachable {
+		go func() {
+			time.Sleep(delay)
+			fleet.mutex.Lock()
+			defer fleet.mutex.Unlock()
+			if !worker.dead { // A pending order is lost when the worker instance ends.
+				effect(worker)
+			}
+		}()
+	}
+	if late || unreachable {
+		<-ctx.Done()
+		return nil, scheduler.ErrOutcomeUnknown.Wrap(ctx.Err())
+	}
+	return worker, nil
+}
+
+// lateKey marks the context of an order that is not answered and takes effect seconds later.
+type lateKey struct{}
+
+func isLate(ctx context.Context) bool { return ctx.Value(lateKey{}) != nil }
+
 // Stop implements scheduler.WorkerClient.
 func (fleet *fakeFleet) Stop(
 	ctx context.Context, ref scheduler.WorkerRef, run scheduler.RunID, token scheduler.Term,
@@ -73,6 +112,9 @@
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	if worker.closed && !worker.partitioned {
+		return scheduler.WorkerReport{}, errConnectionClosed
+	}
 	if worker.dead || worker.partitioned {
 		return scheduler.WorkerReport{}, scheduler.ErrOutcomeUnknown.New("the worker is unreachable")
 	}
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 	lateRate float64
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
-	// withVMs is true if workers report the VM on which they run. The VM has the worker's name.
+	// withVMs is true if workers report the VM on which they run. The VM has the name of the worker's first instance.
 	withVMs bool
 	// stopped holds the long-running tasks that were stopped by an order and have not restarted yet. maxStopped is
 	// the maximum size of stopped so far.
@@ -52,6 +53,8 @@
 	lateStart scheduler.RunID
 	// finishedAt is when the finish of each task was acknowledged for the first time.
 	finishedAt map[scheduler.StepTaskID]time.Time
+	// deadly holds the tasks that crash their workers. It is nil if there are none.
+	deadly *deadlyTasks
 }
 
 // fakeWorker is one instance of a worker.
@@ -76,7 +79,10 @@
 	sequence    uint64
 	partitioned bool
 	dead        bool
-	draining    bool
+	// closed is true if a task has crashed the process. Its connections are closed then, while those of a worker that is
+	// only dead are silent.
+	closed   bool
+	draining bool
 	// broken workers fail every run immediately.
 	broken    bool
 	endSignal chan struct{}
@@ -85,7 +91,9 @@
 type fakeRun struct {
 	startedAt  time.Time
 	endsAt     time.Time
+	crashesAt  time.Time
 	fails      bool
+	breaksGang bool
 	checkpoint string
 }
 
@@ -117,9 +125,17 @@
 
 // add starts a new instance of a worker at the worker's address.
 func (fleet *fakeFleet) add(name scheduler.WorkerName, incarnation scheduler.Incarnation) *fakeWorker {
+	return fleet.addAt(addressOf(name), name, incarnation)
+}
+
+func addressOf(name scheduler.WorkerName) string { return "10.0.0.1:" + string(name) }
+
+// addAt starts a new instance of a worker at an address.
+func (fleet *fakeFleet) addAt(
+	address string, name scheduler.WorkerName, incarnation scheduler.Incarnation,
+) *fakeWorker {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	address := "10.0.0.1:" + string(name)
 	if old := fleet.workers[address]; old != nil && !old.dead {
 		old.crash()
 	}
@@ -143,7 +159,7 @@
 func (fleet *fakeFleet) kill(name scheduler.WorkerName) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	if worker := fleet.workers["10.0.0.1:"+string(name)]; worker != nil && !worker.dead {
+	if worker := fleet.workers[addressOf(name)]; worker != nil && !worker.dead {
 		worker.crash()
 	}
 }
@@ -201,6 +217,8 @@
 		switch {
 		case expired:
 			worker.end(id, scheduler.EndLeaseExpired, run.checkpoint)
+		case !run.endsAt.IsZero() && time.Now().After(run.endsAt) && run.breaksGang:
+			worker.end(id, scheduler.EndGangBroken, run.checkpoint)
 		case !run.endsAt.IsZero() && time.Now().After(run.endsAt) && run.fails:
 			worker.end(id, scheduler.EndFailed, run.checkpoint)
 		case !run.endsAt.IsZero() && time.Now().After(run.endsAt):
@@ -216,6 +234,7 @@
 	for _, worker := range fleet.workers {
 		if !worker.dead {
 			worker.advance()
+			worker.crashIfDue()
 		}
 	}
 }
@@ -234,7 +253,7 @@
 	}
 	var vm scheduler.VMName
 	if worker.fleet.withVMs {
-		vm = scheduler.VMName(worker.name)
+		vm = scheduler.VMName(strings.TrimPrefix(worker.address, addressOf("")))
 	}
 	return scheduler.WorkerHeartbeat{
 		VM: vm, Worker: worker.name, Instance: worker.incarnation, Pool: "pool", Address: worker.address,
@@ -243,36 +262,6 @@
 	}, true
 }
 
-// reach returns the instance at an address. An error means that the order was not answered; it may still take effect
-// later. An order for a different instance has no effect, see scheduler.WorkerClient.
-func (fleet *fakeFleet) reach(
-	ctx context.Context, ref scheduler.WorkerRef, effect func(worker *fakeWorker),
-) (*fakeWorker, error) {
-	time.Sleep(time.Millisecond)
-	fleet.mutex.Lock()
-	worker := fleet.workers[ref.Address]
-	other := worker != nil && worker.incarnation != ref.Instance
-	late := (fleet.random.Float64() < fleet.lateRate || isLate(ctx)) && !other
-	delay := 2*time.Second + time.Duration(fleet.random.Int64N(int64(10*time.Second)))
-	unreachable := worker == nil || worker.dead || worker.partitioned
-	fleet.mutex.Unlock()
-	if late && !unreachable {
-		go func() {
-			time.Sleep(delay)
-			fleet.mutex.Lock()
-			defer fleet.mutex.Unlock()
-			if !worker.dead { // A pending order is lost when the worker instance ends.
-				effect(worker)
-			}
-		}()
-	}
-	if late || unreachable {
-		<-ctx.Done()
-		return nil, scheduler.ErrOutcomeUnknown.Wrap(ctx.Err())
-	}
-	return worker, nil
-}
-
 // Start implements scheduler.WorkerClient.
 func (fleet *fakeFleet) Start(
 	ctx context.Context, ref scheduler.WorkerRef, order scheduler.StartOrder,
@@ -290,14 +279,13 @@
 	if worker.incarnation != ref.Instance {
 		return scheduler.OrderResponse{Result: scheduler.OrderIncarnationMismatch}, nil
 	}
-	return scheduler.OrderResponse{Result: worker.start(order), Clock: worker.clock()}, nil
+	result := worker.start(order)
+	if worker.crashIfDue() {
+		return scheduler.OrderResponse{}, errConnectionClosed
+	}
+	return scheduler.OrderResponse{Result: result, Clock: worker.clock()}, nil
 }
 
-// lateKey marks the context of an order that is not answered and takes effect seconds later.
-type lateKey struct{}
-
-func isLate(ctx context.Context) bool { return ctx.Value(lateKey{}) != nil }
-
 // checkStart checks the invariant that holds when a start order is sent: a task of which a finish was acknowledged more
 // than a second ago is not started again, even if it may have a copy. It returns the context for the order.
 func (fleet *fakeFleet) checkStart(ctx context.Context, order scheduler.StartOrder) context.Context {
@@ -388,6 +376,7 @@
 			run.endsAt = time.Now().Add(stragglerRunTime)
 		}
 	}
+	fleet.deadly.begin(worker, order.Run, run)
 	worker.runs[order.Run] = run
 	worker.highestAttempt[task] = order.Run.Attempt
 	worker.used = worker.used.Plus(oneCore)
--- a/internal/jobs/overseer/maintenance_test.go
+++ b/internal/jobs/overseer/maintenance_test.go
@@ -93,7 +93,7 @@
 	fleet := platform.simulation.fleet
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	if running := len(fleet.workers["10.0.0.1:"+string(name)].runs); running > 0 {
+	if running := len(fleet.workers[addressOf(name)].runs); running > 0 {
 		platform.t.Errorf("%s: got %d tasks running when maintenance starts, want none", name, running)
 	}
 }
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,98 +24,6 @@
 	logs      = flag.Bool("schedule-logs", false, "print the overseers' logs")
 )
 
-// fakeGroup is the view of one VM on a group whose state machine all VMs share, so that a committed command is
-// applied everywhere at once.
-type fakeGroup struct {
-	domain *fakeDomain
-	number int
-}
-
-// fakeDomain is the whole group. At most one VM leads at a time.
-type fakeDomain struct {
-	mutex  sync.Mutex
-	random *rand.Rand
-	keeper *jobkeeper.Keeper
-	leader atomic.Int32
-	term   atomic.Uint64
-	index  scheduler.Index
-	// stalledUntil is the time until which the process of each VM is stalled, see HoldsLeaderLease.
-	stalledUntil [simulationVMs]time.Time
-}
-
-const noLeader = -1
-
-func (group *fakeGroup) Name() scheduler.GroupName { return "domain" }
-
-func (group *fakeGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	domain := group.domain
-	domain.mutex.Lock()
-	delay := time.Duration(domain.random.Int64N(int64(30 * time.Millisecond)))
-	domain.mutex.Unlock()
-	term := domain.term.Load()
-	select {
-	case <-ctx.Done():
-		return nil, scheduler.ErrNotRun.Wrap(ctx.Err())
-	case <-time.After(delay):
-	}
-	domain.mutex.Lock()
-	defer domain.mutex.Unlock()
-	if int(domain.leader.Load()) != group.number || domain.term.Load() != term {
-		return nil, scheduler.ErrOutcomeUnknown.New("the leader has changed")
-	}
-	domain.index++
-	result := domain.keeper.Apply(domain.index, command)
-	if domain.random.IntN(50) == 0 {
-		return nil, scheduler.ErrOutcomeUnknown.New("the response was lost")
-	}
-	return result, nil
-}
-
-func (group *fakeGroup) ReadBarrier(context.Context) error { return nil }
-
-func (group *fakeGroup) Status() scheduler.GroupStatus {
-	role := scheduler.GroupFollower
-	if group.HoldsLeaderLease() {
-		role = scheduler.GroupLeader
-	}
-	return scheduler.NewGroupStatus(role, scheduler.Term(group.domain.term.Load()), "", 0, 0, nil)
-}
-
-// HoldsLeaderLease returns the state at the time of the call. In a stalled process the result arrives late, so the
-// caller may act on a lease that another VM has taken over in the meantime.
-func (group *fakeGroup) HoldsLeaderLease() bool {
-	held := int(group.domain.leader.Load()) == group.number
-	group.domain.mutex.Lock()
-	stalled := time.Until(group.domain.stalledUntil[group.number])
-	group.domain.mutex.Unlock()
-	if held && stalled > 0 {
-		time.Sleep(stalled)
-	}
-	return held
-}
-
-// stall stalls the process of the leader. Another VM takes over after one second.
-func (domain *fakeDomain) stall(duration time.Duration, next int) {
-	leader := int(domain.leader.Load())
-	if leader == noLeader {
-		return
-	}
-	domain.mutex.Lock()
-	domain.stalledUntil[leader] = time.Now().Add(duration)
-	domain.mutex.Unlock()
-	time.Sleep(time.Second)
-	domain.elect(next)
-}
-
-// elect makes a VM the leader of a new term.
-func (domain *fakeDomain) elect(number int) {
-	domain.mutex.Lock()
-	defer domain.mutex.Unlock()
-	domain.leader.Store(noLeader)
-	domain.term.Add(1)
-	domain.leader.Store(int32(number))
-}
-
 // simulation is one run of a domain under random failures.
 type simulation struct {
 	t            *testing.T
@@ -243,6 +150,7 @@
 	simulation.jobs++
 	simulation.fleet.mutex.Lock()
 	simulation.fleet.workflows[id] = workflow
+	simulation.fleet.deadly.choose(id, workflow)
 	simulation.fleet.mutex.Unlock()
 	simulation.apply(jobkeeper.Command{Submit: &jobkeeper.Submit{
 		Job: id, Queue: "queue", Workflow: *workflow, Accepted: time.Now(),
@@ -253,11 +161,15 @@
 func (simulation *simulation) restart(name scheduler.WorkerName) {
 	simulation.fleet.kill(name)
 	time.Sleep(processStartTime)
+	simulation.fleet.add(name, simulation.nextIncarnation(name))
+}
+
+// nextIncarnation returns the incarnation of the next instance at the address of a worker.
+func (simulation *simulation) nextIncarnation(name scheduler.WorkerName) scheduler.Incarnation {
 	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
 	simulation.incarnations[name]++
-	incarnation := simulation.incarnations[name]
-	simulation.fleet.mutex.Unlock()
-	simulation.fleet.add(name, incarnation)
+	return simulation.incarnations[name]
 }
 
 // injectFailure causes one random failure of random duration.
@@ -295,10 +207,8 @@
 func (simulation *simulation) setPartitioned(name scheduler.WorkerName, partitioned bool) {
 	simulation.fleet.mutex.Lock()
 	defer simulation.fleet.mutex.Unlock()
-	for _, worker := range simulation.fleet.workers {
-		if worker.name == name {
-			worker.partitioned = partitioned
-		}
+	if worker := simulation.fleet.workers[addressOf(name)]; worker != nil {
+		worker.partitioned = partitioned
 	}
 }
 
@@ -307,7 +217,7 @@
 	simulation.fleet.mutex.Lock()
 	var workers []*fakeWorker
 	for _, name := range simulation.names {
-		if worker := simulation.fleet.workers["10.0.0.1:"+string(name)]; worker != nil {
+		if worker := simulation.fleet.workers[addressOf(name)]; worker != nil {
 			workers = append(workers, worker)
 		}
 	}
