jobkeeper: give up a task under which workers have crashed

Callers saw nothing: a job whose task kills its workers stayed active while worker after worker died. Only ends that a worker reports as failed were counted, and a worker that dies reports nothing.

The replicated state now holds blame for each task: 2 points for a crash during a start, 1 for a crash of a running task, cleared when an attempt survives. At 4 points the job fails with a reason. An attempt that moves to the next instance of its worker is blamed without being ended (Carry).

An older build applies the new kinds of ends as a loss, and refuses the two new commands without effect.

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -32,6 +32,10 @@
 		return Result{Status: StatusDone}
 	case command.Evacuate != nil:
 		return Result{Status: state.evacuate(command.Evacuate)}
+	case command.ClearBlame != nil:
+		return Result{Status: state.clearBlame(command.ClearBlame)}
+	case command.Carry != nil:
+		return Result{Status: state.carry(command.Carry)}
 	}
 	return Result{Status: StatusInvalid}
 }
@@ -203,7 +207,7 @@
 	spec := task.step.Spec()
 	switch {
 	case speculative:
-		return spec.Speculative && len(task.runs) == 1
+		return spec.Speculative && len(task.runs) == 1 && task.blame.points == 0
 	case spec.Gang:
 		_, placing := gangs[task.step]
 		return len(task.runs) == 0 && (placing || task.step.hasNoAttempts())
@@ -280,6 +284,10 @@
 		case scheduler.EndFailed:
 			state.failTask(task)
 		default:
+			task.blame.add(end.Kind)
+		}
+		if len(task.runs) == 0 {
+			state.giveUpIfBlamed(task)
 		}
 	}
 	if job.occurrences != nil && !job.state.Ended() {
@@ -336,6 +344,7 @@
 			}
 		}
 		member.finished = true
+		member.blame = blame{}
 		member.step.unfinished--
 		state.updateTaskIndexes(member)
 	}
--- /dev/null
+++ b/internal/jobs/jobkeeper/blame.go
@@ -0,0 +1,146 @@
+package jobkeeper
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Points for a crash of the worker under a task, and the number of points at which the task is given up. A task that was
+// starting is the likely cause of the crash; of several that were running, any may be.
+const (
+	PointsStarting = 2
+	PointsRunning  = 1
+	BlameLimit     = 4
+)
+
+// blame records the crashes of workers that a task may have caused.
+type blame struct {
+	points  int
+	crashes int
+}
+
+// add adds the points for the end of an attempt. Ends that are not crashes add none.
+func (blame *blame) add(kind scheduler.EndKind) {
+	switch kind {
+	case scheduler.EndCrashedStarting:
+		blame.points += PointsStarting
+	case scheduler.EndCrashedRunning:
+		blame.points += PointsRunning
+	default:
+		return
+	}
+	blame.crashes++
+}
+
+// Carry records that an instance of a worker crashed under an attempt which its next instance may start all the same, so
+// that the attempt has not ended. It has no effect if the attempt has been carried to Instance before.
+type Carry struct {
+	_        struct{} `cbor:",toarray"`
+	Run      scheduler.RunID
+	Instance scheduler.Incarnation
+	// Kind is EndCrashedStarting or EndCrashedRunning.
+	Kind scheduler.EndKind
+}
+
+func (state *State) carry(carries []Carry) Status {
+	for _, carry := range carries {
+		run := state.openRun(carry.Run)
+		if run == nil || run.instance >= carry.Instance {
+			continue
+		}
+		run.instance = carry.Instance
+		task := run.task
+		if task.finished || task.step.occurrence.job.state.Ended() {
+			continue
+		}
+		task.blame.add(carry.Kind)
+		if len(task.runs) == 1 {
+			state.giveUpIfBlamed(task)
+		}
+	}
+	return StatusDone
+}
+
+// clearBlame clears the blame of tasks whose attempts have survived. Attempts that have ended clear nothing: their workers
+// may have crashed since.
+func (state *State) clearBlame(survivors []scheduler.RunID) Status {
+	for _, id := range survivors {
+		if run := state.openRun(id); run != nil {
+			run.task.blame = blame{}
+		}
+	}
+	return StatusDone
+}
+
+// openRun returns an attempt that has not ended, or nil.
+func (state *State) openRun(id scheduler.RunID) *Run {
+	task, found := state.task(id.Task)
+	if !found {
+		return nil
+	}
+	position := slices.IndexFunc(task.runs, func(run *Run) bool { return run.attempt == id.Attempt })
+	if position < 0 {
+		return nil
+	}
+	return task.runs[position]
+}
+
+// giveUpIfBlamed fails the job of a task that has reached the limit. The caller makes sure that no other attempt of the
+// task is running, which could still finish.
+func (state *State) giveUpIfBlamed(task *Task) {
+	job := task.step.occurrence.job
+	if task.blame.points < BlameLimit || task.finished || job.state.Ended() {
+		return
+	}
+	job.failureReason = fmt.Sprintf("task %d of step %d was given up: %d workers crashed while they ran it",
+		task.index, task.step.number, task.blame.crashes)
+	state.finish(job, scheduler.WorkflowFailed)
+}
+
+// storedBlame is the encoding of the blame of a task in a snapshot, storedFailure that of the reason of a failed job.
+type (
+	storedBlame struct {
+		_       struct{} `cbor:",toarray"`
+		Task    scheduler.StepTaskID
+		Points  int
+		Crashes int
+	}
+	storedFailure struct {
+		_      struct{} `cbor:",toarray"`
+		Job    scheduler.JobID
+		Reason string
+	}
+)
+
+// storeBlames appends the blame and the failure reason of a job.
+func (stored *storedState) storeBlames(job *Job) {
+	if job.failureReason != "" {
+		stored.Failures = append(stored.Failures, storedFailure{Job: job.id, Reason: job.failureReason})
+	}
+	for _, occurrence := range job.sortedOccurrences() {
+		for _, step := range occurrence.steps {
+			for _, task := range step.tasks {
+				if task.blame != (blame{}) {
+					stored.Blames = append(stored.Blames, storedBlame{
+						Task: task.ID(), Points: task.blame.points, Crashes: task.blame.crashes,
+					})
+				}
+			}
+		}
+	}
+}
+
+func (state *State) restoreBlames(blames []storedBlame, failures []storedFailure) {
+	for _, stored := range blames {
+		if task, found := state.task(stored.Task); found {
+			task.blame = blame{points: stored.Points, crashes: stored.Crashes}
+		}
+	}
+	for _, stored := range failures {
+		if job := state.jobs[stored.Job]; job != nil {
+			job.failureReason = stored.Reason
+		}
+	}
+}
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -18,6 +18,8 @@
 	SubmitWave       *SubmitWave                   `cbor:"7,keyasint,omitempty"`
 	MaintenanceSteps []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
 	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
+	ClearBlame       []scheduler.RunID             `cbor:"10,keyasint,omitempty"`
+	Carry            []Carry                       `cbor:"11,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -21,6 +21,9 @@
 	finished int
 	// runs is the number of attempts that have not ended.
 	runs int
+	// failureReason is why the job was given up. It is empty if the job has not failed, or failed because a task failed as
+	// often as its queue allows.
+	failureReason string
 }
 
 // ID returns the id of the job.
@@ -41,6 +44,17 @@
 // State returns the state that is visible to callers.
 func (job *Job) State() scheduler.WorkflowState { return job.state }
 
+// FailureReason returns why the job has failed, in a sentence for people. It is empty if the job has not failed.
+func (job *Job) FailureReason() string {
+	switch {
+	case job.state != scheduler.WorkflowFailed:
+		return ""
+	case job.failureReason == "":
+		return "a task failed as often as its queue allows"
+	}
+	return job.failureReason
+}
+
 // Running returns the number of attempts of the job that have not ended.
 func (job *Job) Running() int { return job.runs }
 
@@ -128,6 +142,7 @@
 	attempt    scheduler.AttemptNumber
 	checkpoint string
 	runs       []*Run
+	blame      blame
 }
 
 // ID returns the id of the task.
@@ -149,6 +164,9 @@
 // Checkpoint returns the latest checkpoint of the task, or an empty string if there is none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
+// Blame returns the points that the task has for crashes of workers. A task with points is suspected of crashing workers.
+func (task *Task) Blame() int { return task.blame.points }
+
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
 
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -10,11 +10,13 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// Versions of the snapshot format. Version 1 had no waves and version 2 no evacuations.
+// Versions of the snapshot format. Version 1 had no waves, version 2 no evacuations and version 3 no blame for crashes of
+// workers.
 const (
 	snapshotFormat1 = 1
 	snapshotFormat2 = 2
 	snapshotFormat3 = 3
+	snapshotFormat4 = 4
 )
 
 // The types below define the encoding of a snapshot. Lists have a fixed order, so that equal states have equal
@@ -27,6 +29,19 @@
 	Jobs          []storedJob
 	Waves         []storedWave
 	Evacuations   []storedEvacuation
+	Blames        []storedBlame
+	Failures      []storedFailure
+}
+
+// storedStateV3 is storedState in format version 3.
+type storedStateV3 struct {
+	_             struct{} `cbor:",toarray"`
+	Format        int
+	Configuration *scheduler.QueueConfiguration
+	Sequence      uint64
+	Jobs          []storedJob
+	Waves         []storedWave
+	Evacuations   []storedEvacuation
 }
 
 // storedStateV2 is storedState in format version 2.
@@ -116,11 +131,17 @@
 }
 
 // encodable returns the state in the oldest format that can hold it, so that an earlier build can read the snapshots of
-// a domain in which no data centre was ever evacuated.
+// a domain in which no data centre was ever evacuated and no task is blamed for a crash.
 func (stored storedState) encodable() any {
-	if len(stored.Evacuations) > 0 {
+	if len(stored.Blames)+len(stored.Failures) > 0 {
 		return stored
 	}
+	if len(stored.Evacuations) > 0 {
+		return storedStateV3{
+			Format: snapshotFormat3, Configuration: stored.Configuration, Sequence: stored.Sequence, Jobs: stored.Jobs,
+			Waves: stored.Waves, Evacuations: stored.Evacuations,
+		}
+	}
 	return storedStateV2{
 		Format: snapshotFormat2, Configuration: stored.Configuration, Sequence: stored.Sequence, Jobs: stored.Jobs,
 		Waves: stored.Waves,
@@ -131,35 +152,43 @@
 func decodeSnapshot(data []byte) (*storedState, error) {
 	var stored storedState
 	err := encoder.Unmarshal(data, &stored)
-	if err == nil && stored.Format == snapshotFormat3 {
+	if err == nil && stored.Format == snapshotFormat4 {
 		return &stored, nil
 	}
+	var version3 storedStateV3
+	if encoder.Unmarshal(data, &version3) == nil && version3.Format == snapshotFormat3 {
+		return &storedState{
+			Format: snapshotFormat4, Configuration: version3.Configuration, Sequence: version3.Sequence, Jobs: version3.Jobs,
+			Waves: version3.Waves, Evacuations: version3.Evacuations,
+		}, nil
+	}
 	var version2 storedStateV2
 	if encoder.Unmarshal(data, &version2) == nil && version2.Format == snapshotFormat2 {
 		return &storedState{
-			Format: snapshotFormat3, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
+			Format: snapshotFormat4, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
 			Waves: version2.Waves,
 		}, nil
 	}
 	var version1 storedStateV1
 	if encoder.Unmarshal(data, &version1) == nil && version1.Format == snapshotFormat1 {
 		return &storedState{
-			Format: snapshotFormat3, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
+			Format: snapshotFormat4, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
 		}, nil
 	}
 	if err != nil {
 		return nil, Error.New("cannot decode the snapshot: %w", err)
 	}
-	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat3)
+	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat4)
 }
 
 func (state *State) store() storedState {
 	stored := storedState{
-		Format: snapshotFormat3, Configuration: state.configuration, Sequence: state.sequence,
+		Format: snapshotFormat4, Configuration: state.configuration, Sequence: state.sequence,
 		Evacuations: state.storeEvacuations(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
+		stored.storeBlames(state.jobs[id])
 	}
 	for _, wave := range state.waves {
 		stored.Waves = append(stored.Waves, wave.store())
@@ -172,9 +201,9 @@
 		ID: job.id, Queue: job.queue, Workflow: job.workflow, Accepted: job.accepted, Sequence: job.sequence,
 		State: job.state, Started: job.started, Finished: job.finished,
 	}
-	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
-		occurrence := storedOccurrence{Number: number}
-		for _, step := range job.occurrences[number].steps {
+	for _, started := range job.sortedOccurrences() {
+		occurrence := storedOccurrence{Number: started.number}
+		for _, step := range started.steps {
 			occurrence.Steps = append(occurrence.Steps, step.store())
 		}
 		stored.Occurrences = append(stored.Occurrences, occurrence)
@@ -182,6 +211,15 @@
 	return stored
 }
 
+// sortedOccurrences returns the occurrences that have started, in order.
+func (job *Job) sortedOccurrences() []*Occurrence {
+	occurrences := make([]*Occurrence, 0, len(job.occurrences))
+	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
+		occurrences = append(occurrences, job.occurrences[number])
+	}
+	return occurrences
+}
+
 func (stepState *StepState) store() storedStep {
 	stored := storedStep{Failures: stepState.failures, Attempt: stepState.attempt}
 	for _, task := range stepState.tasks {
@@ -208,6 +246,7 @@
 		state.waves = append(state.waves, stored.Waves[position].restore())
 	}
 	state.restoreEvacuations(stored.Evacuations)
+	state.restoreBlames(stored.Blames, stored.Failures)
 	return state
 }
 
--- a/internal/jobs/jobkeeper/snapshot_test.go
+++ b/internal/jobs/jobkeeper/snapshot_test.go
@@ -51,7 +51,12 @@
 func randomCommand(random *rand.Rand) Command {
 	id := scheduler.JobID(fmt.Sprintf("j%d", random.IntN(8)))
 	task := scheduler.StepTaskID{Job: id, Step: random.IntN(2), Index: random.IntN(3), Occurrence: random.IntN(2)}
-	switch random.IntN(8) {
+	switch random.IntN(10) {
+	case 9:
+		run := scheduler.RunID{Task: task, Attempt: scheduler.AttemptNumber(1 + random.IntN(3))}
+		return Command{Carry: []Carry{{Run: run, Instance: 2, Kind: scheduler.EndCrashedStarting}}}
+	case 8:
+		return Command{ClearBlame: []scheduler.RunID{{Task: task, Attempt: 1}}}
 	case 7:
 		actions := []scheduler.EvacuationAction{scheduler.EvacuationBegin, scheduler.EvacuationEnd}
 		dataCentre := scheduler.DataCentreName(fmt.Sprintf("d%d", random.IntN(3)))
@@ -77,7 +82,10 @@
 	case 3:
 		return Command{Place: []Placement{{Task: task, Worker: testWorker, Instance: 1, Speculative: random.IntN(4) == 0}}}
 	default:
-		kinds := []scheduler.EndKind{scheduler.EndFinished, scheduler.EndFinished, scheduler.EndFailed, scheduler.EndLost}
+		kinds := []scheduler.EndKind{
+			scheduler.EndFinished, scheduler.EndFinished, scheduler.EndFailed, scheduler.EndLost, scheduler.EndCrashedStarting,
+			scheduler.EndCrashedRunning,
+		}
 		run := scheduler.RunID{Task: task, Attempt: scheduler.AttemptNumber(1 + random.IntN(3))}
 		return Command{End: []End{{
 			Run: run, Kind: kinds[random.IntN(len(kinds))], Checkpoint: []string{"", "saved"}[random.IntN(2)],
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -138,6 +138,10 @@
 	EndLost EndKind = "lost"
 	// EndRefused means that the worker never ran the attempt.
 	EndRefused EndKind = "refused"
+	// EndCrashedStarting means that the worker crashed while it started the attempt or shortly after.
+	EndCrashedStarting EndKind = "crashedStarting"
+	// EndCrashedRunning means that the worker crashed while the attempt was running and none was starting.
+	EndCrashedRunning EndKind = "crashedRunning"
 )
 
 // AttemptEnd reports the end of an attempt on a called worker. It is a wire type.
