crashclassifier: decide which attempts are blamed for a crash of a worker

It separates a crash from a cut, a drain, maintenance, reset connections and the loss of a rack or pool.

--- /dev/null
+++ b/internal/jobs/crashclassifier/crashclassifier_test.go
@@ -0,0 +1,113 @@
+package crashclassifier
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	crashedAt = time.Minute
+	starting  = scheduler.EndCrashedStarting
+	running   = scheduler.EndCrashedRunning
+)
+
+func runID(job scheduler.JobID) scheduler.RunID {
+	return scheduler.RunID{Task: scheduler.StepTaskID{Job: job}, Attempt: 1}
+}
+
+// accepted returns an attempt that was accepted the given time before the crash.
+func accepted(job scheduler.JobID, ago time.Duration) Attempt {
+	return Attempt{Run: runID(job), Sent: true, Accepted: true, Since: crashedAt - ago}
+}
+
+func crashes(count int, apart time.Duration) []time.Duration {
+	var times []time.Duration
+	for number := range count {
+		times = append(times, crashedAt+time.Duration(number)*apart)
+	}
+	return times
+}
+
+// Guards against an attempt that is blamed for a crash that it did not cause, an end that is taken for a crash, and a crash
+// for which nothing is blamed.
+func TestClassify(t *testing.T) {
+	unanswered := Attempt{Run: runID("unanswered"), Sent: true}
+	unsent := Attempt{Run: runID("unsent")}
+	adopted := Attempt{Run: runID("adopted"), Accepted: true, Since: crashedAt - 100*time.Millisecond}
+	suspect := accepted("suspect", 10*time.Second)
+	suspect.Suspect = true
+	neighbour, survivor := accepted("neighbour", 10*time.Second), accepted("survivor", 40*time.Second)
+	fresh := accepted("fresh", 10*time.Millisecond)
+	blamed := func(kind scheduler.EndKind, jobs ...scheduler.JobID) map[scheduler.RunID]scheduler.EndKind {
+		kinds := map[scheduler.RunID]scheduler.EndKind{}
+		for _, job := range jobs {
+			kinds[runID(job)] = kind
+		}
+		return kinds
+	}
+	tests := map[string]struct {
+		change   func(ending *Ending)
+		attempts []Attempt
+		want     Verdict
+		kinds    map[scheduler.RunID]scheduler.EndKind
+	}{
+		"deadly start":              {nil, []Attempt{fresh, neighbour, survivor}, VerdictCrash, blamed(starting, "fresh")},
+		"deadly start unanswered":   {nil, []Attempt{unanswered, neighbour}, VerdictCrash, blamed(starting, "unanswered")},
+		"start that was never sent": {nil, []Attempt{unsent, neighbour}, VerdictCrash, blamed(running, "neighbour")},
+		"two starts":                {nil, []Attempt{fresh, unanswered}, VerdictCrash, blamed(starting, "fresh", "unanswered")},
+		"start beside a suspect":    {nil, []Attempt{fresh, suspect}, VerdictCrash, blamed(starting, "fresh")},
+		"late killer":               {nil, []Attempt{neighbour, survivor}, VerdictCrash, blamed(running, "neighbour")},
+		"suspect kills late":        {nil, []Attempt{suspect, neighbour}, VerdictCrash, blamed(running, "suspect")},
+		"all have survived":         {nil, []Attempt{survivor}, VerdictCrash, nil},
+		"adopted by a new leader":   {nil, []Attempt{adopted}, VerdictCrash, nil},
+		"no attempts":               {nil, nil, VerdictCrash, nil},
+		"cut off, then born again": {
+			func(ending *Ending) { ending.ConnectionClosed = false }, []Attempt{fresh}, VerdictSilent, nil,
+		},
+		"connection reset, instance goes on": {
+			func(ending *Ending) { ending.Replaced = false }, []Attempt{fresh}, VerdictNoNextInstance, nil,
+		},
+		"drain or maintenance": {
+			func(ending *Ending) { ending.Expected = true }, []Attempt{fresh}, VerdictExpected, nil,
+		},
+		"rack lost": {func(ending *Ending) {
+			ending.Domains = []FailureDomain{{Workers: 6, Crashes: crashes(3, 200*time.Millisecond)}}
+		}, []Attempt{fresh}, VerdictCommonCause, nil},
+		"pool killed": {func(ending *Ending) {
+			ending.Domains = []FailureDomain{{Workers: 2, Crashes: crashes(2, 0)}, {Workers: 8, Crashes: crashes(8, 0)}}
+		}, []Attempt{fresh}, VerdictCommonCause, nil},
+		"few of a rack": {func(ending *Ending) {
+			ending.Domains = []FailureDomain{{Workers: 7, Crashes: crashes(3, 0)}}
+		}, []Attempt{fresh}, VerdictCrash, blamed(starting, "fresh")},
+		"small rack": {func(ending *Ending) {
+			ending.Domains = []FailureDomain{{Workers: 2, Crashes: crashes(2, 0)}}
+		}, []Attempt{fresh}, VerdictCrash, blamed(starting, "fresh")},
+		"rack one by one": {func(ending *Ending) {
+			ending.Domains = []FailureDomain{{Workers: 3, Crashes: crashes(3, 2*time.Second)}}
+		}, []Attempt{fresh}, VerdictCrash, blamed(starting, "fresh")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ending := &Ending{ConnectionClosed: true, Replaced: true, At: crashedAt, Attempts: test.attempts}
+			if test.change != nil {
+				test.change(ending)
+			}
+			decision := Classify(ending)
+			if got := decision.Verdict(); got != test.want {
+				t.Errorf("got verdict %s, want %s", got, test.want)
+			}
+			got := blamed("")
+			for _, attempt := range test.attempts {
+				if kind := decision.Kind(attempt.Run); kind != scheduler.EndLost {
+					got[attempt.Run] = kind
+				}
+			}
+			if !maps.Equal(got, test.kinds) {
+				t.Errorf("got blame %v, want %v", got, test.kinds)
+			}
+		})
+	}
+}
