overseer: start suspects apart from other tasks

A crash takes all attempts of a worker with it. If several of them were starting, it does not show which one was the cause, so tasks that did no harm are blamed beside the deadly one, again and again, until their jobs are given up.

A task that was blamed for a start (2 points) now starts on a worker on which nothing else is starting and no other suspect runs, and nothing else starts there for a second, the time in which a crash is attributed to a start. This also holds between the tasks of one decision. Of the workers that fit it takes the one with the fewest attempts. It gets no copy, and a start order that is to be repeated after a change of leader or instance is withdrawn, so that the task is placed again by these rules. The members of a gang share workers, because they end together.

On busy workers something is always starting. A decision therefore keeps up to a tenth of the workers, one at least, free of other starts for suspects that could start there now; it chooses the same ones again until the second has passed. Tasks of a higher priority may start there. Suspects have groups of their own, also for reservations.

The explanation lists suspects that wait, with the reasons that exclude the workers; the log has suspectsWaiting, and the gauges are suspects_waiting and workers_kept_for_suspects.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// startWindow is how long after its start an attempt is the likely cause of a crash.
-	startWindow = time.Second
+	// StartWindow is how long after its start an attempt is the likely cause of a crash.
+	StartWindow = time.Second
 	// SurvivalTime is how long an attempt must have been running to be no cause of a crash.
 	SurvivalTime = 30 * time.Second
 	// commonCauseWindow is the time within which crashes have a common cause if they are at least commonCauseCrashes and
@@ -154,9 +154,9 @@
 	return crashes >= commonCauseCrashes && 2*crashes >= domain.Workers
 }
 
-// isStarting reports whether the attempt was starting at the given time, or had started within startWindow.
+// isStarting reports whether the attempt was starting at the given time, or had started within StartWindow.
 func (attempt *Attempt) isStarting(at time.Duration) bool {
-	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < startWindow)
+	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < StartWindow)
 }
 
 func (attempt *Attempt) hasSurvived(at time.Duration) bool {
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -125,7 +125,7 @@
 		}
 	}
 	slices.SortFunc(instances, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(b.usageSummary().slack, a.usageSummary().slack), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(b.usageSummary(now).slack, a.usageSummary(now).slack), cmp.Compare(a.name, b.name))
 	})
 	instances = instances[:min(len(instances), count, maxApprovalCandidates)]
 	if len(instances) == 0 {
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -32,6 +32,8 @@
 	// OldestHeartbeat is the age of the oldest heartbeat among the workers that take new work.
 	OldestHeartbeat time.Duration     `json:"oldestHeartbeat" cbor:"11,keyasint"`
 	Steps           []StepExplanation `json:"steps" cbor:"12,keyasint"`
+	// Suspects holds waiting tasks of the pool under which workers have crashed.
+	Suspects []SuspectExplanation `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // StepExplanation tells where the tasks of a step would go. It is a wire type.
@@ -115,6 +117,7 @@
 	leadership.explainWorkers(&explanation, queue.Pool, now)
 	overseer.keeper.View(func(state *jobkeeper.State) {
 		leadership.explainSteps(&explanation, state, queue, workflow, now)
+		explanation.Suspects = leadership.explainSuspects(state, queue.Pool)
 	})
 	return explanation, nil
 }
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -111,7 +111,7 @@
 				fill += attempt.spec.Request.MilliCores
 			}
 		}
-		slack := instance.usageSummary().slack
+		slack := instance.usageSummary(leadership.now()).slack
 		rooms := poolState(states, instance.heartbeat.Pool).Rooms
 		addRoom(rooms, admitter.CapacityReserved, reserved)
 		addRoom(rooms, admitter.CapacityFill, admitter.Room{Total: slack + fill, Free: slack})
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -65,6 +65,7 @@
 	forecastsObservedAt time.Duration
 	// packedWorkers holds for each pool what the waiting tasks cannot use.
 	packedWorkers map[scheduler.PoolName]*packedWorkers
+	isolationLog  isolationLog
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -131,6 +132,7 @@
 	instance.attempts[run.ID()] = &attempt{
 		state: attemptUnknown, mayHaveStarted: true, spec: *run.Task().Step().Spec(),
 		share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: leadership.now()},
+		suspect: isSuspect(run.Task()),
 	}
 	instance.synced = false
 	leadership.ensureRenewal(instance)
--- a/internal/jobs/overseer/load.go
+++ b/internal/jobs/overseer/load.go
@@ -59,7 +59,7 @@
 		for _, attempt := range instance.attempts {
 			load.add(attempt)
 		}
-		if len(instance.usageSummary().images) == 0 {
+		if len(instance.usageSummary(now).images) == 0 {
 			load.withoutServing++
 		}
 	}
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -26,6 +26,11 @@
 	heldIdle     tally.Counter
 	reservedWait tally.Histogram
 
+	// suspectsWaiting counts the waiting tasks under which workers have crashed, workersKept the workers that are kept free
+	// of other starts for them.
+	suspectsWaiting tally.Gauge
+	workersKept     tally.Gauge
+
 	evacuation evacuationMetrics
 	admission  *admissionMetrics
 }
@@ -40,9 +45,10 @@
 		ready: scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
-		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
-		evacuation:   newEvacuationMetrics(scope),
-		admission:    newAdmissionMetrics(scope),
+		reservedWait:    scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
+		suspectsWaiting: scope.Gauge("suspects_waiting"), workersKept: scope.Gauge("workers_kept_for_suspects"),
+		evacuation: newEvacuationMetrics(scope),
+		admission:  newAdmissionMetrics(scope),
 	}
 }
 
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -133,6 +133,7 @@
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
 			leadership.jobLog.updateWaiting(leadership.now(), nil)
+			leadership.logIsolation()
 			leadership.dropReservations()
 			clear(leadership.evacuations.blocked)
 			return
@@ -156,12 +157,15 @@
 			}
 		}
 		for pool, workers := range pools {
-			for _, choice := range leadership.pack(state, pool, workers, stepsByPool[pool], groups[pool]) {
+			assignments := leadership.pack(state, pool, workers, stepsByPool[pool], groups[pool])
+			leadership.recordIsolation(workers, groups[pool], assignments)
+			for _, choice := range assignments {
 				placements = append(placements, jobkeeper.Placement{
 					Task: choice.Task, Worker: choice.Worker, Instance: leadership.instances[choice.Worker].incarnation,
 				})
 			}
 		}
+		leadership.logIsolation()
 	})
 	return placements
 }
@@ -206,12 +210,13 @@
 		if !leadership.isSchedulable(instance, now, heartbeatTimeout, wallTime) {
 			continue
 		}
-		usageSummary := instance.usageSummary()
+		usageSummary := instance.usageSummary(now)
 		pools[instance.heartbeat.Pool] = append(pools[instance.heartbeat.Pool], &packer.Worker{
 			Name: name, Rack: instance.rack(), Labels: instance.heartbeat.Labels, Capacity: instance.heartbeat.Capacity,
 			Free: instance.heartbeat.Capacity.Minus(state.Reserved(name)), Slack: usageSummary.slack,
 			Forecast: leadership.forecast(instance, usageSummary),
 			Images:   usageSummary.images, ColdRemaining: instance.coldRemaining(now),
+			Isolation: usageSummary.isolation,
 		})
 	}
 	return pools
@@ -237,8 +242,10 @@
 
 // waitingStep is a step with waiting tasks, which are the tasks that the state of the jobkeeper calls ready.
 type waitingStep struct {
-	step    *jobkeeper.StepState
-	tasks   []*jobkeeper.Task
+	step  *jobkeeper.StepState
+	tasks []*jobkeeper.Task
+	// suspect is true if the tasks, or members of the gang, are suspected of crashing workers.
+	suspect bool
 	urgency packer.Urgency
 	// since is when the step began to wait, as known to this leadership.
 	since time.Duration
@@ -260,10 +267,12 @@
 		return cmp.Or(a.urgency.Compare(b.urgency), cmp.Compare(a.step.Job().Sequence(), b.step.Job().Sequence()),
 			cmp.Compare(a.step.Occurrence(), b.step.Occurrence()), cmp.Compare(a.step.Number(), b.step.Number()))
 	})
+	split := make([]*waitingStep, 0, len(sorted))
 	for _, waiting := range sorted {
 		slices.SortFunc(waiting.tasks, func(a, b *jobkeeper.Task) int { return cmp.Compare(a.ID().Index, b.ID().Index) })
+		split = append(split, waiting.splitSuspects()...)
 	}
-	return sorted
+	return split
 }
 
 // urgencyOf returns the urgency of a waiting step.
@@ -312,7 +321,7 @@
 ) packer.Group {
 	group := packer.Group{
 		Step: waiting.step.Spec(), Approved: approved, Priority: waiting.step.Job().Queue().Priority,
-		Avoid: leadership.failureTracker.lastFailedWorkers(waiting.tasks),
+		Avoid: leadership.failureTracker.lastFailedWorkers(waiting.tasks), Suspect: waiting.suspect,
 	}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
@@ -357,10 +366,10 @@
 // launch sends the start order of a placed attempt. The mutex must be held.
 func (leadership *leadership) launch(placement jobkeeper.Placement, id scheduler.RunID) {
 	var spec scheduler.Step
-	found := false
+	found, suspect := false, false
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		if run, known := state.Run(placement.Worker, id); known {
-			spec, found = *run.Task().Step().Spec(), true
+			spec, found, suspect = *run.Task().Step().Spec(), true, isSuspect(run.Task())
 		}
 	})
 	if !found {
@@ -376,7 +385,7 @@
 		state: attemptStarting, spec: spec, share: fullShare, targetShare: fullShare,
 		// The start order carries the approval service's proof that the step may run on this worker.
 		approval: leadership.proofFor(id.Task, instance), timing: timing{measurable: true},
-		times: attemptTimes{placedAt: leadership.now()},
+		times: attemptTimes{placedAt: leadership.now()}, suspect: suspect,
 	}
 	if leadership.starved[id.Task] {
 		delete(leadership.starved, id.Task)
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -268,7 +268,8 @@
 
 // collectMissing handles attempts that a worker reports neither as running nor as ended. If the last order about an
 // attempt was answered before the report was requested, the attempt is not running and will not start, so its loss is
-// returned. For an attempt of an earlier leader the start order is repeated, because it may never have been sent.
+// returned. For an attempt of an earlier leader or instance the start order is repeated, because it may never have been sent.
+// A suspect is placed again instead, because other attempts may be starting on the worker.
 func (leadership *leadership) collectMissing(
 	instance *worker, listed map[scheduler.RunID]bool, sent time.Duration,
 ) []jobkeeper.End {
@@ -279,6 +280,10 @@
 		}
 		switch attempt.state {
 		case attemptUnknown:
+			if leadership.isSuspectAttempt(id, attempt) {
+				leadership.stopAttempt(instance, id, "the task may have crashed its worker")
+				continue
+			}
 			attempt.state = attemptStarting
 			leadership.goroutines.Go(func() { leadership.start(instance, id) })
 		case attemptRunning, attemptStopped:
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -99,8 +99,8 @@
 				continue
 			}
 			run, found := state.Run(instance.name, id)
-			if !found || !run.Task().IsRunnable() {
-				continue
+			if !found || !run.Task().IsRunnable() || run.Task().Blame() > 0 {
+				continue // A copy of a task that crashes its workers would crash two.
 			}
 			step := run.Task().Step()
 			load := loads.of(step.Job().Queue())
--- a/internal/jobs/overseer/usage.go
+++ b/internal/jobs/overseer/usage.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"time"
+
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
 	"github.com/crocusplank/crocusplank/internal/jobs/packer"
 )
@@ -13,7 +15,8 @@
 	// images counts the serving tasks by image.
 	images packer.ImageCounts
 	// usage holds the fraction of the worker's CPU capacity that fill tasks use, by image.
-	usage []pacer.ImageUsage
+	usage     []pacer.ImageUsage
+	isolation packer.Isolation
 }
 
 // servingLoadDivisor divides the request of a serving task, because a serving task uses about half of its request on
@@ -22,7 +25,7 @@
 
 // usageSummary computes the summary of all attempts. Fill tasks count with their full request, so that several tasks
 // that start at the same time are not all placed on the same idle worker.
-func (worker *worker) usageSummary() usageSummary {
+func (worker *worker) usageSummary(now time.Duration) usageSummary {
 	usageSummary := usageSummary{slack: worker.heartbeat.Capacity.MilliCores}
 	for _, attempt := range worker.attempts {
 		spec := &attempt.spec
@@ -32,6 +35,7 @@
 			usageSummary.images.Add(spec.Image, 1)
 		}
 		usageSummary.slack -= used
+		attempt.addTo(&usageSummary.isolation, now)
 		if spec.Fill {
 			usageSummary.addUsage(spec.Image, worker.fraction(float64(spec.Request.MilliCores)))
 		}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -67,6 +67,8 @@
 	starved bool
 	// reported is true once this instance of the worker has reported the attempt as running.
 	reported bool
+	// suspect is true if the task was suspected of crashing workers when the attempt was launched.
+	suspect bool
 	// recordingEnd is true while the end of the attempt is being recorded.
 	recordingEnd bool
 	spec         scheduler.Step
--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -26,6 +26,11 @@
 	ExcludedByHold Exclusion = "reserved"
 	// ExcludedByFailure means that a task of the group failed on the worker and is to run elsewhere.
 	ExcludedByFailure Exclusion = "failedThere"
+	// ExcludedBySuspect means that a task under which workers have crashed is starting on the worker, or is about to, or
+	// that the task is one itself and another runs there.
+	ExcludedBySuspect Exclusion = "suspect"
+	// ExcludedByStarts means that workers have crashed under the task and another one is starting on the worker.
+	ExcludedByStarts Exclusion = "otherStarts"
 )
 
 // minSlackDivisor sets the slack that a worker must have for another fill task: the CPU request of the task divided by
@@ -47,8 +52,8 @@
 	return group.constraint(worker, assigned)
 }
 
-// constraint returns which limit of capacity or constraint of the step keeps another task of the group off a worker. It
-// considers neither slack nor interference.
+// constraint returns which limit of capacity, constraint of the step or rule for suspects keeps another task of the group
+// off a worker. It considers neither slack nor interference. The rules for suspects come last, see isolationCandidates.
 func (group *Group) constraint(worker *Worker, assigned int) Exclusion {
 	step := group.Step
 	switch {
@@ -67,7 +72,7 @@
 	case !worker.admits(group):
 		return ExcludedByHold
 	}
-	return NotExcluded
+	return group.isolation(worker, assigned)
 }
 
 // Candidates is what the workers of a pool offer a group of tasks.
--- a/internal/jobs/packer/hold.go
+++ b/internal/jobs/packer/hold.go
@@ -11,9 +11,11 @@
 	job        scheduler.JobID
 	occurrence int
 	step       int
+	// suspect distinguishes the suspects of a step from its other tasks.
+	suspect bool
 }
 
-// StepOf returns the step of a task.
+// StepOf returns the step of a task that is not a suspect.
 func StepOf(task scheduler.StepTaskID) StepID {
 	return StepID{job: task.Job, occurrence: task.Occurrence, step: task.Step}
 }
@@ -28,7 +30,11 @@
 func (stepID StepID) Step() int { return stepID.step }
 
 // ID returns the step of the group's tasks. The group must not be empty.
-func (group *Group) ID() StepID { return StepOf(group.Tasks[0]) }
+func (group *Group) ID() StepID {
+	step := StepOf(group.Tasks[0])
+	step.suspect = group.Suspect
+	return step
+}
 
 // Hold keeps capacity of a worker for tasks of one step. Until the first of them is expected to start, other tasks may
 // use the capacity if they end before. Tasks that run longer may use only what the held tasks will not need. Tasks of
@@ -87,6 +93,7 @@
 func (group *Group) FitsIdle(worker *Worker, assigned int) bool {
 	idle := *worker
 	idle.Free, idle.Hold, idle.heldForLongRunning = worker.Capacity, nil, false
+	idle.Isolation, idle.keptFor = Isolation{}, nil
 	return group.fits(&idle, assigned)
 }
 
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -41,7 +41,10 @@
 	// is nil if none is kept. Package reserver decides about it; it never keeps capacity for long-running tasks.
 	Hold *Hold
 	// Images counts the serving tasks on the worker by image.
-	Images ImageCounts
+	Images    ImageCounts
+	Isolation Isolation
+	// keptFor holds the suspects for which the worker is kept free of other starts. It is nil if there are none.
+	keptFor *Group
 }
 
 // Forecast predicts the interference of fill tasks with the serving tasks on a worker. The fraction of a fill task is
@@ -60,7 +63,7 @@
 	return label == "" || slices.Contains(worker.Labels, label)
 }
 
-// Group is a set of identical pending tasks of one step.
+// Group is a set of identical pending tasks of one step. Except in a gang, either all of them are suspects or none.
 type Group struct {
 	Step  *scheduler.Step
 	Tasks []scheduler.StepTaskID
@@ -79,12 +82,23 @@
 	RunTime time.Duration
 	// Priority is the priority of the step's queue; 0 comes first. It only decides which holds the tasks may break.
 	Priority int
+	// Suspect is true if workers have crashed under the tasks, or under a member of the gang.
+	Suspect bool
 }
 
 // Assignment assigns a task to a worker.
 type Assignment struct {
 	Task   scheduler.StepTaskID
 	Worker scheduler.WorkerName
+	// Suspect is that of the task's group.
+	Suspect bool
+}
+
+// Step returns the step of the task's group.
+func (assignment *Assignment) Step() StepID {
+	step := StepOf(assignment.Task)
+	step.suspect = assignment.Suspect
+	return step
 }
 
 // Pack assigns the tasks of the groups, in the order of the groups, and reserves the capacity of each assignment in the
@@ -93,6 +107,7 @@
 	var assignments []Assignment
 	unplaceable := unplaceableSteps{holds: stepsWithHolds(workers)}
 	recordPlaceableDemand(workers, groups)
+	keepForSuspects(workers, groups)
 	for _, group := range groups {
 		// A starved group is always tried: one of its tasks may be assigned to a worker on which the recorded steps were
 		// rejected for lack of slack or for interference.
@@ -174,7 +189,7 @@
 	}
 	assignments := make([]Assignment, len(assigned))
 	for position, worker := range assigned {
-		assignments[position] = Assignment{Task: group.Tasks[position], Worker: worker.Name}
+		assignments[position] = Assignment{Task: group.Tasks[position], Worker: worker.Name, Suspect: group.Suspect}
 	}
 	return assignments
 }
@@ -184,6 +199,7 @@
 func reserve(worker *Worker, group *Group) {
 	step := group.Step
 	worker.useHold(group, 1)
+	worker.Isolation.add(group, 1)
 	worker.Free = worker.Free.Minus(step.Reserved())
 	worker.Slack -= step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -198,6 +214,7 @@
 func release(worker *Worker, group *Group) {
 	step := group.Step
 	worker.useHold(group, -1)
+	worker.Isolation.add(group, -1)
 	worker.Free = worker.Free.Plus(step.Reserved())
 	worker.Slack += step.Request.MilliCores
 	if step.Fill && worker.Forecast != nil {
@@ -260,10 +277,12 @@
 	// weightHeld keeps tasks off capacity that is held for tasks of a lower priority, unless all other workers are
 	// remote from their data.
 	weightHeld = 5
+	// weightAttempts is the weight of each attempt that would be lost if a suspect crashed the worker.
+	weightAttempts = 1
 )
 
 // score returns the score of a worker for a task of the group; the lowest score is best. Apart from the weighted terms,
-// fill tasks go to the worker with the most slack, and other tasks to the fullest worker on which they fit, which keeps
+// suspects go to the worker with the fewest attempts, fill tasks go to the worker with the most slack, and other tasks to the fullest worker on which they fit, which keeps
 // capacity for large tasks free on other workers. racks holds the racks to which tasks of a rack-local group have been
 // assigned.
 func (group *Group) score(worker *Worker, racks map[string]bool) float64 {
@@ -281,6 +300,9 @@
 	if worker.breaksHold(group) {
 		score += weightHeld
 	}
+	if group.Suspect {
+		return score + weightAttempts*float64(worker.Isolation.Attempts)
+	}
 	if step.Fill {
 		return score + weightOtherDemand*worker.placeableDemand.totalWithout(step.Image) -
 			ratio(worker.Slack, worker.Capacity.MilliCores) +
--- a/internal/jobs/packer/unplaceable.go
+++ b/internal/jobs/packer/unplaceable.go
@@ -35,7 +35,7 @@
 // a task of the group. Gangs are excluded because a single task might be accepted where the whole gang is not.
 func (group *Group) isUnconstrained() bool {
 	step := group.Step
-	return !step.Gang && step.RequiredLabel == "" && step.MaxPerWorker == 0 && group.Approved == nil && len(group.Avoid) == 0
+	return !group.Suspect && !step.Gang && step.RequiredLabel == "" && step.MaxPerWorker == 0 && group.Approved == nil && len(group.Avoid) == 0
 }
 
 // add records the step of a group of which tasks were left unassigned.
@@ -51,7 +51,8 @@
 // of any resource and has the same value of Fill. For fill tasks, the image must be the same too, because interference
 // depends on it. The group may have constraints, which only reduce the number of suitable workers.
 func (unplaceableSteps *unplaceableSteps) covers(group *Group) bool {
-	if len(unplaceableSteps.holds) > 0 && unplaceableSteps.holds[group.ID()] {
+	// Suspects may start on workers that are kept for them.
+	if group.Suspect || len(unplaceableSteps.holds) > 0 && unplaceableSteps.holds[group.ID()] {
 		return false
 	}
 	for position := range unplaceableSteps.steps {
--- a/internal/jobs/reserver/reserver.go
+++ b/internal/jobs/reserver/reserver.go
@@ -182,7 +182,7 @@
 	var events []Event
 	for _, assignment := range assignments {
 		reservation := byWorker[assignment.Worker]
-		if reservation == nil || reservation.tasks == 0 || reservation.step != packer.StepOf(assignment.Task) {
+		if reservation == nil || reservation.tasks == 0 || reservation.step != assignment.Step() {
 			continue
 		}
 		events = append(events, newEvent(EventUsed, reservation, now, ""))
--- a/internal/operating/explainer/printer.go
+++ b/internal/operating/explainer/printer.go
@@ -42,6 +42,13 @@
 		row(step.Step, step.Tasks, step.Placed, round(step.RunTime), step.Accepting, countsText(step.Excluded),
 			workersText(step))
 	}
+	if len(explanation.Suspects) > 0 {
+		row()
+		row("SUSPECT", "BLAME", "ACCEPTING", "EXCLUDED")
+	}
+	for _, suspect := range explanation.Suspects {
+		row(suspect.Task, suspect.Blame, suspect.Accepting, countsText(suspect.Excluded))
+	}
 	return Error.Wrap(table.Flush())
 }
 
