scheduler: say when a worker's side has closed the connection

The end of a worker's process and a silent worker were both an error without a response. Errors of connections that the worker's side closed, reset or refused now also have the class ErrConnectionClosed. It passes through a relay as a further field of the response, which an older build ignores; ErrNotRun and ErrOutcomeUnknown are as before.

--- a/internal/state/messenger/frame.go
+++ b/internal/state/messenger/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/coder/websocket"
@@ -39,6 +40,8 @@
 	Body  []byte                `cbor:"body,omitempty"`
 	Error string                `cbor:"error,omitempty"`
 	Class errorClass            `cbor:"class,omitempty"`
+	// Closed is true if the error is also of class ErrConnectionClosed.
+	Closed bool `cbor:"closed,omitempty"`
 
 	// callRoute is the route of the call to which an outgoing response belongs. It is not sent.
 	callRoute route
@@ -46,7 +49,7 @@
 
 // setError stores a handler's error in a response.
 func (frame *frame) setError(err error) {
-	frame.Error = err.Error()
+	frame.Error, frame.Closed = err.Error(), scheduler.ErrConnectionClosed.Has(err)
 	switch {
 	case scheduler.ErrNotRun.Has(err):
 		frame.Class = classNotRun
@@ -59,15 +62,19 @@
 
 // err returns the handler's error from a response, or nil if the handler succeeded.
 func (frame *frame) err() error {
+	cause := errors.New(frame.Error)
+	if frame.Closed {
+		cause = scheduler.ErrConnectionClosed.Wrap(cause)
+	}
 	switch frame.Class {
 	case "":
 		return nil
 	case classNotRun:
-		return scheduler.ErrNotRun.New("%s", frame.Error)
+		return scheduler.ErrNotRun.Wrap(cause)
 	case classUnknown:
-		return scheduler.ErrOutcomeUnknown.New("%s", frame.Error)
+		return scheduler.ErrOutcomeUnknown.Wrap(cause)
 	default:
-		return Error.New("%s", frame.Error)
+		return Error.Wrap(cause)
 	}
 }
 
--- a/internal/state/messenger/messenger_test.go
+++ b/internal/state/messenger/messenger_test.go
@@ -213,16 +213,24 @@
 }
 
 // Guards against handler errors that lose their class in transit, which would make a call with an unknown outcome
-// look safe to retry.
+// look safe to retry, or a process that has exited look like one that is silent.
 func TestHandlerErrorsKeepTheirClass(t *testing.T) {
 	tests := map[string]struct {
 		err         error
 		wantNotRun  bool
 		wantUnknown bool
+		wantClosed  bool
 	}{
 		"not run": {err: scheduler.ErrNotRun.New("refused"), wantNotRun: true},
 		"unknown": {err: scheduler.ErrOutcomeUnknown.New("lost"), wantUnknown: true},
-		"other":   {err: errors.New("plain")},
+		"refused by the target": {
+			err: scheduler.ErrNotRun.Wrap(scheduler.ErrConnectionClosed.New("refused")), wantNotRun: true, wantClosed: true,
+		},
+		"closed by the target": {
+			err:         scheduler.ErrOutcomeUnknown.Wrap(scheduler.ErrConnectionClosed.New("EOF")),
+			wantUnknown: true, wantClosed: true,
+		},
+		"other": {err: errors.New("plain")},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -239,6 +247,9 @@
 				if got := scheduler.ErrOutcomeUnknown.Has(err); got != test.wantUnknown {
 					t.Errorf("unknown: got %v, want %v (%v)", got, test.wantUnknown, err)
 				}
+				if got := scheduler.ErrConnectionClosed.Has(err); got != test.wantClosed {
+					t.Errorf("connection closed: got %v, want %v (%v)", got, test.wantClosed, err)
+				}
 				if err == nil {
 					t.Error("got no error, want the handler's")
 				}
--- a/pkg/scheduler/error.go
+++ b/pkg/scheduler/error.go
@@ -9,6 +9,9 @@
 	ErrNotRun = errs.Class("not run")
 	// ErrOutcomeUnknown means that the operation may or may not have had an effect, or may still have one.
 	ErrOutcomeUnknown = errs.Class("outcome unknown")
+	// ErrConnectionClosed means that the process at the other end closed, reset or refused the connection before it
+	// responded, in contrast to one that is silent.
+	ErrConnectionClosed = errs.Class("connection closed")
 	// ErrJournalFailed means that a write or sync of durable state failed permanently.
 	ErrJournalFailed = errs.Class("journal failed")
 )
--- a/pkg/scheduler/transport.go
+++ b/pkg/scheduler/transport.go
@@ -22,5 +22,5 @@
 }
 
 // MessageHandler processes a message and returns the body of the response. An error is transmitted to the caller as
-// its text and its class.
+// its text and its classes.
 type MessageHandler func(ctx context.Context, from VMName, body []byte) ([]byte, error)
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -167,7 +167,8 @@
 // WorkerClient sends orders to called workers. An order takes effect only on the instance that the WorkerRef
 // identifies: a later instance, which may have the same name and address, returns OrderIncarnationMismatch. An
 // error of class ErrNotRun means that the order did not reach the worker; after any other error it may still
-// take effect, even seconds later. It is safe for concurrent use.
+// take effect, even seconds later. An error of class ErrConnectionClosed means that the worker's side ended the
+// connection, as it does when its process exits. It is safe for concurrent use.
 type WorkerClient interface {
 	// Start runs an attempt. It is idempotent: a repeated order is accepted while the attempt is running.
 	Start(ctx context.Context, worker WorkerRef, order StartOrder) (OrderResponse, error)
