crashclassifier: blame an attempt that had just started more than others

Attempts within 100 ms now get 2 points and the others 1. If many workers of a rack or pool crash at once, attempts that were starting get 1 point rather than none: deadly tasks that wait for their workers together would otherwise crash them together without end. The jobkeeper indexes the blamed tasks.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -3,14 +3,18 @@
 package crashclassifier
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 const (
-	// startWindow is how long after its start an attempt is the likely cause of a crash.
-	startWindow = time.Second
+	// startWindow is how long after its start an attempt may be the cause of a crash at its start. Within immediateWindow it
+	// is the likely cause, since most faults show as soon as the attempt runs.
+	startWindow     = time.Second
+	immediateWindow = 100 * time.Millisecond
 	// SurvivalTime is how long an attempt must have been running to be no cause of a crash.
 	SurvivalTime = 30 * time.Second
 	// commonCauseWindow is the time within which crashes have a common cause if they are at least commonCauseCrashes and
@@ -74,9 +78,12 @@
 
 // Decision is the result of Classify.
 type Decision struct {
-	verdict Verdict
-	kinds   map[scheduler.RunID]scheduler.EndKind
-	fresh   int
+	verdict  Verdict
+	kinds    map[scheduler.RunID]scheduler.EndKind
+	starting int
+	// immediate is the number of attempts that had started within immediateWindow.
+	immediate int
+	suspects  int
 }
 
 // Verdict returns what the end of the instance was.
@@ -90,42 +97,62 @@
 	return scheduler.EndLost
 }
 
-// Fresh returns the number of attempts that were starting.
-func (decision Decision) Fresh() int { return decision.fresh }
+// Blamed returns the attempts that are blamed, in no particular order.
+func (decision Decision) Blamed() []scheduler.RunID { return slices.Collect(maps.Keys(decision.kinds)) }
 
-// Blamed returns the number of attempts that are blamed.
-func (decision Decision) Blamed() int { return len(decision.kinds) }
+// Starting returns the number of attempts that were starting.
+func (decision Decision) Starting() int { return decision.starting }
+
+// Suspects returns the number of attempts of suspects that had not survived.
+func (decision Decision) Suspects() int { return decision.suspects }
 
 // Classify decides whether the end of an instance was a crash, and which attempts are blamed. Attempts that were starting
-// are blamed alone. If there were none, the suspects are, or without suspects all attempts that have not survived.
+// are blamed alone, those that started within immediateWindow more than the others. If there were none, the suspects are,
+// or without suspects all attempts that have not survived. If many workers crashed at once, attempts that were starting get
+// the weaker blame: it adds up only for tasks that start again and again in such moments, as tasks do that crash their
+// workers and wait for them together.
 func Classify(ending *Ending) Decision {
 	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
-	suspected := false
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
 		if attempt.isStarting(ending.At) {
-			decision.fresh++
+			decision.starting++
+		}
+		if attempt.startedWithin(immediateWindow, ending.At) {
+			decision.immediate++
+		}
+		if attempt.Suspect && !attempt.hasSurvived(ending.At) {
+			decision.suspects++
 		}
-		suspected = suspected || attempt.Suspect && !attempt.hasSurvived(ending.At)
-	}
-	if decision.verdict != VerdictCrash {
-		return decision
 	}
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
-		switch {
-		case decision.fresh > 0:
-			if attempt.isStarting(ending.At) {
-				decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
-			}
-		case attempt.hasSurvived(ending.At), suspected && !attempt.Suspect:
-		case attempt.Suspect, attempt.Sent && attempt.Accepted:
-			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
+		if kind := decision.classify(attempt, ending.At); kind != scheduler.EndLost {
+			decision.kinds[attempt.Run] = kind
 		}
 	}
 	return decision
 }
 
+// classify returns the kind of the end of an attempt.
+func (decision *Decision) classify(attempt *Attempt, at time.Duration) scheduler.EndKind {
+	switch starting := attempt.isStarting(at); {
+	case decision.verdict == VerdictCommonCause && starting:
+		return scheduler.EndCrashedRunning
+	case decision.verdict != VerdictCrash:
+		return scheduler.EndLost
+	case starting && decision.immediate > 0 && !attempt.startedWithin(immediateWindow, at):
+		return scheduler.EndCrashedRunning
+	case starting:
+		return scheduler.EndCrashedStarting
+	case decision.starting > 0, attempt.hasSurvived(at), decision.suspects > 0 && !attempt.Suspect:
+		return scheduler.EndLost
+	case attempt.Suspect, attempt.Sent:
+		return scheduler.EndCrashedRunning
+	}
+	return scheduler.EndLost
+}
+
 func (ending *Ending) verdict() Verdict {
 	switch {
 	case ending.Expected:
@@ -156,7 +183,12 @@
 
 // isStarting reports whether the attempt was starting at the given time, or had started within startWindow.
 func (attempt *Attempt) isStarting(at time.Duration) bool {
-	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < startWindow)
+	return attempt.startedWithin(startWindow, at)
+}
+
+// startedWithin reports whether the attempt was starting at the given time, or had started within a window before.
+func (attempt *Attempt) startedWithin(window, at time.Duration) bool {
+	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < window)
 }
 
 func (attempt *Attempt) hasSurvived(at time.Duration) bool {
--- a/internal/jobs/crashclassifier/crashclassifier_test.go
+++ b/internal/jobs/crashclassifier/crashclassifier_test.go
@@ -40,7 +40,7 @@
 	suspect := accepted("suspect", 10*time.Second)
 	suspect.Suspect = true
 	neighbour, survivor := accepted("neighbour", 10*time.Second), accepted("survivor", 40*time.Second)
-	fresh := accepted("fresh", 10*time.Millisecond)
+	fresh, recent := accepted("fresh", 10*time.Millisecond), accepted("recent", 500*time.Millisecond)
 	blamed := func(kind scheduler.EndKind, jobs ...scheduler.JobID) map[scheduler.RunID]scheduler.EndKind {
 		kinds := map[scheduler.RunID]scheduler.EndKind{}
 		for _, job := range jobs {
@@ -58,12 +58,19 @@
 		"deadly start unanswered":   {nil, []Attempt{unanswered, neighbour}, VerdictCrash, blamed(starting, "unanswered")},
 		"start that was never sent": {nil, []Attempt{unsent, neighbour}, VerdictCrash, blamed(running, "neighbour")},
 		"two starts":                {nil, []Attempt{fresh, unanswered}, VerdictCrash, blamed(starting, "fresh", "unanswered")},
-		"start beside a suspect":    {nil, []Attempt{fresh, suspect}, VerdictCrash, blamed(starting, "fresh")},
-		"late killer":               {nil, []Attempt{neighbour, survivor}, VerdictCrash, blamed(running, "neighbour")},
-		"suspect kills late":        {nil, []Attempt{suspect, neighbour}, VerdictCrash, blamed(running, "suspect")},
-		"all have survived":         {nil, []Attempt{survivor}, VerdictCrash, nil},
-		"adopted by a new leader":   {nil, []Attempt{adopted}, VerdictCrash, nil},
-		"no attempts":               {nil, nil, VerdictCrash, nil},
+		"start half a second ago":   {nil, []Attempt{recent, neighbour}, VerdictCrash, blamed(starting, "recent")},
+		"immediate start and one half a second ago": {
+			nil,
+			[]Attempt{fresh, recent},
+			VerdictCrash,
+			map[scheduler.RunID]scheduler.EndKind{runID("fresh"): starting, runID("recent"): running},
+		},
+		"start beside a suspect":  {nil, []Attempt{fresh, suspect}, VerdictCrash, blamed(starting, "fresh")},
+		"late killer":             {nil, []Attempt{neighbour, survivor}, VerdictCrash, blamed(running, "neighbour")},
+		"suspect kills late":      {nil, []Attempt{suspect, neighbour}, VerdictCrash, blamed(running, "suspect")},
+		"all have survived":       {nil, []Attempt{survivor}, VerdictCrash, nil},
+		"adopted by a new leader": {nil, []Attempt{adopted}, VerdictCrash, nil},
+		"no attempts":             {nil, nil, VerdictCrash, nil},
 		"cut off, then born again": {
 			func(ending *Ending) { ending.ConnectionClosed = false }, []Attempt{fresh}, VerdictSilent, nil,
 		},
@@ -75,10 +82,10 @@
 		},
 		"rack lost": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 6, Crashes: crashes(3, 200*time.Millisecond)}}
-		}, []Attempt{fresh}, VerdictCommonCause, nil},
+		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh")},
 		"pool killed": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 2, Crashes: crashes(2, 0)}, {Workers: 8, Crashes: crashes(8, 0)}}
-		}, []Attempt{fresh}, VerdictCommonCause, nil},
+		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh")},
 		"few of a rack": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 7, Crashes: crashes(3, 0)}}
 		}, []Attempt{fresh}, VerdictCrash, blamed(starting, "fresh")},
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -141,6 +141,7 @@
 // finish sets the final state of a job. The leader stops attempts that are still running.
 func (state *State) finish(job *Job, final scheduler.WorkflowState) {
 	state.changeState(job, final)
+	state.dropBlames(job)
 	delete(state.repeated, job.id)
 	for _, occurrence := range job.occurrences {
 		for _, step := range occurrence.steps {
@@ -284,7 +285,7 @@
 		case scheduler.EndFailed:
 			state.failTask(task)
 		default:
-			task.blame.add(end.Kind)
+			state.blameTask(task, end.Kind)
 		}
 		if len(task.runs) == 0 {
 			state.giveUpIfBlamed(task)
@@ -344,7 +345,7 @@
 			}
 		}
 		member.finished = true
-		member.blame = blame{}
+		state.setBlame(member, blame{})
 		member.step.unfinished--
 		state.updateTaskIndexes(member)
 	}
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -21,17 +22,40 @@
 	crashes int
 }
 
-// add adds the points for the end of an attempt. Ends that are not crashes add none.
-func (blame *blame) add(kind scheduler.EndKind) {
+// blameTask adds the points for the end of an attempt. Ends that are not crashes add none.
+func (state *State) blameTask(task *Task, kind scheduler.EndKind) {
+	added := task.blame
 	switch kind {
 	case scheduler.EndCrashedStarting:
-		blame.points += PointsStarting
+		added.points += PointsStarting
 	case scheduler.EndCrashedRunning:
-		blame.points += PointsRunning
+		added.points += PointsRunning
 	default:
 		return
 	}
-	blame.crashes++
+	added.crashes++
+	state.setBlame(task, added)
+}
+
+func (state *State) setBlame(task *Task, next blame) {
+	task.blame = next
+	if next.points > 0 {
+		state.blamed[task] = struct{}{}
+	} else {
+		delete(state.blamed, task)
+	}
+}
+
+// VisitBlamed calls visit for every task with blame for crashes of workers, in no particular order.
+func (state *State) VisitBlamed(visit func(task *Task)) {
+	for task := range state.blamed {
+		visit(task)
+	}
+}
+
+// dropBlames removes the tasks of a job that has ended from the blamed tasks.
+func (state *State) dropBlames(job *Job) {
+	maps.DeleteFunc(state.blamed, func(task *Task, _ struct{}) bool { return task.step.occurrence.job == job })
 }
 
 // Carry records that an instance of a worker crashed under an attempt which its next instance may start all the same, so
@@ -55,7 +79,7 @@
 		if task.finished || task.step.occurrence.job.state.Ended() {
 			continue
 		}
-		task.blame.add(carry.Kind)
+		state.blameTask(task, carry.Kind)
 		if len(task.runs) == 1 {
 			state.giveUpIfBlamed(task)
 		}
@@ -68,7 +92,7 @@
 func (state *State) clearBlame(survivors []scheduler.RunID) Status {
 	for _, id := range survivors {
 		if run := state.openRun(id); run != nil {
-			run.task.blame = blame{}
+			state.setBlame(run.task, blame{})
 		}
 	}
 	return StatusDone
@@ -119,6 +143,9 @@
 	if job.failureReason != "" {
 		stored.Failures = append(stored.Failures, storedFailure{Job: job.id, Reason: job.failureReason})
 	}
+	if job.state.Ended() {
+		return
+	}
 	for _, occurrence := range job.sortedOccurrences() {
 		for _, step := range occurrence.steps {
 			for _, task := range step.tasks {
@@ -135,7 +162,7 @@
 func (state *State) restoreBlames(blames []storedBlame, failures []storedFailure) {
 	for _, stored := range blames {
 		if task, found := state.task(stored.Task); found {
-			task.blame = blame{points: stored.Points, crashes: stored.Crashes}
+			state.setBlame(task, blame{points: stored.Points, crashes: stored.Crashes})
 		}
 	}
 	for _, stored := range failures {
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -55,6 +55,9 @@
 	return job.failureReason
 }
 
+// GivenUp reports whether the job has failed because workers crashed under one of its tasks.
+func (job *Job) GivenUp() bool { return job.failureReason != "" }
+
 // Running returns the number of attempts of the job that have not ended.
 func (job *Job) Running() int { return job.runs }
 
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -28,6 +28,8 @@
 	obsolete map[*Run]struct{}
 	// repeated holds the jobs with occurrences that have not started.
 	repeated map[scheduler.JobID]*Job
+	// blamed holds the tasks with blame for crashes of workers.
+	blamed map[*Task]struct{}
 	// queued is the number of jobs of each queue of which no task has started.
 	queued map[scheduler.QueueName]int
 }
@@ -42,6 +44,7 @@
 		obsolete:    map[*Run]struct{}{},
 		repeated:    map[scheduler.JobID]*Job{},
 		queued:      map[scheduler.QueueName]int{},
+		blamed:      map[*Task]struct{}{},
 	}
 }
 
