overseer: blame attempts for the crash of their worker

The attempts of a worker that crashed were recorded as lost, so that nothing counted against the task that had killed it, and it was placed again at once. The leader now remembers that a worker's side closed or refused a connection and since when orders fail; once a later instance has started, crashclassifier decides which attempts are blamed. An attempt that an order to the earlier instance may have carried over to the next one is blamed without being ended, and stopped there first, so that the task is placed again.

Attempts that this leader adopted are not blamed, because it does not know when they started. The errors of the simulated workers now carry the class that those of a real one carry.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -81,9 +81,7 @@
 	verdict  Verdict
 	kinds    map[scheduler.RunID]scheduler.EndKind
 	starting int
-	// immediate is the number of attempts that had started within immediateWindow.
-	immediate int
-	suspects  int
+	suspects int
 }
 
 // Verdict returns what the end of the instance was.
@@ -106,51 +104,58 @@
 // Suspects returns the number of attempts of suspects that had not survived.
 func (decision Decision) Suspects() int { return decision.suspects }
 
-// Classify decides whether the end of an instance was a crash, and which attempts are blamed. Attempts that were starting
-// are blamed alone, those that started within immediateWindow more than the others. If there were none, the suspects are,
-// or without suspects all attempts that have not survived. If many workers crashed at once, attempts that were starting get
-// the weaker blame: it adds up only for tasks that start again and again in such moments, as tasks do that crash their
-// workers and wait for them together.
+// Classify decides whether the end of an instance was a crash, and which attempts are blamed. The likely causes are the
+// attempts that started within immediateWindow, or without those within startWindow. All others that have not survived get
+// the weaker blame, because a task may also crash its worker later, unless a suspect is the only likely cause. So each crash
+// adds to the blame of its cause. If many workers crashed at once, all get the weaker blame: it adds up for tasks that crash
+// their workers, wait for them together and start together again, but not for those that are hit by such a loss once.
 func Classify(ending *Ending) Decision {
 	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
+	decision.count(ending)
+	window, certain := startWindow, false
+	if len(ending.startedWithin(immediateWindow)) > 0 {
+		window = immediateWindow
+	}
+	if likely := ending.startedWithin(window); len(likely) == 1 {
+		certain = likely[0].Suspect
+	}
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
-		if attempt.isStarting(ending.At) {
-			decision.starting++
-		}
-		if attempt.startedWithin(immediateWindow, ending.At) {
-			decision.immediate++
-		}
-		if attempt.Suspect && !attempt.hasSurvived(ending.At) {
-			decision.suspects++
+		switch {
+		case !decision.isCrash():
+		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
+			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
+		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Suspect || attempt.Sent):
+			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
 		}
 	}
+	return decision
+}
+
+// isCrash reports whether processes crashed, be it for a common cause.
+func (decision Decision) isCrash() bool {
+	return decision.verdict == VerdictCrash || decision.verdict == VerdictCommonCause
+}
+
+// count counts the attempts that were starting and those of suspects.
+func (decision *Decision) count(ending *Ending) {
+	decision.starting = len(ending.startedWithin(startWindow))
 	for position := range ending.Attempts {
-		attempt := &ending.Attempts[position]
-		if kind := decision.classify(attempt, ending.At); kind != scheduler.EndLost {
-			decision.kinds[attempt.Run] = kind
+		if attempt := &ending.Attempts[position]; attempt.Suspect && !attempt.hasSurvived(ending.At) {
+			decision.suspects++
 		}
 	}
-	return decision
 }
 
-// classify returns the kind of the end of an attempt.
-func (decision *Decision) classify(attempt *Attempt, at time.Duration) scheduler.EndKind {
-	switch starting := attempt.isStarting(at); {
-	case decision.verdict == VerdictCommonCause && starting:
-		return scheduler.EndCrashedRunning
-	case decision.verdict != VerdictCrash:
-		return scheduler.EndLost
-	case starting && decision.immediate > 0 && !attempt.startedWithin(immediateWindow, at):
-		return scheduler.EndCrashedRunning
-	case starting:
-		return scheduler.EndCrashedStarting
-	case decision.starting > 0, attempt.hasSurvived(at), decision.suspects > 0 && !attempt.Suspect:
-		return scheduler.EndLost
-	case attempt.Suspect, attempt.Sent:
-		return scheduler.EndCrashedRunning
+// startedWithin returns the attempts that were starting at the end of the instance, or had started within a window before.
+func (ending *Ending) startedWithin(window time.Duration) []*Attempt {
+	var attempts []*Attempt
+	for position := range ending.Attempts {
+		if attempt := &ending.Attempts[position]; attempt.startedWithin(window, ending.At) {
+			attempts = append(attempts, attempt)
+		}
 	}
-	return scheduler.EndLost
+	return attempts
 }
 
 func (ending *Ending) verdict() Verdict {
@@ -181,11 +186,6 @@
 	return crashes >= commonCauseCrashes && 2*crashes >= domain.Workers
 }
 
-// isStarting reports whether the attempt was starting at the given time, or had started within startWindow.
-func (attempt *Attempt) isStarting(at time.Duration) bool {
-	return attempt.startedWithin(startWindow, at)
-}
-
 // startedWithin reports whether the attempt was starting at the given time, or had started within a window before.
 func (attempt *Attempt) startedWithin(window, at time.Duration) bool {
 	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < window)
--- a/internal/jobs/crashclassifier/crashclassifier_test.go
+++ b/internal/jobs/crashclassifier/crashclassifier_test.go
@@ -38,7 +38,8 @@
 	unsent := Attempt{Run: runID("unsent")}
 	adopted := Attempt{Run: runID("adopted"), Accepted: true, Since: crashedAt - 100*time.Millisecond}
 	suspect := accepted("suspect", 10*time.Second)
-	suspect.Suspect = true
+	startingSuspect := accepted("startingSuspect", 20*time.Millisecond)
+	suspect.Suspect, startingSuspect.Suspect = true, true
 	neighbour, survivor := accepted("neighbour", 10*time.Second), accepted("survivor", 40*time.Second)
 	fresh, recent := accepted("fresh", 10*time.Millisecond), accepted("recent", 500*time.Millisecond)
 	blamed := func(kind scheduler.EndKind, jobs ...scheduler.JobID) map[scheduler.RunID]scheduler.EndKind {
@@ -48,26 +49,38 @@
 		}
 		return kinds
 	}
+	join := func(first, second map[scheduler.RunID]scheduler.EndKind) map[scheduler.RunID]scheduler.EndKind {
+		maps.Copy(first, second)
+		return first
+	}
 	tests := map[string]struct {
 		change   func(ending *Ending)
 		attempts []Attempt
 		want     Verdict
 		kinds    map[scheduler.RunID]scheduler.EndKind
 	}{
-		"deadly start":              {nil, []Attempt{fresh, neighbour, survivor}, VerdictCrash, blamed(starting, "fresh")},
-		"deadly start unanswered":   {nil, []Attempt{unanswered, neighbour}, VerdictCrash, blamed(starting, "unanswered")},
+		"deadly start": {
+			nil, []Attempt{fresh, neighbour, survivor}, VerdictCrash, join(blamed(starting, "fresh"), blamed(running, "neighbour")),
+		},
+		"deadly start unanswered":   {nil, []Attempt{unanswered, survivor}, VerdictCrash, blamed(starting, "unanswered")},
 		"start that was never sent": {nil, []Attempt{unsent, neighbour}, VerdictCrash, blamed(running, "neighbour")},
 		"two starts":                {nil, []Attempt{fresh, unanswered}, VerdictCrash, blamed(starting, "fresh", "unanswered")},
-		"start half a second ago":   {nil, []Attempt{recent, neighbour}, VerdictCrash, blamed(starting, "recent")},
+		"start half a second ago": {
+			nil, []Attempt{recent, neighbour}, VerdictCrash, join(blamed(starting, "recent"), blamed(running, "neighbour")),
+		},
 		"immediate start and one half a second ago": {
-			nil,
-			[]Attempt{fresh, recent},
-			VerdictCrash,
-			map[scheduler.RunID]scheduler.EndKind{runID("fresh"): starting, runID("recent"): running},
+			nil, []Attempt{fresh, recent}, VerdictCrash, join(blamed(starting, "fresh"), blamed(running, "recent")),
+		},
+		"start beside a running suspect": {
+			nil, []Attempt{fresh, suspect}, VerdictCrash, join(blamed(starting, "fresh"), blamed(running, "suspect")),
+		},
+		"start of a suspect": {
+			nil, []Attempt{startingSuspect, neighbour}, VerdictCrash, blamed(starting, "startingSuspect"),
+		},
+		"start beside that of a suspect": {
+			nil, []Attempt{startingSuspect, fresh}, VerdictCrash, blamed(starting, "startingSuspect", "fresh"),
 		},
-		"start beside a suspect":  {nil, []Attempt{fresh, suspect}, VerdictCrash, blamed(starting, "fresh")},
 		"late killer":             {nil, []Attempt{neighbour, survivor}, VerdictCrash, blamed(running, "neighbour")},
-		"suspect kills late":      {nil, []Attempt{suspect, neighbour}, VerdictCrash, blamed(running, "suspect")},
 		"all have survived":       {nil, []Attempt{survivor}, VerdictCrash, nil},
 		"adopted by a new leader": {nil, []Attempt{adopted}, VerdictCrash, nil},
 		"no attempts":             {nil, nil, VerdictCrash, nil},
@@ -82,10 +95,10 @@
 		},
 		"rack lost": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 6, Crashes: crashes(3, 200*time.Millisecond)}}
-		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh")},
+		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh", "neighbour")},
 		"pool killed": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 2, Crashes: crashes(2, 0)}, {Workers: 8, Crashes: crashes(8, 0)}}
-		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh")},
+		}, []Attempt{fresh, neighbour}, VerdictCommonCause, blamed(running, "fresh", "neighbour")},
 		"few of a rack": {func(ending *Ending) {
 			ending.Domains = []FailureDomain{{Workers: 7, Crashes: crashes(3, 0)}}
 		}, []Attempt{fresh}, VerdictCrash, blamed(starting, "fresh")},
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -208,7 +208,7 @@
 	spec := task.step.Spec()
 	switch {
 	case speculative:
-		return spec.Speculative && len(task.runs) == 1 && task.blame.points == 0
+		return spec.Speculative && len(task.runs) == 1 && !task.IsSuspect()
 	case spec.Gang:
 		_, placing := gangs[task.step]
 		return len(task.runs) == 0 && (placing || task.step.hasNoAttempts())
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -167,9 +167,12 @@
 // Checkpoint returns the latest checkpoint of the task, or an empty string if there is none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
-// Blame returns the points that the task has for crashes of workers. A task with points is suspected of crashing workers.
+// Blame returns the points that the task has for crashes of workers.
 func (task *Task) Blame() int { return task.blame.points }
 
+// IsSuspect reports whether the task is suspected of crashing workers.
+func (task *Task) IsSuspect() bool { return task.blame.points >= PointsStarting }
+
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
 
--- /dev/null
+++ b/internal/jobs/overseer/crash.go
@@ -0,0 +1,192 @@
+package overseer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// crashRetention is how long the end of an instance counts towards the crashes of its rack and pool.
+const crashRetention = 10 * time.Second
+
+// crashes holds what is needed to blame tasks for crashes of workers. The leadership's mutex guards it.
+type crashes struct {
+	// suspects holds the tasks that are suspected of crashing workers, as of the last planning cycle.
+	suspects map[scheduler.StepTaskID]bool
+	// recent holds the instances that ended after they had closed a connection.
+	recent []crash
+	// clearing is true while the blame of tasks that have survived is being cleared.
+	clearing bool
+}
+
+type crash struct {
+	at   time.Duration
+	rack string
+	pool scheduler.PoolName
+}
+
+func newCrashes() crashes { return crashes{suspects: map[scheduler.StepTaskID]bool{}} }
+
+// mayReachNextInstance reports whether a start order of the attempt may have reached, or may still reach, the next instance
+// of its worker.
+func (attempt *attempt) mayReachNextInstance() bool {
+	settled := attempt.reported && !attempt.startOutstanding && !attempt.startUnanswered
+	return !settled && !attempt.recordingEnd
+}
+
+// classifyEnding decides whether an instance that has ended crashed, and which of its attempts are blamed. replaced is
+// true if a later instance has started. The mutex must be held.
+func (leadership *leadership) classifyEnding(instance *worker, replaced bool) crashclassifier.Decision {
+	_, ordered := leadership.maintenance.accepted[instance.heartbeat.VM]
+	ending := &crashclassifier.Ending{
+		ConnectionClosed: instance.connectionClosed, Replaced: replaced,
+		Expected: ordered || leadership.isInMaintenance(instance) || instance.heartbeat.Phase == scheduler.WorkerDraining,
+		At:       instance.failingSince, Domains: leadership.failureDomains(instance),
+	}
+	for id, attempt := range instance.attempts {
+		if attempt.recordingEnd {
+			continue
+		}
+		accepted := attempt.times.acceptedAt > 0
+		ending.Attempts = append(ending.Attempts, crashclassifier.Attempt{
+			Run: id, Sent: !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
+			Accepted: accepted, Since: attempt.times.acceptedAt, Suspect: leadership.crashes.suspects[id.Task],
+		})
+	}
+	return crashclassifier.Classify(ending)
+}
+
+// failureDomains returns the rack and the pool of an instance, with the crashes in them.
+func (leadership *leadership) failureDomains(instance *worker) []crashclassifier.FailureDomain {
+	var rack, pool crashclassifier.FailureDomain
+	inRack := func(other string) bool { return other != "" && other == instance.rack() }
+	for _, other := range leadership.instances {
+		if !other.hasHeartbeat || other.heartbeat.Pool != instance.heartbeat.Pool {
+			continue
+		}
+		pool.Workers++
+		if other.connectionClosed {
+			pool.Crashes = append(pool.Crashes, other.failingSince)
+		}
+		if !inRack(other.rack()) {
+			continue
+		}
+		rack.Workers++
+		if other.connectionClosed {
+			rack.Crashes = append(rack.Crashes, other.failingSince)
+		}
+	}
+	for _, crash := range leadership.crashes.recent {
+		if crash.pool != instance.heartbeat.Pool {
+			continue
+		}
+		pool.Crashes = append(pool.Crashes, crash.at)
+		if inRack(crash.rack) {
+			rack.Crashes = append(rack.Crashes, crash.at)
+		}
+	}
+	return []crashclassifier.FailureDomain{rack, pool}
+}
+
+// observeEnding records and logs the end of an instance that had closed a connection.
+func (leadership *leadership) observeEnding(instance *worker, decision crashclassifier.Decision) {
+	if !instance.connectionClosed {
+		return
+	}
+	now := leadership.now()
+	leadership.crashes.recent = slices.DeleteFunc(leadership.crashes.recent, func(crash crash) bool {
+		return now-crash.at > crashRetention
+	})
+	leadership.crashes.recent = append(leadership.crashes.recent, crash{
+		at: instance.failingSince, rack: instance.rack(), pool: instance.heartbeat.Pool,
+	})
+	if decision.Verdict() == crashclassifier.VerdictCrash {
+		leadership.overseer.metrics.crashes.Inc(1)
+	}
+	var blamed []string
+	for _, run := range decision.Blamed() {
+		blamed = append(blamed, run.String())
+		if decision.Kind(run) == scheduler.EndCrashedStarting {
+			leadership.overseer.metrics.blamedStarting.Inc(1)
+		} else {
+			leadership.overseer.metrics.blamedRunning.Inc(1)
+		}
+	}
+	leadership.logger.Warn().Str("event", "workerCrashed").Str("worker", string(instance.name)).
+		Uint64("life", uint64(instance.incarnation)).Str("verdict", string(decision.Verdict())).
+		Dur("failingFor", now-instance.failingSince).Dur("answeredBefore", instance.failingSince-instance.lastResponse).
+		Int("starting", decision.Starting()).Int("suspects", decision.Suspects()).Strs("blamed", blamed).
+		Msg("worker closed its connections and was replaced")
+}
+
+// recordCarried blames attempts that are carried over to the next instance of their worker, and therefore do not end. The
+// mutex must be held.
+func (leadership *leadership) recordCarried(
+	earlier *worker, incarnation scheduler.Incarnation, decision crashclassifier.Decision,
+) {
+	var carried []jobkeeper.Carry
+	for _, run := range decision.Blamed() {
+		if attempt := earlier.attempts[run]; attempt != nil && attempt.mayReachNextInstance() {
+			carried = append(carried, jobkeeper.Carry{Run: run, Instance: incarnation, Kind: decision.Kind(run)})
+		}
+	}
+	if len(carried) == 0 {
+		return
+	}
+	leadership.goroutines.Go(func() {
+		for failures := 1; leadership.context.Err() == nil; failures++ {
+			if _, err := leadership.propose(jobkeeper.Command{Carry: carried}); err == nil {
+				return
+			}
+			leadership.pause(retryDelay(failures))
+		}
+	})
+}
+
+// observeBlame updates the suspects and clears the blame of those that have survived.
+func (leadership *leadership) observeBlame() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	clear(leadership.crashes.suspects)
+	var survivors []scheduler.RunID
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		state.VisitBlamed(func(task *jobkeeper.Task) {
+			if task.IsSuspect() {
+				leadership.crashes.suspects[task.ID()] = true
+			}
+			for _, run := range task.Runs() {
+				if leadership.hasSurvived(run) {
+					survivors = append(survivors, run.ID())
+				}
+			}
+		})
+	})
+	if len(survivors) > 0 && !leadership.crashes.clearing {
+		leadership.crashes.clearing = true
+		leadership.goroutines.Go(func() { leadership.clearBlame(survivors) })
+	}
+}
+
+// hasSurvived reports whether the attempt was running for crashclassifier.SurvivalTime when its worker last responded.
+func (leadership *leadership) hasSurvived(run *jobkeeper.Run) bool {
+	instance := leadership.instances[run.Worker()]
+	if instance == nil {
+		return false
+	}
+	attempt := instance.attempts[run.ID()]
+	return attempt != nil && attempt.reported && attempt.times.acceptedAt > 0 &&
+		instance.lastResponse-attempt.times.acceptedAt >= crashclassifier.SurvivalTime
+}
+
+// clearBlame clears the blame of tasks with the given attempts. If that fails, the next planning cycle tries again.
+func (leadership *leadership) clearBlame(survivors []scheduler.RunID) {
+	_, err := leadership.propose(jobkeeper.Command{ClearBlame: survivors})
+	leadership.logger.Info().Str("event", "blameCleared").Int("tasks", len(survivors)).Err(err).
+		Msg("suspected tasks have survived")
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.crashes.clearing = false
+}
--- a/internal/jobs/overseer/deadly_task_test.go
+++ b/internal/jobs/overseer/deadly_task_test.go
@@ -16,8 +16,8 @@
 )
 
 var (
-	errConnectionClosed  = scheduler.ErrOutcomeUnknown.Wrap(io.ErrUnexpectedEOF)
-	errConnectionRefused = scheduler.ErrNotRun.Wrap(syscall.ECONNREFUSED)
+	errConnectionClosed  = scheduler.ErrOutcomeUnknown.Wrap(scheduler.ErrConnectionClosed.Wrap(io.ErrUnexpectedEOF))
+	errConnectionRefused = scheduler.ErrNotRun.Wrap(scheduler.ErrConnectionClosed.Wrap(syscall.ECONNREFUSED))
 )
 
 const (
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -82,9 +82,13 @@
 			leadership.jobLog.reported[job.ID()] = true
 			leadership.failureTracker.forget(job.ID())
 			leadership.logUnfinishedSteps(job.ID())
+			if job.GivenUp() {
+				leadership.overseer.metrics.givenUp.Inc(1)
+			}
 			leadership.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).
 				Str("queue", string(job.Queue().Name)).
-				Str("state", string(job.State())).Dur("took", time.Since(job.Accepted())).Msg("job ended")
+				Str("state", string(job.State())).Str("reason", job.FailureReason()).
+				Dur("took", time.Since(job.Accepted())).Msg("job ended")
 		}
 	})
 }
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/basics/runner"
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/internal/jobs/forecaster"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
@@ -65,6 +66,7 @@
 	forecastsObservedAt time.Duration
 	// packedWorkers holds for each pool what the waiting tasks cannot use.
 	packedWorkers map[scheduler.PoolName]*packedWorkers
+	crashes       crashes
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -84,7 +86,7 @@
 		evacuations: newEvacuations(), runTimes: forecaster.New(),
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
 		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
-		packedWorkers:    map[scheduler.PoolName]*packedWorkers{},
+		packedWorkers:    map[scheduler.PoolName]*packedWorkers{}, crashes: newCrashes(),
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
@@ -129,7 +131,7 @@
 		instance = leadership.replaceInstance(instance, run.Instance())
 	}
 	instance.attempts[run.ID()] = &attempt{
-		state: attemptUnknown, mayHaveStarted: true, spec: *run.Task().Step().Spec(),
+		state: attemptUnknown, mayHaveStarted: true, adopted: true, spec: *run.Task().Step().Spec(),
 		share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: leadership.now()},
 	}
 	instance.synced = false
@@ -189,22 +191,24 @@
 // is repeated.
 func (leadership *leadership) replaceInstance(earlier *worker, incarnation scheduler.Incarnation) *worker {
 	later := newWorker(earlier.name, incarnation)
+	decision := leadership.classifyEnding(earlier, true)
+	leadership.recordCarried(earlier, incarnation, decision)
 	for id, candidate := range earlier.attempts {
-		settled := candidate.reported && !candidate.startOutstanding && !candidate.startUnanswered
-		if settled || candidate.recordingEnd {
+		if !candidate.mayReachNextInstance() {
 			continue
 		}
 		delete(earlier.attempts, id)
 		later.attempts[id] = &attempt{
-			state: attemptUnknown, mayHaveStarted: true, spec: candidate.spec, approval: candidate.approval,
-			share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
+			state: attemptUnknown, mayHaveStarted: true, adopted: candidate.adopted, spec: candidate.spec,
+			withdrawn: candidate.withdrawn || decision.Kind(id) != scheduler.EndLost,
+			approval:  candidate.approval, share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
 		}
 	}
 	later.synced = len(later.attempts) == 0
 	// An unanswered order to the earlier instance may still take effect on the later one, and its lease end is far
 	// ahead on the later instance's clock.
 	later.leaseExpiry = leadership.leaseExpiryFrom(leadership.now() + lateOrderWindow)
-	leadership.endInstance(earlier, "a later instance of the worker has started")
+	leadership.endClassified(earlier, "a later instance of the worker has started", decision)
 	leadership.instances[later.name] = later
 	return later
 }
@@ -231,7 +235,7 @@
 		leadership.mutex.Lock()
 		defer leadership.mutex.Unlock()
 		if !instance.ended {
-			leadership.endInstance(instance, "the worker has shut down")
+			leadership.endClassified(instance, "the worker has shut down", leadership.classifyEnding(instance, false))
 		}
 	})
 }
@@ -239,12 +243,21 @@
 // shutdownDelay is the time after its notification within which a worker has certainly shut down.
 const shutdownDelay = time.Second
 
-// endInstance marks a worker instance as ended: none of its attempts is running any more. The mutex must be held.
+// endInstance marks a worker instance as ended because a later one has started: none of its attempts is running any more.
+// The mutex must be held.
 func (leadership *leadership) endInstance(instance *worker, reason string) {
+	if !instance.ended {
+		leadership.endClassified(instance, reason, leadership.classifyEnding(instance, true))
+	}
+}
+
+// endClassified marks a worker instance as ended. The mutex must be held.
+func (leadership *leadership) endClassified(instance *worker, reason string, decision crashclassifier.Decision) {
 	if instance.ended {
 		return
 	}
 	instance.ended = true
+	leadership.observeEnding(instance, decision)
 	delete(leadership.instances, instance.name)
 	leadership.failureTracker.quarantiner.Remove(instance.name)
 	leadership.logger.Info().Str("event", "workerLifeOver").Str("worker", string(instance.name)).
@@ -254,7 +267,7 @@
 	for id, attempt := range instance.attempts {
 		attempt.recordingEnd = true
 		leadership.pendingEnds[id] = true
-		ends = append(ends, attempt.end(id, scheduler.EndLost))
+		ends = append(ends, attempt.end(id, decision.Kind(id)))
 	}
 	if len(ends) > 0 {
 		leadership.goroutines.Go(func() { leadership.recordEnds(instance, ends) })
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -26,6 +26,13 @@
 	heldIdle     tally.Counter
 	reservedWait tally.Histogram
 
+	// crashes counts the crashes of workers, blamedStarting and blamedRunning the attempts that were blamed for them, and
+	// givenUp the jobs that failed because of them.
+	crashes        tally.Counter
+	blamedStarting tally.Counter
+	blamedRunning  tally.Counter
+	givenUp        tally.Counter
+
 	evacuation evacuationMetrics
 	admission  *admissionMetrics
 }
@@ -41,8 +48,11 @@
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
-		evacuation:   newEvacuationMetrics(scope),
-		admission:    newAdmissionMetrics(scope),
+		crashes:      scope.Counter("worker_crashes"), givenUp: scope.Counter("jobs_given_up"),
+		blamedStarting: scope.Tagged(map[string]string{"kind": "starting"}).Counter("attempts_blamed"),
+		blamedRunning:  scope.Tagged(map[string]string{"kind": "running"}).Counter("attempts_blamed"),
+		evacuation:     newEvacuationMetrics(scope),
+		admission:      newAdmissionMetrics(scope),
 	}
 }
 
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -79,7 +79,7 @@
 	plan.order.LeaseEnd = instance.grantLease(leadership.now(), leadership.overseer.leaseDuration,
 		leadership.overseer.clockDrift)
 	plan.order.Approval = attempt.approval
-	attempt.startOutstanding = true
+	attempt.startOutstanding, attempt.startSending = true, true
 	attempt.timing.measurable = attempt.timing.measurable && plan.order.Checkpoint == ""
 	return plan
 }
@@ -95,11 +95,13 @@
 	leadership.overseer.metrics.repeated.Inc(1)
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	if attempt := instance.attempts[id]; attempt != nil && !scheduler.ErrNotRun.Has(err) {
-		attempt.startUnanswered = true
+	if attempt := instance.attempts[id]; attempt != nil {
+		attempt.startSending = false
+		attempt.startUnanswered = attempt.startUnanswered || !scheduler.ErrNotRun.Has(err)
 	}
 	if !instance.ended {
 		instance.consecutiveFailures++
+		instance.recordFailure(leadership.now(), err)
 		leadership.ensureRenewal(instance)
 	}
 }
@@ -114,7 +116,9 @@
 		return nil
 	}
 	now := leadership.now()
-	instance.recordResponse(now)
+	if response.Result != scheduler.OrderIncarnationMismatch { // Otherwise another worker has responded.
+		instance.recordResponse(now)
+	}
 	instance.updateClock(response.Clock, now)
 	attempt.settledAt = now
 	return attempt
@@ -131,6 +135,7 @@
 	if attempt == nil {
 		return true
 	}
+	attempt.startSending = false
 	switch response.Result {
 	case scheduler.OrderAccepted:
 		attempt.startOutstanding = false
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -53,6 +53,7 @@
 	began := leadership.now()
 	leadership.startDueOccurrences()
 	leadership.observeEvacuations()
+	leadership.observeBlame()
 	leadership.observeLoad()
 	leadership.expireLeases()
 	leadership.stopObsolete()
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -115,6 +115,7 @@
 	leadership.mutex.Lock()
 	instance.consecutiveFailures++
 	instance.renewalAnswered = false
+	instance.recordFailure(leadership.now(), err)
 	failures := instance.consecutiveFailures
 	leadership.mutex.Unlock()
 	if failures == 1 {
@@ -279,7 +280,11 @@
 		}
 		switch attempt.state {
 		case attemptUnknown:
-			attempt.state = attemptStarting
+			if attempt.withdrawn {
+				leadership.stopAttempt(instance, id, "an earlier instance of the worker crashed")
+				continue
+			}
+			attempt.state, attempt.adopted = attemptStarting, false
 			leadership.goroutines.Go(func() { leadership.start(instance, id) })
 		case attemptRunning, attemptStopped:
 			if attempt.settledAt < sent && !attempt.startOutstanding {
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -34,6 +34,10 @@
 	backoffUntil time.Duration
 	// consecutiveFailures counts consecutive orders that got no response, or none that the overseer can use.
 	consecutiveFailures int
+	// failingSince is when the first order failed since the last response, zero if none did. connectionClosed is true if
+	// one of them failed because the worker's side closed, reset or refused the connection.
+	failingSince     time.Duration
+	connectionClosed bool
 	// synced is true once the worker has answered a renewal of this term. From then on its running attempts are
 	// known, and it rejects orders of earlier leaders.
 	synced bool
@@ -59,6 +63,13 @@
 	startOutstanding bool
 	// startUnanswered is true if a start order got no response and may therefore take effect later.
 	startUnanswered bool
+	// startSending is true while a start order is being sent.
+	startSending bool
+	// adopted is true if an earlier leader may have started the attempt, at a time that this one does not know.
+	adopted bool
+	// withdrawn is true if the attempt is blamed for the crash of an earlier instance of its worker. Unless it is running
+	// already, it is not started on this instance, so that its task is placed again with the caution that a suspect needs.
+	withdrawn bool
 	// mayHaveStarted is true if this leadership did not place the attempt, or placed it on an earlier instance. A start
 	// order from then may still take effect.
 	mayHaveStarted bool
@@ -170,6 +181,15 @@
 // recordResponse records that the worker has answered an order.
 func (worker *worker) recordResponse(now time.Duration) {
 	worker.lastResponse, worker.consecutiveFailures = now, 0
+	worker.failingSince, worker.connectionClosed = 0, false
+}
+
+// recordFailure records that the worker has not answered an order.
+func (worker *worker) recordFailure(now time.Duration, err error) {
+	if worker.failingSince == 0 {
+		worker.failingSince = now
+	}
+	worker.connectionClosed = worker.connectionClosed || scheduler.ErrConnectionClosed.Has(err)
 }
 
 // retryDelay returns the delay after the given number of unanswered orders.
