--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -30,6 +30,12 @@
 	// of other starts for them.
 	suspectsWaiting tally.Gauge
 	workersKept     tally.Gauge
+	// crashes counts the crashes of workers, blamedStarting and blamedRunning the attempts that were blamed for them, and
+	// givenUp the jobs that failed because of them.
+	crashes        tally.Counter
+	blamedStarting tally.Counter
+	blamedRunning  tally.Counter
+	givenUp        tally.Counter
 
 	evacuation evacuationMetrics
 	admission  *admissionMetrics
@@ -45,7 +51,10 @@
 		ready: scope.Gauge("tasks_ready"), startTime: scope.Histogram("start_duration", buckets),
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
-		reservedWait:    scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
+		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
+		crashes:      scope.Counter("worker_crashes"), givenUp: scope.Counter("jobs_given_up"),
+		blamedStarting:  scope.Tagged(map[string]string{"kind": "starting"}).Counter("attempts_blamed"),
+		blamedRunning:   scope.Tagged(map[string]string{"kind": "running"}).Counter("attempts_blamed"),
 		suspectsWaiting: scope.Gauge("suspects_waiting"), workersKept: scope.Gauge("workers_kept_for_suspects"),
 		evacuation: newEvacuationMetrics(scope),
 		admission:  newAdmissionMetrics(scope),
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -115,6 +115,7 @@
 	leadership.mutex.Lock()
 	instance.consecutiveFailures++
 	instance.renewalAnswered = false
+	instance.recordFailure(leadership.now(), err)
 	failures := instance.consecutiveFailures
 	leadership.mutex.Unlock()
 	if failures == 1 {
@@ -280,11 +281,11 @@
 		}
 		switch attempt.state {
 		case attemptUnknown:
-			if leadership.isSuspectAttempt(id, attempt) {
-				leadership.stopAttempt(instance, id, "the task may have crashed its worker")
+			if attempt.withdrawn || leadership.isSuspectAttempt(id, attempt) {
+				leadership.stopAttempt(instance, id, "a worker crashed under the task")
 				continue
 			}
-			attempt.state = attemptStarting
+			attempt.state, attempt.adopted = attemptStarting, false
 			leadership.goroutines.Go(func() { leadership.start(instance, id) })
 		case attemptRunning, attemptStopped:
 			if attempt.settledAt < sent && !attempt.startOutstanding {
