overseer: keep the blame for a crash when the leader changes before the worker is back

A crash counts only once a later instance has started, seconds after the connection was closed. A leader that took over in between had not seen the crash, and a lease that expired first ended the attempts without blame. The leader now replicates at once which attempts it would blame (Mark). A marked attempt that is lost, or expires with its lease, is blamed by whichever leader records that; a report of the same instance clears the mark.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -72,8 +72,11 @@
 	// Accepted is true if the worker is known to have run the attempt, since at or before Since.
 	Accepted bool
 	Since    time.Duration
-	// Suspect is true if the task has blame for earlier crashes.
+	// Suspect is true if the task is suspected because of earlier crashes.
 	Suspect bool
+	// Marked is how an earlier leader, which saw the connection being closed, would have blamed the attempt. It is empty if
+	// there is none.
+	Marked scheduler.EndKind
 }
 
 // Decision is the result of Classify.
@@ -122,6 +125,8 @@
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
 		switch {
+		case attempt.Marked != "" && !attempt.Sent && !ending.Expected:
+			decision.kinds[attempt.Run] = attempt.Marked
 		case !decision.isCrash():
 		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
 			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -36,6 +36,8 @@
 		return Result{Status: state.clearBlame(command.ClearBlame)}
 	case command.Carry != nil:
 		return Result{Status: state.carry(command.Carry)}
+	case command.Mark != nil:
+		return Result{Status: state.mark(command.Mark)}
 	}
 	return Result{Status: StatusInvalid}
 }
@@ -276,6 +278,7 @@
 		state.finishLate(task, end)
 		return
 	}
+	end.Kind = task.runs[position].blamedKind(end.Kind)
 	state.removeRun(task.runs[position])
 	task.saveCheckpoint(end.Checkpoint)
 	if !job.state.Ended() && !task.finished {
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -68,13 +68,39 @@
 	Kind scheduler.EndKind
 }
 
+// Mark records that an attempt will be blamed if it is lost, because its worker closed a connection, so that a leader which
+// takes over before the next instance of the worker starts can blame it. An empty Kind clears the mark, once the instance
+// has responded.
+type Mark struct {
+	_    struct{} `cbor:",toarray"`
+	Run  scheduler.RunID
+	Kind scheduler.EndKind
+}
+
+func (state *State) mark(marks []Mark) Status {
+	for _, mark := range marks {
+		if run := state.openRun(mark.Run); run != nil {
+			run.mark = mark.Kind
+		}
+	}
+	return StatusDone
+}
+
+// blamedKind returns the kind of an end with regard to the mark of the attempt.
+func (run *Run) blamedKind(kind scheduler.EndKind) scheduler.EndKind {
+	if run.mark != "" && (kind == scheduler.EndLost || kind == scheduler.EndLeaseExpired) {
+		return run.mark
+	}
+	return kind
+}
+
 func (state *State) carry(carries []Carry) Status {
 	for _, carry := range carries {
 		run := state.openRun(carry.Run)
 		if run == nil || run.instance >= carry.Instance {
 			continue
 		}
-		run.instance = carry.Instance
+		run.instance, run.mark = carry.Instance, ""
 		task := run.task
 		if task.finished || task.step.occurrence.job.state.Ended() {
 			continue
@@ -124,6 +150,7 @@
 }
 
 // storedBlame is the encoding of the blame of a task in a snapshot, storedFailure that of the reason of a failed job.
+// Attempts that are marked are stored as Mark.
 type (
 	storedBlame struct {
 		_       struct{} `cbor:",toarray"`
@@ -149,6 +176,11 @@
 	for _, occurrence := range job.sortedOccurrences() {
 		for _, step := range occurrence.steps {
 			for _, task := range step.tasks {
+				for _, run := range task.runs {
+					if run.mark != "" {
+						stored.Marks = append(stored.Marks, Mark{Run: run.ID(), Kind: run.mark})
+					}
+				}
 				if task.blame != (blame{}) {
 					stored.Blames = append(stored.Blames, storedBlame{
 						Task: task.ID(), Points: task.blame.points, Crashes: task.blame.crashes,
@@ -159,13 +191,14 @@
 	}
 }
 
-func (state *State) restoreBlames(blames []storedBlame, failures []storedFailure) {
-	for _, stored := range blames {
+func (state *State) restoreBlames(stored *storedState) {
+	state.mark(stored.Marks)
+	for _, stored := range stored.Blames {
 		if task, found := state.task(stored.Task); found {
 			state.setBlame(task, blame{points: stored.Points, crashes: stored.Crashes})
 		}
 	}
-	for _, stored := range failures {
+	for _, stored := range stored.Failures {
 		if job := state.jobs[stored.Job]; job != nil {
 			job.failureReason = stored.Reason
 		}
--- a/internal/jobs/jobkeeper/blame_test.go
+++ b/internal/jobs/jobkeeper/blame_test.go
@@ -21,6 +21,12 @@
 	fixture.apply(Command{Carry: []Carry{{Run: run, Instance: instance, Kind: scheduler.EndCrashedStarting}}})
 }
 
+func (fixture *fixture) mark(attempt scheduler.AttemptNumber, kind scheduler.EndKind) {
+	fixture.t.Helper()
+	run := scheduler.RunID{Task: scheduler.StepTaskID{Job: "j"}, Attempt: attempt}
+	fixture.apply(Command{Mark: []Mark{{Run: run, Kind: kind}}})
+}
+
 func (fixture *fixture) clearBlame(attempt scheduler.AttemptNumber) {
 	fixture.t.Helper()
 	fixture.apply(Command{ClearBlame: []scheduler.RunID{{Task: scheduler.StepTaskID{Job: "j"}, Attempt: attempt}}})
@@ -72,6 +78,20 @@
 			fixture.clearBlame(1)
 			fixture.crash(0, 0, starting)
 		}, scheduler.WorkflowFailed},
+		"marked attempts are lost": {singleTask(), func(fixture *fixture) {
+			fixture.mark(fixture.place("j", 0, 0)[0], starting)
+			fixture.end("j", 0, 0, 1, lost, "")
+			fixture.mark(fixture.place("j", 0, 0)[0], starting)
+			fixture.end("j", 0, 0, 2, scheduler.EndLeaseExpired, "")
+		}, scheduler.WorkflowFailed},
+		"a marked attempt goes on": {singleTask(), func(fixture *fixture) {
+			fixture.crash(0, 0, starting)
+			fixture.mark(fixture.place("j", 0, 0)[0], starting)
+			fixture.mark(2, "")
+			fixture.end("j", 0, 0, 2, lost, "")
+			fixture.mark(fixture.place("j", 0, 0)[0], starting)
+			fixture.end("j", 0, 0, 3, scheduler.EndStopped, "")
+		}, scheduler.WorkflowActive},
 		"a member of a gang": {scheduler.Step{Count: 2, Gang: true}, func(fixture *fixture) {
 			for attempt := range scheduler.AttemptNumber(2) {
 				fixture.place("j", 0, 0, 1)
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -20,6 +20,7 @@
 	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
 	ClearBlame       []scheduler.RunID             `cbor:"10,keyasint,omitempty"`
 	Carry            []Carry                       `cbor:"11,keyasint,omitempty"`
+	Mark             []Mark                        `cbor:"12,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -188,6 +188,8 @@
 	attempt  scheduler.AttemptNumber
 	worker   scheduler.WorkerName
 	instance scheduler.Incarnation
+	// mark is the kind of end that counts if the attempt is lost, empty if its worker is not known to have crashed.
+	mark scheduler.EndKind
 }
 
 // ID returns the id of the attempt.
@@ -201,6 +203,9 @@
 // Worker returns the worker on which the attempt was placed.
 func (run *Run) Worker() scheduler.WorkerName { return run.worker }
 
+// Mark returns how the attempt is blamed if it is lost, or an empty kind, see Mark.
+func (run *Run) Mark() scheduler.EndKind { return run.mark }
+
 // Instance returns the incarnation of the worker on which the attempt was placed.
 func (run *Run) Instance() scheduler.Incarnation { return run.instance }
 
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -31,6 +31,7 @@
 	Evacuations   []storedEvacuation
 	Blames        []storedBlame
 	Failures      []storedFailure
+	Marks         []Mark
 }
 
 // storedStateV3 is storedState in format version 3.
@@ -133,7 +134,7 @@
 // encodable returns the state in the oldest format that can hold it, so that an earlier build can read the snapshots of
 // a domain in which no data centre was ever evacuated and no task is blamed for a crash.
 func (stored storedState) encodable() any {
-	if len(stored.Blames)+len(stored.Failures) > 0 {
+	if len(stored.Blames)+len(stored.Failures)+len(stored.Marks) > 0 {
 		return stored
 	}
 	if len(stored.Evacuations) > 0 {
@@ -246,7 +247,7 @@
 		state.waves = append(state.waves, stored.Waves[position].restore())
 	}
 	state.restoreEvacuations(stored.Evacuations)
-	state.restoreBlames(stored.Blames, stored.Failures)
+	state.restoreBlames(stored)
 	return state
 }
 
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -37,6 +37,55 @@
 	return !settled && !attempt.recordingEnd
 }
 
+// recordFailure records that a worker has not answered an order. The mutex must be held.
+func (leadership *leadership) recordFailure(instance *worker, err error) {
+	if instance.failingSince == 0 {
+		instance.failingSince = leadership.now()
+	}
+	if scheduler.ErrConnectionClosed.Has(err) && !instance.connectionClosed && !instance.ended {
+		instance.connectionClosed = true
+		leadership.markAttempts(instance)
+	}
+}
+
+// markAttempts marks the attempts that are blamed if the worker has crashed. The mutex must be held.
+func (leadership *leadership) markAttempts(instance *worker) {
+	decision := leadership.classifyEnding(instance, true)
+	var marks []jobkeeper.Mark
+	for _, run := range decision.Blamed() {
+		instance.attempts[run].mark = decision.Kind(run)
+		marks = append(marks, jobkeeper.Mark{Run: run, Kind: decision.Kind(run)})
+	}
+	leadership.recordMarks(marks)
+}
+
+// clearMarks clears the marks of attempts on an instance that has sent a report and has therefore not crashed. The mutex
+// must be held.
+func (leadership *leadership) clearMarks(instance *worker) {
+	var marks []jobkeeper.Mark
+	for id, attempt := range instance.attempts {
+		if attempt.mark != "" && !attempt.recordingEnd {
+			attempt.mark = ""
+			marks = append(marks, jobkeeper.Mark{Run: id})
+		}
+	}
+	leadership.recordMarks(marks)
+}
+
+// recordMarks proposes marks once. A mark that is not recorded is missing only if the leader changes before the next
+// instance of the worker starts.
+func (leadership *leadership) recordMarks(marks []jobkeeper.Mark) {
+	if len(marks) == 0 {
+		return
+	}
+	leadership.goroutines.Go(func() {
+		if _, err := leadership.propose(jobkeeper.Command{Mark: marks}); err != nil {
+			leadership.logger.Warn().Str("event", "marksNotRecorded").Int("attempts", len(marks)).Err(err).
+				Msg("could not mark the attempts of a worker that closed a connection")
+		}
+	})
+}
+
 // classifyEnding decides whether an instance that has ended crashed, and which of its attempts are blamed. replaced is
 // true if a later instance has started. The mutex must be held.
 func (leadership *leadership) classifyEnding(instance *worker, replaced bool) crashclassifier.Decision {
@@ -54,6 +103,7 @@
 		ending.Attempts = append(ending.Attempts, crashclassifier.Attempt{
 			Run: id, Sent: !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
 			Accepted: accepted, Since: attempt.times.acceptedAt, Suspect: leadership.crashes.suspects[id.Task],
+			Marked: attempt.mark,
 		})
 	}
 	return crashclassifier.Classify(ending)
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -131,7 +131,7 @@
 		instance = leadership.replaceInstance(instance, run.Instance())
 	}
 	instance.attempts[run.ID()] = &attempt{
-		state: attemptUnknown, mayHaveStarted: true, adopted: true, spec: *run.Task().Step().Spec(),
+		state: attemptUnknown, mayHaveStarted: true, adopted: true, mark: run.Mark(), spec: *run.Task().Step().Spec(),
 		share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: leadership.now()},
 	}
 	instance.synced = false
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -101,7 +101,7 @@
 	}
 	if !instance.ended {
 		instance.consecutiveFailures++
-		instance.recordFailure(leadership.now(), err)
+		leadership.recordFailure(instance, err)
 		leadership.ensureRenewal(instance)
 	}
 }
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -115,7 +115,7 @@
 	leadership.mutex.Lock()
 	instance.consecutiveFailures++
 	instance.renewalAnswered = false
-	instance.recordFailure(leadership.now(), err)
+	leadership.recordFailure(instance, err)
 	failures := instance.consecutiveFailures
 	leadership.mutex.Unlock()
 	if failures == 1 {
@@ -186,6 +186,7 @@
 		leadership.updateRunning(instance, running)
 	}
 	ends = append(ends, leadership.collectMissing(instance, listed, sent)...)
+	leadership.clearMarks(instance)
 	instance.synced, instance.renewalAnswered = true, true
 	leadership.adjustShares(instance)
 	return ends, true
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -67,6 +67,8 @@
 	startSending bool
 	// adopted is true if an earlier leader may have started the attempt, at a time that this one does not know.
 	adopted bool
+	// mark is the replicated mark of the attempt, see jobkeeper.Mark.
+	mark scheduler.EndKind
 	// withdrawn is true if the attempt is blamed for the crash of an earlier instance of its worker. Unless it is running
 	// already, it is not started on this instance, so that its task is placed again with the caution that a suspect needs.
 	withdrawn bool
@@ -184,14 +186,6 @@
 	worker.failingSince, worker.connectionClosed = 0, false
 }
 
-// recordFailure records that the worker has not answered an order.
-func (worker *worker) recordFailure(now time.Duration, err error) {
-	if worker.failingSince == 0 {
-		worker.failingSince = now
-	}
-	worker.connectionClosed = worker.connectionClosed || scheduler.ErrConnectionClosed.Has(err)
-}
-
 // retryDelay returns the delay after the given number of unanswered orders.
 func retryDelay(failures int) time.Duration {
 	delay := time.Duration(float64(minRetryDelay) * math.Pow(2, float64(min(failures, 10)-1)))
