crashclassifier: blame adopted attempts for crashes too, with the weaker blame

A new leader doesn't know when the attempts that it adopted started, so it blamed none of them, and a task that crashes its worker after seconds escaped with each change of leader.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -66,9 +66,10 @@
 // Attempt is an attempt that has not ended before its worker.
 type Attempt struct {
 	Run scheduler.RunID
-	// Sent is true if the worker may have received the start order from this leader. If it is false, the attempt has not
-	// started, or an earlier leader started it at an unknown time.
-	Sent bool
+	// Sent is true if the worker may have received the start order from this leader. Adopted is true if an earlier leader
+	// may have started the attempt, at an unknown time. If neither is, the attempt has not started.
+	Sent    bool
+	Adopted bool
 	// Accepted is true if the worker is known to have run the attempt, since at or before Since.
 	Accepted bool
 	Since    time.Duration
@@ -125,12 +126,12 @@
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
 		switch {
-		case attempt.Marked != "" && !attempt.Sent && !ending.Expected:
+		case attempt.Marked != "" && attempt.Adopted && !ending.Expected:
 			decision.kinds[attempt.Run] = attempt.Marked
 		case !decision.isCrash():
 		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
 			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
-		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Suspect || attempt.Sent):
+		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Sent || attempt.Adopted):
 			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
 		}
 	}
--- a/internal/jobs/crashclassifier/crashclassifier_test.go
+++ b/internal/jobs/crashclassifier/crashclassifier_test.go
@@ -36,8 +36,8 @@
 func TestClassify(t *testing.T) {
 	unanswered := Attempt{Run: runID("unanswered"), Sent: true}
 	unsent := Attempt{Run: runID("unsent")}
-	adopted := Attempt{Run: runID("adopted"), Accepted: true, Since: crashedAt - 100*time.Millisecond}
-	marked := Attempt{Run: runID("marked"), Marked: starting}
+	adopted := Attempt{Run: runID("adopted"), Adopted: true, Accepted: true, Since: crashedAt - 100*time.Millisecond}
+	marked := Attempt{Run: runID("marked"), Adopted: true, Marked: starting}
 	suspect := accepted("suspect", 10*time.Second)
 	startingSuspect := accepted("startingSuspect", 20*time.Millisecond)
 	suspect.Suspect, startingSuspect.Suspect = true, true
@@ -83,7 +83,7 @@
 		},
 		"late killer":             {nil, []Attempt{neighbour, survivor}, VerdictCrash, blamed(running, "neighbour")},
 		"all have survived":       {nil, []Attempt{survivor}, VerdictCrash, nil},
-		"adopted by a new leader": {nil, []Attempt{adopted}, VerdictCrash, nil},
+		"adopted by a new leader": {nil, []Attempt{adopted}, VerdictCrash, blamed(running, "adopted")},
 		"marked by the leader before": {
 			func(ending *Ending) { ending.ConnectionClosed = false },
 			[]Attempt{marked, neighbour},
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -101,7 +101,8 @@
 		}
 		accepted := attempt.times.acceptedAt > 0
 		ending.Attempts = append(ending.Attempts, crashclassifier.Attempt{
-			Run: id, Sent: !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
+			Run: id, Adopted: attempt.adopted,
+			Sent:     !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
 			Accepted: accepted, Since: attempt.times.acceptedAt, Suspect: leadership.crashes.suspects[id.Task],
 			Marked: attempt.mark,
 		})
