platform: tell callers why a job has failed

The response to a query of a job has the field 'reason' if the job has failed: a task failed as often as its queue allows, or workers crashed under it.

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -196,14 +196,16 @@
 	return response
 }
 
-func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (state scheduler.WorkflowState, found bool) {
+// job returns the response to a query of a job.
+func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (response Response, found bool) {
 	handler.keeper.View(func(view *jobkeeper.State) {
 		job, known := view.Job(id)
 		if known && job.Queue().Name == queue.Name {
-			state, found = job.State(), true
+			found = true
+			response = Response{Status: StatusDone, JobState: job.State(), FailureReason: job.FailureReason()}
 		}
 	})
-	return state, found
+	return response, found
 }
 
 func (handler *Handler) state(request *JobRequest) Response {
@@ -211,14 +213,14 @@
 	if queue == nil {
 		return response
 	}
-	state, found := handler.job(queue, request.Job)
+	response, found := handler.job(queue, request.Job)
 	if !handler.overseer.IsLeader() {
 		return errorResponse(StatusUnavailable, "this VM lost the leadership during the request", leaderRetry)
 	}
 	if !found {
 		return errorResponse(StatusNoJob, "the job does not exist", 0)
 	}
-	return Response{Status: StatusDone, JobState: state}
+	return response
 }
 
 func (handler *Handler) queueLength(request *QueueRoute) Response {
--- a/internal/jobs/handler/message.go
+++ b/internal/jobs/handler/message.go
@@ -136,6 +136,8 @@
 	Completed bool `cbor:"12,keyasint,omitempty"`
 	// EvacuationRevision is the revision of the evacuation state of a data centre, see EvacuationRevisionRequest.
 	EvacuationRevision uint64 `cbor:"13,keyasint,omitempty"`
+	// FailureReason is why a job has failed. It is set beside JobState.
+	FailureReason string `cbor:"14,keyasint,omitempty"`
 	// Explanation is set in the response to an ExplainRequest.
 	Explanation *overseer.PlacementExplanation `cbor:"20,keyasint,omitempty"`
 }
