--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -157,19 +157,20 @@
 	if decision.Verdict() == crashclassifier.VerdictCrash {
 		leadership.overseer.metrics.crashes.Inc(1)
 	}
-	var blamed []string
+	var likely []string
 	for _, run := range decision.Blamed() {
-		blamed = append(blamed, run.String())
 		if decision.Kind(run) == scheduler.EndCrashedStarting {
-			leadership.overseer.metrics.blamedStarting.Inc(1)
-		} else {
-			leadership.overseer.metrics.blamedRunning.Inc(1)
+			likely = append(likely, run.String())
 		}
 	}
+	others := len(decision.Blamed()) - len(likely)
+	leadership.overseer.metrics.blamedStarting.Inc(int64(len(likely)))
+	leadership.overseer.metrics.blamedRunning.Inc(int64(others))
 	leadership.logger.Warn().Str("event", "workerCrashed").Str("worker", string(instance.name)).
 		Uint64("life", uint64(instance.incarnation)).Str("verdict", string(decision.Verdict())).
 		Dur("failingFor", now-instance.failingSince).Dur("answeredBefore", instance.failingSince-instance.lastResponse).
-		Int("starting", decision.Starting()).Int("suspects", decision.Suspects()).Strs("blamed", blamed).
+		Int("starting", decision.Starting()).Int("suspects", decision.Suspects()).Strs("likelyCauses", likely).
+		Int("otherBlamed", others).
 		Msg("worker closed its connections and was replaced")
 }
 
