--- /dev/null
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -0,0 +1,202 @@
+// Package crashclassifier decides whether the end of a worker instance was a crash, and which of its attempts are blamed
+// for it. It is pure: it performs no I/O and reads no clock.
+package crashclassifier
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// StartWindow is how long after its start an attempt may be the cause of a crash at its start. Within immediateWindow it
+	// is the likely cause, since most faults show as soon as the attempt runs.
+	StartWindow     = time.Second
+	immediateWindow = 100 * time.Millisecond
+	// SurvivalTime is how long an attempt must have been running to be no cause of a crash.
+	SurvivalTime = 30 * time.Second
+	// commonCauseWindow is the time within which crashes have a common cause if they are at least commonCauseCrashes and
+	// half of the workers of a rack or pool.
+	commonCauseWindow  = time.Second
+	commonCauseCrashes = 3
+)
+
+// Verdict is what the end of a worker instance was.
+type Verdict string
+
+// Values of Verdict.
+const (
+	VerdictCrash Verdict = "crash"
+	// VerdictSilent means that no connection of the worker was closed or refused since its last response: it may have been
+	// cut off, or its machine may have lost power.
+	VerdictSilent Verdict = "silent"
+	// VerdictNoNextInstance means that no later instance has started, so the process may still be running.
+	VerdictNoNextInstance Verdict = "noNextInstance"
+	// VerdictExpected means that the worker was draining or its VM was under maintenance.
+	VerdictExpected Verdict = "expected"
+	// VerdictCommonCause means that a large part of a rack or pool ended at the same time.
+	VerdictCommonCause Verdict = "commonCause"
+)
+
+// Ending describes the end of a worker instance.
+type Ending struct {
+	// ConnectionClosed is true if the worker's side closed or refused a connection without a response, and no order was
+	// answered since.
+	ConnectionClosed bool
+	// Replaced is true if a later instance has started at the worker's name, address or VM.
+	Replaced bool
+	// Expected is true if the worker was draining or its VM was under maintenance.
+	Expected bool
+	// At is when the first order failed since the last response.
+	At time.Duration
+	// Domains holds the rack and the pool of the worker.
+	Domains  []FailureDomain
+	Attempts []Attempt
+}
+
+// FailureDomain is a group of workers that may fail together.
+type FailureDomain struct {
+	Workers int
+	// Crashes holds the times at which workers of the group, this one included, stopped responding with a closed connection.
+	Crashes []time.Duration
+}
+
+// Attempt is an attempt that has not ended before its worker.
+type Attempt struct {
+	Run scheduler.RunID
+	// Sent is true if the worker may have received the start order from this leader. Adopted is true if an earlier leader
+	// may have started the attempt, at an unknown time. If neither is, the attempt has not started.
+	Sent    bool
+	Adopted bool
+	// Accepted is true if the worker is known to have run the attempt, since at or before Since.
+	Accepted bool
+	Since    time.Duration
+	// Suspect is true if the task is suspected because of earlier crashes.
+	Suspect bool
+	// Marked is how an earlier leader, which saw the connection being closed, would have blamed the attempt. It is empty if
+	// there is none.
+	Marked scheduler.EndKind
+}
+
+// Decision is the result of Classify.
+type Decision struct {
+	verdict  Verdict
+	kinds    map[scheduler.RunID]scheduler.EndKind
+	starting int
+	suspects int
+}
+
+// Verdict returns what the end of the instance was.
+func (decision Decision) Verdict() Verdict { return decision.verdict }
+
+// Kind returns the kind of the end of an attempt.
+func (decision Decision) Kind(run scheduler.RunID) scheduler.EndKind {
+	if kind, blamed := decision.kinds[run]; blamed {
+		return kind
+	}
+	return scheduler.EndLost
+}
+
+// Blamed returns the attempts that are blamed, in no particular order.
+func (decision Decision) Blamed() []scheduler.RunID { return slices.Collect(maps.Keys(decision.kinds)) }
+
+// Starting returns the number of attempts that were starting.
+func (decision Decision) Starting() int { return decision.starting }
+
+// Suspects returns the number of attempts of suspects that had not survived.
+func (decision Decision) Suspects() int { return decision.suspects }
+
+// Classify decides whether the end of an instance was a crash, and which attempts are blamed. The likely causes are the
+// attempts that started within immediateWindow, or without those within StartWindow. All others that have not survived get
+// the weaker blame, because a task may also crash its worker later, unless a suspect is the only likely cause. So each crash
+// adds to the blame of its cause. If many workers crashed at once, all get the weaker blame: it adds up for tasks that crash
+// their workers, wait for them together and start together again, but not for those that are hit by such a loss once.
+func Classify(ending *Ending) Decision {
+	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
+	decision.count(ending)
+	window, certain := StartWindow, false
+	if len(ending.startedWithin(immediateWindow)) > 0 {
+		window = immediateWindow
+	}
+	if likely := ending.startedWithin(window); len(likely) == 1 {
+		certain = likely[0].Suspect
+	}
+	for position := range ending.Attempts {
+		attempt := &ending.Attempts[position]
+		switch {
+		case attempt.Marked != "" && attempt.Adopted && !ending.Expected:
+			decision.kinds[attempt.Run] = attempt.Marked
+		case !decision.isCrash():
+		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
+			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
+		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Sent || attempt.Adopted):
+			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
+		}
+	}
+	return decision
+}
+
+// isCrash reports whether processes crashed, be it for a common cause.
+func (decision Decision) isCrash() bool {
+	return decision.verdict == VerdictCrash || decision.verdict == VerdictCommonCause
+}
+
+// count counts the attempts that were starting and those of suspects.
+func (decision *Decision) count(ending *Ending) {
+	decision.starting = len(ending.startedWithin(StartWindow))
+	for position := range ending.Attempts {
+		if attempt := &ending.Attempts[position]; attempt.Suspect && !attempt.hasSurvived(ending.At) {
+			decision.suspects++
+		}
+	}
+}
+
+// startedWithin returns the attempts that were starting at the end of the instance, or had started within a window before.
+func (ending *Ending) startedWithin(window time.Duration) []*Attempt {
+	var attempts []*Attempt
+	for position := range ending.Attempts {
+		if attempt := &ending.Attempts[position]; attempt.startedWithin(window, ending.At) {
+			attempts = append(attempts, attempt)
+		}
+	}
+	return attempts
+}
+
+func (ending *Ending) verdict() Verdict {
+	switch {
+	case ending.Expected:
+		return VerdictExpected
+	case !ending.ConnectionClosed:
+		return VerdictSilent
+	case !ending.Replaced:
+		return VerdictNoNextInstance
+	}
+	for _, domain := range ending.Domains {
+		if domain.hasCommonCause(ending.At) {
+			return VerdictCommonCause
+		}
+	}
+	return VerdictCrash
+}
+
+// hasCommonCause reports whether a large part of the domain crashed at about the given time.
+func (domain *FailureDomain) hasCommonCause(at time.Duration) bool {
+	crashes := 0
+	for _, other := range domain.Crashes {
+		if (other - at).Abs() <= commonCauseWindow {
+			crashes++
+		}
+	}
+	return crashes >= commonCauseCrashes && 2*crashes >= domain.Workers
+}
+
+// startedWithin reports whether the attempt was starting at the given time, or had started within a window before.
+func (attempt *Attempt) startedWithin(window, at time.Duration) bool {
+	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < window)
+}
+
+func (attempt *Attempt) hasSurvived(at time.Duration) bool {
+	return attempt.Accepted && at-attempt.Since >= SurvivalTime
+}
--- a/internal/jobs/handler/cancellation_test.go
+++ b/internal/jobs/handler/cancellation_test.go
@@ -61,8 +61,8 @@
 			t.Errorf("got %+v for the submission, want status %s", got, StatusDone)
 		}
 	}
-	if got, _ := handler.job(&testQueue, "job"); got != scheduler.WorkflowCancelled {
-		t.Errorf("got job state %s, want %s", got, scheduler.WorkflowCancelled)
+	if got, _ := handler.job(&testQueue, "job"); got.JobState != scheduler.WorkflowCancelled {
+		t.Errorf("got job state %s, want %s", got.JobState, scheduler.WorkflowCancelled)
 	}
 	handler.keeper.View(func(state *jobkeeper.State) {
 		if got := state.ReadyCount(); got != 0 {
@@ -84,8 +84,8 @@
 	if got := handler.cancel(t.Context(), cancellation); got.Status != StatusNoJob {
 		t.Errorf("got %+v, want status %s", got, StatusNoJob)
 	}
-	if got, _ := handler.job(&testQueue, "job"); got != scheduler.WorkflowQueued {
-		t.Errorf("got job state %s, want %s", got, scheduler.WorkflowQueued)
+	if got, _ := handler.job(&testQueue, "job"); got.JobState != scheduler.WorkflowQueued {
+		t.Errorf("got job state %s, want %s", got.JobState, scheduler.WorkflowQueued)
 	}
 }
 
@@ -102,7 +102,7 @@
 	if got := handler.cancel(t.Context(), &JobRequest{Route: testRoute, Job: "job"}); got.Status != StatusDone {
 		t.Errorf("got %+v, want status %s", got, StatusDone)
 	}
-	if got, _ := handler.job(&renamed, "job"); got != scheduler.WorkflowCancelled {
-		t.Errorf("got job state %s, want %s", got, scheduler.WorkflowCancelled)
+	if got, _ := handler.job(&renamed, "job"); got.JobState != scheduler.WorkflowCancelled {
+		t.Errorf("got job state %s, want %s", got.JobState, scheduler.WorkflowCancelled)
 	}
 }
--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -203,19 +203,20 @@
 	return response
 }
 
-// job returns the state of a job of a queue. A queue with another name for the same host and path is the renamed queue of
-// the job.
-func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (state scheduler.WorkflowState, found bool) {
+// job returns the response to a query of a job. A queue with another name for the same host and path is the renamed queue
+// of the job.
+func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (response Response, found bool) {
 	handler.keeper.View(func(view *jobkeeper.State) {
 		job, known := view.Job(id)
 		if !known {
 			return
 		}
 		if submitted := job.Queue(); submitted.Name == queue.Name || submitted.HasRouteOf(queue) {
-			state, found = job.State(), true
+			found = true
+			response = Response{Status: StatusDone, JobState: job.State(), FailureReason: job.FailureReason()}
 		}
 	})
-	return state, found
+	return response, found
 }
 
 func (handler *Handler) state(request *JobRequest) Response {
@@ -223,14 +224,14 @@
 	if queue == nil {
 		return response
 	}
-	state, found := handler.job(queue, request.Job)
+	response, found := handler.job(queue, request.Job)
 	if !handler.overseer.IsLeader() {
 		return errorResponse(StatusUnavailable, "this VM lost the leadership during the request", leaderRetry)
 	}
 	if !found {
 		return errorResponse(StatusNoJob, "the job does not exist", 0)
 	}
-	return Response{Status: StatusDone, JobState: state}
+	return response
 }
 
 func (handler *Handler) queueLength(request *QueueRoute) Response {
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -34,6 +34,12 @@
 		return Result{Status: StatusDone}
 	case command.Evacuate != nil:
 		return Result{Status: state.evacuate(command.Evacuate)}
+	case command.ClearBlame != nil:
+		return Result{Status: state.clearBlame(command.ClearBlame)}
+	case command.Carry != nil:
+		return Result{Status: state.carry(command.Carry)}
+	case command.Mark != nil:
+		return Result{Status: state.mark(command.Mark)}
 	}
 	return Result{Status: StatusInvalid}
 }
@@ -143,6 +149,7 @@
 // finish sets the final state of a job. The leader stops attempts that are still running.
 func (state *State) finish(job *Job, final scheduler.WorkflowState) {
 	state.changeState(job, final)
+	state.dropBlames(job)
 	delete(state.repeated, job.id)
 	for _, occurrence := range job.occurrences {
 		for _, step := range occurrence.steps {
@@ -209,7 +216,7 @@
 	spec := task.step.Spec()
 	switch {
 	case speculative:
-		return spec.Speculative && len(task.runs) == 1
+		return spec.Speculative && len(task.runs) == 1 && !task.IsSuspect()
 	case spec.Gang:
 		_, placing := gangs[task.step]
 		return len(task.runs) == 0 && (placing || task.step.hasNoAttempts())
@@ -277,6 +284,7 @@
 		state.finishLate(task, end)
 		return
 	}
+	end.Kind = task.runs[position].blamedKind(end.Kind)
 	state.removeRun(task.runs[position])
 	task.saveCheckpoint(end.Checkpoint)
 	if !job.state.Ended() && !task.finished {
@@ -286,6 +294,10 @@
 		case scheduler.EndFailed:
 			state.failTask(task)
 		default:
+			state.blameTask(task, end.Kind)
+		}
+		if len(task.runs) == 0 {
+			state.giveUpIfBlamed(task)
 		}
 	}
 	if job.occurrences != nil && !job.state.Ended() {
@@ -342,6 +354,7 @@
 			}
 		}
 		member.finished = true
+		state.setBlame(member, blame{})
 		member.step.unfinished--
 		state.updateTaskIndexes(member)
 	}
--- /dev/null
+++ b/internal/jobs/jobkeeper/blame.go
@@ -0,0 +1,206 @@
+package jobkeeper
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Points for a crash of the worker under a task, and the number of points at which the task is given up. A task that was
+// starting is the likely cause of the crash; of several that were running, any may be.
+const (
+	PointsStarting = 2
+	PointsRunning  = 1
+	BlameLimit     = 4
+)
+
+// blame records the crashes of workers that a task may have caused.
+type blame struct {
+	points  int
+	crashes int
+}
+
+// blameTask adds the points for the end of an attempt. Ends that are not crashes add none.
+func (state *State) blameTask(task *Task, kind scheduler.EndKind) {
+	added := task.blame
+	switch kind {
+	case scheduler.EndCrashedStarting:
+		added.points += PointsStarting
+	case scheduler.EndCrashedRunning:
+		added.points += PointsRunning
+	default:
+		return
+	}
+	added.crashes++
+	state.setBlame(task, added)
+}
+
+func (state *State) setBlame(task *Task, next blame) {
+	task.blame = next
+	if next.points > 0 {
+		state.blamed[task] = struct{}{}
+	} else {
+		delete(state.blamed, task)
+	}
+}
+
+// VisitBlamed calls visit for every task with blame for crashes of workers, in no particular order.
+func (state *State) VisitBlamed(visit func(task *Task)) {
+	for task := range state.blamed {
+		visit(task)
+	}
+}
+
+// dropBlames removes the tasks of a job that has ended from the blamed tasks.
+func (state *State) dropBlames(job *Job) {
+	maps.DeleteFunc(state.blamed, func(task *Task, _ struct{}) bool { return task.step.occurrence.job == job })
+}
+
+// Carry records that an instance of a worker crashed under an attempt which its next instance may start all the same, so
+// that the attempt has not ended. It has no effect if the attempt has been carried to Instance before.
+type Carry struct {
+	_        struct{} `cbor:",toarray"`
+	Run      scheduler.RunID
+	Instance scheduler.Incarnation
+	// Kind is EndCrashedStarting or EndCrashedRunning.
+	Kind scheduler.EndKind
+}
+
+// Mark records that an attempt will be blamed if it is lost, because its worker closed a connection, so that a leader which
+// takes over before the next instance of the worker starts can blame it. An empty Kind clears the mark, once the instance
+// has responded.
+type Mark struct {
+	_    struct{} `cbor:",toarray"`
+	Run  scheduler.RunID
+	Kind scheduler.EndKind
+}
+
+func (state *State) mark(marks []Mark) Status {
+	for _, mark := range marks {
+		if run := state.openRun(mark.Run); run != nil {
+			run.mark = mark.Kind
+		}
+	}
+	return StatusDone
+}
+
+// blamedKind returns the kind of an end with regard to the mark of the attempt.
+func (run *Run) blamedKind(kind scheduler.EndKind) scheduler.EndKind {
+	if run.mark != "" && (kind == scheduler.EndLost || kind == scheduler.EndLeaseExpired) {
+		return run.mark
+	}
+	return kind
+}
+
+func (state *State) carry(carries []Carry) Status {
+	for _, carry := range carries {
+		run := state.openRun(carry.Run)
+		if run == nil || run.instance >= carry.Instance {
+			continue
+		}
+		run.instance, run.mark = carry.Instance, ""
+		task := run.task
+		if task.finished || task.step.occurrence.job.state.Ended() {
+			continue
+		}
+		state.blameTask(task, carry.Kind)
+		if len(task.runs) == 1 {
+			state.giveUpIfBlamed(task)
+		}
+	}
+	return StatusDone
+}
+
+// clearBlame clears the blame of tasks whose attempts have survived. Attempts that have ended clear nothing: their workers
+// may have crashed since.
+func (state *State) clearBlame(survivors []scheduler.RunID) Status {
+	for _, id := range survivors {
+		if run := state.openRun(id); run != nil {
+			state.setBlame(run.task, blame{})
+		}
+	}
+	return StatusDone
+}
+
+// openRun returns an attempt that has not ended, or nil.
+func (state *State) openRun(id scheduler.RunID) *Run {
+	task, found := state.task(id.Task)
+	if !found {
+		return nil
+	}
+	position := slices.IndexFunc(task.runs, func(run *Run) bool { return run.attempt == id.Attempt })
+	if position < 0 {
+		return nil
+	}
+	return task.runs[position]
+}
+
+// giveUpIfBlamed fails the job of a task that has reached the limit. The caller makes sure that no other attempt of the
+// task is running, which could still finish.
+func (state *State) giveUpIfBlamed(task *Task) {
+	job := task.step.occurrence.job
+	if task.blame.points < BlameLimit || task.finished || job.state.Ended() {
+		return
+	}
+	job.failureReason = fmt.Sprintf("task %d of step %d was given up: %d workers crashed while they ran it",
+		task.index, task.step.number, task.blame.crashes)
+	state.finish(job, scheduler.WorkflowFailed)
+}
+
+// storedBlame is the encoding of the blame of a task in a snapshot, storedFailure that of the reason of a failed job.
+// Attempts that are marked are stored as Mark.
+type (
+	storedBlame struct {
+		_       struct{} `cbor:",toarray"`
+		Task    scheduler.StepTaskID
+		Points  int
+		Crashes int
+	}
+	storedFailure struct {
+		_      struct{} `cbor:",toarray"`
+		Job    scheduler.JobID
+		Reason string
+	}
+)
+
+// storeBlames appends the blame and the failure reason of a job.
+func (stored *storedState) storeBlames(job *Job) {
+	if job.failureReason != "" {
+		stored.Failures = append(stored.Failures, storedFailure{Job: job.id, Reason: job.failureReason})
+	}
+	if job.state.Ended() {
+		return
+	}
+	for _, occurrence := range job.sortedOccurrences() {
+		for _, step := range occurrence.steps {
+			for _, task := range step.tasks {
+				for _, run := range task.runs {
+					if run.mark != "" {
+						stored.Marks = append(stored.Marks, Mark{Run: run.ID(), Kind: run.mark})
+					}
+				}
+				if task.blame != (blame{}) {
+					stored.Blames = append(stored.Blames, storedBlame{
+						Task: task.ID(), Points: task.blame.points, Crashes: task.blame.crashes,
+					})
+				}
+			}
+		}
+	}
+}
+
+func (state *State) restoreBlames(stored *storedState) {
+	state.mark(stored.Marks)
+	for _, stored := range stored.Blames {
+		if task, found := state.task(stored.Task); found {
+			state.setBlame(task, blame{points: stored.Points, crashes: stored.Crashes})
+		}
+	}
+	for _, stored := range stored.Failures {
+		if job := state.jobs[stored.Job]; job != nil {
+			job.failureReason = stored.Reason
+		}
+	}
+}
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -21,6 +21,9 @@
 	finished int
 	// runs is the number of attempts that have not ended.
 	runs int
+	// failureReason is why the job was given up. It is empty if the job has not failed, or failed because a task failed as
+	// often as its queue allows.
+	failureReason string
 }
 
 // ID returns the id of the job.
@@ -41,6 +44,20 @@
 // State returns the state that is visible to callers.
 func (job *Job) State() scheduler.WorkflowState { return job.state }
 
+// FailureReason returns why the job has failed, in a sentence for people. It is empty if the job has not failed.
+func (job *Job) FailureReason() string {
+	switch {
+	case job.state != scheduler.WorkflowFailed:
+		return ""
+	case job.failureReason == "":
+		return "a task failed as often as its queue allows"
+	}
+	return job.failureReason
+}
+
+// GivenUp reports whether the job has failed because workers crashed under one of its tasks.
+func (job *Job) GivenUp() bool { return job.failureReason != "" }
+
 // Running returns the number of attempts of the job that have not ended.
 func (job *Job) Running() int { return job.runs }
 
@@ -128,6 +145,7 @@
 	attempt    scheduler.AttemptNumber
 	checkpoint string
 	runs       []*Run
+	blame      blame
 }
 
 // ID returns the id of the task.
@@ -149,6 +167,12 @@
 // Checkpoint returns the latest checkpoint of the task, or an empty string if there is none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
+// Blame returns the points that the task has for crashes of workers.
+func (task *Task) Blame() int { return task.blame.points }
+
+// IsSuspect reports whether the task is suspected of crashing workers.
+func (task *Task) IsSuspect() bool { return task.blame.points >= PointsStarting }
+
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
 
@@ -164,6 +188,8 @@
 	attempt  scheduler.AttemptNumber
 	worker   scheduler.WorkerName
 	instance scheduler.Incarnation
+	// mark is the kind of end that counts if the attempt is lost, empty if its worker is not known to have crashed.
+	mark scheduler.EndKind
 }
 
 // ID returns the id of the attempt.
@@ -177,6 +203,9 @@
 // Worker returns the worker on which the attempt was placed.
 func (run *Run) Worker() scheduler.WorkerName { return run.worker }
 
+// Mark returns how the attempt is blamed if it is lost, or an empty kind, see Mark.
+func (run *Run) Mark() scheduler.EndKind { return run.mark }
+
 // Instance returns the incarnation of the worker on which the attempt was placed.
 func (run *Run) Instance() scheduler.Incarnation { return run.instance }
 
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -10,13 +10,13 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// Versions of the snapshot format. Version 1 had no waves, version 2 no evacuations and version 3 no withdrawals. Version
-// 4 is reserved.
+// Versions of the snapshot format. Version 1 had no waves, version 2 no evacuations, and version 3 neither blame for
+// crashes of workers nor withdrawals.
 const (
 	snapshotFormat1 = 1
 	snapshotFormat2 = 2
 	snapshotFormat3 = 3
-	snapshotFormat5 = 5
+	snapshotFormat4 = 4
 )
 
 // The types below define the encoding of a snapshot. Lists have a fixed order, so that equal states have equal
@@ -29,6 +29,9 @@
 	Jobs          []storedJob
 	Waves         []storedWave
 	Evacuations   []storedEvacuation
+	Blames        []storedBlame
+	Failures      []storedFailure
+	Marks         []Mark
 	Withdrawals   []storedWithdrawal
 }
 
@@ -132,7 +135,7 @@
 // encodable returns the state in the oldest format that can hold it, so that an earlier build can read the snapshots of
 // a domain that does not use what was added later.
 func (stored storedState) encodable() any {
-	if len(stored.Withdrawals) > 0 {
+	if len(stored.Blames)+len(stored.Failures)+len(stored.Marks)+len(stored.Withdrawals) > 0 {
 		return stored
 	}
 	if len(stored.Evacuations) > 0 {
@@ -151,7 +154,7 @@
 func decodeSnapshot(data []byte) (*storedState, error) {
 	var stored storedState
 	err := encoder.Unmarshal(data, &stored)
-	if err == nil && stored.Format == snapshotFormat5 {
+	if err == nil && stored.Format == snapshotFormat4 {
 		return &stored, nil
 	}
 	if earlier := decodeEarlierFormat(data); earlier != nil {
@@ -160,7 +163,7 @@
 	if err != nil {
 		return nil, Error.New("cannot decode the snapshot: %w", err)
 	}
-	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat5)
+	return nil, Error.New("the snapshot has format %d; this build reads formats up to %d", stored.Format, snapshotFormat4)
 }
 
 // decodeEarlierFormat decodes a snapshot of an earlier format version. It returns nil for any other snapshot.
@@ -168,21 +171,21 @@
 	var version3 storedStateV3
 	if encoder.Unmarshal(data, &version3) == nil && version3.Format == snapshotFormat3 {
 		return &storedState{
-			Format: snapshotFormat5, Configuration: version3.Configuration, Sequence: version3.Sequence, Jobs: version3.Jobs,
+			Format: snapshotFormat4, Configuration: version3.Configuration, Sequence: version3.Sequence, Jobs: version3.Jobs,
 			Waves: version3.Waves, Evacuations: version3.Evacuations,
 		}
 	}
 	var version2 storedStateV2
 	if encoder.Unmarshal(data, &version2) == nil && version2.Format == snapshotFormat2 {
 		return &storedState{
-			Format: snapshotFormat5, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
+			Format: snapshotFormat4, Configuration: version2.Configuration, Sequence: version2.Sequence, Jobs: version2.Jobs,
 			Waves: version2.Waves,
 		}
 	}
 	var version1 storedStateV1
 	if encoder.Unmarshal(data, &version1) == nil && version1.Format == snapshotFormat1 {
 		return &storedState{
-			Format: snapshotFormat5, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
+			Format: snapshotFormat4, Configuration: version1.Configuration, Sequence: version1.Sequence, Jobs: version1.Jobs,
 		}
 	}
 	return nil
@@ -190,11 +193,12 @@
 
 func (state *State) store() storedState {
 	stored := storedState{
-		Format: snapshotFormat5, Configuration: state.configuration, Sequence: state.sequence,
+		Format: snapshotFormat4, Configuration: state.configuration, Sequence: state.sequence,
 		Evacuations: state.storeEvacuations(), Withdrawals: state.storeWithdrawals(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.jobs)) {
 		stored.Jobs = append(stored.Jobs, state.jobs[id].store())
+		stored.storeBlames(state.jobs[id])
 	}
 	for _, wave := range state.waves {
 		stored.Waves = append(stored.Waves, wave.store())
@@ -207,9 +211,9 @@
 		ID: job.id, Queue: job.queue, Workflow: job.workflow, Accepted: job.accepted, Sequence: job.sequence,
 		State: job.state, Started: job.started, Finished: job.finished,
 	}
-	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
-		occurrence := storedOccurrence{Number: number}
-		for _, step := range job.occurrences[number].steps {
+	for _, started := range job.sortedOccurrences() {
+		occurrence := storedOccurrence{Number: started.number}
+		for _, step := range started.steps {
 			occurrence.Steps = append(occurrence.Steps, step.store())
 		}
 		stored.Occurrences = append(stored.Occurrences, occurrence)
@@ -217,6 +221,15 @@
 	return stored
 }
 
+// sortedOccurrences returns the occurrences that have started, in order.
+func (job *Job) sortedOccurrences() []*Occurrence {
+	occurrences := make([]*Occurrence, 0, len(job.occurrences))
+	for _, number := range slices.Sorted(maps.Keys(job.occurrences)) {
+		occurrences = append(occurrences, job.occurrences[number])
+	}
+	return occurrences
+}
+
 func (stepState *StepState) store() storedStep {
 	stored := storedStep{Failures: stepState.failures, Attempt: stepState.attempt}
 	for _, task := range stepState.tasks {
@@ -244,6 +257,7 @@
 	}
 	state.restoreEvacuations(stored.Evacuations)
 	state.restoreWithdrawals(stored.Withdrawals)
+	state.restoreBlames(stored)
 	return state
 }
 
--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -157,7 +157,7 @@
 	for _, instance := range leadership.instances {
 		if instance.heartbeat.Pool == pool && instance.acceptsWork(now, heartbeatTimeout) &&
 			!leadership.isInMaintenance(instance) && !leadership.isInEvacuatedDataCentre(instance) {
-			ranking = append(ranking, ranked{key: instance.key(), slack: instance.usageSummary().slack})
+			ranking = append(ranking, ranked{key: instance.key(), slack: instance.usageSummary(now).slack})
 		}
 	}
 	slices.SortFunc(ranking, func(a, b ranked) int {
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -32,6 +32,17 @@
 	heldIdle     tally.Counter
 	reservedWait tally.Histogram
 
+	// suspectsWaiting counts the waiting tasks under which workers have crashed, workersKept the workers that are kept free
+	// of other starts for them.
+	suspectsWaiting tally.Gauge
+	workersKept     tally.Gauge
+	// crashes counts the crashes of workers, blamedStarting and blamedRunning the attempts that were blamed for them, and
+	// givenUp the jobs that failed because of them.
+	crashes        tally.Counter
+	blamedStarting tally.Counter
+	blamedRunning  tally.Counter
+	givenUp        tally.Counter
+
 	evacuation evacuationMetrics
 	admission  *admissionMetrics
 }
@@ -49,8 +60,12 @@
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
-		evacuation:   newEvacuationMetrics(scope),
-		admission:    newAdmissionMetrics(scope),
+		crashes:      scope.Counter("worker_crashes"), givenUp: scope.Counter("jobs_given_up"),
+		blamedStarting:  scope.Tagged(map[string]string{"kind": "starting"}).Counter("attempts_blamed"),
+		blamedRunning:   scope.Tagged(map[string]string{"kind": "running"}).Counter("attempts_blamed"),
+		suspectsWaiting: scope.Gauge("suspects_waiting"), workersKept: scope.Gauge("workers_kept_for_suspects"),
+		evacuation: newEvacuationMetrics(scope),
+		admission:  newAdmissionMetrics(scope),
 	}
 }
 
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -115,6 +115,7 @@
 	leadership.mutex.Lock()
 	instance.consecutiveFailures++
 	instance.renewalAnswered = false
+	leadership.recordFailure(instance, err)
 	failures := instance.consecutiveFailures
 	leadership.mutex.Unlock()
 	if failures == 1 {
@@ -185,6 +186,7 @@
 		leadership.updateRunning(instance, running)
 	}
 	ends = append(ends, leadership.collectMissing(instance, listed, sent)...)
+	leadership.clearMarks(instance)
 	instance.synced, instance.renewalAnswered = true, true
 	leadership.adjustShares(instance)
 	return ends, true
@@ -268,7 +270,8 @@
 
 // collectMissing handles attempts that a worker reports neither as running nor as ended. If the last order about an
 // attempt was answered before the report was requested, the attempt is not running and will not start, so its loss is
-// returned. For an attempt of an earlier leader the start order is repeated, because it may never have been sent.
+// returned. For an attempt of an earlier leader or instance the start order is repeated, because it may never have been sent.
+// A suspect is placed again instead, because other attempts may be starting on the worker.
 func (leadership *leadership) collectMissing(
 	instance *worker, listed map[scheduler.RunID]bool, sent time.Duration,
 ) []jobkeeper.End {
@@ -279,7 +282,11 @@
 		}
 		switch attempt.state {
 		case attemptUnknown:
-			attempt.state = attemptStarting
+			if attempt.withdrawn || leadership.isSuspectAttempt(id, attempt) {
+				leadership.stopAttempt(instance, id, "a worker crashed under the task")
+				continue
+			}
+			attempt.state, attempt.adopted = attemptStarting, false
 			leadership.goroutines.Go(func() { leadership.start(instance, id) })
 		case attemptRunning, attemptStopped:
 			if attempt.settledAt < sent && !attempt.startOutstanding {
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -36,6 +36,10 @@
 	backoffUntil time.Duration
 	// consecutiveFailures counts consecutive orders that got no response, or none that the overseer can use.
 	consecutiveFailures int
+	// failingSince is when the first order failed since the last response, zero if none did. connectionClosed is true if
+	// one of them failed because the worker's side closed, reset or refused the connection.
+	failingSince     time.Duration
+	connectionClosed bool
 	// synced is true once the worker has answered a renewal of this term. From then on its running attempts are
 	// known, and it rejects orders of earlier leaders.
 	synced bool
@@ -61,6 +65,15 @@
 	startOutstanding bool
 	// startUnanswered is true if a start order got no response and may therefore take effect later.
 	startUnanswered bool
+	// startSending is true while a start order is being sent.
+	startSending bool
+	// adopted is true if an earlier leader may have started the attempt, at a time that this one does not know.
+	adopted bool
+	// mark is the replicated mark of the attempt, see jobkeeper.Mark.
+	mark scheduler.EndKind
+	// withdrawn is true if the attempt is blamed for the crash of an earlier instance of its worker. Unless it is running
+	// already, it is not started on this instance, so that its task is placed again with the caution that a suspect needs.
+	withdrawn bool
 	// mayHaveStarted is true if this leadership did not place the attempt, or placed it on an earlier instance. A start
 	// order from then may still take effect.
 	mayHaveStarted bool
@@ -69,6 +82,8 @@
 	starved bool
 	// reported is true once this instance of the worker has reported the attempt as running.
 	reported bool
+	// suspect is true if the task was suspected of crashing workers when the attempt was launched.
+	suspect bool
 	// recordingEnd is true while the end of the attempt is being recorded.
 	recordingEnd bool
 	spec         scheduler.Step
@@ -172,6 +187,7 @@
 // recordResponse records that the worker has answered an order.
 func (worker *worker) recordResponse(now time.Duration) {
 	worker.lastResponse, worker.consecutiveFailures = now, 0
+	worker.failingSince, worker.connectionClosed = 0, false
 }
 
 // retryDelay returns the delay after the given number of unanswered orders.
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -138,6 +138,10 @@
 	EndLost EndKind = "lost"
 	// EndRefused means that the worker never ran the attempt.
 	EndRefused EndKind = "refused"
+	// EndCrashedStarting means that the worker crashed while it started the attempt or shortly after.
+	EndCrashedStarting EndKind = "crashedStarting"
+	// EndCrashedRunning means that the worker crashed while the attempt was running and none was starting.
+	EndCrashedRunning EndKind = "crashedRunning"
 )
 
 // AttemptEnd reports the end of an attempt on a called worker. It is a wire type.
@@ -163,7 +167,8 @@
 // WorkerClient sends orders to called workers. An order takes effect only on the instance that the WorkerRef
 // identifies: a later instance, which may have the same name and address, returns OrderIncarnationMismatch. An
 // error of class ErrNotRun means that the order did not reach the worker; after any other error it may still
-// take effect, even seconds later. It is safe for concurrent use.
+// take effect, even seconds later. An error of class ErrConnectionClosed means that the worker's side ended the
+// connection, as it does when its process exits. It is safe for concurrent use.
 type WorkerClient interface {
 	// Start runs an attempt. It is idempotent: a repeated order is accepted while the attempt is running.
 	Start(ctx context.Context, worker WorkerRef, order StartOrder) (OrderResponse, error)
