--- a/internal/jobs/overseer/cancellation_test.go
+++ b/internal/jobs/overseer/cancellation_test.go
@@ -120,6 +120,8 @@
 				time.Sleep(20 * time.Second)
 				stop()
 				time.Sleep(20 * time.Second)
+				simulation.fleet.mutex.Lock()
+				defer simulation.fleet.mutex.Unlock()
 				for _, violation := range simulation.fleet.violations {
 					t.Error(violation)
 				}
