dispatcher: give up tasks that crash worker after worker

Users saw: a task that ends the worker that runs it was placed again for ever; its job and the jobs beside it did not end.

Cause: an attempt that ends with its worker is lost, and only failures that a worker reports count against a task.

Change: when a worker returns with a later incarnation within 10 s of its last sync, the attempts that may have ended it are blamed: 2 points if just started, 1 point if they have not survived for 30 s. At 4 points the task fails, and the job shows why. A drained worker, a longer silence, a start that was not sent and a worker that the leader has not seen before are no evidence. A task with 2 points or more starts apart from others; the last point needs a crash that no other attempt can have caused, for which a task with 3 points runs apart until it has survived. Blame is part of the replicated state; a task without blame is encoded as before. The emulator learns tasks that crash their worker.

--- a/internal/jobs/dispatcher/attempts.go
+++ b/internal/jobs/dispatcher/attempts.go
@@ -123,6 +123,7 @@
 		task.Checkpoint, task.CheckpointedAt = end.Checkpoint, at
 	}
 	worker, state, reason := task.Worker, task.State, task.Reason
+	task.blame(end, at)
 	machine.vacate(task)
 	switch {
 	case end.Outcome == scheduler.AttemptFinished:
@@ -131,8 +132,11 @@
 		task.transition(TaskCancelled, at, reason)
 	case end.Outcome == scheduler.AttemptFailed:
 		machine.failAttempt(task, worker, end.Message, at)
+	case task.Blame >= blameLimit:
+		machine.giveUp(task, endReason(end, worker, state, reason), at)
 	default:
-		task.WorkerLost = end.Outcome == scheduler.AttemptExpired || end.Outcome == scheduler.AttemptLost
+		task.WorkerLost = end.Outcome == scheduler.AttemptExpired || end.Outcome == scheduler.AttemptLost ||
+			crashPoints(end.Outcome) > 0
 		machine.nextAttempt(task, at, endReason(end, worker, state, reason))
 	}
 	if task.ended() {
--- a/internal/jobs/dispatcher/command.go
+++ b/internal/jobs/dispatcher/command.go
@@ -125,6 +125,8 @@
 	Outcome    scheduler.AttemptOutcome `cbor:"outcome"`
 	Checkpoint string                   `cbor:"checkpoint,omitempty"`
 	Message    string                   `cbor:"message,omitempty"`
+	// SoleCause means that no other attempt can have caused the crash of the worker.
+	SoleCause bool `cbor:"soleCause,omitempty"`
 }
 
 // WaitReason records why a pending task has not been placed.
--- a/internal/jobs/dispatcher/engine.go
+++ b/internal/jobs/dispatcher/engine.go
@@ -75,9 +75,12 @@
 	// expiring means that the lease is no longer renewed, even if proposing its End operation failed.
 	expiring bool
 	// stopRequestedAt is when the worker was first told to stop the attempt. It is zero until then.
-	stopRequestedAt     time.Time
-	throttled           bool
-	checkpointRequested bool
+	stopRequestedAt time.Time
+	// startSentAt is when the start command was first sent, heldSince when it was first held back. They are zero
+	// until then, and for attempts that an earlier leader has started.
+	startSentAt, heldSince time.Time
+	throttled              bool
+	checkpointRequested    bool
 }
 
 // workerSession is the unreplicated state of the sync exchanges with a worker.
@@ -85,6 +88,10 @@
 	incarnation scheduler.Incarnation
 	sequence    uint64
 	lastSync    time.Time
+	// previous is the incarnation before the current one, previousSync its last sync and returned the first sync of
+	// the current one. They are zero if this leader has seen only one.
+	previous               scheduler.Incarnation
+	previousSync, returned time.Time
 }
 
 // Option configures an Engine.
--- a/internal/jobs/dispatcher/state.go
+++ b/internal/jobs/dispatcher/state.go
@@ -114,15 +114,17 @@
 	CheckpointNumber uint32 `cbor:"savedNumber,omitempty"`
 	// CheckpointedAt, NotBefore and Since are times in Unix milliseconds. The task is not placed before
 	// NotBefore, which is set by the back-off after a failure. Since is when the task entered its state.
-	CheckpointedAt int64                  `cbor:"saved,omitempty"`
-	NotBefore      int64                  `cbor:"notBefore,omitempty"`
-	Since          int64                  `cbor:"since"`
-	Failures       uint32                 `cbor:"failures,omitempty"`
-	Evictions      uint32                 `cbor:"evictions,omitempty"`
-	WorkerLost     bool                   `cbor:"replaced,omitempty"`
-	Reason         string                 `cbor:"reason,omitempty"`
-	Avoid          []scheduler.WorkerName `cbor:"avoid,omitempty"`
-	Events         []Event                `cbor:"events,omitempty"`
+	CheckpointedAt int64  `cbor:"saved,omitempty"`
+	NotBefore      int64  `cbor:"notBefore,omitempty"`
+	Since          int64  `cbor:"since"`
+	Failures       uint32 `cbor:"failures,omitempty"`
+	Evictions      uint32 `cbor:"evictions,omitempty"`
+	WorkerLost     bool   `cbor:"replaced,omitempty"`
+	// Blame counts the crashes of workers that the task may have caused since an attempt last survived.
+	Blame  uint32                 `cbor:"blame,omitempty"`
+	Reason string                 `cbor:"reason,omitempty"`
+	Avoid  []scheduler.WorkerName `cbor:"avoid,omitempty"`
+	Events []Event                `cbor:"events,omitempty"`
 
 	job *job
 }
--- a/internal/jobs/dispatcher/sync.go
+++ b/internal/jobs/dispatcher/sync.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -16,7 +17,8 @@
 	if err != nil {
 		return nil, err
 	}
-	operations, stale := engine.machine.reportedOperations(request, term)
+	crashOutcomes := engine.crashOutcomes(request)
+	operations, stale := engine.machine.reportedOperations(request, term, crashOutcomes)
 	if stale {
 		return nil, Error.Wrap(scheduler.ErrNotRun.New("a later incarnation of worker %s has leases", request.Worker))
 	}
@@ -30,6 +32,10 @@
 				return nil, Error.Wrap(scheduler.ErrNotRun.New("%s", result.Reason))
 			}
 		}
+		if len(crashOutcomes) > 0 {
+			engine.log.Warn().Str("event", "workerCrashed").Str("worker", string(request.Worker)).
+				Int("suspects", len(crashOutcomes)).Msg("worker crashed; attempts that may have caused it are blamed")
+		}
 		if ended := recordedEnds(operations, results); len(ended) > 0 {
 			engine.endedHandler(request.Worker, ended)
 		}
@@ -74,6 +80,9 @@
 		return 0, Error.Wrap(scheduler.ErrNotRun.New("sync request %d of worker %s is outdated",
 			request.Sequence, request.Worker))
 	}
+	if known.incarnation != 0 && request.Incarnation > known.incarnation {
+		known.previous, known.previousSync, known.returned = known.incarnation, known.lastSync, time.Now()
+	}
 	known.incarnation, known.sequence, known.lastSync = request.Incarnation, request.Sequence, time.Now()
 	return engine.term, nil
 }
@@ -107,10 +116,11 @@
 	}
 	running := sortedLeases(request.Running)
 	response.Renewed = make([]scheduler.LeaseNumber, 0, len(running))
+	held := engine.heldStarts(known.tasks, running, now)
 	for _, task := range known.tasks {
 		if task.Incarnation == request.Incarnation {
-			_, running := slices.BinarySearch(running, task.Lease)
-			engine.updateLease(response, request, task, running, now)
+			_, isHeld := held[task.Lease]
+			engine.updateLease(response, request, task, leaseReport{running: isListed(running, task.Lease), held: isHeld}, now)
 		}
 	}
 	return response, nil
@@ -124,11 +134,16 @@
 	return slices.Sorted(slices.Values(leases))
 }
 
-// updateLease renews a lease of the worker and adds the command that is required by its state. running reports whether
-// the worker listed the attempt as running.
+// leaseReport states whether the worker listed an attempt as running, and whether its start command must wait.
+type leaseReport struct {
+	running, held bool
+}
+
+// updateLease renews a lease of the worker and adds the command that is required by its state.
 func (engine *Engine) updateLease(
-	response *scheduler.SyncResponse, request *scheduler.SyncRequest, task *task, running bool, now time.Time,
+	response *scheduler.SyncResponse, request *scheduler.SyncRequest, task *task, report leaseReport, now time.Time,
 ) {
+	running := report.running
 	leaseState, ok := engine.leases[task.Lease]
 	if !ok {
 		leaseState = engine.renew(task.Lease, now)
@@ -146,7 +161,13 @@
 	switch {
 	case leaseState.expiring || stops:
 		command.Kind, command.Grace = scheduler.CommandStop, engine.grace
+	case report.held:
+		leaseState.deadline = now.Add(engine.leaseDuration + engine.leaseMargin)
+		return
 	case !running && task.State == TaskStarting:
+		if leaseState.startSentAt.IsZero() {
+			leaseState.startSentAt = now
+		}
 		command.Kind, command.Task, command.Attempt = scheduler.CommandStart, task.ID, task.Attempt
 		command.Spec, command.Checkpoint = task.spec(), task.Checkpoint
 		leaseState.deadline = now.Add(engine.leaseDuration + engine.leaseMargin)
@@ -171,6 +192,7 @@
 // lease is not renewed and expires.
 func (machine *Machine) reportedOperations(
 	request *scheduler.SyncRequest, term scheduler.Term,
+	crashOutcomes map[scheduler.LeaseNumber]crashBlame,
 ) (operations []Operation, stale bool) {
 	machine.mutex.RLock()
 	defer machine.mutex.RUnlock()
@@ -184,7 +206,10 @@
 		case task.Incarnation > request.Incarnation:
 			return nil, true
 		case task.Incarnation < request.Incarnation:
-			operations = append(operations, Operation{Term: term, End: &End{Lease: task.Lease, Outcome: scheduler.AttemptLost}})
+			crash := crashOutcomes[task.Lease]
+			operations = append(operations, Operation{Term: term, End: &End{
+				Lease: task.Lease, Outcome: cmp.Or(crash.outcome, scheduler.AttemptLost), SoleCause: crash.soleCause,
+			}})
 		case task.State == TaskStarting:
 			if _, ok := slices.BinarySearch(running, task.Lease); ok {
 				operations = append(operations, Operation{Term: term, Started: &Started{Lease: task.Lease}})
--- a/internal/trials/emulator/attempt.go
+++ b/internal/trials/emulator/attempt.go
@@ -57,6 +57,11 @@
 		return
 	}
 	now := worker.now()
+	if worker.crashes(now) {
+		worker.loseAttempts()
+		worker.downUntil = now + crashDowntime
+		return
+	}
 	worker.stopExpired(now)
 	for _, lease := range slices.Sorted(maps.Keys(worker.attempts)) {
 		worker.advance(worker.attempts[lease], now)
@@ -64,6 +69,19 @@
 	worker.closeUsageInterval(now)
 }
 
+// crashes reports whether an attempt makes the worker crash now.
+func (worker *Worker) crashes(now time.Duration) bool {
+	kind := worker.faults.CrashKind
+	for _, lease := range slices.Sorted(maps.Keys(worker.attempts)) {
+		attempt := worker.attempts[lease]
+		if kind != "" && attempt.spec.Kind == kind && now-attempt.startedAt >= worker.faults.CrashAfter {
+			attempt.execution.CrashedWorker = true
+			return true
+		}
+	}
+	return false
+}
+
 // stopExpired ends the attempts whose leases have expired by the worker's clock. They have had no effect since
 // the previous step.
 func (worker *Worker) stopExpired(now time.Duration) {
--- a/internal/trials/emulator/worker.go
+++ b/internal/trials/emulator/worker.go
@@ -25,6 +25,8 @@
 	stepPeriod = 100 * time.Millisecond
 	// usageDelay is the time between the end of a usage interval and its report.
 	usageDelay = 20 * time.Second
+	// crashDowntime is how long a worker is down after a crash.
+	crashDowntime = 3 * time.Second
 )
 
 // Exchange sends a worker's request to an entry VM and returns the response.
@@ -38,6 +40,10 @@
 	FailStarts bool
 	// FailKind makes every attempt of a task of this kind fail immediately after its start.
 	FailKind string
+	// CrashKind makes the worker crash CrashAfter after the start of a task of this kind. It is down for
+	// crashDowntime and returns with a new incarnation.
+	CrashKind  string
+	CrashAfter time.Duration
 	// IgnoreStop makes the worker ignore stop commands; it still stops attempts whose leases have expired.
 	IgnoreStop bool
 	// DropResponses discards the responses to requests that have reached the entry VM.
@@ -66,6 +72,8 @@
 	LastEffect  time.Time
 	// Outcome is empty while the attempt runs.
 	Outcome scheduler.AttemptOutcome
+	// CrashedWorker is true if the attempt made the worker crash.
+	CrashedWorker bool
 }
 
 // Worker emulates a worker and its agent. Its tasks do nothing but accumulate run time. It is safe for concurrent
@@ -81,6 +89,7 @@
 
 	mutex       sync.Mutex
 	faults      Faults
+	downUntil   time.Duration
 	createdAt   time.Time
 	incarnation scheduler.Incarnation
 	sequence    uint64
@@ -176,6 +185,10 @@
 func (worker *Worker) Restart() {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	worker.loseAttempts()
+}
+
+func (worker *Worker) loseAttempts() {
 	for _, lease := range slices.Sorted(maps.Keys(worker.attempts)) {
 		worker.attempts[lease].execution.Outcome = scheduler.AttemptLost
 	}
@@ -197,7 +210,7 @@
 // again with the next request.
 func (worker *Worker) Sync(ctx context.Context) {
 	worker.mutex.Lock()
-	if worker.faults.Frozen {
+	if worker.faults.Frozen || worker.now() < worker.downUntil {
 		worker.mutex.Unlock()
 		return
 	}
