isolator: share with other gateways which requests crash endpoints

Callers saw: a request that is sent again through the platform's balancer reaches another entry VM each time, and could crash two endpoints for each of them.

Change: a gateway sends the blame of a request to all other gateways when it counts it.

--- a/internal/operating/composer/gatewayrole.go
+++ b/internal/operating/composer/gatewayrole.go
@@ -86,7 +86,8 @@
 		gateway.WithBodyLimit(settings.Limits.MaxBodyBytes),
 		gateway.WithDeadline(settings.Limits.RequestTimeout, maxDeadline),
 		gateway.WithSlotRelease(role.shareClient.ReleaseShares), gateway.WithHandler(role.withInternalPaths),
-		gateway.WithIdempotent(role.isIdempotent), gateway.WithLogger(log))
+		gateway.WithCrashSharing(environment.transport, role.gateways), gateway.WithIdempotent(role.isIdempotent),
+		gateway.WithLogger(log))
 	environment.callerMux.Handle("POST /v1/endpoints",
 		environment.authorizer.requirePlatformToken("announce an endpoint", role.registrar))
 	registry.Publish(serviceGateway, role)
--- a/internal/requests/gateway/gateway.go
+++ b/internal/requests/gateway/gateway.go
@@ -55,6 +55,7 @@
 	vm              scheduler.VMName
 	remoteForwarder *forwarder.Forwarder
 	isolator        *isolator.Isolator
+	isolatorOptions []isolator.Option
 	idempotent      func(service scheduler.ServiceName) (idempotent, configured bool)
 	callerID        func(r *http.Request) string
 	releaseSlots    func()
@@ -106,6 +107,14 @@
 	return func(gateway *Gateway) { gateway.releaseSlots = release }
 }
 
+// WithCrashSharing shares with other gateways which requests crash endpoints. New must be called before the transport
+// starts.
+func WithCrashSharing(transport scheduler.Transport, gateways func() []scheduler.Gateway) Option {
+	return func(gateway *Gateway) {
+		gateway.isolatorOptions = append(gateway.isolatorOptions, isolator.WithSharing(transport, gateways))
+	}
+}
+
 // WithHandler wraps the handler that Serve uses, for example to add the paths of other roles of the process.
 func WithHandler(wrap func(requests http.Handler) http.Handler) Option {
 	return func(gateway *Gateway) { gateway.server.Handler = wrap(gateway) }
@@ -128,7 +137,8 @@
 	for _, option := range options {
 		option(gateway)
 	}
-	gateway.isolator = isolator.New(dependencies.Directory.LastAnnouncement, isolator.WithLogger(gateway.log))
+	gateway.isolator = isolator.New(dependencies.Directory.LastAnnouncement,
+		append(gateway.isolatorOptions, isolator.WithLogger(gateway.log))...)
 	return gateway
 }
 
--- a/internal/requests/isolator/crash.go
+++ b/internal/requests/isolator/crash.go
@@ -230,16 +230,24 @@
 	if fingerprint == (Fingerprint{}) {
 		return
 	}
+	record := isolator.record(fingerprint, at)
+	record.crashes++
+	isolator.share(fingerprint, record.crashes)
+}
+
+// record returns the record of a fingerprint, which it creates or empties if there is none in force.
+func (isolator *Isolator) record(fingerprint Fingerprint, now time.Time) *record {
 	existing := isolator.records[fingerprint]
-	switch {
-	case existing == nil:
-		isolator.makeRoom(at)
-		isolator.records[fingerprint] = &record{crashes: 1, last: at}
-	case at.Sub(existing.last) > memoryTime:
-		existing.crashes, existing.last = 1, at
-	default:
-		existing.crashes, existing.last = existing.crashes+1, at
+	if existing == nil {
+		isolator.makeRoom(now)
+		existing = &record{}
+		isolator.records[fingerprint] = existing
+	}
+	if now.Sub(existing.last) > memoryTime {
+		existing.crashes = 0
 	}
+	existing.last = now
+	return existing
 }
 
 // makeRoom removes expired records, and the oldest one if there is still no room.
--- a/internal/requests/isolator/isolator.go
+++ b/internal/requests/isolator/isolator.go
@@ -41,6 +41,8 @@
 type Isolator struct {
 	lastAnnouncement func(endpoint scheduler.EndpointName) (scheduler.ReceivedAnnouncement, bool)
 	log              zerolog.Logger
+	// share tells other gateways of the blame of a fingerprint. It must not block.
+	share func(fingerprint Fingerprint, crashes int)
 
 	mutex   sync.Mutex
 	running map[scheduler.EndpointName]map[*Run]struct{}
@@ -85,7 +87,7 @@
 	lastAnnouncement func(endpoint scheduler.EndpointName) (scheduler.ReceivedAnnouncement, bool), options ...Option,
 ) *Isolator {
 	isolator := &Isolator{
-		lastAnnouncement: lastAnnouncement, log: zerolog.Nop(),
+		lastAnnouncement: lastAnnouncement, log: zerolog.Nop(), share: func(Fingerprint, int) {},
 		running: map[scheduler.EndpointName]map[*Run]struct{}{}, crashes: map[instance]*crash{},
 		records: map[Fingerprint]*record{}, turns: map[scheduler.ServiceName]int{},
 		turning: map[Fingerprint]struct{}{}, turnEnded: make(chan struct{}),
