--- a/internal/trials/emulator/command.go
+++ b/internal/trials/emulator/command.go
@@ -23,6 +23,8 @@
 	slots            int
 	serviceTime      time.Duration
 	checkpointPeriod time.Duration
+	crashKind        string
+	crashAfter       time.Duration
 }
 
 // Command returns the command that runs emulated workers and endpoints against a deployment, for tests without
@@ -50,6 +52,8 @@
 	flags.IntVar(&fleet.slots, "slots", 8, "slots of each endpoint")
 	flags.DurationVar(&fleet.serviceTime, "work", 20*time.Millisecond, "time that an endpoint takes for a request")
 	flags.DurationVar(&fleet.checkpointPeriod, "checkpoint", 10*time.Second, "period of the tasks' checkpoints")
+	flags.StringVar(&fleet.crashKind, "crash-kind", "", "kind of the tasks that make their worker crash")
+	flags.DurationVar(&fleet.crashAfter, "crash-after", 0, "time from the start of such a task to the crash")
 	_ = command.MarkFlagRequired("gateway")
 	return command
 }
@@ -60,6 +64,7 @@
 	}
 	for _, name := range fleet.workers {
 		worker := NewWorker(scheduler.WorkerName(name), NewFailoverExchange(fleet.gateways), WithCheckpointPeriod(fleet.checkpointPeriod))
+		worker.SetFaults(Faults{CrashKind: fleet.crashKind, CrashAfter: fleet.crashAfter})
 		go worker.Run(ctx)
 		_, _ = fmt.Fprintf(out, "worker %s started\n", name)
 	}
