gateway: send suspects to other data centres, and clear them when they are answered there

Callers would have seen 404 or 503 for an innocent suspect when the local endpoints were gone, although another data centre could answer it: suspects stayed local. Found while reading the diff; TestSuspectWithoutLocalEndpoint is new and was not run on the state before.

--- a/internal/requests/gateway/crash_test.go
+++ b/internal/requests/gateway/crash_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/crocusplank/crocusplank/internal/requests/forwarder"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // startCrashingEndpoint starts an endpoint that crashes when it gets a request to /deadly, and returns its address.
@@ -163,3 +164,40 @@
 		t.Errorf("crashed endpoints: got %d, want %d", got, want)
 	}
 }
+
+// TestSuspectWithoutLocalEndpoint guards against a suspect that is refused although another data centre can answer it,
+// and against one that stays suspect although it was answered there.
+func TestSuspectWithoutLocalEndpoint(t *testing.T) {
+	var crashes atomic.Int64
+	working, _ := startEndpoint(t, echo)
+	_, remote := startGateway(t, &fixture{free: 1}, working)
+	local := &fixture{free: 1, remotes: []scheduler.RemoteService{{DataCentre: "chaguanas", Address: remote, Free: 5}}}
+	gateway, _ := startGateway(t, local, startCrashingEndpoint(t, &crashes, nil))
+	send := func() *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		gateway.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/sizing/deadly", nil))
+		return recorder
+	}
+	request := &callerRequest{
+		incoming: httptest.NewRequest(http.MethodGet, "/sizing/deadly", nil), service: "sizing", target: "/deadly", buffered: []byte{},
+	}
+	if got, want := send().Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("at the local endpoint: got %d, want %d", got, want)
+	}
+	if got, want := gateway.isolator.Crashes(request.fingerprint), 1; got != want {
+		t.Errorf("crashes after the local endpoint: got %d, want %d", got, want)
+	}
+	local.free = 0
+	for range 2 {
+		response := send()
+		if got, want := response.Code, http.StatusOK; got != want {
+			t.Errorf("at the other data centre: got %d (%s), want %d", got, response.Body, want)
+		}
+	}
+	if got, want := gateway.isolator.Crashes(request.fingerprint), 0; got != want {
+		t.Errorf("remembered crashes: got %d, want %d", got, want)
+	}
+	if got, want := crashes.Load(), int64(1); got != want {
+		t.Errorf("crashed endpoints: got %d, want %d", got, want)
+	}
+}
--- a/internal/requests/gateway/serve.go
+++ b/internal/requests/gateway/serve.go
@@ -47,9 +47,7 @@
 	request.identify = sync.OnceValue(request.fingerprint)
 	request.retry = gateway.dependencies.Retrier.Begin(request.idempotent, request.forwarded, request.deadline)
 	defer request.retry.End()
-	// Suspects stay here, where their crashes are counted.
-	suspect := gateway.isolator.Crashes(request.identify) > 0
-	if remote, ok := gateway.selectRemote(request); ok && !suspect && gateway.forwardToRemote(w, request, remote) {
+	if remote, ok := gateway.selectRemote(request); ok && gateway.isolator.Crashes(request.identify) < isolator.CrashLimit && gateway.forwardToRemote(w, request, remote) {
 		return
 	}
 	if request.idempotent {
--- a/internal/requests/gateway/spill.go
+++ b/internal/requests/gateway/spill.go
@@ -81,6 +81,8 @@
 	if err := forwarder.Relay(w, result.Response, outcome, request.id, nil); err != nil {
 		gateway.log.Info().Str("event", "responseBroken").Str("request", request.id).
 			Str("dataCentre", string(remote.DataCentre)).Err(err).Msg("response interrupted")
+	} else if outcome == scheduler.OutcomeDone {
+		gateway.isolator.Clear(request.identify)
 	}
 	return true
 }
--- a/internal/requests/isolator/crash.go
+++ b/internal/requests/isolator/crash.go
@@ -60,9 +60,7 @@
 	run.isolator.mutex.Lock()
 	defer run.isolator.mutex.Unlock()
 	run.end()
-	if len(run.isolator.records) > 0 {
-		delete(run.isolator.records, run.identify())
-	}
+	run.isolator.clear(run.identify)
 }
 
 // Abandoned ends the run without an answer and without evidence of a crash, for example at its deadline.
--- a/internal/requests/isolator/isolator.go
+++ b/internal/requests/isolator/isolator.go
@@ -114,6 +114,19 @@
 	return record.crashes
 }
 
+// Clear forgets the crashes for which requests like this one have been blamed, because one has been answered.
+func (isolator *Isolator) Clear(identify func() Fingerprint) {
+	isolator.mutex.Lock()
+	defer isolator.mutex.Unlock()
+	isolator.clear(identify)
+}
+
+func (isolator *Isolator) clear(identify func() Fingerprint) {
+	if len(isolator.records) > 0 {
+		delete(isolator.records, identify())
+	}
+}
+
 // CountGivenUp counts a request that is answered without another attempt.
 func (isolator *Isolator) CountGivenUp() {
 	isolator.mutex.Lock()
