--- a/internal/jobs/dispatcher/blame_test.go
+++ b/internal/jobs/dispatcher/blame_test.go
@@ -85,7 +85,7 @@
 		"running":            {5, 3 * time.Second, nil, blameRunning},
 		"survived":           {35, 3 * time.Second, nil, 0},
 		"silent for long":    {0, 11 * time.Second, nil, 0},
-		"start not sent":     {-1, 3 * time.Second, nil, 0},
+		"start not sent":     {-1, 3 * time.Second, trackLeases, 0},
 		"drained":            {0, 3 * time.Second, drainWorker, 0},
 		"leader has changed": {0, 3 * time.Second, func(_ *harness, engine *Engine) { engine.clearSessions() }, 0},
 	}
@@ -135,6 +135,9 @@
 	harness.execute(Operation{Drain: &Drain{Worker: "worker-0000", Operator: "ama"}})
 }
 
+// trackLeases makes the engine keep a state for each live lease, as its periodic check for expired ones does.
+func trackLeases(_ *harness, engine *Engine) { engine.expiredLeases(time.Now()) }
+
 // Guards against tasks that are given up although another attempt may have caused the crashes, and against blame that
 // outlives a long run.
 func TestBlameLimit(t *testing.T) {
