--- a/internal/requests/gateway/serve.go
+++ b/internal/requests/gateway/serve.go
@@ -47,7 +47,8 @@
 	request.identify = sync.OnceValue(request.fingerprint)
 	request.retry = gateway.dependencies.Retrier.Begin(request.idempotent, request.forwarded, request.deadline)
 	defer request.retry.End()
-	if remote, ok := gateway.selectRemote(request); ok && gateway.isolator.Crashes(request.identify) < isolator.CrashLimit && gateway.forwardToRemote(w, request, remote) {
+	mayBeSent := gateway.isolator.Crashes(request.identify) < isolator.CrashLimit
+	if remote, ok := gateway.selectRemote(request); ok && mayBeSent && gateway.forwardToRemote(w, request, remote) {
 		return
 	}
 	if request.idempotent {
