--- a/internal/requests/isolator/isolator.go
+++ b/internal/requests/isolator/isolator.go
@@ -41,6 +41,8 @@
 type Isolator struct {
 	lastAnnouncement func(endpoint scheduler.EndpointName) (scheduler.ReceivedAnnouncement, bool)
 	log              zerolog.Logger
+	// share tells other gateways of the blame of a fingerprint. It must not block.
+	share func(fingerprint Fingerprint, crashes int)
 
 	mutex   sync.Mutex
 	running map[scheduler.EndpointName]map[*Run]struct{}
@@ -85,7 +87,7 @@
 	lastAnnouncement func(endpoint scheduler.EndpointName) (scheduler.ReceivedAnnouncement, bool), options ...Option,
 ) *Isolator {
 	isolator := &Isolator{
-		lastAnnouncement: lastAnnouncement, log: zerolog.Nop(),
+		lastAnnouncement: lastAnnouncement, log: zerolog.Nop(), share: func(Fingerprint, int) {},
 		running: map[scheduler.EndpointName]map[*Run]struct{}{}, crashes: map[instance]*crash{},
 		records: map[Fingerprint]*record{}, turns: map[scheduler.ServiceName]int{},
 		turning: map[Fingerprint]struct{}{}, turnEnded: make(chan struct{}),
@@ -112,6 +114,19 @@
 	return record.crashes
 }
 
+// Clear forgets the crashes for which requests like this one have been blamed, because one has been answered.
+func (isolator *Isolator) Clear(identify func() Fingerprint) {
+	isolator.mutex.Lock()
+	defer isolator.mutex.Unlock()
+	isolator.clear(identify)
+}
+
+func (isolator *Isolator) clear(identify func() Fingerprint) {
+	if len(isolator.records) > 0 {
+		delete(isolator.records, identify())
+	}
+}
+
 // CountGivenUp counts a request that is answered without another attempt.
 func (isolator *Isolator) CountGivenUp() {
 	isolator.mutex.Lock()
