handler: send no heartbeats of workers to the leader while others can receive them

The leader of a large fleet received as many heartbeats as each other VM, besides planning and all orders and reports. In a profile of a leader with 1,500 workers (three processes on loopback, one processor each, trial) the handler of heartbeats took 8% of its processor time and net/http 28% in all.

A VM now names to a worker the next VM by rank if the first one leads. The others forward repeated heartbeats in batches, as before.

TestHeartbeatTargets before: "got targets map[a:true b:true c:true], want map[b:true c:true]".

--- a/internal/jobs/handler/leaderclient.go
+++ b/internal/jobs/handler/leaderclient.go
@@ -269,7 +269,8 @@
 	}
 }
 
-// heartbeatTarget returns the VM to which a worker should send its heartbeats, or an empty name if no VM is reachable.
+// heartbeatTarget returns the VM to which a worker should send its heartbeats, or an empty name if no VM is reachable. The
+// leader is left out if there are others: it has most of the work, and receives the heartbeats of the others in batches.
 func (leaderClient *LeaderClient) heartbeatTarget(worker scheduler.WorkerName) scheduler.VMName {
 	leaderClient.mutex.Lock()
 	defer leaderClient.mutex.Unlock()
@@ -282,7 +283,11 @@
 	if len(reachable) == 0 {
 		return ""
 	}
-	return ranker.Rank(reachable, string(worker))[0]
+	ranked := ranker.Rank(reachable, string(worker))
+	if ranked[0] == leaderClient.leader && len(ranked) > 1 {
+		return ranked[1]
+	}
+	return ranked[0]
 }
 
 // demote clears a leader that has not responded and moves it to the end of the members. The mutex must be held.
--- a/internal/jobs/handler/leaderclient_test.go
+++ b/internal/jobs/handler/leaderclient_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -237,3 +239,31 @@
 		}
 	})
 }
+
+// Guards against a leader that spends its processor time on the heartbeats of a large fleet.
+func TestHeartbeatTargets(t *testing.T) {
+	tests := map[string]struct {
+		members []scheduler.VMName
+		down    map[scheduler.VMName]bool
+		want    map[scheduler.VMName]bool
+	}{
+		"leader and others":    {[]scheduler.VMName{"a", "b", "c"}, nil, map[scheduler.VMName]bool{"b": true, "c": true}},
+		"others are down":      {[]scheduler.VMName{"a", "b"}, map[scheduler.VMName]bool{"b": true}, map[scheduler.VMName]bool{"a": true}},
+		"no other VM":          {[]scheduler.VMName{"a"}, nil, map[scheduler.VMName]bool{"a": true}},
+		"no VM can be reached": {[]scheduler.VMName{"a"}, map[scheduler.VMName]bool{"a": true}, map[scheduler.VMName]bool{"": true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			leaderClient := NewLeaderClient(
+				&fakeNetwork{down: test.down}, "domain", test.members, nil, tally.NoopScope, zerolog.Nop())
+			leaderClient.leader = "a"
+			got := map[scheduler.VMName]bool{}
+			for number := range 100 {
+				got[leaderClient.heartbeatTarget(scheduler.WorkerName(fmt.Sprint("w", number)))] = true
+			}
+			if !maps.Equal(got, test.want) {
+				t.Errorf("got targets %v, want %v", got, test.want)
+			}
+		})
+	}
+}
