overseer: bound the pause after a planning cycle

Seen by callers: starts wait for seconds once 3,000 workers share a leader with 0.64 of a core.

Cause: the pause after a planning cycle was twice its duration. On a busy VM a cycle takes long because it waits for the processor, not because it works; the pause then lets more tasks arrive, and the next cycle has more of them to place in one go.

Change: the pause is at most 200 ms. The work of a cycle grows with the steps that it places, so shorter pauses add little.

--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -17,6 +17,9 @@
 	// planPauseFactor is the pause after a planning cycle as a multiple of the cycle's duration. It leaves CPU time
 	// for orders and responses.
 	planPauseFactor = 2
+	// maxPlanPause bounds that pause. On a busy VM a cycle takes long because it waits for the processor. A pause in
+	// proportion would then add to the tasks that the next cycle has to place, and make that one longer still.
+	maxPlanPause = 200 * time.Millisecond
 	// planInterval is the maximum time between planning cycles, for work that becomes due at a certain time.
 	planInterval = 100 * time.Millisecond
 	// orderTimeout is the timeout of one order to a worker. It is a multiple of the round trip between data centres.
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -35,7 +35,7 @@
 		// planOnce runs the planning cycle; the pause after it is proportional to the cycle's duration.
 		took := leadership.planOnce()
 		leadership.planning.add(took)
-		pauseDuration := max(planBatchDelay, planPauseFactor*took)
+		pauseDuration := planPause(took)
 		select {
 		case <-leadership.context.Done():
 			return
@@ -47,6 +47,11 @@
 	}
 }
 
+// planPause returns the pause after a planning cycle.
+func planPause(took time.Duration) time.Duration {
+	return min(max(planBatchDelay, planPauseFactor*took), maxPlanPause)
+}
+
 // planOnce runs one planning cycle. It returns the cycle's duration without the time to replicate the placements.
 func (leadership *leadership) planOnce() time.Duration {
 	if !leadership.mayAct() {
