overseer: one loop for valid approvals, one key for a step

validApprovals repeated the loop of approvedWorkers, and the key of a step was written out in four places. approvedWorkers now discards the proofs that are no longer valid and then calls validApprovals. No change of behaviour; TestOnlyApprovedWorkersRunAStep and TestExplainPlacement cover both.

--- a/internal/jobs/overseer/approval.go
+++ b/internal/jobs/overseer/approval.go
@@ -35,6 +35,10 @@
 	return stepKey{job: id.Job, occurrence: id.Occurrence, step: id.Step}
 }
 
+func keyOfStep(step *jobkeeper.StepState) stepKey {
+	return stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
+}
+
 // approvals holds the approval service's responses for a step.
 type approvals struct {
 	// proofs holds the proof for each approved instance. requested holds the instances for which approval has been
@@ -55,6 +59,19 @@
 	expiry time.Duration
 }
 
+// isValid reports whether a start order that is sent now arrives while the proof is valid.
+func (proof *proof) isValid(now time.Duration) bool { return proof.expiry >= now+approvalMargin }
+
+// prune discards the proofs that are no longer valid, so that they are requested again.
+func (approvals *approvals) prune(now time.Duration) {
+	for instance, proof := range approvals.proofs {
+		if !proof.isValid(now) {
+			delete(approvals.proofs, instance)
+			delete(approvals.requested, instance)
+		}
+	}
+}
+
 // approvalRequest asks the approval service which of the candidates may run a step.
 type approvalRequest struct {
 	key        stepKey
@@ -67,24 +84,14 @@
 	if step.Job().Queue().Approval == nil {
 		return nil
 	}
-	key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
+	key := keyOfStep(step)
 	known := leadership.approvals[key]
 	if known == nil {
 		known = &approvals{proofs: map[instanceKey]proof{}, requested: map[instanceKey]bool{}}
 		leadership.approvals[key] = known
 	}
-	workers := map[scheduler.WorkerName]bool{}
-	now := leadership.now()
-	for instance, proof := range known.proofs {
-		current := leadership.instances[instance.worker]
-		switch {
-		case proof.expiry < now+approvalMargin:
-			delete(known.proofs, instance)
-			delete(known.requested, instance)
-		case current != nil && current.incarnation == instance.incarnation:
-			workers[instance.worker] = true
-		}
-	}
+	known.prune(leadership.now())
+	workers := leadership.validApprovals(step)
 	if !known.pending && len(workers) < waiting {
 		leadership.enqueueApprovalRequest(key, known, step.Job().Queue().Pool, waiting-len(workers)+approvalSurplus)
 	}
@@ -98,13 +105,14 @@
 		return nil
 	}
 	workers := map[scheduler.WorkerName]bool{}
-	known := leadership.approvals[stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}]
+	known := leadership.approvals[keyOfStep(step)]
 	if known == nil {
 		return workers
 	}
+	now := leadership.now()
 	for instance, proof := range known.proofs {
 		current := leadership.instances[instance.worker]
-		if current != nil && current.incarnation == instance.incarnation && proof.expiry >= leadership.now()+approvalMargin {
+		if current != nil && current.incarnation == instance.incarnation && proof.isValid(now) {
 			workers[instance.worker] = true
 		}
 	}
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -35,7 +35,7 @@
 func (jobLog *jobLog) updateWaiting(now time.Duration, steps []*waitingStep) {
 	next := make(map[stepKey]stepWait, len(steps))
 	for _, step := range steps {
-		key := stepKey{job: step.step.Job().ID(), occurrence: step.step.Occurrence(), step: step.step.Number()}
+		key := keyOfStep(step.step)
 		since := now
 		if known, found := jobLog.waiting[key]; found {
 			since = known.since
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -192,7 +192,7 @@
 		poolAdmitter.ReservedFraction() >= starvationMaxLoad {
 		return false
 	}
-	key := stepKey{job: step.Job().ID(), occurrence: step.Occurrence(), step: step.Number()}
+	key := keyOfStep(step)
 	return leadership.now()-leadership.jobLog.waiting[key].since > starvationDelay
 }
 
