overseer: reset all gauges of a former leader

Only the gauges of evacuations were set to 0 when a leadership ended. The others kept their last value, so that the sum over all VMs counted waiting tasks, reservations and refusals of former leaders.

TestFormerLeaderResetsGauges before, among others: "tasks_ready+: got 1, want 0", "oldest_waiting_seconds+size=large: got 1, want 0".

--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// resetGauges sets the gauges to 0, because only the leader's values are current.
+// resetGauges does the same as metrics.resetGauges.
 func (evacuationMetrics *evacuationMetrics) resetGauges() {
 	evacuationMetrics.dataCentres.Update(0)
 	evacuationMetrics.tasks.Update(0)
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// resetGauges sets the gauges to 0 after a leadership, because only the leader's values are current.
+func (metrics *metrics) resetGauges() {
+	metrics.ready.Update(0)
+	metrics.reservations.Update(0)
+	metrics.evacuation.resetGauges()
+	metrics.admission.update(0, 0, 0)
+	metrics.admission.updateOldest(waitBySize{})
+}
+
 // queueScope returns the scope of the metrics that are counted by queue.
 func (metrics *metrics) queueScope(queue scheduler.QueueName) tally.Scope {
 	return metrics.scope.Tagged(map[string]string{"queue": string(queue)})
--- /dev/null
+++ b/internal/jobs/overseer/metrics_test.go
@@ -0,0 +1,34 @@
+package overseer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Guards against gauges of a former leader that keep their last value beside those of the current one.
+func TestFormerLeaderResetsGauges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		leadership := waitingLeadership(t, 1, 1, nil)
+		overseer := leadership.overseer
+		overseer.metrics = newMetrics(scope)
+		overseer.metrics.ready.Update(1)
+		overseer.metrics.reservations.Update(1)
+		overseer.metrics.evacuation.dataCentres.Update(1)
+		overseer.metrics.evacuation.tasks.Update(1)
+		overseer.metrics.admission.update(1, 1, 1)
+		overseer.metrics.admission.updateOldest(waitBySize{time.Second, time.Second, time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		overseer.lead(ctx, 1)
+		for name, gauge := range scope.Snapshot().Gauges() {
+			if got := gauge.Value(); got != 0 {
+				t.Errorf("%s: got %g, want 0", name, got)
+			}
+		}
+	})
+}
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -98,7 +98,7 @@
 	overseer.current.Store(nil)
 	cancel()
 	leadership.goroutines.Close()
-	overseer.metrics.evacuation.resetGauges()
+	overseer.metrics.resetGauges()
 	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).
 		Msg("this VM is no longer the leader of the domain")
 }
