overseer: start nothing beside attempts that are not in the log

A worker may list an attempt that is not in the log, which is then stopped. What it occupies until its end was not counted, so a worker that does not guard its capacity could be told to start more than fits; what is being stopped still counts. And if the worker ran nothing else, the leader stopped asking it, so a stop order without an answer was never repeated.

Such a worker now takes no new work and no pending start until a report lists the attempt no more, and it is asked until then. How much the attempt occupies is not known, as its job may be gone. explain shows unknownAttempts.

--- a/internal/jobs/overseer/capacity.go
+++ b/internal/jobs/overseer/capacity.go
@@ -109,10 +109,17 @@
 	return !leadership.guardedPools[instance.heartbeat.Pool] && instance.heartbeatAge(now) >= leadership.heartbeatTimeout()
 }
 
+// hasUnknownLoad reports whether attempts that are not in the log occupy a worker that does not guard its capacity. How much
+// they occupy is not known. The mutex must be held.
+func (leadership *leadership) hasUnknownLoad(instance *worker) bool {
+	return !leadership.guardedPools[instance.heartbeat.Pool] && instance.unknownAttempts > 0
+}
+
 // mayExceedCapacity reports whether the attempts on a worker might exceed its capacity if all of them ran. The mutex must
 // be held.
 func (leadership *leadership) mayExceedCapacity(instance *worker) bool {
-	return instance.exceedsCapacity() || leadership.isCapacityOutdated(instance, leadership.now())
+	return instance.exceedsCapacity() || leadership.isCapacityOutdated(instance, leadership.now()) ||
+		leadership.hasUnknownLoad(instance)
 }
 
 // recordStartOverCapacity records that a start was not sent because its worker has shrunk, or may have.
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -224,3 +224,47 @@
 		})
 	}
 }
+
+// Guards against starts on a worker that still runs attempts that are not in the log, and against such attempts that are
+// never stopped because the worker runs nothing else.
+func TestUnknownAttemptsOccupyWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.names, simulation.fleet.unguarded = simulation.names[:1], true
+		name := simulation.names[0]
+		stop := simulation.start()
+		time.Sleep(3 * time.Second)
+		leadership := simulation.overseers[0].current.Load()
+		leadership.mutex.Lock()
+		instance := leadership.instances[name]
+		clock := instance.clock
+		leadership.mutex.Unlock()
+		unknown := scheduler.RunID{Task: scheduler.StepTaskID{Job: "unknown"}, Attempt: 1}
+		leadership.handleReport(instance, scheduler.RenewOrder{}, scheduler.WorkerReport{
+			Result: scheduler.OrderAccepted, Instance: instance.incarnation, Clock: clock,
+			Running: []scheduler.RunningAttempt{{Run: unknown}},
+		}, leadership.now())
+		if got := leadership.reasonAgainst(instance); got != "unknownAttempts" {
+			t.Errorf("got reason %q while an unknown attempt runs, want %q", got, "unknownAttempts")
+		}
+		if _, more := leadership.nextRenewal(instance, false); !more {
+			t.Error("got no further renewal, want one until the attempt has been stopped")
+		}
+		leadership.mutex.Lock()
+		leadership.ensureRenewal(instance)
+		leadership.mutex.Unlock()
+		time.Sleep(time.Second)
+		if got := leadership.reasonAgainst(instance); got != "" {
+			t.Errorf("got reason %q after the attempt was stopped, want none", got)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// reasonAgainst returns why no tasks are placed on a worker.
+func (leadership *leadership) reasonAgainst(instance *worker) UnavailableReason {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	return leadership.unavailableReason(instance, leadership.now(), leadership.heartbeatTimeout(), time.Now())
+}
--- a/internal/jobs/overseer/explanation.go
+++ b/internal/jobs/overseer/explanation.go
@@ -92,6 +92,8 @@
 	UnavailableSilent UnavailableReason = "silent"
 	// UnavailableOutdated means that the worker responds, but its capacity may have changed since its last heartbeat.
 	UnavailableOutdated UnavailableReason = "capacityOutdated"
+	// UnavailableUnknownAttempts means that the worker runs attempts that are not in the log, until they have been stopped.
+	UnavailableUnknownAttempts UnavailableReason = "unknownAttempts"
 )
 
 // explainedQuantile is the quantile of the run time that an explanation states.
@@ -180,6 +182,8 @@
 		return UnavailableSilent
 	case leadership.isCapacityOutdated(instance, now):
 		return UnavailableOutdated
+	case leadership.hasUnknownLoad(instance):
+		return UnavailableUnknownAttempts
 	}
 	return ""
 }
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -8,11 +8,11 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// ensureRenewal starts the renewal of a worker's lease if the worker has attempts, or if it did not respond and may
-// have ends to report. The mutex must be held.
+// ensureRenewal starts the renewal of a worker's lease if the worker has attempts, known or unknown, or if it did not
+// respond and may have ends to report. The mutex must be held.
 func (leadership *leadership) ensureRenewal(instance *worker) {
 	if instance.renewing || instance.ended || !instance.hasHeartbeat ||
-		len(instance.attempts) == 0 && instance.consecutiveFailures == 0 {
+		len(instance.attempts) == 0 && instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 {
 		return
 	}
 	instance.renewing = true
@@ -42,8 +42,8 @@
 func (leadership *leadership) nextRenewal(instance *worker, first bool) (order scheduler.RenewOrder, more bool) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	if instance.ended || len(instance.attempts) == 0 &&
-		(instance.consecutiveFailures > 0 && !first || instance.endsAcknowledged() && instance.renewalAnswered) {
+	if instance.ended || len(instance.attempts) == 0 && (instance.consecutiveFailures > 0 && !first ||
+		instance.endsAcknowledged() && instance.renewalAnswered && instance.unknownAttempts == 0) {
 		instance.renewing = false
 		return scheduler.RenewOrder{}, false
 	}
@@ -74,7 +74,13 @@
 // renewWait returns how long the worker may delay its response to a renewal. workers is the number of workers in the
 // domain.
 func (worker *worker) renewWait(workers int) time.Duration {
-	if !worker.synced || worker.consecutiveFailures > 0 || len(worker.attempts) == 0 {
+	if !worker.synced || worker.consecutiveFailures > 0 {
+		return 0
+	}
+	if worker.unknownAttempts > 0 {
+		return stoppingRenewWait
+	}
+	if len(worker.attempts) == 0 {
 		return 0
 	}
 	wait := maxRenewWait
@@ -180,6 +186,7 @@
 	ends = instance.collectEnds(report.Ended, listed)
 	leadership.observeRunTimes(instance, ends)
 	leadership.recordListed(instance, ends)
+	instance.unknownAttempts = 0
 	for _, running := range report.Running {
 		listed[running.Run] = true
 		leadership.updateRunning(instance, running)
@@ -252,6 +259,7 @@
 func (leadership *leadership) updateRunning(instance *worker, running scheduler.RunningAttempt) {
 	known := instance.attempts[running.Run]
 	if known == nil {
+		instance.unknownAttempts++
 		leadership.logger.Warn().Str("event", "unknownAttempt").Stringer("run", running.Run).
 			Str("worker", string(instance.name)).
 			Msg("worker runs an attempt that is not in the log; stopping it")
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -46,9 +46,12 @@
 	lastRecordedEnd     uint64
 	lastAcknowledgedEnd uint64
 	attempts            map[scheduler.RunID]*attempt
-	renewing            bool
-	ended               bool
-	pace                pacer.Pacer
+	// unknownAttempts is the number of attempts that the worker's last report listed as running and that are not in the log.
+	// They are being stopped.
+	unknownAttempts int
+	renewing        bool
+	ended           bool
+	pace            pacer.Pacer
 }
 
 // attempt is the leadership's view of an attempt on a worker.
