overseer: measure fill tasks by the full capacity of their worker

What fill tasks use enters the pacer as a fraction of their worker's capacity. On a worker that shrank to nothing the fraction was 0, so its fill tasks counted as harmless and were not paced; on one that shrank to a half it doubled, so the learned interference, which is shared by all workers, was too low once the worker had grown again. Tasks that run do not use more of their VM when the worker shrinks, so the fraction now refers to the largest capacity that the instance had.

TestFillUsageOnShrunkWorker printed before: capacity 4000: got 0.5, want 0.25 capacity 0: got 0, want 0.25

--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -262,6 +262,19 @@
 	})
 }
 
+// Guards against fill tasks that are not paced on a worker that has shrunk to nothing, because what they use is then no
+// fraction of its capacity, and against interference that is learned in another unit.
+func TestFillUsageOnShrunkWorker(t *testing.T) {
+	instance := newWorker("w", 1)
+	instance.fullMilliCores = 8000
+	for _, capacity := range []int64{8000, 4000, 0} {
+		instance.heartbeat.Capacity.MilliCores = capacity
+		if got, want := instance.fraction(2000), 0.25; got != want {
+			t.Errorf("capacity %d: got %v, want %v", capacity, got, want)
+		}
+	}
+}
+
 // reasonAgainst returns why no tasks are placed on a worker.
 func (leadership *leadership) reasonAgainst(instance *worker) UnavailableReason {
 	leadership.mutex.Lock()
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -140,6 +140,7 @@
 	now := leadership.now()
 	instance.hasHeartbeat, instance.heartbeat, instance.lastHeartbeat = true, heartbeat,
 		max(instance.lastHeartbeat, now-age)
+	instance.fullMilliCores = max(instance.fullMilliCores, heartbeat.Capacity.MilliCores)
 	leadership.failureTracker.quarantiner.Add(heartbeat.Worker)
 	instance.updateClockFromHeartbeat(heartbeat.Clock, now)
 	leadership.ensureRenewal(instance)
--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -53,12 +53,14 @@
 	return pacerSample
 }
 
-// fraction converts millicores to a fraction of the worker's CPU capacity.
+// fraction converts millicores to a fraction of the CPU capacity that the worker has when it is not shrunk. Interference is
+// learned for tasks of all workers in this unit, and tasks that run do not use more of their VM when the worker shrinks.
 func (worker *worker) fraction(milliCores float64) float64 {
-	if worker.heartbeat.Capacity.MilliCores <= 0 {
+	full := max(worker.fullMilliCores, worker.heartbeat.Capacity.MilliCores)
+	if full <= 0 {
 		return 0
 	}
-	return milliCores / float64(worker.heartbeat.Capacity.MilliCores)
+	return milliCores / float64(full)
 }
 
 // throttle sends the target share of an attempt unless a throttle order for it is in progress. The mutex must be
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -22,6 +22,8 @@
 	heartbeat    scheduler.WorkerHeartbeat
 	// formerCapacities holds the capacities that the instance had recently, in the order of time.
 	formerCapacities []formerCapacity
+	// fullMilliCores is the largest CPU capacity that the instance has had.
+	fullMilliCores int64
 	// lastHeartbeat is when the last heartbeat was received. lastResponse is when the worker last answered an order.
 	lastHeartbeat time.Duration
 	lastResponse  time.Duration
