overseer: do not adopt an attempt whose end is being recorded

Once a second the leader adopts attempts from the log that it has not launched. It skips those whose ends are being recorded, but not for a worker of which it knows no instance. That is so right after it learned from a response that another worker is at the address: the instance has ended, and its ends are being proposed. One attempt of the ended instance was then adopted as if an earlier leader had started it, carried over to the worker's next instance, not found there, and started again, while its task was placed elsewhere as soon as the end was in the log. The task ran twice, and the first of the two runs was one that no entry of the log asked for.

The check of pending ends now comes first.

TestAttemptWithPendingEndIsNotAdopted printed before: got 1 of 8 ended attempts adopted again, want none

--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -127,6 +127,37 @@
 	})
 }
 
+// Guards against a task that runs twice: the end of an attempt on a crashed worker is being recorded while the leader adopts
+// the attempt from the log and starts it again on the worker's next instance.
+func TestAttemptWithPendingEndIsNotAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		for range 6 {
+			simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{
+				Count: 2, Request: oneCore, LongRunning: true,
+			}}})
+		}
+		time.Sleep(3 * time.Second)
+		leadership := simulation.overseers[0].current.Load()
+		for _, name := range simulation.names {
+			leadership.mutex.Lock()
+			instance := leadership.instances[name]
+			attempts := len(instance.attempts)
+			leadership.endInstance(instance, "another worker responds at the address")
+			leadership.mutex.Unlock()
+			leadership.adoptAll()
+			leadership.mutex.Lock()
+			if adopted := leadership.instances[name]; adopted != nil {
+				t.Errorf("got %d of %d ended attempts adopted again, want none", len(adopted.attempts), attempts)
+			}
+			leadership.mutex.Unlock()
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against a worker that fails every attempt immediately, therefore always has free capacity, and attracts all
 // jobs until they have used up their attempts.
 func TestWorkerThatFailsEverything(t *testing.T) {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -117,15 +117,19 @@
 }
 
 // adopt adds an attempt to the latest known instance of its worker. The attempt may be running there even if its
-// start order was sent to an earlier instance.
+// start order was sent to an earlier instance. An attempt whose end is being recorded is not adopted: once the end is in
+// the log, its task is placed again.
 func (leadership *leadership) adopt(run *jobkeeper.Run) {
+	if leadership.pendingEnds[run.ID()] {
+		return
+	}
 	instance := leadership.instances[run.Worker()]
 	switch {
 	case instance == nil:
 		instance = newWorker(run.Worker(), run.Instance())
 		instance.leaseExpiry = leadership.leaseExpiryFrom(leadership.now())
 		leadership.instances[run.Worker()] = instance
-	case instance.attempts[run.ID()] != nil || leadership.pendingEnds[run.ID()]:
+	case instance.attempts[run.ID()] != nil:
 		return
 	case instance.incarnation < run.Instance():
 		instance = leadership.replaceInstance(instance, run.Instance())
