--- a/internal/jobs/overseer/fake_capacity_test.go
+++ b/internal/jobs/overseer/fake_capacity_test.go
@@ -28,8 +28,11 @@
 	capacity scheduler.Resources
 }
 
-func newFakeCapacities(capacity scheduler.Resources) *fakeCapacities {
-	return &fakeCapacities{changes: []capacityChange{{at: time.Now(), capacity: capacity}}}
+// trackCapacity begins to record the capacities of a worker that does not guard them. The mutex must be held.
+func (worker *fakeWorker) trackCapacity() {
+	if worker.fleet.unguarded {
+		worker.capacities = &fakeCapacities{changes: []capacityChange{{at: time.Now(), capacity: worker.capacity}}}
+	}
 }
 
 func (capacities *fakeCapacities) losesHeartbeats() bool {
@@ -40,13 +43,15 @@
 	return capacities != nil && capacities.ordersLost
 }
 
-// startLate carries out a start order some time after it was sent.
-func (worker *fakeWorker) startLate(order scheduler.StartOrder, sentAt time.Time) {
-	if capacities := worker.capacities; capacities != nil {
-		capacities.sentAt = sentAt
-		defer func() { capacities.sentAt = time.Time{} }()
+// lateStart returns a function that carries out a start order some time after it was sent.
+func lateStart(order scheduler.StartOrder, sentAt time.Time) func(worker *fakeWorker) {
+	return func(worker *fakeWorker) {
+		if capacities := worker.capacities; capacities != nil {
+			capacities.sentAt = sentAt
+			defer func() { capacities.sentAt = time.Time{} }()
+		}
+		worker.start(order)
 	}
-	worker.start(order)
 }
 
 // checkCapacity reports a start that brings the worker over every capacity that it has had within shrinkBound before the
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -52,21 +52,19 @@
 	lateStart scheduler.RunID
 	// finishedAt is when the finish of each task was acknowledged for the first time.
 	finishedAt map[scheduler.StepTaskID]time.Time
-	// unguarded is true if the workers start whatever they are told to, and their capacity changes.
-	unguarded bool
+	unguarded  bool // The workers start whatever they are told to, and their capacity changes.
 }
 
 // fakeWorker is one instance of a worker.
 type fakeWorker struct {
-	fleet       *fakeFleet
-	name        scheduler.WorkerName
-	incarnation scheduler.Incarnation
-	address     string
-	startedAt   time.Time
-	clockRate   float64
-	capacity    scheduler.Resources
-	// capacities is set in the schedules in which capacities change.
-	capacities     *fakeCapacities
+	fleet          *fakeFleet
+	name           scheduler.WorkerName
+	incarnation    scheduler.Incarnation
+	address        string
+	startedAt      time.Time
+	clockRate      float64
+	capacity       scheduler.Resources
+	capacities     *fakeCapacities // Nil unless fakeFleet.unguarded is true.
 	used           scheduler.Resources
 	token          scheduler.Term
 	leaseEnd       time.Duration
@@ -133,9 +131,7 @@
 		capacity:  scheduler.Resources{MilliCores: 8000, MemoryBytes: 8 << 30}, runs: map[scheduler.RunID]*fakeRun{},
 		highestAttempt: map[scheduler.StepTaskID]scheduler.AttemptNumber{}, endSignal: make(chan struct{}),
 	}
-	if fleet.unguarded {
-		worker.capacities = newFakeCapacities(worker.capacity)
-	}
+	worker.trackCapacity()
 	fleet.workers[address] = worker
 	return worker
 }
@@ -285,8 +281,7 @@
 	ctx context.Context, ref scheduler.WorkerRef, order scheduler.StartOrder,
 ) (scheduler.OrderResponse, error) {
 	fleet.checkEvacuation(ref, order)
-	sent := time.Now()
-	worker, err := fleet.reach(fleet.checkStart(ctx, order), ref, func(worker *fakeWorker) { worker.startLate(order, sent) })
+	worker, err := fleet.reach(fleet.checkStart(ctx, order), ref, lateStart(order, time.Now()))
 	if err != nil {
 		return scheduler.OrderResponse{}, err
 	}
