--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -224,3 +224,60 @@
 		})
 	}
 }
+
+// Guards against starts on a worker that still runs attempts that are not in the log, and against such attempts that are
+// never stopped because the worker runs nothing else.
+func TestUnknownAttemptsOccupyWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.names, simulation.fleet.unguarded = simulation.names[:1], true
+		name := simulation.names[0]
+		stop := simulation.start()
+		time.Sleep(3 * time.Second)
+		leadership := simulation.overseers[0].current.Load()
+		leadership.mutex.Lock()
+		instance := leadership.instances[name]
+		clock := instance.clock
+		leadership.mutex.Unlock()
+		unknown := scheduler.RunID{Task: scheduler.StepTaskID{Job: "unknown"}, Attempt: 1}
+		leadership.handleReport(instance, scheduler.RenewOrder{}, scheduler.WorkerReport{
+			Result: scheduler.OrderAccepted, Instance: instance.incarnation, Clock: clock,
+			Running: []scheduler.RunningAttempt{{Run: unknown}},
+		}, leadership.now())
+		if got := leadership.reasonAgainst(instance); got != "unknownAttempts" {
+			t.Errorf("got reason %q while an unknown attempt runs, want %q", got, "unknownAttempts")
+		}
+		if _, more := leadership.nextRenewal(instance, false); !more {
+			t.Error("got no further renewal, want one until the attempt has been stopped")
+		}
+		leadership.mutex.Lock()
+		leadership.ensureRenewal(instance)
+		leadership.mutex.Unlock()
+		time.Sleep(time.Second)
+		if got := leadership.reasonAgainst(instance); got != "" {
+			t.Errorf("got reason %q after the attempt was stopped, want none", got)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// Guards against fill tasks that are not paced on a worker that has shrunk to nothing, because what they use is then no
+// fraction of its capacity, and against interference that is learned in another unit.
+func TestFillUsageOnShrunkWorker(t *testing.T) {
+	instance := newWorker("w", 1)
+	instance.fullMilliCores = 8000
+	for _, capacity := range []int64{8000, 4000, 0} {
+		instance.heartbeat.Capacity.MilliCores = capacity
+		if got, want := instance.fraction(2000), 0.25; got != want {
+			t.Errorf("capacity %d: got %v, want %v", capacity, got, want)
+		}
+	}
+}
+
+// reasonAgainst returns why no tasks are placed on a worker.
+func (leadership *leadership) reasonAgainst(instance *worker) UnavailableReason {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	return leadership.unavailableReason(instance, leadership.now(), leadership.heartbeatTimeout(), time.Now())
+}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -22,6 +22,8 @@
 	heartbeat    scheduler.WorkerHeartbeat
 	// formerCapacities holds the capacities that the instance had recently, in the order of time.
 	formerCapacities []formerCapacity
+	// fullMilliCores is the largest CPU capacity that the instance has had.
+	fullMilliCores int64
 	// lastHeartbeat is when the last heartbeat was received. lastResponse is when the worker last answered an order.
 	lastHeartbeat time.Duration
 	lastResponse  time.Duration
@@ -50,9 +52,12 @@
 	lastRecordedEnd     uint64
 	lastAcknowledgedEnd uint64
 	attempts            map[scheduler.RunID]*attempt
-	renewing            bool
-	ended               bool
-	pace                pacer.Pacer
+	// unknownAttempts is the number of attempts that the worker's last report listed as running and that are not in the log.
+	// They are being stopped.
+	unknownAttempts int
+	renewing        bool
+	ended           bool
+	pace            pacer.Pacer
 }
 
 // attempt is the leadership's view of an attempt on a worker.
