overseer: count the starts of deadly tasks only while the VMs are stable

The check of TestRandomDeadlyTasks counted starts by a leader that had just been elected, or whose process had just been stalled or cut off. The promise holds for machines in touch only: those of a core that was not disrupted in the three seconds before. The limit of two starts after three crashes stays, and so does the count of crashes, which includes those around a disruption.

--- a/internal/jobs/overseer/fake_group_test.go
+++ b/internal/jobs/overseer/fake_group_test.go
@@ -28,6 +28,7 @@
 	index  scheduler.Index
 	// stalledUntil is the time until which the process of each VM is stalled, see HoldsLeaderLease.
 	stalledUntil [simulationVMs]time.Time
+	electedAt    time.Time
 }
 
 const noLeader = -1
@@ -101,4 +102,18 @@
 	domain.leader.Store(noLeader)
 	domain.term.Add(1)
 	domain.leader.Store(int32(number))
+	domain.electedAt = time.Now()
+}
+
+// lastDisruption returns when the latest election or stall ended, or will end.
+func (domain *fakeDomain) lastDisruption() time.Time {
+	domain.mutex.Lock()
+	defer domain.mutex.Unlock()
+	last := domain.electedAt
+	for _, until := range domain.stalledUntil {
+		if until.After(last) {
+			last = until
+		}
+	}
+	return last
 }
--- a/internal/jobs/overseer/fake_network_test.go
+++ b/internal/jobs/overseer/fake_network_test.go
@@ -42,6 +42,19 @@
 	return max(0, time.Until(network.thawAt[to])) + time.Duration(network.random.Int64N(int64(3*time.Millisecond)))
 }
 
+// lastThaw returns when the latest frozen VM has resumed, or will resume.
+func (network *fakeNetwork) lastThaw() time.Time {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	var last time.Time
+	for _, at := range network.thawAt {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // fakeTransport is the network endpoint of one VM.
 type fakeTransport struct {
 	network *fakeNetwork
