overseer: test that suspects start apart by every path

A copy that was started before its original crashed a worker is not covered: the task only becomes a suspect afterwards.

--- a/internal/jobs/overseer/deadly_task_test.go
+++ b/internal/jobs/overseer/deadly_task_test.go
@@ -11,7 +11,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/packer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -49,6 +51,8 @@
 	restart func(crashed *fakeWorker)
 	// isStable reports whether no VM was disrupted within contactTime.
 	isStable func() bool
+	// isSuspect reports whether a task must start apart from others. If it is nil, that is not checked.
+	isSuspect func(task scheduler.StepTaskID) bool
 }
 
 type deadlyTask struct {
@@ -74,6 +78,7 @@
 	if deadlyTasks == nil {
 		return
 	}
+	deadlyTasks.checkApart(worker, id, run)
 	task := deadlyTasks.tasks[id.Task]
 	if task == nil {
 		if member := deadlyTasks.gangMember(worker.fleet, id.Task); member != nil {
@@ -91,6 +96,24 @@
 	}
 }
 
+// checkApart checks that a suspect starts on a worker on which no other run has just begun, and that nothing begins beside
+// a suspect that has just begun. The members of a gang may begin together.
+func (deadlyTasks *deadlyTasks) checkApart(worker *fakeWorker, id scheduler.RunID, begun *fakeRun) {
+	if deadlyTasks.isSuspect == nil {
+		return
+	}
+	begun.suspect = deadlyTasks.isSuspect(id.Task)
+	for other, run := range worker.runs {
+		if packer.StepOf(other.Task) == packer.StepOf(id.Task) || time.Since(run.startedAt) >= crashclassifier.StartWindow {
+			continue
+		}
+		if begun.suspect || run.suspect {
+			worker.fleet.reportViolation("%v starts on %s %v after %v, and one of them is a suspect", id, worker.name,
+				time.Since(run.startedAt), other)
+		}
+	}
+}
+
 // gangMember returns the deadly task of the gang to which a task belongs, or nil.
 func (deadlyTasks *deadlyTasks) gangMember(fleet *fakeFleet, id scheduler.StepTaskID) *deadlyTask {
 	step := fleet.workflows[id.Job].Steps[id.Step]
@@ -218,6 +241,53 @@
 	}
 }
 
+// Guards against starts beside a suspect by any path: placements, copies, gangs, reservations and repeated orders.
+func TestSuspectsStartApart(t *testing.T) {
+	suspects := 0
+	for seed := *firstSeed; seed < *firstSeed+(*seeds+1)/2; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, uint64(seed), WithLookAhead(20*time.Second))
+				simulation.addDeadlyTasks(uint64(seed), 0.15)
+				simulation.speculative, simulation.gangs = seed%3 == 1, seed%3 == 2
+				simulation.fleet.deadly.isSuspect = func(task scheduler.StepTaskID) bool {
+					suspect := simulation.isSuspect(task)
+					if suspect {
+						suspects++
+					}
+					return suspect
+				}
+				stop := simulation.start()
+				for range 40 {
+					simulation.submit()
+					time.Sleep(500 * time.Millisecond)
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+				for _, violation := range simulation.fleet.violations {
+					if strings.Contains(violation, "suspect") {
+						t.Error(violation)
+					}
+				}
+			})
+		})
+	}
+	if suspects == 0 {
+		t.Error("no suspect has started")
+	}
+}
+
+// isSuspect reports whether a task is suspected of crashing workers.
+func (simulation *simulation) isSuspect(task scheduler.StepTaskID) (suspect bool) {
+	simulation.domain.keeper.View(func(state *jobkeeper.State) {
+		job, _ := state.Job(task.Job)
+		if step := job.Step(task.Occurrence, task.Step); step != nil {
+			suspect = isSuspect(step.Tasks()[task.Index])
+		}
+	})
+	return suspect
+}
+
 // checkDeadlyJobs checks that exactly the jobs with a deadly task have failed, and that the others have finished. Jobs
 // that were cancelled may be in any state.
 func (simulation *simulation) checkDeadlyJobs(t *testing.T) {
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -94,6 +94,7 @@
 	crashesAt  time.Time
 	fails      bool
 	breaksGang bool
+	suspect    bool
 	checkpoint string
 }
 
