overseer: mark carried attempts instead of a command of its own

An attempt that an order may have carried to the next instance of its worker keeps the mark for the crash, is stopped there and ends as lost, which blames it.

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -34,8 +34,6 @@
 		return Result{Status: state.evacuate(command.Evacuate)}
 	case command.ClearBlame != nil:
 		return Result{Status: state.clearBlame(command.ClearBlame)}
-	case command.Carry != nil:
-		return Result{Status: state.carry(command.Carry)}
 	case command.Mark != nil:
 		return Result{Status: state.mark(command.Mark)}
 	}
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -58,16 +58,6 @@
 	maps.DeleteFunc(state.blamed, func(task *Task, _ struct{}) bool { return task.step.occurrence.job == job })
 }
 
-// Carry records that an instance of a worker crashed under an attempt which its next instance may start all the same, so
-// that the attempt has not ended. It has no effect if the attempt has been carried to Instance before.
-type Carry struct {
-	_        struct{} `cbor:",toarray"`
-	Run      scheduler.RunID
-	Instance scheduler.Incarnation
-	// Kind is EndCrashedStarting or EndCrashedRunning.
-	Kind scheduler.EndKind
-}
-
 // Mark records that an attempt will be blamed if it is lost, because its worker closed a connection, so that a leader which
 // takes over before the next instance of the worker starts can blame it. An empty Kind clears the mark, once the instance
 // has responded.
@@ -94,25 +84,6 @@
 	return kind
 }
 
-func (state *State) carry(carries []Carry) Status {
-	for _, carry := range carries {
-		run := state.openRun(carry.Run)
-		if run == nil || run.instance >= carry.Instance {
-			continue
-		}
-		run.instance, run.mark = carry.Instance, ""
-		task := run.task
-		if task.finished || task.step.occurrence.job.state.Ended() {
-			continue
-		}
-		state.blameTask(task, carry.Kind)
-		if len(task.runs) == 1 {
-			state.giveUpIfBlamed(task)
-		}
-	}
-	return StatusDone
-}
-
 // clearBlame clears the blame of tasks whose attempts have survived. Attempts that have ended clear nothing: their workers
 // may have crashed since.
 func (state *State) clearBlame(survivors []scheduler.RunID) Status {
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -19,8 +19,7 @@
 	MaintenanceSteps []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
 	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
 	ClearBlame       []scheduler.RunID             `cbor:"10,keyasint,omitempty"`
-	Carry            []Carry                       `cbor:"11,keyasint,omitempty"`
-	Mark             []Mark                        `cbor:"12,keyasint,omitempty"`
+	Mark             []Mark                        `cbor:"11,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -174,23 +174,21 @@
 		Msg("worker closed its connections and was replaced")
 }
 
-// recordCarried blames attempts that are carried over to the next instance of their worker, and therefore do not end. The
-// mutex must be held.
-func (leadership *leadership) recordCarried(
-	earlier *worker, incarnation scheduler.Incarnation, decision crashclassifier.Decision,
-) {
-	var carried []jobkeeper.Carry
+// recordCarried marks the attempts that are blamed but carried over to the next instance of their worker, and therefore do
+// not end yet. The mutex must be held.
+func (leadership *leadership) recordCarried(earlier *worker, decision crashclassifier.Decision) {
+	var marks []jobkeeper.Mark
 	for _, run := range decision.Blamed() {
-		if attempt := earlier.attempts[run]; attempt != nil && attempt.mayReachNextInstance() {
-			carried = append(carried, jobkeeper.Carry{Run: run, Instance: incarnation, Kind: decision.Kind(run)})
+		if earlier.attempts[run].mayReachNextInstance() {
+			marks = append(marks, jobkeeper.Mark{Run: run, Kind: decision.Kind(run)})
 		}
 	}
-	if len(carried) == 0 {
+	if len(marks) == 0 {
 		return
 	}
 	leadership.goroutines.Go(func() {
 		for failures := 1; leadership.context.Err() == nil; failures++ {
-			if _, err := leadership.propose(jobkeeper.Command{Carry: carried}); err == nil {
+			if _, err := leadership.propose(jobkeeper.Command{Mark: marks}); err == nil {
 				return
 			}
 			leadership.pause(retryDelay(failures))
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -192,7 +192,7 @@
 func (leadership *leadership) replaceInstance(earlier *worker, incarnation scheduler.Incarnation) *worker {
 	later := newWorker(earlier.name, incarnation)
 	decision := leadership.classifyEnding(earlier, true)
-	leadership.recordCarried(earlier, incarnation, decision)
+	leadership.recordCarried(earlier, decision)
 	for id, candidate := range earlier.attempts {
 		if !candidate.mayReachNextInstance() {
 			continue
