--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -109,10 +109,13 @@
 func (decision Decision) Suspects() int { return decision.suspects }
 
 // Classify decides whether the end of an instance was a crash, and which attempts are blamed. The likely causes are the
-// attempts that started within immediateWindow, or without those within startWindow. All others that have not survived get
-// the weaker blame, because a task may also crash its worker later, unless a suspect is the only likely cause. So each crash
-// adds to the blame of its cause. If many workers crashed at once, all get the weaker blame: it adds up for tasks that crash
-// their workers, wait for them together and start together again, but not for those that are hit by such a loss once.
+// attempts that were accepted within immediateWindow, or without those within startWindow. All others that have not survived
+// get the weaker blame, because a task may also crash its worker later, unless a suspect is the only likely cause. So each
+// crash adds to the blame of its cause.
+//
+// An attempt whose start was not answered is no likely cause: it may never have reached the worker, and a task must not be
+// given up after one crash. If many workers crashed at once, all get the weaker blame. It adds up for tasks that crash their
+// workers, wait for them together and start together again, but not for those that are hit by such a loss once.
 func Classify(ending *Ending) Decision {
 	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
 	decision.count(ending)
@@ -153,7 +156,7 @@
 	}
 }
 
-// startedWithin returns the attempts that were starting at the end of the instance, or had started within a window before.
+// startedWithin returns the attempts that the worker had accepted within a window before its end.
 func (ending *Ending) startedWithin(window time.Duration) []*Attempt {
 	var attempts []*Attempt
 	for position := range ending.Attempts {
@@ -192,9 +195,9 @@
 	return crashes >= commonCauseCrashes && 2*crashes >= domain.Workers
 }
 
-// startedWithin reports whether the attempt was starting at the given time, or had started within a window before.
+// startedWithin reports whether the worker had accepted the attempt within a window before the given time.
 func (attempt *Attempt) startedWithin(window, at time.Duration) bool {
-	return attempt.Sent && (!attempt.Accepted || at-attempt.Since < window)
+	return attempt.Sent && attempt.Accepted && at-attempt.Since < window
 }
 
 func (attempt *Attempt) hasSurvived(at time.Duration) bool {
