--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -19,9 +19,8 @@
 	MaintenanceSteps []MaintenanceStep             `cbor:"8,keyasint,omitempty"`
 	Evacuate         *Evacuate                     `cbor:"9,keyasint,omitempty"`
 	ClearBlame       []scheduler.RunID             `cbor:"10,keyasint,omitempty"`
-	Carry            []Carry                       `cbor:"11,keyasint,omitempty"`
-	Mark             []Mark                        `cbor:"12,keyasint,omitempty"`
-	Withdraw         *Withdraw                     `cbor:"13,keyasint,omitempty"`
+	Mark             []Mark                        `cbor:"11,keyasint,omitempty"`
+	Withdraw         *Withdraw                     `cbor:"12,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -98,6 +98,7 @@
 	crashesAt  time.Time
 	fails      bool
 	breaksGang bool
+	suspect    bool
 	checkpoint string
 }
 
