--- a/internal/jobs/overseer/crash_test.go
+++ b/internal/jobs/overseer/crash_test.go
@@ -45,17 +45,19 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				simulation := newSimulation(t, 1)
-				simulation.addDeadlyTasks(1, 1)
+				simulation.addDeadlyTasks(1, 0)
+				deadly := &deadlyTask{delay: 10 * time.Millisecond}
+				simulation.fleet.deadly.tasks[scheduler.StepTaskID{Job: "job0"}] = deadly
 				simulation.fleet.deadly.restart = func(crashed *fakeWorker) { restart(simulation, crashed) }
 				stop := simulation.start()
 				time.Sleep(3 * time.Second)
 				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: 1, Request: oneCore}}})
-				deadly := simulation.fleet.deadly.tasks[scheduler.StepTaskID{Job: "job0"}]
-				deadly.delay = 10 * time.Millisecond
 				time.Sleep(time.Minute)
+				simulation.fleet.mutex.Lock()
 				if got := deadly.crashes; got != maxCrashes {
 					t.Errorf("got %d crashes, want %d: %v", got, maxCrashes, simulation.fleet.history)
 				}
+				simulation.fleet.mutex.Unlock()
 				simulation.domain.keeper.View(func(state *jobkeeper.State) {
 					job, _ := state.Job("job0")
 					if got := job.State(); got != scheduler.WorkflowFailed || !job.GivenUp() {
