overseer: stop attempts whose end a former leader has recorded

What callers may see: a task of a cancelled job runs on, a long-running one without end (UNASKED); before its cancelling, beside the next attempt (TWICE). Not seen on a deployment.

Cause: a group forwards a proposal that has not run to the next leader. If a leader stands still between a report and the proposal of its ends, they can be committed after the next leader has adopted the attempts. The attempt then leaves the log but stays in the memory of the new leadership, which renews its lease and stops only attempts in the log.

Change: once a second each leadership compares its attempts with the log, as it does for adoption, and stops an attempt that was missing twice and whose end it is not recording itself.

Evidence: TestEndRecordedByFormerLeader failed before with "job0/0/0/0#1 runs on w0 3s after its job was cancelled". go test ./internal/jobs/overseer passes. Open: the late end itself; the task can be placed again before the earlier attempt is stopped.

--- a/internal/jobs/overseer/cancellation_test.go
+++ b/internal/jobs/overseer/cancellation_test.go
@@ -159,6 +159,31 @@
 	}
 }
 
+// Guards against an attempt that runs on after its job was cancelled, because a proposal of a former leader has recorded
+// its end.
+func TestEndRecordedByFormerLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.fleet.cancellations.checkRunning = true
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{
+			Count: 1, Request: oneCore, LongRunning: true,
+		}}})
+		time.Sleep(time.Second)
+		id := scheduler.RunID{Task: scheduler.StepTaskID{Job: "job0"}, Attempt: 1}
+		end := jobkeeper.Command{End: []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}}
+		simulation.cancel("job0")
+		simulation.apply(end)
+		time.Sleep(2 * cancellationTime)
+		for _, violation := range simulation.fleet.violations {
+			t.Error(violation)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // interruptOrders sometimes restarts a worker or ends the leadership, after which the same or another VM leads.
 func (simulation *simulation) interruptOrders() {
 	switch simulation.random.IntN(12) {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -136,6 +136,25 @@
 	leadership.ensureRenewal(instance)
 }
 
+// stopUnrecorded stops attempts that the log no longer holds although this leadership has not recorded their ends: a
+// proposal of a former leader may be committed late. An attempt must be missing in two successive calls, because the end
+// of one member of a gang removes all members from the log before the workers of the others report it.
+func (leadership *leadership) stopUnrecorded() {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		for _, instance := range leadership.instances {
+			for id, attempt := range instance.attempts {
+				_, recorded := state.Run(instance.name, id)
+				if !recorded && !attempt.recordingEnd && attempt.unrecorded && instance.hasHeartbeat {
+					leadership.stopAttempt(instance, id, "its end is recorded already")
+				}
+				attempt.unrecorded = !recorded
+			}
+		}
+	})
+}
+
 // recordLost records the loss of an attempt on an instance that has ended. The mutex must be held.
 func (leadership *leadership) recordLost(
 	id scheduler.RunID, worker scheduler.WorkerName, incarnation scheduler.Incarnation,
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -11,7 +11,7 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// adoptInterval is how often the replicated state is searched for attempts that are unknown to this leadership. The
+// adoptInterval is how often the attempts in the replicated state are compared with those of this leadership. The
 // same goroutine proposes placements and launches their attempts, so the search never finds an attempt that has been
 // placed but is still to be launched.
 const adoptInterval = time.Second
@@ -27,6 +27,7 @@
 		if now := leadership.now(); now > adopted+adoptInterval {
 			adopted = now
 			leadership.adoptAll()
+			leadership.stopUnrecorded()
 		}
 		if now := leadership.now(); now > logged+loadInterval {
 			logged = now
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -69,7 +69,9 @@
 	reported bool
 	// recordingEnd is true while the end of the attempt is being recorded.
 	recordingEnd bool
-	spec         scheduler.Step
+	// unrecorded is true if the last call of stopUnrecorded did not find the attempt in the log.
+	unrecorded bool
+	spec       scheduler.Step
 	// approval is the proof that the approval service issued. It is empty if no approval is required.
 	approval string
 	// share is the percentage of the full speed that the worker last accepted for the attempt.
