--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/crc32"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -87,9 +88,22 @@
 func (leadership *leadership) sendStart(instance *worker, order scheduler.StartOrder) (scheduler.OrderResponse, error) {
 	ctx, cancel := context.WithTimeout(leadership.context, orderTimeout)
 	defer cancel()
+	leadership.logStart(instance, &order)
 	return leadership.overseer.client.Start(ctx, leadership.ref(instance), order)
 }
 
+// logStart logs the content of a start order. The level is debug because a large domain starts hundreds of tasks a second.
+func (leadership *leadership) logStart(instance *worker, order *scheduler.StartOrder) {
+	event := leadership.logger.Debug()
+	if !event.Enabled() {
+		return
+	}
+	event.Str("event", "startSent").Stringer("run", order.Run).Str("worker", string(instance.name)).
+		Uint64("life", uint64(instance.incarnation)).
+		Uint32("payloadChecksum", crc32.ChecksumIEEE([]byte(order.Payload))).Str("checkpoint", order.Checkpoint).
+		Msg("sending a start order")
+}
+
 // handleStartError records that a start order may take effect later, unless it was certainly not sent.
 func (leadership *leadership) handleStartError(instance *worker, id scheduler.RunID, err error) {
 	leadership.overseer.metrics.repeated.Inc(1)
@@ -120,6 +134,16 @@
 	return attempt
 }
 
+// logUnwantedStart logs a start order that took effect while the attempt was being stopped.
+func (leadership *leadership) logUnwantedStart(instance *worker, id scheduler.RunID, attempt *attempt) {
+	if attempt.state != attemptStopping && attempt.state != attemptStopped {
+		return
+	}
+	leadership.logger.Info().Str("event", "unwantedStartAccepted").Stringer("run", id).
+		Str("worker", string(instance.name)).Str("state", string(attempt.state)).Str("reason", attempt.stopReason).
+		Msg("worker accepted a start order while the attempt was being stopped")
+}
+
 // handleStartResponse processes the response to a start order. It returns false if the order must be sent again. A
 // refused attempt is stopped first if an earlier start order may still arrive.
 func (leadership *leadership) handleStartResponse(
@@ -134,6 +158,7 @@
 	switch response.Result {
 	case scheduler.OrderAccepted:
 		attempt.startOutstanding = false
+		leadership.logUnwantedStart(instance, id, attempt)
 		attempt.timing.begin(leadership.now())
 		attempt.times.recordAccepted(leadership.now())
 		if attempt.state == attemptStarting {
