overseer: stop obsolete attempts outside the planning cycle

Cause: obsolete attempts were stopped by the planning cycle. It waits for the replication of its placements, up to 3 s, and pauses for twice its own duration, so that the stop of a cancelled task waits up to three times as long as a cycle takes.

--- a/internal/jobs/overseer/cancellation_test.go
+++ b/internal/jobs/overseer/cancellation_test.go
@@ -188,6 +188,35 @@
 	})
 }
 
+// Guards against tasks of a cancelled job that run on while the leader waits for the replication of placements.
+func TestStopsDoNotWaitForPlacements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		workflow := scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
+		cancelled, placed := workflow, workflow
+		simulation.submitWorkflow(&cancelled)
+		time.Sleep(time.Second)
+		simulation.domain.mutex.Lock()
+		simulation.domain.proposalDelay = 2 * time.Second
+		simulation.domain.mutex.Unlock()
+		simulation.submitWorkflow(&placed)
+		time.Sleep(200 * time.Millisecond)
+		simulation.cancel("job0")
+		time.Sleep(500 * time.Millisecond)
+		simulation.fleet.mutex.Lock()
+		for index := range 2 {
+			if task := (scheduler.StepTaskID{Job: "job0", Index: index}); simulation.fleet.running[task] > 0 {
+				t.Errorf("got %v still running: %v", task, simulation.fleet.history[task])
+			}
+		}
+		simulation.fleet.mutex.Unlock()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // interruptOrders sometimes restarts a worker or ends the leadership, after which the same or another VM leads.
 func (simulation *simulation) interruptOrders() {
 	switch simulation.random.IntN(12) {
--- a/internal/jobs/overseer/failure_test.go
+++ b/internal/jobs/overseer/failure_test.go
@@ -209,3 +209,18 @@
 		})
 	}
 }
+
+// openJobs counts the jobs that can end but have not.
+func (simulation *simulation) openJobs() int {
+	openJobs := 0
+	simulation.domain.keeper.View(func(state *jobkeeper.State) {
+		for number := range simulation.jobs {
+			job, _ := state.Job(scheduler.JobID(fmt.Sprintf("job%d", number)))
+			if job.State().Ended() || job.Workflow().Steps[0].LongRunning {
+				continue
+			}
+			openJobs++
+		}
+	})
+	return openJobs
+}
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -86,6 +86,7 @@
 		Msg("this VM is now the leader of the domain")
 	overseer.current.Store(leadership)
 	leadership.goroutines.Go(leadership.plan)
+	leadership.goroutines.Go(leadership.stopObsoleteAttempts)
 	if overseer.approver != nil {
 		leadership.goroutines.Go(leadership.requestApprovals)
 	}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -16,7 +16,7 @@
 // placed but is still to be launched.
 const adoptInterval = time.Second
 
-// plan places waiting tasks and stops obsolete attempts until the term ends.
+// plan places waiting tasks until the term ends.
 func (leadership *leadership) plan() {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
@@ -56,7 +56,6 @@
 	leadership.observeEvacuations()
 	leadership.observeLoad()
 	leadership.expireLeases()
-	leadership.stopObsolete()
 	leadership.evacuateDraining()
 	placements := leadership.choosePlacements()
 	took := leadership.now() - began
@@ -88,19 +87,6 @@
 	}
 }
 
-// stopObsolete stops the obsolete attempts, which are those of jobs that have ended and of tasks that have finished.
-func (leadership *leadership) stopObsolete() {
-	leadership.mutex.Lock()
-	defer leadership.mutex.Unlock()
-	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
-		state.VisitObsolete(func(run *jobkeeper.Run) {
-			if instance := leadership.instances[run.Worker()]; instance != nil && instance.hasHeartbeat {
-				leadership.stopAttempt(instance, run.ID(), "no longer wanted")
-			}
-		})
-	})
-}
-
 // drainMargin is the time between stopping the remaining attempts on a draining worker and the earliest time at which
 // the worker may shut down. It lets the worker save and report their progress.
 const drainMargin = time.Second
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -40,6 +40,8 @@
 	leader atomic.Int32
 	term   atomic.Uint64
 	index  scheduler.Index
+	// proposalDelay is added to the duration of each proposal of a leadership.
+	proposalDelay time.Duration
 	// stalledUntil is the time until which the process of each VM is stalled, see HoldsLeaderLease.
 	stalledUntil [simulationVMs]time.Time
 }
@@ -51,7 +53,7 @@
 func (group *fakeGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	domain := group.domain
 	domain.mutex.Lock()
-	delay := time.Duration(domain.random.Int64N(int64(30 * time.Millisecond)))
+	delay := domain.proposalDelay + time.Duration(domain.random.Int64N(int64(30*time.Millisecond)))
 	domain.mutex.Unlock()
 	term := domain.term.Load()
 	select {
@@ -391,18 +393,3 @@
 		}
 	}
 }
-
-// openJobs counts the jobs that can end but have not.
-func (simulation *simulation) openJobs() int {
-	openJobs := 0
-	simulation.domain.keeper.View(func(state *jobkeeper.State) {
-		for number := range simulation.jobs {
-			job, _ := state.Job(scheduler.JobID(fmt.Sprintf("job%d", number)))
-			if job.State().Ended() || job.Workflow().Steps[0].LongRunning {
-				continue
-			}
-			openJobs++
-		}
-	})
-	return openJobs
-}
