--- a/internal/jobs/overseer/cancellation_test.go
+++ b/internal/jobs/overseer/cancellation_test.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// checkViolations reports the invariant violations so far and returns the number of starts. It takes the mutex, because
+// late orders may be on their way.
+func (simulation *simulation) checkViolations() (starts int) {
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	for _, violation := range simulation.fleet.violations {
+		simulation.t.Error(violation)
+	}
+	return simulation.fleet.starts
+}
+
 // Guards against work of a cancelled job that starts late or runs on, with orders that take effect seconds later, workers
 // that restart and leaderships that end.
 func TestRandomCancellations(t *testing.T) {
@@ -120,12 +131,7 @@
 				time.Sleep(20 * time.Second)
 				stop()
 				time.Sleep(20 * time.Second)
-				simulation.fleet.mutex.Lock()
-				defer simulation.fleet.mutex.Unlock()
-				for _, violation := range simulation.fleet.violations {
-					t.Error(violation)
-				}
-				if simulation.fleet.starts == 0 {
+				if simulation.checkViolations() == 0 {
 					t.Error("no task was started")
 				}
 			})
@@ -151,9 +157,7 @@
 				simulation.cancel("job0")
 				simulation.leading().deposed.Store(true) // As handlePanic does.
 				time.Sleep(30 * time.Second)
-				for _, violation := range simulation.fleet.violations {
-					t.Error(violation)
-				}
+				simulation.checkViolations()
 				stop()
 				time.Sleep(20 * time.Second)
 			})
@@ -161,6 +165,58 @@
 	}
 }
 
+// Guards against an attempt that runs on after its job was cancelled, because a proposal of a former leader has recorded
+// its end.
+func TestEndRecordedByFormerLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.fleet.cancellations.checkRunning = true
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{
+			Count: 1, Request: oneCore, LongRunning: true,
+		}}})
+		time.Sleep(time.Second)
+		id := scheduler.RunID{Task: scheduler.StepTaskID{Job: "job0"}, Attempt: 1}
+		end := jobkeeper.Command{End: []jobkeeper.End{{Run: id, Kind: scheduler.EndLost}}}
+		simulation.cancel("job0")
+		simulation.apply(end)
+		time.Sleep(2 * cancellationTime)
+		simulation.checkViolations()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// Guards against tasks of a cancelled job that run on while the leader waits for the replication of placements.
+func TestStopsDoNotWaitForPlacements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		workflow := scheduler.Workflow{Steps: []scheduler.Step{{Count: 2, Request: oneCore, LongRunning: true}}}
+		cancelled, placed := workflow, workflow
+		simulation.submitWorkflow(&cancelled)
+		time.Sleep(time.Second)
+		simulation.domain.mutex.Lock()
+		simulation.domain.proposalDelay = 2 * time.Second
+		simulation.domain.mutex.Unlock()
+		simulation.submitWorkflow(&placed)
+		time.Sleep(200 * time.Millisecond)
+		simulation.cancel("job0")
+		time.Sleep(500 * time.Millisecond)
+		simulation.fleet.mutex.Lock()
+		for index := range 2 {
+			if task := (scheduler.StepTaskID{Job: "job0", Index: index}); simulation.fleet.running[task] > 0 {
+				t.Errorf("got %v still running: %v", task, simulation.fleet.history[task])
+			}
+		}
+		simulation.fleet.mutex.Unlock()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // interruptOrders sometimes restarts a worker or ends the leadership, after which the same or another VM leads.
 func (simulation *simulation) interruptOrders() {
 	switch simulation.random.IntN(12) {
--- a/internal/jobs/overseer/fake_group_test.go
+++ b/internal/jobs/overseer/fake_group_test.go
@@ -26,6 +26,8 @@
 	leader atomic.Int32
 	term   atomic.Uint64
 	index  scheduler.Index
+	// proposalDelay is added to the duration of each proposal of a leadership.
+	proposalDelay time.Duration
 	// stalledUntil is the time until which the process of each VM is stalled, see HoldsLeaderLease.
 	stalledUntil [simulationVMs]time.Time
 	electedAt    time.Time
@@ -38,7 +40,7 @@
 func (group *fakeGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	domain := group.domain
 	domain.mutex.Lock()
-	delay := time.Duration(domain.random.Int64N(int64(30 * time.Millisecond)))
+	delay := domain.proposalDelay + time.Duration(domain.random.Int64N(int64(30*time.Millisecond)))
 	domain.mutex.Unlock()
 	term := domain.term.Load()
 	select {
@@ -49,7 +51,10 @@
 	domain.mutex.Lock()
 	defer domain.mutex.Unlock()
 	if int(domain.leader.Load()) != group.number || domain.term.Load() != term {
-		return nil, scheduler.ErrOutcomeUnknown.New("the leader has changed")
+		if domain.leader.Load() == noLeader || domain.random.IntN(2) == 0 || ctx.Err() != nil {
+			return nil, scheduler.ErrOutcomeUnknown.New("the leader has changed")
+		}
+		// The group forwards a proposal that has not run to the new leader.
 	}
 	domain.index++
 	result := domain.keeper.Apply(domain.index, command)
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -11,12 +11,12 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// adoptInterval is how often the replicated state is searched for attempts that are unknown to this leadership. The
+// adoptInterval is how often the attempts in the replicated state are compared with those of this leadership. The
 // same goroutine proposes placements and launches their attempts, so the search never finds an attempt that has been
 // placed but is still to be launched.
 const adoptInterval = time.Second
 
-// plan places waiting tasks and stops obsolete attempts until the term ends.
+// plan places waiting tasks until the term ends.
 func (leadership *leadership) plan() {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
@@ -27,6 +27,7 @@
 		if now := leadership.now(); now > adopted+adoptInterval {
 			adopted = now
 			leadership.adoptAll()
+			leadership.stopUnrecorded()
 		}
 		if now := leadership.now(); now > logged+loadInterval {
 			logged = now
@@ -64,7 +65,6 @@
 	leadership.observeBlame()
 	leadership.observeLoad()
 	leadership.expireLeases()
-	leadership.stopObsolete()
 	leadership.evacuateDraining()
 	placements := leadership.choosePlacements()
 	took := leadership.now() - began
@@ -96,19 +96,6 @@
 	}
 }
 
-// stopObsolete stops the obsolete attempts, which are those of jobs that have ended and of tasks that have finished.
-func (leadership *leadership) stopObsolete() {
-	leadership.mutex.Lock()
-	defer leadership.mutex.Unlock()
-	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
-		state.VisitObsolete(func(run *jobkeeper.Run) {
-			if instance := leadership.instances[run.Worker()]; instance != nil && instance.hasHeartbeat {
-				leadership.stopAttempt(instance, run.ID(), "no longer wanted")
-			}
-		})
-	})
-}
-
 // drainMargin is the time between stopping the remaining attempts on a draining worker and the earliest time at which
 // the worker may shut down. It lets the worker save and report their progress.
 const drainMargin = time.Second
