handler: decide from one view of the state how a job is cancelled

What callers saw: a cancelling was answered "no such job", without a trace, and the job ran.

Cause: the handler looked twice: the job was unknown, its submission was applied, and the second look found a job, which it took for one of another queue.

Change: one view decides between cancelling, withdrawing and a job of another queue. A job that is stored after the view is cancelled when the withdrawal is applied.

--- a/internal/jobs/handler/cancellation_test.go
+++ b/internal/jobs/handler/cancellation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,6 +73,24 @@
 	})
 }
 
+// Guards against a cancelling that takes a job which is stored meanwhile for one of another queue, and leaves it running.
+func TestCancellationDuringSubmission(t *testing.T) {
+	const jobs = 10_000
+	handler := newKeeperHandler(t, testQueue)
+	for number := range jobs {
+		id := scheduler.JobID(fmt.Sprint("job", number))
+		var group sync.WaitGroup
+		group.Go(func() {
+			handler.submit(t.Context(), &SubmitRequest{Route: testRoute, Job: id, Workflow: testWorkflow}, 0)
+		})
+		handler.cancel(t.Context(), &JobRequest{Route: testRoute, Job: id})
+		group.Wait()
+		if got, _ := handler.job(&testQueue, id); got.JobState != scheduler.WorkflowCancelled {
+			t.Fatalf("got state %s of %s, want %s", got.JobState, id, scheduler.WorkflowCancelled)
+		}
+	}
+}
+
 // Guards against a caller of one queue that cancels a job of another one.
 func TestCancellationInOtherQueue(t *testing.T) {
 	handler := newKeeperHandler(t, testQueue)
--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -189,12 +189,9 @@
 	if queue == nil {
 		return response
 	}
-	command := jobkeeper.Command{Cancel: &request.Job}
-	if _, found := handler.job(queue, request.Job); !found {
-		if handler.overseer.HasJob(request.Job) {
-			return errorResponse(StatusNoJob, "the job belongs to another queue", 0)
-		}
-		command = jobkeeper.Command{Withdraw: &jobkeeper.Withdraw{Job: request.Job, Requested: time.Now()}}
+	command, otherQueue := handler.cancellation(queue, request.Job)
+	if otherQueue {
+		return errorResponse(StatusNoJob, "the job belongs to another queue", 0)
 	}
 	response = handler.command(ctx, command)
 	handler.logger.Info().Str("event", "jobCancelled").Str("job", string(request.Job)).
@@ -203,15 +200,37 @@
 	return response
 }
 
-// job returns the response to a query of a job. A queue with another name for the same host and path is the renamed queue
-// of the job.
-func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (response Response, found bool) {
+// cancellation returns the command that cancels a job of a queue, or otherQueue if the job belongs to another one. A job
+// that is stored after this view is cancelled by the withdrawal.
+func (handler *Handler) cancellation(
+	queue *scheduler.Queue, id scheduler.JobID,
+) (command jobkeeper.Command, otherQueue bool) {
+	command = jobkeeper.Command{Withdraw: &jobkeeper.Withdraw{Job: id, Requested: time.Now()}}
 	handler.keeper.View(func(view *jobkeeper.State) {
 		job, known := view.Job(id)
-		if !known {
-			return
+		switch {
+		case !known:
+		case isQueueOf(job, queue):
+			command = jobkeeper.Command{Cancel: &id}
+		default:
+			otherQueue = true
 		}
-		if submitted := job.Queue(); submitted.Name == queue.Name || submitted.HasRouteOf(queue) {
+	})
+	return command, otherQueue
+}
+
+// isQueueOf reports whether a job belongs to a queue. A queue with another name for the same host and path is the renamed
+// queue of the job.
+func isQueueOf(job *jobkeeper.Job, queue *scheduler.Queue) bool {
+	submitted := job.Queue()
+	return submitted.Name == queue.Name || submitted.HasRouteOf(queue)
+}
+
+// job returns the response to a query of a job.
+func (handler *Handler) job(queue *scheduler.Queue, id scheduler.JobID) (response Response, found bool) {
+	handler.keeper.View(func(view *jobkeeper.State) {
+		job, known := view.Job(id)
+		if known && isQueueOf(job, queue) {
 			found = true
 			response = Response{Status: StatusDone, JobState: job.State(), FailureReason: job.FailureReason()}
 		}
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -100,11 +100,11 @@
 // MayBeStored reports whether a job is stored, or a proposal of it may still take effect.
 func (overseer *Overseer) MayBeStored(job scheduler.JobID) bool {
 	// A proposal that ends between the two checks has stored the job before.
-	return overseer.submissions.contains(job, time.Now()) || overseer.HasJob(job)
+	return overseer.submissions.contains(job, time.Now()) || overseer.hasJob(job)
 }
 
-// HasJob reports whether a job is stored.
-func (overseer *Overseer) HasJob(job scheduler.JobID) (found bool) {
+// hasJob reports whether a job is stored.
+func (overseer *Overseer) hasJob(job scheduler.JobID) (found bool) {
 	overseer.keeper.View(func(state *jobkeeper.State) { _, found = state.Job(job) })
 	return found
 }
