overseer, crashclassifier: blame nobody for a lost rack, a drain, or a mark that proved wrong

What callers saw: nothing yet; found by the review of the crash budget. A task could get 2 of 4 points because its worker closed a connection before it reported that it drains, or because it was on the first workers of a rack that was lost.

Cause: marks are written when a connection is closed, and overrode the later verdict; nobody cleared them. A lost rack gave every task on it a point. Marks and their clearing were separate proposals, so that the older one could be applied last. A start that was carried over to the next instance of its worker lost the note that it may have been sent, so a late start that crashed that instance counted for nobody.

Change: the verdict rackLost blames only tasks that were lost with a rack within the last minute, since deadly tasks may start together again and again; marks are revised when a rack proves to be lost, cleared before an end that is only a loss, and proposed in order until they are committed; the carried start keeps its note.

Evidence, before: TestNoBlameForDrain "got 2 points and 0 attempts, want none", TestNoBlameForLostRack the same, TestLateStartCrashesNextInstance "verdict crash, kind lost, want a crash kind".

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -36,7 +36,9 @@
 	VerdictNoNextInstance Verdict = "noNextInstance"
 	// VerdictExpected means that the worker was draining or its VM was under maintenance.
 	VerdictExpected Verdict = "expected"
-	// VerdictCommonCause means that a large part of a rack or pool ended at the same time.
+	// VerdictRackLost means that a large part of a rack ended at the same time, VerdictCommonCause that a large part of a pool
+	// did.
+	VerdictRackLost    Verdict = "rackLost"
 	VerdictCommonCause Verdict = "commonCause"
 )
 
@@ -51,9 +53,9 @@
 	Expected bool
 	// At is when the first order failed since the last response.
 	At time.Duration
-	// Domains holds the rack and the pool of the worker.
-	Domains  []FailureDomain
-	Attempts []Attempt
+	// Rack and Pool are the failure domains of the worker.
+	Rack, Pool FailureDomain
+	Attempts   []Attempt
 }
 
 // FailureDomain is a group of workers that may fail together.
@@ -75,6 +77,8 @@
 	Since    time.Duration
 	// Suspect is true if the task is suspected because of earlier crashes.
 	Suspect bool
+	// LostBefore is true if an attempt of the task was lost with a rack shortly before.
+	LostBefore bool
 	// Marked is how an earlier leader, which saw the connection being closed, would have blamed the attempt. It is empty if
 	// there is none.
 	Marked scheduler.EndKind
@@ -114,8 +118,9 @@
 // crash adds to the blame of its cause.
 //
 // An attempt whose start was not answered is no likely cause: it may never have reached the worker, and a task must not be
-// given up after one crash. If many workers crashed at once, all get the weaker blame. It adds up for tasks that crash their
-// workers, wait for them together and start together again, but not for those that are hit by such a loss once.
+// given up after one crash. If many workers of a pool crashed at once, all get the weaker blame. It adds up for tasks that crash
+// their workers, wait for them together and start together again. If a rack was lost, only tasks that were lost in the same
+// way shortly before get it.
 func Classify(ending *Ending) Decision {
 	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
 	decision.count(ending)
@@ -134,6 +139,7 @@
 		case !decision.isCrash():
 		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
 			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
+		case decision.verdict == VerdictRackLost && !attempt.LostBefore:
 		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Sent || attempt.Adopted):
 			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
 		}
@@ -143,7 +149,7 @@
 
 // isCrash reports whether processes crashed, be it for a common cause.
 func (decision Decision) isCrash() bool {
-	return decision.verdict == VerdictCrash || decision.verdict == VerdictCommonCause
+	return decision.verdict == VerdictCrash || decision.verdict == VerdictRackLost || decision.verdict == VerdictCommonCause
 }
 
 // count counts the attempts that were starting and those of suspects.
@@ -176,10 +182,11 @@
 	case !ending.Replaced:
 		return VerdictNoNextInstance
 	}
-	for _, domain := range ending.Domains {
-		if domain.hasCommonCause(ending.At) {
-			return VerdictCommonCause
-		}
+	switch {
+	case ending.Rack.hasCommonCause(ending.At):
+		return VerdictRackLost
+	case ending.Pool.hasCommonCause(ending.At):
+		return VerdictCommonCause
 	}
 	return VerdictCrash
 }
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,17 +19,27 @@
 	suspects map[scheduler.StepTaskID]bool
 	// recent holds the instances that ended after they had closed a connection.
 	recent []crash
+	// rackLosses holds when tasks were last lost with a rack.
+	rackLosses map[scheduler.StepTaskID]time.Duration
+	// marks holds the marks that are to be proposed, in order. marking is true while they are being proposed.
+	marks   []jobkeeper.Mark
+	marking bool
 	// clearing is true while the blame of tasks that have survived is being cleared.
 	clearing bool
 }
 
+// rackLossRetention is how long the loss of a task with a rack is remembered.
+const rackLossRetention = time.Minute
+
 type crash struct {
 	at   time.Duration
 	rack string
 	pool scheduler.PoolName
 }
 
-func newCrashes() crashes { return crashes{suspects: map[scheduler.StepTaskID]bool{}} }
+func newCrashes() crashes {
+	return crashes{suspects: map[scheduler.StepTaskID]bool{}, rackLosses: map[scheduler.StepTaskID]time.Duration{}}
+}
 
 // mayReachNextInstance reports whether a start order of the attempt may have reached, or may still reach, the next instance
 // of its worker.
@@ -57,6 +68,31 @@
 		marks = append(marks, jobkeeper.Mark{Run: run, Kind: decision.Kind(run)})
 	}
 	leadership.recordMarks(marks)
+	if decision.Verdict() == crashclassifier.VerdictRackLost {
+		leadership.reviseMarks()
+	}
+}
+
+// reviseMarks clears the marks of attempts on the first workers of a lost rack, whose crashes were taken for single
+// ones. The mutex must be held.
+func (leadership *leadership) reviseMarks() {
+	for _, instance := range leadership.instances {
+		if instance.connectionClosed {
+			leadership.recordMarks(instance.takeUnblamedMarks(leadership.classifyEnding(instance, true)))
+		}
+	}
+}
+
+// takeUnblamedMarks removes the marks of attempts that a decision does not blame, and returns what clears them in the log.
+func (worker *worker) takeUnblamedMarks(decision crashclassifier.Decision) []jobkeeper.Mark {
+	var marks []jobkeeper.Mark
+	for id, attempt := range worker.attempts {
+		if attempt.mark != "" && !attempt.recordingEnd && decision.Kind(id) == scheduler.EndLost {
+			attempt.mark = ""
+			marks = append(marks, jobkeeper.Mark{Run: id})
+		}
+	}
+	return marks
 }
 
 // clearMarks clears the marks of attempts on an instance that has sent a report and has therefore not crashed. The mutex
@@ -72,18 +108,46 @@
 	leadership.recordMarks(marks)
 }
 
-// recordMarks proposes marks once. A mark that is not recorded is missing only if the leader changes before the next
-// instance of the worker starts.
+// recordMarks proposes marks after those before them, because a later one replaces an earlier one. The mutex must be held.
 func (leadership *leadership) recordMarks(marks []jobkeeper.Mark) {
 	if len(marks) == 0 {
 		return
 	}
-	leadership.goroutines.Go(func() {
-		if _, err := leadership.propose(jobkeeper.Command{Mark: marks}); err != nil {
-			leadership.logger.Warn().Str("event", "marksNotRecorded").Int("attempts", len(marks)).Err(err).
-				Msg("could not mark the attempts of a worker that closed a connection")
+	crashes := &leadership.crashes
+	crashes.marks = append(crashes.marks, marks...)
+	if !crashes.marking {
+		crashes.marking = true
+		leadership.goroutines.Go(leadership.proposeMarks)
+	}
+}
+
+// proposeMarks proposes the recorded marks until none is left or the term ends.
+func (leadership *leadership) proposeMarks() {
+	for marks := leadership.takeMarks(); len(marks) > 0; marks = leadership.takeMarks() {
+		leadership.commitMarks(marks)
+	}
+}
+
+func (leadership *leadership) takeMarks() []jobkeeper.Mark {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	marks := leadership.crashes.marks
+	leadership.crashes.marks, leadership.crashes.marking = nil, len(marks) > 0
+	return marks
+}
+
+// commitMarks proposes marks until they are committed. It returns false if the term ends before.
+func (leadership *leadership) commitMarks(marks []jobkeeper.Mark) bool {
+	for failures := 1; leadership.context.Err() == nil; failures++ {
+		_, err := leadership.propose(jobkeeper.Command{Mark: marks})
+		if err == nil {
+			return true
 		}
-	})
+		leadership.logger.Warn().Str("event", "marksNotRecorded").Int("attempts", len(marks)).Err(err).
+			Msg("could not record which attempts are blamed if their worker has crashed; will retry")
+		leadership.pause(retryDelay(failures))
+	}
+	return false
 }
 
 // classifyEnding decides whether an instance that has ended crashed, and which of its attempts are blamed. replaced is
@@ -93,8 +157,9 @@
 	ending := &crashclassifier.Ending{
 		ConnectionClosed: instance.connectionClosed, Replaced: replaced,
 		Expected: ordered || leadership.isInMaintenance(instance) || instance.heartbeat.Phase == scheduler.WorkerDraining,
-		At:       instance.failingSince, Domains: leadership.failureDomains(instance),
+		At:       instance.failingSince,
 	}
+	ending.Rack, ending.Pool = leadership.failureDomains(instance)
 	for id, attempt := range instance.attempts {
 		if attempt.recordingEnd {
 			continue
@@ -104,15 +169,33 @@
 			Run: id, Adopted: attempt.adopted,
 			Sent:     !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
 			Accepted: accepted, Since: attempt.times.acceptedAt, Suspect: leadership.crashes.suspects[id.Task],
-			Marked: attempt.mark,
+			Marked: attempt.mark, LostBefore: leadership.wasLostBefore(id.Task),
 		})
 	}
 	return crashclassifier.Classify(ending)
 }
 
+// wasLostBefore reports whether a task was lost with a rack shortly before.
+func (leadership *leadership) wasLostBefore(task scheduler.StepTaskID) bool {
+	lostAt, lost := leadership.crashes.rackLosses[task]
+	return lost && leadership.now()-lostAt < rackLossRetention
+}
+
+// recordRackLosses records the tasks on an instance that was lost with its rack. The mutex must be held.
+func (leadership *leadership) recordRackLosses(instance *worker) {
+	now := leadership.now()
+	maps.DeleteFunc(leadership.crashes.rackLosses, func(_ scheduler.StepTaskID, lostAt time.Duration) bool {
+		return now-lostAt >= rackLossRetention
+	})
+	for id, attempt := range instance.attempts {
+		if !attempt.recordingEnd {
+			leadership.crashes.rackLosses[id.Task] = now
+		}
+	}
+}
+
 // failureDomains returns the rack and the pool of an instance, with the crashes in them.
-func (leadership *leadership) failureDomains(instance *worker) []crashclassifier.FailureDomain {
-	var rack, pool crashclassifier.FailureDomain
+func (leadership *leadership) failureDomains(instance *worker) (rack, pool crashclassifier.FailureDomain) {
 	inRack := func(other string) bool { return other != "" && other == instance.rack() }
 	for _, other := range leadership.instances {
 		if !other.hasHeartbeat || other.heartbeat.Pool != instance.heartbeat.Pool {
@@ -139,7 +222,7 @@
 			rack.Crashes = append(rack.Crashes, crash.at)
 		}
 	}
-	return []crashclassifier.FailureDomain{rack, pool}
+	return rack, pool
 }
 
 // observeEnding records and logs the end of an instance that had closed a connection.
@@ -154,8 +237,12 @@
 	leadership.crashes.recent = append(leadership.crashes.recent, crash{
 		at: instance.failingSince, rack: instance.rack(), pool: instance.heartbeat.Pool,
 	})
-	if decision.Verdict() == crashclassifier.VerdictCrash {
+	switch decision.Verdict() {
+	case crashclassifier.VerdictCrash:
 		leadership.overseer.metrics.crashes.Inc(1)
+	case crashclassifier.VerdictRackLost:
+		leadership.recordRackLosses(instance)
+	default:
 	}
 	var likely []string
 	for _, run := range decision.Blamed() {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -232,8 +232,10 @@
 		delete(earlier.attempts, id)
 		later.attempts[id] = &attempt{
 			state: attemptUnknown, mayHaveStarted: true, adopted: candidate.adopted, spec: candidate.spec,
-			withdrawn: candidate.withdrawn || decision.Kind(id) != scheduler.EndLost,
-			approval:  candidate.approval, share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
+			// If the later instance carries out the order and crashes, the attempt must be blamed.
+			startUnanswered: candidate.startUnanswered || candidate.startOutstanding,
+			withdrawn:       candidate.withdrawn || decision.Kind(id) != scheduler.EndLost,
+			approval:        candidate.approval, share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: candidate.times.placedAt},
 		}
 	}
 	later.synced = len(later.attempts) == 0
@@ -295,6 +297,7 @@
 	leadership.logger.Info().Str("event", "workerLifeOver").Str("worker", string(instance.name)).
 		Uint64("life", uint64(instance.incarnation)).
 		Int("attempts", len(instance.attempts)).Str("reason", reason).Msg("worker instance ended; its attempts are lost")
+	marks := instance.takeUnblamedMarks(decision)
 	var ends []jobkeeper.End
 	for id, attempt := range instance.attempts {
 		attempt.recordingEnd = true
@@ -302,7 +305,12 @@
 		ends = append(ends, attempt.end(id, decision.Kind(id)))
 	}
 	if len(ends) > 0 {
-		leadership.goroutines.Go(func() { leadership.recordEnds(instance, ends) })
+		leadership.goroutines.Go(func() {
+			// A mark that is still in the log would blame an attempt whose end is only a loss.
+			if len(marks) == 0 || leadership.commitMarks(marks) {
+				leadership.recordEnds(instance, ends)
+			}
+		})
 	}
 	leadership.replan()
 }
