--- a/internal/jobs/dispatcher/blame.go
+++ b/internal/jobs/dispatcher/blame.go
@@ -64,6 +64,7 @@
 	return false
 }
 
+// suspect reports whether the task must start apart from others.
 func (task *task) suspect() bool { return task.Blame >= suspectBlame }
 
 // quietTime returns how long no other attempt may have started on a worker before the task does.
--- a/internal/jobs/dispatcher/starts.go
+++ b/internal/jobs/dispatcher/starts.go
@@ -41,6 +41,7 @@
 	return leases
 }
 
+// heldFor returns how long the start command of a task has been held back.
 func (engine *Engine) heldFor(task *task, now time.Time) time.Duration {
 	state := engine.leases[task.Lease]
 	if state == nil || state.heldSince.IsZero() {
@@ -55,10 +56,13 @@
 	// last is the time of the last start; unreported means that the worker has not reported one yet.
 	last       time.Time
 	unreported bool
-	// alone means that a suspect must not get company yet, justStarted that it has been started within crashWindow.
+	// alone means that nothing else may start beside a suspect yet, justStarted that a suspect has been started within
+	// crashWindow.
 	alone, justStarted bool
 }
 
+// classifyStarts sorts the tasks of a worker by whether their start commands have been sent. The mutexes of the engine and
+// the machine must be held.
 func (engine *Engine) classifyStarts(tasks []*task, running []scheduler.LeaseNumber, now time.Time) pendingStarts {
 	var starts pendingStarts
 	for _, task := range tasks {
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -8,12 +8,13 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// Points for a crash of the worker under a task, and the number of points at which the task is given up. A task that was
-// starting is the likely cause of the crash; of several that were running, any may be.
+// A task gets pointsStarting for a crash of its worker of which it is a likely cause, and pointsRunning for one of which it
+// is a possible cause. With pointsStarting it is a suspect.
 const (
-	PointsStarting = 2
-	PointsRunning  = 1
-	BlameLimit     = 4
+	pointsStarting = 2
+	pointsRunning  = 1
+	// BlameLimit is the number of points at which a task is given up.
+	BlameLimit = 4
 )
 
 // blame records the crashes of workers that a task may have caused.
@@ -27,9 +28,9 @@
 	added := task.blame
 	switch kind {
 	case scheduler.EndCrashedStarting:
-		added.points += PointsStarting
+		added.points += pointsStarting
 	case scheduler.EndCrashedRunning:
-		added.points += PointsRunning
+		added.points += pointsRunning
 	default:
 		return
 	}
@@ -136,7 +137,7 @@
 	}
 )
 
-// storeBlames appends the blame and the failure reason of a job.
+// storeBlames appends the blame, the marks and the failure reason of a job.
 func (stored *storedState) storeBlames(job *Job) {
 	if job.failureReason != "" {
 		stored.Failures = append(stored.Failures, storedFailure{Job: job.id, Reason: job.failureReason})
@@ -162,16 +163,17 @@
 	}
 }
 
+// restoreBlames restores what storeBlames has stored. The jobs and attempts must have been restored before.
 func (state *State) restoreBlames(stored *storedState) {
 	state.mark(stored.Marks)
-	for _, stored := range stored.Blames {
-		if task, found := state.task(stored.Task); found {
-			state.setBlame(task, blame{points: stored.Points, crashes: stored.Crashes})
+	for _, storedBlame := range stored.Blames {
+		if task, found := state.task(storedBlame.Task); found {
+			state.setBlame(task, blame{points: storedBlame.Points, crashes: storedBlame.Crashes})
 		}
 	}
-	for _, stored := range stored.Failures {
-		if job := state.jobs[stored.Job]; job != nil {
-			job.failureReason = stored.Reason
+	for _, storedFailure := range stored.Failures {
+		if job := state.jobs[storedFailure.Job]; job != nil {
+			job.failureReason = storedFailure.Reason
 		}
 	}
 }
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -171,7 +171,7 @@
 func (task *Task) Blame() int { return task.blame.points }
 
 // IsSuspect reports whether the task is suspected of crashing workers.
-func (task *Task) IsSuspect() bool { return task.blame.points >= PointsStarting }
+func (task *Task) IsSuspect() bool { return task.blame.points >= pointsStarting }
 
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
@@ -203,7 +203,7 @@
 // Worker returns the worker on which the attempt was placed.
 func (run *Run) Worker() scheduler.WorkerName { return run.worker }
 
-// Mark returns how the attempt is blamed if it is lost, or an empty kind, see Mark.
+// Mark returns how the attempt is blamed if it is lost, see the type Mark. It is empty if the attempt is not marked.
 func (run *Run) Mark() scheduler.EndKind { return run.mark }
 
 // Instance returns the incarnation of the worker on which the attempt was placed.
--- a/internal/jobs/overseer/capacity.go
+++ b/internal/jobs/overseer/capacity.go
@@ -28,8 +28,8 @@
 	return !worker.occupied().FitsIn(worker.heartbeat.Capacity)
 }
 
-// dipTime is how long a worker's former capacity counts in forecasts. Jobs that finish after several times that should not
-// be refused because a worker is small for a moment.
+// dipTime is how long a worker's former capacity counts in forecasts, so that jobs that run much longer are not refused
+// because a worker has shrunk for a moment.
 const dipTime = 5 * time.Second
 
 // formerCapacity is a capacity that a worker had until a time.
@@ -49,7 +49,7 @@
 	return dip
 }
 
-// recordFormerCapacity records the present capacity, which is about to change, and drops those that count no more.
+// recordFormerCapacity records the present capacity, which is about to change, and drops those older than dipTime.
 func (worker *worker) recordFormerCapacity(now time.Duration) {
 	worker.formerCapacities = slices.DeleteFunc(worker.formerCapacities, func(former formerCapacity) bool {
 		return now >= former.until+dipTime
@@ -57,8 +57,7 @@
 	worker.formerCapacities = append(worker.formerCapacities, formerCapacity{capacity: worker.heartbeat.Capacity, until: now})
 }
 
-// recordCapacityChange records that a worker has become larger or smaller, and requests a planning cycle that uses or
-// spares the difference. The mutex must be held.
+// recordCapacityChange records that a worker has become larger or smaller, and requests a planning cycle. The mutex must be held.
 func (leadership *leadership) recordCapacityChange(instance *worker, capacity scheduler.Resources) {
 	former, occupied := instance.heartbeat.Capacity, instance.occupied()
 	instance.recordFormerCapacity(leadership.now())
--- a/internal/jobs/overseer/evacuation.go
+++ b/internal/jobs/overseer/evacuation.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// resetGauges does the same as metrics.resetGauges.
+// resetGauges sets the gauges to 0 after a leadership, see metrics.resetGauges.
 func (evacuationMetrics *evacuationMetrics) resetGauges() {
 	evacuationMetrics.dataCentres.Update(0)
 	evacuationMetrics.tasks.Update(0)
--- a/internal/jobs/overseer/isolation.go
+++ b/internal/jobs/overseer/isolation.go
@@ -12,11 +12,9 @@
 // isolationLogInterval is how often waiting suspects are logged.
 const isolationLogInterval = time.Second
 
-// suspectBlame is the blame from which on a task starts apart from others, see packer.Isolation. A task that was blamed
-// once together with everything else on a worker has less.
-const suspectBlame = jobkeeper.PointsStarting
-
-func isSuspect(task *jobkeeper.Task) bool { return task.Blame() >= suspectBlame }
+// isSuspect reports whether a task must start apart from others, see packer.Isolation. A task that was blamed once together
+// with everything else on a worker need not.
+func isSuspect(task *jobkeeper.Task) bool { return task.IsSuspect() }
 
 // isSuspectAttempt reports whether the task of an attempt is suspected of crashing workers. The mutex must be held.
 func (leadership *leadership) isSuspectAttempt(id scheduler.RunID, attempt *attempt) bool {
@@ -81,7 +79,7 @@
 	return []*waitingStep{waiting, &suspected}
 }
 
-// isolationLog limits the log lines about waiting suspects and sums the pools of a planning cycle.
+// isolationLog limits the log lines about waiting suspects. Its counts are sums over the pools of a planning cycle.
 type isolationLog struct {
 	loggedAt time.Duration
 	// waiting is the number of suspects that the current planning cycle has left unplaced, kept the number of workers that
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -282,9 +282,9 @@
 )
 
 // score returns the score of a worker for a task of the group; the lowest score is best. Apart from the weighted terms,
-// suspects go to the worker with the fewest attempts, fill tasks go to the worker with the most slack, and other tasks to the fullest worker on which they fit, which keeps
-// capacity for large tasks free on other workers. racks holds the racks to which tasks of a rack-local group have been
-// assigned.
+// suspects go to the worker with the fewest attempts, fill tasks to the worker with the most slack, and other tasks to the
+// fullest worker on which they fit, which keeps capacity for large tasks free on other workers. racks holds the racks to
+// which tasks of a rack-local group have been assigned.
 func (group *Group) score(worker *Worker, racks map[string]bool) float64 {
 	step := group.Step
 	score := 0.0
--- a/internal/requests/gateway/crash.go
+++ b/internal/requests/gateway/crash.go
@@ -29,7 +29,7 @@
 }
 
 // admit gives up a request under which too many endpoints have crashed, and lets a suspect wait for its turn. endTurn is
-// called at the end of the attempt.
+// called at the end of the attempt. It is nil if the request failed.
 func (gateway *Gateway) admit(request *callerRequest) (suspect bool, endTurn func(), failed *failure) {
 	crashes := gateway.countCrashes(request)
 	switch {
@@ -74,6 +74,7 @@
 	return true
 }
 
+// settled reports whether it is known for each of the runs if its endpoint crashed.
 func settled(runs []*isolator.Run) bool {
 	for _, run := range runs {
 		if !run.Settled() {
--- a/internal/requests/isolator/crash.go
+++ b/internal/requests/isolator/crash.go
@@ -35,6 +35,7 @@
 	blamed bool
 }
 
+// fresh reports whether the run began less than freshTime before a time.
 func (run *Run) fresh(now time.Time) bool { return now.Sub(run.started) < freshTime }
 
 // Start records an attempt that is about to be sent.
@@ -125,6 +126,7 @@
 	return run.crash == nil || run.crash.confirmed || run.isolator.crashes[run.instance] != run.crash
 }
 
+// remove removes the run from those in progress. It still counts as a possible cause of a crash that ended it.
 func (run *Run) remove() {
 	runs := run.isolator.running[run.instance.endpoint]
 	if _, ok := runs[run]; ok && run.suspect {
@@ -136,6 +138,7 @@
 	}
 }
 
+// end removes the run, also from the possible causes of a crash.
 func (run *Run) end() {
 	run.remove()
 	if current := run.isolator.crashes[run.instance]; current != nil {
@@ -143,6 +146,7 @@
 	}
 }
 
+// isLeaving reports whether an instance has announced that it will end.
 func (isolator *Isolator) isLeaving(instance instance) bool {
 	last, ok := isolator.lastAnnouncement(instance.endpoint)
 	return ok && last.Incarnation == instance.incarnation && last.Leaving
@@ -163,8 +167,8 @@
 	return created
 }
 
-// settle confirms the crashes of endpoints that have come back with a later incarnation, and forgets those of endpoints
-// that go on and those whose time has passed.
+// settle confirms the crashes of endpoints that have come back with a later incarnation. It forgets those of endpoints that
+// still announce the same incarnation, and those older than confirmationTime.
 func (isolator *Isolator) settle(now time.Time) {
 	if now.Sub(isolator.lastSettle) < settleInterval {
 		return
@@ -224,6 +228,7 @@
 	return nil
 }
 
+// blame counts a crash against the requests with a fingerprint, and tells the other gateways.
 func (isolator *Isolator) blame(fingerprint Fingerprint, at time.Time) {
 	if fingerprint == (Fingerprint{}) {
 		return
--- a/internal/requests/retrier/retrier.go
+++ b/internal/requests/retrier/retrier.go
@@ -81,7 +81,7 @@
 
 // Retry reports whether the request may be retried after an attempt with the given outcome, and the backoff before the
 // retry. A request is retried only if it is idempotent or certainly did not run. ended is true if the process
-// of the endpoint has ended. Such a retry needs no budget: it adds no load, because the attempt before costs nothing more.
+// of the endpoint has ended. Such a retry needs no budget: the failed attempt no longer loads an endpoint.
 func (request *Request) Retry(outcome scheduler.Outcome, ended bool) (backoff time.Duration, ok bool) {
 	request.attempts++
 	if request.forwarded || request.attempts >= maxAttempts || outcome == scheduler.OutcomeDone {
--- a/pkg/scheduler/lease.go
+++ b/pkg/scheduler/lease.go
@@ -27,10 +27,10 @@
 	AttemptExpired AttemptOutcome = "expired"
 	// AttemptLost means that a later incarnation of the worker has no record of the attempt.
 	AttemptLost AttemptOutcome = "lost"
-	// AttemptCrashedStarting and AttemptCrashedRunning mean that the worker crashed and that the attempt may have
-	// caused it, shortly after its start or later.
+	// AttemptCrashedStarting means that the worker crashed shortly after the start of the attempt, which may be the cause.
 	AttemptCrashedStarting AttemptOutcome = "crashedStarting"
-	AttemptCrashedRunning  AttemptOutcome = "crashedRunning"
+	// AttemptCrashedRunning means that the worker crashed and that the attempt may be the cause, but less likely.
+	AttemptCrashedRunning AttemptOutcome = "crashedRunning"
 )
 
 // SyncRequest is the request of a worker in each sync exchange. It is a wire type. Attempts are identified by their
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -138,9 +138,10 @@
 	EndLost EndKind = "lost"
 	// EndRefused means that the worker never ran the attempt.
 	EndRefused EndKind = "refused"
-	// EndCrashedStarting means that the worker crashed while it started the attempt or shortly after.
+	// EndCrashedStarting means that the worker crashed shortly after it had accepted the attempt, which is a likely cause.
 	EndCrashedStarting EndKind = "crashedStarting"
-	// EndCrashedRunning means that the worker crashed while the attempt was running and none was starting.
+	// EndCrashedRunning means that the worker crashed and that the attempt is a possible cause, but not a likely one: it
+	// was accepted earlier, its start was not answered, or many workers crashed at once.
 	EndCrashedRunning EndKind = "crashedRunning"
 )
 
