overseer: reset the gauges of suspects and of shrunk workers after a leadership

TestFormerLeaderResetsGauges with the three gauges set printed before: "suspects_waiting+: got 1, want 0", and the same for the other two.

--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -73,6 +73,9 @@
 func (metrics *metrics) resetGauges() {
 	metrics.ready.Update(0)
 	metrics.reservations.Update(0)
+	metrics.exceeded.Update(0)
+	metrics.suspectsWaiting.Update(0)
+	metrics.workersKept.Update(0)
 	metrics.evacuation.resetGauges()
 	metrics.admission.update(0, 0, 0)
 	metrics.admission.updateOldest(waitBySize{})
