--- a/internal/state/journaler/fake_test.go
+++ b/internal/state/journaler/fake_test.go
@@ -109,6 +109,15 @@
 	return names, nil
 }
 
+func (fake *fakeFileSystem) folderBytes(folder string) (bytes int64, err error) {
+	for name, file := range fake.current {
+		if filepath.Dir(name) == folder {
+			bytes += int64(len(file.data))
+		}
+	}
+	return bytes, nil
+}
+
 func (fake *fakeFileSystem) readFile(name string) ([]byte, error) {
 	if file, found := fake.current[name]; found {
 		return slices.Clone(file.data), nil
--- a/internal/state/journaler/filesystem.go
+++ b/internal/state/journaler/filesystem.go
@@ -16,6 +16,8 @@
 	makeFolder(name string) error
 	// names returns the names of the files in a folder.
 	names(folder string) ([]string, error)
+	// folderBytes returns the size of the files in a folder.
+	folderBytes(folder string) (int64, error)
 	// readFile returns the contents of a file as stored on the disk.
 	readFile(name string) ([]byte, error)
 	// open opens a file for reading.
@@ -60,6 +62,25 @@
 	return names, nil
 }
 
+// folderBytes ignores files that are removed while it runs.
+func (osFileSystem) folderBytes(folder string) (bytes int64, err error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return 0, err
+	}
+	for _, entry := range entries {
+		info, err := entry.Info()
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		bytes += info.Size()
+	}
+	return bytes, nil
+}
+
 // readFile syncs the file and drops its pages from the page cache before reading. After a failed sync, Linux
 // keeps pages in the cache that are marked clean but were never written to the disk; reading those would make
 // entries that are not durable look durable.
--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -41,6 +41,8 @@
 	durableIndex, syncingIndex scheduler.Index
 	// durableSize is the offset up to which the current segment is synced.
 	durableSize int64
+	// written counts the bytes written to the log.
+	written logMeter
 	// failure is the final error after which every write fails, or nil.
 	failure error
 }
@@ -142,6 +144,7 @@
 		return folderJournal.recordFailure(finalError("append to "+folderJournal.folder.segmentPath(active.number), err))
 	}
 	folderJournal.unsynced = true
+	folderJournal.written.add(len(buffer))
 	active.size += int64(len(buffer))
 	active.lastIndex = max(active.lastIndex, entries[len(entries)-1].Index)
 	before := entries[0].Index - 1
--- a/internal/state/journaler/foldersnapshot.go
+++ b/internal/state/journaler/foldersnapshot.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return folderJournal.recordFailure(err)
 	}
+	folderJournal.written.finishSnapshot()
 	return folderJournal.applySnapshot(header)
 }
 
@@ -42,6 +43,7 @@
 		return header, err
 	}
 	meta.Membership = slices.Clone(meta.Membership)
+	folderJournal.written.startSnapshot()
 	return snapshotHeader{Meta: meta, First: folderJournal.log.firstKept(meta, keep)}, nil
 }
 
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -108,6 +108,9 @@
 		return err
 	}
 	folderJournal.segments = reader.segments
+	for _, segment := range reader.segments {
+		folderJournal.written.add(int(segment.size))
+	}
 	if len(reader.segments) == 0 {
 		if complete {
 			return Error.New("%w: %s: no segments", ErrDamaged, folderJournal.folder.name)
