journaler: report the size of the folder without an access to the disk

A gauge that lists the folder would stand still while a disk is stalled, which is when it is needed. Callers use the interface scheduler.MeasuredJournal, which journals without a disk don't implement.

--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -41,8 +41,7 @@
 	durableIndex, syncingIndex scheduler.Index
 	// durableSize is the offset up to which the current segment is synced.
 	durableSize int64
-	// written counts the bytes written to the log.
-	written logMeter
+	usage       usageMeter
 	// failure is the final error after which every write fails, or nil.
 	failure error
 }
@@ -144,7 +143,7 @@
 		return folderJournal.recordFailure(finalError("append to "+folderJournal.folder.segmentPath(active.number), err))
 	}
 	folderJournal.unsynced = true
-	folderJournal.written.add(len(buffer))
+	folderJournal.usage.addLog(int64(len(buffer)))
 	active.size += int64(len(buffer))
 	active.lastIndex = max(active.lastIndex, entries[len(entries)-1].Index)
 	before := entries[0].Index - 1
@@ -251,6 +250,7 @@
 		return finalError("create "+folderJournal.folder.segmentPath(number), err)
 	}
 	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
+	folderJournal.usage.addLog(int64(len(frame)))
 	folderJournal.segments = append(folderJournal.segments, segment{number: number, size: int64(len(frame))})
 	return nil
 }
--- a/internal/state/journaler/foldersnapshot.go
+++ b/internal/state/journaler/foldersnapshot.go
@@ -14,6 +14,7 @@
 func (folderJournal *FolderJournal) SaveSnapshot(meta scheduler.SnapshotMeta, keep int, write func(w io.Writer) error) error {
 	folderJournal.snapshotMutex.Lock()
 	defer folderJournal.snapshotMutex.Unlock()
+	defer folderJournal.measureFolder()
 	header, err := folderJournal.snapshotHeader(meta, keep)
 	if err != nil {
 		return err
@@ -28,7 +29,7 @@
 	if err != nil {
 		return folderJournal.recordFailure(err)
 	}
-	folderJournal.written.finishSnapshot()
+	folderJournal.usage.finishSnapshot()
 	return folderJournal.applySnapshot(header)
 }
 
@@ -43,7 +44,7 @@
 		return header, err
 	}
 	meta.Membership = slices.Clone(meta.Membership)
-	folderJournal.written.startSnapshot()
+	folderJournal.usage.startSnapshot()
 	return snapshotHeader{Meta: meta, First: folderJournal.log.firstKept(meta, keep)}, nil
 }
 
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -97,7 +97,11 @@
 			return err
 		}
 	}
-	return folder.removeTemporary(names)
+	if err := folder.removeTemporary(names); err != nil {
+		return err
+	}
+	folderJournal.measureFolder()
+	return nil
 }
 
 // loadSegments reads the log and opens its last segment for writing. It syncs that segment to make entries durable
@@ -109,7 +113,7 @@
 	}
 	folderJournal.segments = reader.segments
 	for _, segment := range reader.segments {
-		folderJournal.written.add(int(segment.size))
+		folderJournal.usage.addLog(segment.size)
 	}
 	if len(reader.segments) == 0 {
 		if complete {
--- a/internal/state/journaler/usage.go
+++ b/internal/state/journaler/usage.go
@@ -1,44 +1,63 @@
 package journaler
 
-import "sync/atomic"
+import (
+	"sync"
 
-// Usage is the room that a journal takes on its disk.
-type Usage struct{ folderBytes, logBytes int64 }
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
 
-// FolderBytes returns the size of all files in the folder of the group.
-func (usage Usage) FolderBytes() int64 { return usage.folderBytes }
+var _ scheduler.MeasuredJournal = (*FolderJournal)(nil)
 
-// LogBytes returns the size of the log that was written since the last snapshot was started. After Open, it is the size
-// of the whole log that was read.
-func (usage Usage) LogBytes() int64 { return usage.logBytes }
+// Usage returns the room that the journal takes. It does not access the disk, which may be stalled: the folder is
+// measured by Open and by SaveSnapshot, and what is appended later is added.
+func (folderJournal *FolderJournal) Usage() scheduler.JournalUsage { return folderJournal.usage.read() }
 
-// Usage returns the room that the journal takes. It lists the folder and does not wait for a write or a sync of the
-// journal.
-func (folderJournal *FolderJournal) Usage() (Usage, error) {
+// measureFolder updates the size of the folder. If the folder cannot be listed, the last size remains.
+func (folderJournal *FolderJournal) measureFolder() {
 	folder := folderJournal.folder
-	bytes, err := folder.fileSystem.folderBytes(folder.name)
-	if err != nil {
-		return Usage{}, Error.New("read %s: %w", folder.name, err)
+	if bytes, err := folder.fileSystem.folderBytes(folder.name); err == nil {
+		folderJournal.usage.setFolder(bytes)
 	}
-	return Usage{folderBytes: bytes, logBytes: folderJournal.LogBytes()}, nil
 }
 
-// LogBytes returns the same as Usage().LogBytes() without an access to the disk.
-func (folderJournal *FolderJournal) LogBytes() int64 { return folderJournal.written.sinceSnapshot() }
+// usageMeter counts the bytes that a journal writes. It is safe for concurrent use.
+type usageMeter struct {
+	mutex sync.Mutex
+	// folder is the size of the folder.
+	folder int64
+	// log is the number of bytes written to the log since the last saved snapshot was started, and sinceStart since the
+	// last snapshot was started.
+	log, sinceStart int64
+}
 
-// logMeter counts the bytes written to the log. It is safe for concurrent use.
-type logMeter struct {
-	// total counts the bytes written. atStart and atSnapshot are its values when the last snapshot was started, and
-	// when the last one that was saved was started.
-	total, atStart, atSnapshot atomic.Int64
+func (usageMeter *usageMeter) addLog(bytes int64) {
+	usageMeter.mutex.Lock()
+	defer usageMeter.mutex.Unlock()
+	usageMeter.folder += bytes
+	usageMeter.log += bytes
+	usageMeter.sinceStart += bytes
 }
 
-func (logMeter *logMeter) add(bytes int) { logMeter.total.Add(int64(bytes)) }
+func (usageMeter *usageMeter) setFolder(bytes int64) {
+	usageMeter.mutex.Lock()
+	defer usageMeter.mutex.Unlock()
+	usageMeter.folder = bytes
+}
 
-func (logMeter *logMeter) startSnapshot() { logMeter.atStart.Store(logMeter.total.Load()) }
+func (usageMeter *usageMeter) startSnapshot() {
+	usageMeter.mutex.Lock()
+	defer usageMeter.mutex.Unlock()
+	usageMeter.sinceStart = 0
+}
 
-func (logMeter *logMeter) finishSnapshot() { logMeter.atSnapshot.Store(logMeter.atStart.Load()) }
+func (usageMeter *usageMeter) finishSnapshot() {
+	usageMeter.mutex.Lock()
+	defer usageMeter.mutex.Unlock()
+	usageMeter.log = usageMeter.sinceStart
+}
 
-func (logMeter *logMeter) sinceSnapshot() int64 {
-	return logMeter.total.Load() - logMeter.atSnapshot.Load()
+func (usageMeter *usageMeter) read() scheduler.JournalUsage {
+	usageMeter.mutex.Lock()
+	defer usageMeter.mutex.Unlock()
+	return scheduler.NewJournalUsage(usageMeter.folder, usageMeter.log)
 }
