--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -56,6 +56,7 @@
 	stopped            chan struct{}
 	stopOnce           sync.Once
 	failure            atomic.Pointer[error]
+	outage             atomic.Pointer[Outage]
 	view               atomic.Pointer[view]
 	running            sync.WaitGroup
 
@@ -155,8 +156,7 @@
 func (node *node) stop(failure error) {
 	node.stopOnce.Do(func() {
 		if failure != nil {
-			node.failure.Store(&failure)
-			node.logger.Error().Str("event", "groupLeftAfterFailure").Err(failure).Msg("left the group after a failure")
+			node.recordFailure(failure)
 		}
 		last := *node.view.Load()
 		last.leaseUntil = 0
--- /dev/null
+++ b/internal/state/replicator/outage.go
@@ -0,0 +1,39 @@
+package replicator
+
+import (
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/basics/classifier"
+)
+
+// Outage tells why and since when a VM no longer takes part in its group.
+type Outage struct {
+	since time.Time
+	cause error
+}
+
+// Since returns the time of the failure.
+func (outage Outage) Since() time.Time { return outage.since }
+
+// Cause returns the failure.
+func (outage Outage) Cause() error { return outage.cause }
+
+// Outage returns the failure because of which this VM no longer takes part in the group. ok is false if it takes part,
+// or was closed without a failure.
+func (replicator *Replicator) Outage() (outage Outage, ok bool) {
+	last := replicator.node.outage.Load()
+	if last == nil {
+		return Outage{}, false
+	}
+	return *last, true
+}
+
+// recordFailure records and logs the failure that makes this VM leave the group. The fields of the cause come before the
+// text of the error, because lines may be cut off.
+func (node *node) recordFailure(failure error) {
+	node.failure.Store(&failure)
+	node.outage.Store(&Outage{since: time.Now(), cause: failure})
+	node.logger.Error().Str("event", "groupLeftAfterFailure").EmbedObject(classifier.CauseOf(failure)).
+		Uint64("term", uint64(node.view.Load().status.Term())).Str("role", string(node.view.Load().status.Role())).
+		Err(failure).Msg("left the group after a failure")
+}
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -4,6 +4,8 @@
 	"hash/crc32"
 	"io"
 
+	"github.com/rs/zerolog"
+
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -26,7 +28,16 @@
 
 type snapshotSaved struct {
 	index scheduler.Index
-	err   error
+	// bytes is the size of the snapshot, logBytes that of the log since the one before, and folderBytes that of the
+	// folder afterwards. The last two are zero without a disk.
+	bytes, logBytes, folderBytes int64
+	err                          error
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (snapshotSaved snapshotSaved) MarshalZerologObject(event *zerolog.Event) {
+	event.Uint64("index", uint64(snapshotSaved.index)).Int64("bytes", snapshotSaved.bytes).
+		Int64("logBytes", snapshotSaved.logBytes).Int64("folderBytes", snapshotSaved.folderBytes)
 }
 
 // saved returns a channel that receives the result of saving a snapshot.
@@ -70,11 +81,15 @@
 	node.snapshot.savedCh = make(chan snapshotSaved, 1)
 	results := node.snapshot.savedCh
 	node.running.Go(func() {
+		logBytes := node.journalUsage().LogBytes()
 		err := node.journal.SaveSnapshot(meta, node.settings.snapshotKeep, func(w io.Writer) error {
 			_, err := w.Write(data)
 			return err
 		})
-		results <- snapshotSaved{index: meta.Index, err: err}
+		results <- snapshotSaved{
+			index: meta.Index, bytes: int64(len(data)), logBytes: logBytes,
+			folderBytes: node.journalUsage().FolderBytes(), err: err,
+		}
 	})
 }
 
@@ -85,7 +100,7 @@
 	}
 	node.snapshot.index = max(node.snapshot.index, saved.index)
 	node.log.discardMembershipsBefore(saved.index)
-	node.logger.Info().Str("event", "snapshotSaved").Uint64("index", uint64(saved.index)).Msg("snapshot saved")
+	node.logger.Info().Str("event", "snapshotSaved").EmbedObject(saved).Msg("snapshot saved")
 	return nil
 }
 
