replicator: a VM that has left its group no longer claims a leader

Callers saw a leader that had left the group because of a refused write and still acted as leader: the last published status of a stopped node stayed at "leader", so the leadership of the overseer never ended, its proposals were rejected one after the other and other VMs were referred to it.

stop now publishes a last view without leader, lease and responding members, and the event loop, which may still be in a step when stop is called from elsewhere, cannot publish over it.

Before: TestStoppedVMClaimsNoLeadership got role leader, leader c and three responding members on the leader, and leader b on a follower; TestStoppedVMPublishesNothing got role leader; TestLeadershipEndsWithItsGroup got a leadership of a VM that is not in its group. After: the three pass.

--- a/internal/state/replicator/fake_cluster_test.go
+++ b/internal/state/replicator/fake_cluster_test.go
@@ -253,3 +253,14 @@
 		run(t)
 	})
 }
+
+// otherVM returns the first of the initial members that is not name.
+func (cluster *fakeCluster) otherVM(name scheduler.VMName) scheduler.VMName {
+	for _, member := range cluster.initial {
+		if member.VM != name {
+			return member.VM
+		}
+	}
+	cluster.t.Fatalf("%s is the only member", name)
+	return ""
+}
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -32,6 +32,15 @@
 	leaseUntil time.Duration
 }
 
+// withoutLeader returns the view of a VM that has left the group.
+func (view view) withoutLeader() *view {
+	status := view.status
+	view.status = scheduler.NewGroupStatus(scheduler.GroupFollower, status.Term(), "", status.Commit(), status.Applied(),
+		status.Voters())
+	view.responding, view.leaseUntil = nil, 0
+	return &view
+}
+
 // inbound is a decoded message from another VM.
 type inbound struct {
 	from    scheduler.VMName
@@ -57,7 +66,9 @@
 	stopOnce           sync.Once
 	failure            atomic.Pointer[error]
 	view               atomic.Pointer[view]
-	running            sync.WaitGroup
+	// viewMutex makes the replacement of the view and the stop of the node exclude each other.
+	viewMutex sync.Mutex
+	running   sync.WaitGroup
 
 	self             Member
 	journal          scheduler.Journal
@@ -158,13 +169,24 @@
 			node.failure.Store(&failure)
 			node.logger.Error().Str("event", "groupLeftAfterFailure").Err(failure).Msg("left the group after a failure")
 		}
-		last := *node.view.Load()
-		last.leaseUntil = 0
-		node.view.Store(&last)
+		node.viewMutex.Lock()
+		defer node.viewMutex.Unlock()
+		node.view.Store(node.view.Load().withoutLeader())
 		close(node.stopped)
 	})
 }
 
+// setView publishes a view unless the node has stopped. The last view of a stopped node must not name a leader.
+func (node *node) setView(view *view) {
+	node.viewMutex.Lock()
+	defer node.viewMutex.Unlock()
+	select {
+	case <-node.stopped:
+	default:
+		node.view.Store(view)
+	}
+}
+
 func (node *node) run() {
 	defer node.running.Done()
 	ticker := node.clock.newTicker(tickInterval)
@@ -321,7 +343,7 @@
 	}
 	status := scheduler.NewGroupStatus(role, node.term, node.leader, node.commit, node.applied,
 		current.voterNames())
-	node.view.Store(&view{
+	node.setView(&view{
 		status: status, members: current.Members, membershipCommitted: current.index <= node.commit,
 		leaseUntil: node.leaseUntil(), responding: node.responding(),
 	})
