--- a/internal/state/replicator/fake_network_test.go
+++ b/internal/state/replicator/fake_network_test.go
@@ -209,3 +209,10 @@
 	}
 	return nil, errConnectionBroken
 }
+
+// set changes the settings of a network that is in use.
+func (network *fakeNetwork) set(change func()) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	change()
+}
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -193,6 +193,7 @@
 	defer ticker.Stop()
 	for {
 		if err := node.handleNext(ticker.C); err != nil {
+			node.transferAfterFailure()
 			node.stop(err)
 		}
 		select {
--- a/internal/state/replicator/transfer.go
+++ b/internal/state/replicator/transfer.go
@@ -84,6 +84,20 @@
 	if reason != "stalled" {
 		return
 	}
+	node.sendTransferToLongestLog(now)
+}
+
+// transferAfterFailure transfers leadership when this VM leaves the group after a failure, for example because its
+// disk refuses writes. An election needs nothing from this VM: it has already stopped to accept proposals, and
+// sendTransfer ends its lease first.
+func (node *node) transferAfterFailure() {
+	if node.role == roleLeader {
+		node.sendTransferToLongestLog(node.clock.now())
+	}
+}
+
+// sendTransferToLongestLog transfers leadership without waiting until the target has the whole log.
+func (node *node) sendTransferToLongestLog(now time.Duration) {
 	if target := node.transferTarget(now, false); target != "" {
 		node.sendTransfer(target, now)
 	}
