--- a/internal/state/replicator/applier.go
+++ b/internal/state/replicator/applier.go
@@ -62,16 +62,12 @@
 	switch {
 	case work.take != nil:
 		buffer := &bytes.Buffer{}
-		result.err = machine.Snapshot(buffer)
+		if err := machine.Snapshot(buffer); err != nil {
+			result.err = ErrStateMachine.Wrap(err)
+		}
 		result.data = buffer.Bytes()
 	case work.install != nil:
-		result.err = node.journal.SaveSnapshot(*work.install, 0, func(w io.Writer) error {
-			_, err := w.Write(work.data)
-			return err
-		})
-		if result.err == nil {
-			result.err = machine.Restore(bytes.NewReader(work.data))
-		}
+		result.err = node.install(*work.install, work.data)
 	default:
 		result.results = make([][]byte, len(work.entries))
 		for position, entry := range work.entries {
@@ -84,6 +80,23 @@
 	return result
 }
 
+// install stores a received snapshot and restores the state machine from it. A state machine that has already applied
+// more, before this VM rejoined the group with a shorter log, keeps its state.
+func (node *node) install(meta scheduler.SnapshotMeta, data []byte) error {
+	err := node.journal.SaveSnapshot(meta, 0, func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	})
+	if err != nil || uint64(meta.Index) <= node.applying.appliedIndex.Load() {
+		return err
+	}
+	if err := node.applying.machine.Restore(bytes.NewReader(data)); err != nil {
+		return ErrStateMachine.Wrap(err)
+	}
+	node.applying.appliedIndex.Store(uint64(meta.Index))
+	return nil
+}
+
 // startApply starts the next task of the state machine unless one is running.
 func (node *node) startApply() error {
 	if node.applying.busy {
--- a/internal/state/replicator/bench_test.go
+++ b/internal/state/replicator/bench_test.go
@@ -51,7 +51,7 @@
 		if err := replicator.Start(); err != nil {
 			b.Fatal(err)
 		}
-		defer replicator.node.stop(nil)
+		defer replicator.node().stop(nil)
 	}
 	defer close(network.closed)
 	var leader *Replicator
--- a/internal/state/replicator/failure_test.go
+++ b/internal/state/replicator/failure_test.go
@@ -289,7 +289,7 @@
 }
 
 func (schedule *schedule) restart(vm *fakeVM) {
-	if vm.running && vm.replicator.isRunning() {
+	if vm.running && vm.replicator.node().isRunning() {
 		return
 	}
 	if vm.running {
@@ -328,7 +328,7 @@
 // with the current incarnation of their VM.
 func (schedule *schedule) isRepaired() bool {
 	for _, replicator := range schedule.replicators() {
-		view := replicator.node.view.Load()
+		view := replicator.node().view.Load()
 		voters := membership{Members: view.members}.voters()
 		if !replicator.HoldsLeaderLease() || !view.membershipCommitted || len(voters) < 3 {
 			continue
--- a/internal/state/replicator/fake_cluster_test.go
+++ b/internal/state/replicator/fake_cluster_test.go
@@ -25,6 +25,8 @@
 	// larger.
 	applied []string
 	padding []byte
+	// restores is the number of restored snapshots.
+	restores int
 	// hang blocks Apply until it is closed.
 	hang chan struct{}
 }
@@ -59,6 +61,7 @@
 	}
 	err := cbor.NewDecoder(r).Decode(&state)
 	machine.applied, machine.padding = state.Applied, state.Padding
+	machine.restores++
 	return err
 }
 
@@ -116,7 +119,7 @@
 }
 
 func (cluster *fakeCluster) add(member Member) *fakeVM {
-	vm := &fakeVM{member: member, journal: &fakeJournal{}, clockRate: 1}
+	vm := &fakeVM{member: member, journal: &fakeJournal{faults: &diskFaults{}}, clockRate: 1}
 	cluster.vms[member.VM] = vm
 	return vm
 }
@@ -167,17 +170,51 @@
 	}
 }
 
+// halt stops a VM without a transfer of leadership.
+func (vm *fakeVM) halt() {
+	vm.replicator.closing.Lock()
+	defer vm.replicator.closing.Unlock()
+	vm.replicator.closed = true
+	vm.replicator.node().stop(nil)
+}
+
+// rejoin makes a VM whose journal has failed rejoin its group with the journal that is read back from its disk.
+func (cluster *fakeCluster) rejoin(vm *fakeVM, trustsPages bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), tickInterval/5)
+	defer cancel()
+	return vm.replicator.Rejoin(ctx, func() (scheduler.Journal, error) {
+		cluster.network.mutex.Lock()
+		defer cluster.network.mutex.Unlock()
+		journal, err := vm.journal.reopen(cluster.network.random, trustsPages)
+		if err != nil {
+			return nil, err
+		}
+		vm.journal = journal
+		return journal, nil
+	})
+}
+
+// rejoinFailed makes every VM rejoin that has left the group after a failure and whose disk permits it.
+func (cluster *fakeCluster) rejoinFailed() {
+	for _, vm := range cluster.vms {
+		if vm.running && vm.replicator.Err() != nil {
+			_ = cluster.rejoin(vm, false)
+		}
+	}
+}
+
 // crash stops a VM abruptly. A VM without a disk, or whose disk is lost, loses its state.
 func (cluster *fakeCluster) crash(name scheduler.VMName, loseDisk bool) {
 	vm := cluster.vms[name]
 	vm.transport.disconnect()
-	vm.replicator.node.stop(nil)
+	vm.halt()
 	vm.resume()
 	cluster.network.mutex.Lock()
 	vm.journal, vm.running = vm.journal.crash(cluster.network.random), false
 	cluster.network.mutex.Unlock()
 	if !vm.member.Disk || loseDisk {
-		vm.journal, vm.member.Incarnation = &fakeJournal{syncDelay: vm.journal.syncDelay}, 0
+		vm.journal = &fakeJournal{syncDelay: vm.journal.syncDelay, faults: vm.journal.faults}
+		vm.member.Incarnation = 0
 	}
 }
 
@@ -185,7 +222,7 @@
 	for _, vm := range cluster.vms {
 		if vm.running {
 			vm.transport.disconnect()
-			vm.replicator.node.stop(nil)
+			vm.halt()
 			vm.resume()
 		}
 	}
@@ -264,3 +301,37 @@
 	cluster.t.Fatalf("%s is the only member", name)
 	return ""
 }
+
+// failJournal fails the journal of a VM and waits until the VM has left its group.
+func (cluster *fakeCluster) failJournal(name scheduler.VMName) *fakeVM {
+	cluster.t.Helper()
+	vm := cluster.vms[name]
+	vm.journal.set(func() { vm.journal.failed = true })
+	for start := time.Now(); vm.replicator.Err() == nil; time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			cluster.t.Fatalf("%s is still in its group 10 s after its journal failed", name)
+		}
+		for _, other := range cluster.vms {
+			node := other.replicator.node()
+			node.proposals <- newProposal(proposeMessage{Command: []byte("fails")})
+		}
+	}
+	return vm
+}
+
+// haveAllApplied reports whether all VMs have applied the command with the given result.
+func (cluster *fakeCluster) haveAllApplied(result string) bool {
+	for _, vm := range cluster.vms {
+		if !slices.Contains(vm.machine.list(), result) {
+			return false
+		}
+	}
+	return true
+}
+
+// set changes a state machine that is in use.
+func (machine *fakeMachine) set(change func()) {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	change()
+}
--- a/internal/state/replicator/fake_journal_test.go
+++ b/internal/state/replicator/fake_journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -27,8 +28,39 @@
 	// saveDelay is how long SaveSnapshot takes.
 	saveDelay time.Duration
 	syncs     int
+	// faults are shared by the journals that are opened on the same disk one after the other.
+	faults *diskFaults
+	// syncLost is set by a failed sync: pages that were not written are then marked as written.
+	syncLost bool
+	// trustsPages makes a reopened journal report entries as durable that only the page cache contains.
+	trustsPages bool
 }
 
+// diskFaults are the operations that a disk refuses.
+type diskFaults struct {
+	mutex                             sync.Mutex
+	append, sync, hardState, snapshot bool
+}
+
+func (faults *diskFaults) set(change func()) {
+	faults.mutex.Lock()
+	defer faults.mutex.Unlock()
+	change()
+}
+
+// refuses reports whether the disk refuses the operation that refused selects.
+func (faults *diskFaults) refuses(refused func(faults *diskFaults) bool) bool {
+	if faults == nil {
+		return false
+	}
+	faults.mutex.Lock()
+	defer faults.mutex.Unlock()
+	return refused(faults)
+}
+
+// errRefused is the error of a refused operation that leaves the journal as it was.
+var errRefused = errors.New("no space left on device")
+
 var errJournalFailed = scheduler.ErrJournalFailed.New("the journal has failed")
 
 // crash fails the journal and returns the journal that a restart finds, with the durable entries and, at
@@ -48,8 +80,26 @@
 	}
 	return &fakeJournal{
 		hardState: journal.hardState, entries: entries, durable: slices.Clip(entries),
-		meta: journal.meta, snapshot: journal.snapshot, syncDelay: journal.syncDelay,
+		meta: journal.meta, snapshot: journal.snapshot, syncDelay: journal.syncDelay, faults: journal.faults,
+	}
+}
+
+// reopen returns the journal that is read back from the disk of a failed one. It fails while the disk refuses syncs.
+func (journal *fakeJournal) reopen(random *rand.Rand, trustsPages bool) (*fakeJournal, error) {
+	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.sync }) {
+		return nil, errRefused
+	}
+	journal.mutex.Lock()
+	entries, durable, syncLost := slices.Clone(journal.entries), journal.durable, journal.syncLost
+	journal.mutex.Unlock()
+	if syncLost {
+		random = nil
+	}
+	reopened := journal.crash(random)
+	if trustsPages && syncLost {
+		reopened.entries, reopened.durable, reopened.trustsPages = entries, durable, true
 	}
+	return reopened, nil
 }
 
 // set changes the injected faults of a journal that is in use.
@@ -71,6 +121,9 @@
 	if journal.failed {
 		return errJournalFailed
 	}
+	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.hardState }) {
+		return errRefused
+	}
 	journal.hardState = hardState
 	return nil
 }
@@ -138,6 +191,12 @@
 	} else if keep > 0 {
 		return Error.New("gap between %d and %d", journal.lastIndex(), entries[0].Index)
 	}
+	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.append }) {
+		// A part of a refused write may reach the file.
+		journal.entries = append(journal.entries, entries[:len(entries)/2]...)
+		journal.failed = true
+		return errJournalFailed
+	}
 	journal.entries = append(journal.entries, entries...)
 	return nil
 }
@@ -154,12 +213,15 @@
 	}
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
-	if journal.failed || journal.failSync {
+	if journal.failed || journal.failSync || journal.faults.refuses(func(faults *diskFaults) bool { return faults.sync }) {
+		journal.syncLost = journal.syncLost || !journal.failed
 		journal.failed = true
 		return 0, errJournalFailed
 	}
 	journal.syncs++
-	journal.durable = entries
+	if !journal.trustsPages {
+		journal.durable = entries
+	}
 	if len(entries) == 0 {
 		return journal.meta.Index, nil
 	}
@@ -180,6 +242,9 @@
 	if journal.failed {
 		return errJournalFailed
 	}
+	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.snapshot }) {
+		return errRefused
+	}
 	journal.meta, journal.snapshot = meta, buffer.Bytes()
 	cut := func(entries []scheduler.Entry) []scheduler.Entry {
 		if len(entries) > 0 && entries[len(entries)-1].Index < meta.Index {
--- a/internal/state/replicator/handler.go
+++ b/internal/state/replicator/handler.go
@@ -6,24 +6,26 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// registerHandlers connects the transport to the event loop. Messages that arrive by Send are dropped when
-// the inbox of the event loop is full, because a blocked handler would block the whole connection.
+// registerHandlers connects the transport to the event loop of the current node. Messages that arrive by Send are
+// dropped when the inbox of the event loop is full, because a blocked handler would block the whole connection, and
+// while this VM is out of the group.
 func (replicator *Replicator) registerHandlers() {
-	node := replicator.node
-	receive[appendMessage](node, kindAppend, false)
-	receive[appendResponse](node, kindAppendResponse, false)
-	receive[voteMessage](node, kindVote, false)
-	receive[voteMessage](node, kindPreVote, true)
-	receive[voteResponse](node, kindVoteResponse, false)
-	receive[voteResponse](node, kindPreVoteResponse, true)
-	receive[snapshotChunk](node, kindSnapshotChunk, false)
-	receive[snapshotResponse](node, kindSnapshotResponse, false)
-	receive[transferMessage](node, kindTransfer, false)
+	receive[appendMessage](replicator, kindAppend, false)
+	receive[appendResponse](replicator, kindAppendResponse, false)
+	receive[voteMessage](replicator, kindVote, false)
+	receive[voteMessage](replicator, kindPreVote, true)
+	receive[voteResponse](replicator, kindVoteResponse, false)
+	receive[voteResponse](replicator, kindPreVoteResponse, true)
+	receive[snapshotChunk](replicator, kindSnapshotChunk, false)
+	receive[snapshotResponse](replicator, kindSnapshotResponse, false)
+	receive[transferMessage](replicator, kindTransfer, false)
+	node := replicator.node()
 	node.transport.Handle(node.name, kindPropose, replicator.handlePropose)
 	node.transport.Handle(node.name, kindRead, replicator.handleReadRequest)
 }
 
-func receive[T any](node *node, kind scheduler.MessageKind, preVote bool) {
+func receive[T any](replicator *Replicator, kind scheduler.MessageKind, preVote bool) {
+	node := replicator.node()
 	node.transport.Handle(node.name, kind,
 		func(_ context.Context, from scheduler.VMName, body []byte) ([]byte, error) {
 			message, err := decode[T](body)
@@ -32,10 +34,7 @@
 					Msg("failed to decode message")
 				return nil, err
 			}
-			select {
-			case node.inbox <- inbound{from: from, message: message, preVote: preVote}:
-			default:
-			}
+			replicator.node().receive(inbound{from: from, message: message, preVote: preVote})
 			return nil, nil
 		})
 }
@@ -47,17 +46,19 @@
 	if err != nil {
 		return nil, notRun("%v", err)
 	}
-	if !replicator.isRunning() {
+	node := replicator.node()
+	if !node.isRunning() {
 		return encode(proposeResponse{Outcome: outcomeNotLeader, Reason: "the group is not running on the leader"}), nil
 	}
-	return encode(replicator.node.propose(ctx, *message)), nil
+	return encode(node.propose(ctx, *message)), nil
 }
 
 func (replicator *Replicator) handleReadRequest(ctx context.Context, from scheduler.VMName, _ []byte) ([]byte, error) {
-	if !replicator.isRunning() {
-		return nil, Error.New("group %s is not running on %s", replicator.Name(), replicator.node.self.VM)
+	node := replicator.node()
+	if !node.isRunning() {
+		return nil, Error.New("group %s is not running on %s", node.name, node.self.VM)
 	}
-	index, err := replicator.node.requestReadIndex(ctx, from)
+	index, err := node.requestReadIndex(ctx, from)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/state/replicator/lease_test.go
+++ b/internal/state/replicator/lease_test.go
@@ -176,11 +176,11 @@
 	inBubble(t, func(t *testing.T) {
 		cluster := startThreeVoters(t)
 		defer cluster.stop()
-		node := cluster.vms["r"].replicator.node
+		node := cluster.vms["r"].replicator.node()
 		term := node.view.Load().status.Term()
 		cluster.crash("r", false)
 		cluster.network.isolate("r", true)
-		restarted := cluster.start("r").replicator.node
+		restarted := cluster.start("r").replicator.node()
 		restarted.inbox <- inbound{from: "b", message: &voteMessage{
 			Term: term + 1, Incarnation: cluster.vms["b"].member.Incarnation, LastIndex: 1 << 20, LastTerm: term,
 		}}
--- a/internal/state/replicator/proposer.go
+++ b/internal/state/replicator/proposer.go
@@ -103,17 +103,17 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
-	case <-replicator.node.stopped:
+	case <-replicator.node().stopped:
 	}
 	return false
 }
 
 func (replicator *Replicator) submitOnce(ctx context.Context, message proposeMessage) proposeResponse {
-	node := replicator.node
-	if !replicator.isRunning() {
+	node := replicator.node()
+	if !node.isRunning() {
 		return proposeResponse{Outcome: outcomeNotRun, Reason: "the group is not running on this VM"}
 	}
-	switch leader := replicator.Status().Leader(); leader {
+	switch leader := node.view.Load().status.Leader(); leader {
 	case "":
 		return proposeResponse{Outcome: outcomeNotLeader, Reason: "no leader is known"}
 	case node.self.VM:
--- a/internal/state/replicator/reader.go
+++ b/internal/state/replicator/reader.go
@@ -35,7 +35,7 @@
 	for {
 		index, err := replicator.readIndex(ctx)
 		if err == nil {
-			return replicator.node.awaitApplied(ctx, index)
+			return replicator.node().awaitApplied(ctx, index)
 		}
 		if ctx.Err() != nil || time.Now().After(retryDeadline) || !replicator.waitToRetry(ctx) {
 			return Error.Wrap(err)
@@ -44,11 +44,11 @@
 }
 
 func (replicator *Replicator) readIndex(ctx context.Context) (scheduler.Index, error) {
-	node := replicator.node
-	if !replicator.isRunning() {
+	node := replicator.node()
+	if !node.isRunning() {
 		return 0, Error.New("group %s is not running on %s", node.name, node.self.VM)
 	}
-	leader := replicator.Status().Leader()
+	leader := node.view.Load().status.Leader()
 	if leader == "" {
 		return 0, Error.New("no leader is known")
 	}
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -20,11 +20,19 @@
 
 var _ scheduler.Group = (*Replicator)(nil)
 
+// ErrStateMachine means that the state machine could not read or write a snapshot. Its state is then unknown, and the
+// replica cannot rejoin its group in this process.
+var ErrStateMachine = errs.Class("state machine")
+
 // Replicator is one VM's replica of a group. It is safe for concurrent use.
 type Replicator struct {
-	node      *node
-	startOnce sync.Once
-	started   atomic.Bool
+	// current is the participation of this VM in the group. Rejoin replaces it.
+	current atomic.Pointer[node]
+	initial membership
+	// rejoining serialises calls of Rejoin; closing guards closed and the replacement of the current node.
+	rejoining sync.Mutex
+	closing   sync.Mutex
+	closed    bool
 }
 
 // New returns a Replicator that is not started. It registers its handlers with transport and therefore must
@@ -58,38 +66,32 @@
 		return nil, err
 	}
 	node := newNode(name, self, journal, transport, machine, settings)
-	if err := node.load(initial); err != nil {
+	if err := node.load(initial, 0); err != nil {
 		return nil, err
 	}
-	replicator := &Replicator{node: node}
+	replicator := &Replicator{initial: initial}
+	replicator.current.Store(node)
 	replicator.registerHandlers()
 	return replicator, nil
 }
 
-// Start joins the group. It returns an error if the incarnation cannot be stored.
+// node returns the current node. It changes when this VM rejoins the group.
+func (replicator *Replicator) node() *node { return replicator.current.Load() }
+
+// Start joins the group. It returns an error if the incarnation cannot be stored; Rejoin then tries again with
+// another journal.
 func (replicator *Replicator) Start() error {
-	var err error
-	replicator.startOnce.Do(func() {
-		node := replicator.node
-		if err = node.saveHardState(); err != nil {
-			err = Error.Wrap(err)
-			return
-		}
-		replicator.started.Store(true)
-		node.start()
-	})
-	return err
+	return replicator.node().join()
 }
 
 // Close transfers leadership if this VM is the leader, and then stops participating in the group. It returns
 // an error if ctx ends before the running journal and state machine calls have returned.
 func (replicator *Replicator) Close(ctx context.Context) error {
-	node := replicator.node
-	if !replicator.started.Load() {
-		node.stop(nil)
-		return nil
-	}
-	if node.requestClose() {
+	replicator.closing.Lock()
+	replicator.closed = true
+	node := replicator.node()
+	replicator.closing.Unlock()
+	if node.isRunning() && node.requestClose() {
 		select {
 		case <-node.leadershipReleased:
 		case <-node.stopped:
@@ -97,72 +99,50 @@
 		}
 	}
 	node.stop(nil)
-	finished := make(chan struct{})
-	go func() {
-		node.running.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-		return nil
-	case <-ctx.Done():
-		return Error.New("close group %s: %v", node.name, ctx.Err())
-	}
+	return node.awaitEnd(ctx)
 }
 
 // Name returns the name of the group.
-func (replicator *Replicator) Name() scheduler.GroupName { return replicator.node.name }
+func (replicator *Replicator) Name() scheduler.GroupName { return replicator.node().name }
 
 // Status returns the current status of this VM in the group.
 func (replicator *Replicator) Status() scheduler.GroupStatus {
-	return replicator.node.view.Load().status
+	return replicator.node().view.Load().status
 }
 
 // Members returns the members of the newest membership that this VM knows, committed or not.
 func (replicator *Replicator) Members() []Member {
-	return append([]Member(nil), replicator.node.view.Load().members...)
+	return append([]Member(nil), replicator.node().view.Load().members...)
 }
 
 // RespondingMembers returns the members that respond to the leader. It is nil on a VM that is not the leader.
 func (replicator *Replicator) RespondingMembers() map[scheduler.VMName]bool {
-	return replicator.node.view.Load().responding
+	return replicator.node().view.Load().responding
 }
 
 // Self returns this VM's identity in the group.
-func (replicator *Replicator) Self() Member { return replicator.node.self }
+func (replicator *Replicator) Self() Member { return replicator.node().self }
 
 // HoldsLeaderLease reports whether this VM is the leader, its leader lease is currently valid, and its state
 // machine has applied every entry of earlier leaders.
 func (replicator *Replicator) HoldsLeaderLease() bool {
-	node := replicator.node
+	node := replicator.node()
 	view := node.view.Load()
 	return view.leaseUntil > 0 && node.clock.now() < view.leaseUntil
 }
 
 // Stopped returns a channel that is closed when this VM stops participating in the group, after a failure or by
-// Close. Err tells the two apart.
-func (replicator *Replicator) Stopped() <-chan struct{} { return replicator.node.stopped }
+// Close. Err tells the two apart. After Rejoin, Stopped returns another channel.
+func (replicator *Replicator) Stopped() <-chan struct{} { return replicator.node().stopped }
 
-// Err returns the failure because of which this VM no longer participates in the group, or nil if there was
-// none.
+// Err returns the failure because of which this VM does not participate in the group, or nil if there was none.
 func (replicator *Replicator) Err() error {
-	if failure := replicator.node.failure.Load(); failure != nil {
+	if failure := replicator.node().failure.Load(); failure != nil {
 		return *failure
 	}
 	return nil
 }
 
-// isRunning reports whether this VM participates in the group. It is false before Start and after Stopped
-// is closed; the known leader is then not kept up to date.
-func (replicator *Replicator) isRunning() bool {
-	select {
-	case <-replicator.node.stopped:
-		return false
-	default:
-		return replicator.started.Load()
-	}
-}
-
 func notRun(format string, arguments ...any) error {
 	return Error.Wrap(scheduler.ErrNotRun.New(format, arguments...))
 }
--- a/internal/state/replicator/replicator_test.go
+++ b/internal/state/replicator/replicator_test.go
@@ -67,7 +67,7 @@
 		},
 		"too large": {on: "a", size: maxCommandBytes + 1, want: "not run"},
 		"stopped": {
-			fault: func(cluster *fakeCluster) { cluster.vms["a"].replicator.node.stop(nil) }, on: "a", want: "not run",
+			fault: func(cluster *fakeCluster) { cluster.vms["a"].replicator.node().stop(nil) }, on: "a", want: "not run",
 		},
 		"follower takes over": {fault: func(cluster *fakeCluster) { cluster.crash("a", false) }, on: "b", want: ""},
 		"lost follower":       {fault: func(cluster *fakeCluster) { cluster.crash("r", false) }, on: "a", want: ""},
@@ -190,7 +190,7 @@
 		cluster.eventually("readmitted", func() bool { return cluster.isVoter("b") })
 		cluster.network.isolate("r", true)
 		cluster.network.isolate("b", true)
-		node := cluster.vms["a"].replicator.node
+		node := cluster.vms["a"].replicator.node()
 		proposal := newProposal(proposeMessage{Command: []byte("alone")})
 		node.proposals <- proposal
 		time.Sleep(10 * time.Millisecond)
@@ -236,7 +236,7 @@
 		cluster := newCluster(t, 1, threeVoters())
 		defer cluster.stop()
 		cluster.start("r")
-		view := &cluster.start("a").replicator.node.view
+		view := &cluster.start("a").replicator.node().view
 		cluster.network.filter = func(_, to scheduler.VMName, kind scheduler.MessageKind) bool {
 			b, _ := membership{Members: view.Load().members}.find("b")
 			return to != "b" || kind != kindAppend || b.Incarnation == 0
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -51,6 +51,9 @@
 		return &applyWork{install: snapshotState.install, data: data}
 	case snapshotState.saving || uint64(node.applied-snapshotState.index) < node.settings.snapshotInterval:
 		return nil
+	case node.applied > node.commit:
+		// After a rejoin, the log may not contain the applied entry but an older one at its index.
+		return nil
 	}
 	term, known := node.log.term(node.applied)
 	if !known {
--- a/internal/state/replicator/snapshot_receiver.go
+++ b/internal/state/replicator/snapshot_receiver.go
@@ -120,8 +120,7 @@
 		return err
 	}
 	node.commit = max(node.commit, meta.Index)
-	node.applying.appliedIndex.Store(uint64(meta.Index))
-	node.setApplied(meta.Index)
+	node.setApplied(max(node.applied, meta.Index))
 	node.pending.failUpTo(meta.Index)
 	node.follower.verified = max(node.follower.verified, meta.Index)
 	node.logger.Info().Str("event", "snapshotInstalled").Uint64("index", uint64(meta.Index)).Msg("snapshot installed")
--- a/internal/state/replicator/snapshot_test.go
+++ b/internal/state/replicator/snapshot_test.go
@@ -108,7 +108,7 @@
 					entry := scheduler.Entry{Index: scheduler.Index(position + 1), Term: term, Kind: scheduler.EntryNoOp}
 					_ = vm.journal.Append([]scheduler.Entry{entry})
 				}
-				node := cluster.start("b").replicator.node
+				node := cluster.start("b").replicator.node()
 				data := encode([]any{[]string{"1:x"}, nil})
 				node.inbox <- inbound{from: "a", message: &snapshotChunk{
 					Term: 3, Incarnation: 1, Index: 3, IndexTerm: 2, Membership: newMembership(cluster.initial).encode(),
--- a/internal/state/replicator/stopped_test.go
+++ b/internal/state/replicator/stopped_test.go
@@ -56,7 +56,7 @@
 		cluster := newCluster(t, 1, []Member{disk("a"), disk("b"), disk("c")})
 		defer cluster.stop()
 		cluster.startAll()
-		node := cluster.vms[cluster.leader()].replicator.node
+		node := cluster.vms[cluster.leader()].replicator.node()
 		node.stop(nil)
 		node.publish()
 		if got, want := node.view.Load().status.Role(), scheduler.GroupFollower; got != want {
