--- a/internal/state/replicator/outage.go
+++ b/internal/state/replicator/outage.go
@@ -21,18 +21,16 @@
 // Outage returns the failure because of which this VM no longer takes part in the group. ok is false if it takes part,
 // or was closed without a failure.
 func (replicator *Replicator) Outage() (outage Outage, ok bool) {
-	last := replicator.node.outage.Load()
+	last := replicator.node().outage.Load()
 	if last == nil {
 		return Outage{}, false
 	}
 	return *last, true
 }
 
-// recordFailure records and logs the failure that makes this VM leave the group. The fields of the cause come before the
-// text of the error, because lines may be cut off.
-func (node *node) recordFailure(failure error) {
-	node.failure.Store(&failure)
-	node.outage.Store(&Outage{since: time.Now(), cause: failure})
+// logFailure logs the failure that makes this VM leave the group. The fields of the cause come before the text of the
+// error, because lines may be cut off.
+func (node *node) logFailure(failure error) {
 	node.logger.Error().Str("event", "groupLeftAfterFailure").EmbedObject(classifier.CauseOf(failure)).
 		Uint64("term", uint64(node.view.Load().status.Term())).Str("role", string(node.view.Load().status.Role())).
 		Err(failure).Msg("left the group after a failure")
