--- a/internal/state/replicator/applier.go
+++ b/internal/state/replicator/applier.go
@@ -22,7 +22,9 @@
 	results [][]byte
 	// data is the content of the snapshot that was taken.
 	data []byte
-	err  error
+	// refused is the error with which the journal refused a received snapshot and stayed usable.
+	refused error
+	err     error
 }
 
 // applier runs the state machine outside the event loop, one task at a time.
@@ -65,13 +67,7 @@
 		result.err = machine.Snapshot(buffer)
 		result.data = buffer.Bytes()
 	case work.install != nil:
-		result.err = node.journal.SaveSnapshot(*work.install, 0, func(w io.Writer) error {
-			_, err := w.Write(work.data)
-			return err
-		})
-		if result.err == nil {
-			result.err = machine.Restore(bytes.NewReader(work.data))
-		}
+		result.refused, result.err = node.performInstall(work)
 	default:
 		result.results = make([][]byte, len(work.entries))
 		for position, entry := range work.entries {
@@ -84,6 +80,22 @@
 	return result
 }
 
+// performInstall saves a received snapshot and restores the state machine from it. refused is set if the journal did
+// not save the snapshot but is unchanged; the state machine is then unchanged too.
+func (node *node) performInstall(work applyWork) (refused, err error) {
+	err = node.journal.SaveSnapshot(*work.install, 0, func(w io.Writer) error {
+		_, err := w.Write(work.data)
+		return err
+	})
+	switch {
+	case scheduler.ErrJournalFailed.Has(err):
+		return nil, err
+	case err != nil:
+		return err, nil
+	}
+	return nil, node.applying.machine.Restore(bytes.NewReader(work.data))
+}
+
 // startApply starts the next task of the state machine unless one is running.
 func (node *node) startApply() error {
 	if node.applying.busy {
@@ -119,6 +131,9 @@
 		return Error.Wrap(done.err)
 	}
 	switch {
+	case done.refused != nil:
+		node.snapshot.installData = done.work.data
+		node.delaySnapshot("snapshotNotInstalled", done.work.install.Index, done.refused)
 	case done.work.take != nil:
 		node.saveSnapshot(*done.work.take, done.data)
 	case done.work.install != nil:
--- a/internal/state/replicator/fake_journal_test.go
+++ b/internal/state/replicator/fake_journal_test.go
@@ -26,7 +26,11 @@
 	syncDelay time.Duration
 	// saveDelay is how long SaveSnapshot takes.
 	saveDelay time.Duration
-	syncs     int
+	// refuseSave is the error with which SaveSnapshot fails without changing the journal, or nil. refusedSaves counts
+	// these calls.
+	refuseSave   error
+	refusedSaves int
+	syncs        int
 }
 
 var errJournalFailed = scheduler.ErrJournalFailed.New("the journal has failed")
@@ -180,6 +184,10 @@
 	if journal.failed {
 		return errJournalFailed
 	}
+	if journal.refuseSave != nil {
+		journal.refusedSaves++
+		return journal.refuseSave
+	}
 	journal.meta, journal.snapshot = meta, buffer.Bytes()
 	cut := func(entries []scheduler.Entry) []scheduler.Entry {
 		if len(entries) > 0 && entries[len(entries)-1].Index < meta.Index {
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -22,6 +22,8 @@
 	install *scheduler.SnapshotMeta
 	// installData is the content of that snapshot. It is passed to the applier once and then released.
 	installData []byte
+	// retry delays the next snapshot after the journal has refused to save one.
+	retry snapshotRetry
 }
 
 type snapshotSaved struct {
@@ -41,6 +43,9 @@
 
 // nextWork returns the snapshot task that the state machine must perform before it applies more entries.
 func (snapshotState *snapshotState) nextWork(node *node) *applyWork {
+	if !snapshotState.retry.isDue(node.clock.now()) {
+		return nil
+	}
 	switch {
 	case snapshotState.install != nil:
 		if snapshotState.saving || snapshotState.installData == nil || node.syncing.busy {
@@ -78,16 +83,27 @@
 	})
 }
 
+// handleSnapshotSaved ends the participation of this VM in the group only if the journal has failed. After any other
+// error, for example on a full disk, the journal is unchanged and a later snapshot is tried.
 func (node *node) handleSnapshotSaved(saved snapshotSaved) error {
 	node.snapshot.saving = false
-	if saved.err != nil {
+	switch {
+	case scheduler.ErrJournalFailed.Has(saved.err):
 		return Error.Wrap(saved.err)
+	case saved.err != nil:
+		node.delaySnapshot("snapshotNotSaved", saved.index, saved.err)
+	default:
+		node.recordSavedSnapshot(saved.index)
 	}
-	node.snapshot.index = max(node.snapshot.index, saved.index)
-	node.log.discardMembershipsBefore(saved.index)
-	node.logger.Info().Str("event", "snapshotSaved").Uint64("index", uint64(saved.index)).Msg("snapshot saved")
 	return nil
 }
 
+func (node *node) recordSavedSnapshot(index scheduler.Index) {
+	node.snapshot.retry = snapshotRetry{}
+	node.snapshot.index = max(node.snapshot.index, index)
+	node.log.discardMembershipsBefore(index)
+	node.logger.Info().Str("event", "snapshotSaved").Uint64("index", uint64(index)).Msg("snapshot saved")
+}
+
 // snapshotChecksum returns the checksum that identifies the content of a snapshot.
 func snapshotChecksum(data []byte) uint32 { return crc32.ChecksumIEEE(data) }
--- a/internal/state/replicator/snapshot_receiver.go
+++ b/internal/state/replicator/snapshot_receiver.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	node.snapshot.install = nil
+	node.snapshot.install, node.snapshot.retry = nil, snapshotRetry{}
 	node.snapshot.index = meta.Index
 	node.log.resetTo(meta.Index)
 	if err := node.log.loadMemberships(indexedMembership{index: meta.Index, membership: decoded}); err != nil {
