journaler: Close releases everything after a failure

What callers saw: after a refused create of a segment, Close returned "file already closed", because startSegment had closed the current file before it created the next one; after any failure, Close repeated that failure, so that it could not be told whether the lock and the file were released and the folder can be opened again in this process.

Change: a segment is created before the current file is closed. After a failure, Close only releases, syncs nothing and returns only errors of the release. The fake file system counts open files, refuses operations until the test allows them again, limits the room, and loses the pages of a failed sync, as Linux does.

--- a/internal/state/journaler/fake_test.go
+++ b/internal/state/journaler/fake_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -20,17 +21,35 @@
 	locked           map[string]bool
 	// operations counts the operations that change something. Operation failAt fails with failure; with
 	// crash set, every later one fails too, as if the process had ended. If onlyKind is set, only
-	// operations of that kind are counted.
-	operations, failAt int
-	failure            error
-	onlyKind           string
-	crash              bool
-	syncsAfterFailure  int
+	// operations of that kind are counted. failCount operations fail in turn, or one if it is 0.
+	operations, failAt, failCount int
+	failure                       error
+	onlyKind                      string
+	crash                         bool
+	syncsAfterFailure             int
 	// duringSync, if set, is called while a file is being synced.
 	duringSync func()
+	// refused holds the errors with which operations fail, by kind, until the test removes them.
+	refused map[string]error
+	// room is the number of bytes that the disk holds, or 0 for no limit. peak is the largest number that it held.
+	room, peak int
+	// openFiles is the number of handles that are not closed.
+	openFiles int
 }
 
-type fakeFile struct{ data, synced []byte }
+// fakeFile is a file. data is what the page cache holds, synced what a completed sync has covered. After a failed sync,
+// the cache holds the bytes from lostFrom to lostTo, which never reach the disk, as on Linux.
+type fakeFile struct {
+	data, synced     []byte
+	lostFrom, lostTo int
+}
+
+// onDisk returns the data without the bytes that a failed sync has lost.
+func (fakeFile *fakeFile) onDisk() []byte {
+	data := slices.Clone(fakeFile.data)
+	clear(data[min(fakeFile.lostFrom, len(data)):min(fakeFile.lostTo, len(data))])
+	return data
+}
 
 func newFakeFileSystem() *fakeFileSystem {
 	fake := &fakeFileSystem{current: map[string]*fakeFile{}, durable: map[string]*fakeFile{}, locked: map[string]bool{}}
@@ -46,7 +65,11 @@
 	if fake.onlyKind == "" || fake.onlyKind == kind {
 		fake.operations++
 	}
-	if fake.operations == fake.failAt && (fake.onlyKind == "" || fake.onlyKind == kind) ||
+	if err := fake.refused[kind]; err != nil {
+		return err
+	}
+	last := fake.failAt + max(fake.failCount, 1) - 1
+	if fake.operations >= fake.failAt && fake.operations <= last && (fake.onlyKind == "" || fake.onlyKind == kind) ||
 		fake.crash && fake.failAt > 0 && fake.operations > fake.failAt {
 		return fake.failure
 	}
@@ -80,11 +103,12 @@
 
 // tornData returns the synced data and a part of the unsynced data, which may end in zeros.
 func (fakeFile *fakeFile) tornData(random *rand.Rand) []byte {
-	if !bytes.HasPrefix(fakeFile.data, fakeFile.synced) || len(fakeFile.data) == len(fakeFile.synced) {
-		return slices.Clone([][]byte{fakeFile.synced, fakeFile.data}[random.IntN(2)])
+	written := fakeFile.onDisk()
+	if !bytes.HasPrefix(written, fakeFile.synced) || len(written) == len(fakeFile.synced) {
+		return slices.Clone([][]byte{fakeFile.synced, written}[random.IntN(2)])
 	}
-	size := len(fakeFile.synced) + random.IntN(len(fakeFile.data)-len(fakeFile.synced)+1)
-	data := slices.Clone(fakeFile.data[:size])
+	size := len(fakeFile.synced) + random.IntN(len(written)-len(fakeFile.synced)+1)
+	data := written[:size]
 	if random.IntN(3) == 0 {
 		start := max(len(fakeFile.synced), size-size%sectorBytes)
 		clear(data[start:])
@@ -110,10 +134,15 @@
 }
 
 func (fake *fakeFileSystem) readFile(name string) ([]byte, error) {
-	if file, found := fake.current[name]; found {
-		return slices.Clone(file.data), nil
+	file, found := fake.current[name]
+	if !found {
+		return nil, fs.ErrNotExist
+	}
+	if file.lostTo > 0 {
+		// The pages are dropped and read from the disk.
+		file.data, file.lostFrom, file.lostTo = file.onDisk(), 0, 0
 	}
-	return nil, fs.ErrNotExist
+	return slices.Clone(file.data), nil
 }
 
 func (fake *fakeFileSystem) open(name string) (io.ReadCloser, error) {
@@ -126,11 +155,22 @@
 		return nil, err
 	}
 	fake.current[name] = &fakeFile{}
-	return &fakeHandle{fake: fake, file: fake.current[name]}, nil
+	return fake.handle(name), nil
+}
+
+func (fake *fakeFileSystem) openAppend(name string) (file, error) { return fake.handle(name), nil }
+
+func (fake *fakeFileSystem) handle(name string) *fakeHandle {
+	fake.openFiles++
+	return &fakeHandle{fake: fake, file: fake.current[name]}
 }
 
-func (fake *fakeFileSystem) openAppend(name string) (file, error) {
-	return &fakeHandle{fake: fake, file: fake.current[name]}, nil
+// used returns the number of bytes on the disk.
+func (fake *fakeFileSystem) used() (bytes int) {
+	for _, file := range fake.current {
+		bytes += len(file.data)
+	}
+	return bytes
 }
 
 func (fake *fakeFileSystem) rename(from, to string) error {
@@ -179,8 +219,9 @@
 func (closerFunc closerFunc) Close() error { return closerFunc() }
 
 type fakeHandle struct {
-	fake *fakeFileSystem
-	file *fakeFile
+	fake   *fakeFileSystem
+	file   *fakeFile
+	closed bool
 }
 
 // Write writes only the first half of the data when it fails, like a full disk.
@@ -189,15 +230,26 @@
 		fakeHandle.file.data = append(fakeHandle.file.data, data[:len(data)/2]...)
 		return len(data) / 2, err
 	}
+	if fake := fakeHandle.fake; fake.room > 0 {
+		used := fake.used()
+		if free := max(fake.room-used, 0); free < len(data) {
+			fakeHandle.file.data = append(fakeHandle.file.data, data[:free]...)
+			return free, errDiskFull
+		}
+		fake.peak = max(fake.peak, used+len(data))
+	}
 	fakeHandle.file.data = append(fakeHandle.file.data, data...)
 	return len(data), nil
 }
 
 func (fakeHandle *fakeHandle) Sync() error {
 	if err := fakeHandle.fake.countOperation("sync"); err != nil {
+		if !fakeHandle.fake.crash {
+			fakeHandle.file.lostFrom, fakeHandle.file.lostTo = len(fakeHandle.file.synced), len(fakeHandle.file.data)
+		}
 		return err
 	}
-	fakeHandle.file.synced = slices.Clone(fakeHandle.file.data)
+	fakeHandle.file.synced = fakeHandle.file.onDisk()
 	if fakeHandle.fake.duringSync != nil {
 		fakeHandle.fake.duringSync()
 	}
@@ -205,6 +257,9 @@
 }
 
 func (fakeHandle *fakeHandle) Truncate(size int64) error {
+	if err := fakeHandle.fake.refused["truncate"]; err != nil {
+		return err
+	}
 	if err := fakeHandle.fake.countOperation("write"); err != nil {
 		return err
 	}
@@ -212,7 +267,14 @@
 	return nil
 }
 
-func (fakeHandle *fakeHandle) Close() error { return nil }
+func (fakeHandle *fakeHandle) Close() error {
+	if fakeHandle.closed {
+		return os.ErrClosed
+	}
+	fakeHandle.closed = true
+	fakeHandle.fake.openFiles--
+	return nil
+}
 
 // segmentNames returns the paths of the segments in ascending order.
 func (fake *fakeFileSystem) segmentNames() []string {
--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -221,14 +221,9 @@
 	return folderJournal.recordFailure(folderJournal.startSegment(false))
 }
 
-// startSegment closes the current file, if any, and creates a segment after the last entry of the log. The
-// caller must have synced the current file, since only the last segment may end in an incomplete write.
+// startSegment creates a segment after the last entry of the log and closes the current file, if any. The caller must
+// have synced the current file, since only the last segment may end in an incomplete write.
 func (folderJournal *FolderJournal) startSegment(reset bool) error {
-	if folderJournal.file != nil {
-		if err := folderJournal.file.Close(); err != nil {
-			return finalError("close segment in "+folderJournal.folder.name, err)
-		}
-	}
 	number := uint64(1)
 	if count := len(folderJournal.segments); count > 0 {
 		number = folderJournal.segments[count-1].number + 1
@@ -247,8 +242,15 @@
 	if err != nil {
 		return finalError("create "+folderJournal.folder.segmentPath(number), err)
 	}
+	before := folderJournal.file
 	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
 	folderJournal.segments = append(folderJournal.segments, segment{number: number, size: int64(len(frame))})
+	if before == nil {
+		return nil
+	}
+	if err := before.Close(); err != nil {
+		return finalError("close segment in "+folderJournal.folder.name, err)
+	}
 	return nil
 }
 
@@ -284,7 +286,8 @@
 	return folderJournal.file.Sync()
 }
 
-// Close syncs and closes the files and unlocks the folder. It never retries a failed sync.
+// Close syncs and closes the files and unlocks the folder. After a failure it only releases the files and the lock,
+// because pages that a failed sync has marked as clean would pass another one. The folder can then be opened again.
 func (folderJournal *FolderJournal) Close() error {
 	folderJournal.snapshotMutex.Lock()
 	defer folderJournal.snapshotMutex.Unlock()
@@ -295,9 +298,9 @@
 	if folderJournal.lock == nil {
 		return nil
 	}
-	_, err := folderJournal.sync()
-	if err == nil {
-		err = folderJournal.writeSyncMarker()
+	var err error
+	if folderJournal.failure == nil {
+		err = folderJournal.finish()
 	}
 	err = errors.Join(err, folderJournal.file.Close(), folderJournal.lock.Close())
 	folderJournal.lock = nil
@@ -309,3 +312,11 @@
 	}
 	return nil
 }
+
+// finish makes all entries durable and marks the end of the log. The caller holds all mutexes.
+func (folderJournal *FolderJournal) finish() error {
+	if _, err := folderJournal.sync(); err != nil {
+		return err
+	}
+	return folderJournal.writeSyncMarker()
+}
