journaler: names of a failed process are made durable when a folder is opened

What callers saw: nothing yet; a group could lose acknowledged entries.

Cause: Open trusted the names that it found, as it did not trust the pages of files.

Change: Open syncs the folder before it uses it.

--- a/internal/state/journaler/folder.go
+++ b/internal/state/journaler/folder.go
@@ -20,7 +20,8 @@
 func (folder folder) path(name string) string { return filepath.Join(folder.name, name) }
 
 // prepareFolder creates the group's folder below the data folder. The data folder itself must exist, which
-// detects a disk that is not mounted.
+// detects a disk that is not mounted. The group's folder is synced, because an earlier user of it may have failed before
+// the names that it changed became durable, and files that they replace are removed later without a sync.
 func prepareFolder(fileSystem fileSystem, dataFolder string, group scheduler.GroupName) (folder, error) {
 	if _, err := fileSystem.names(dataFolder); err != nil {
 		return folder{}, Error.New("%w: %s: %w", ErrFolderMissing, dataFolder, err)
@@ -35,6 +36,9 @@
 			return folder{}, finalError("sync "+step.parent, err)
 		}
 	}
+	if err := fileSystem.syncFolder(result.name); err != nil {
+		return folder{}, finalError("sync "+result.name, err)
+	}
 	return result, nil
 }
 
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -1,12 +1,64 @@
 package journaler
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// process to come back, and against one that loses what it has acknowledged.
+func TestRoomReturns(t *testing.T) {
+	faults := map[string]error{
+		"write": errDiskFull, "sync": errSync, "create": errDiskFull, "rename": errDiskFull, "remove": errSync,
+	}
+	for kind, failure := range faults {
+		t.Run(kind, func(t *testing.T) {
+			for failAt, hit := 1, true; hit; failAt++ {
+				for _, failCount := range []int{1, 2, 5} {
+					random := rand.New(rand.NewPCG(uint64(failAt), uint64(failCount)))
+					fake := newFakeFileSystem()
+					fake.onlyKind, fake.failure, fake.failAt, fake.failCount = kind, failure, failAt, failCount
+					hit = runUntilRoomReturns(t, fake, random)
+				}
+			}
+		})
+	}
+}
+
+func runUntilRoomReturns(t *testing.T, fake *fakeFileSystem, random *rand.Rand) (hit bool) {
+	t.Helper()
+	acknowledged := &acknowledged{terms: map[scheduler.Index]scheduler.Term{}, hardState: []scheduler.HardState{{}}}
+	journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	if err == nil {
+		err = acknowledged.run(journal)
+		hit = err != nil
+		wantReleased(t, fake, journal)
+	}
+	for range fake.failCount + 1 {
+		if journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700)); err == nil {
+			break
+		}
+		hit = true
+		if errors.Is(err, ErrDamaged) || fake.openFiles > 0 {
+			t.Fatalf("got error %v and %d open files during the fault, want no damage and none", err, fake.openFiles)
+		}
+	}
+	if err != nil {
+		t.Fatalf("got error %v after the fault, want none", err)
+	}
+	acknowledged.check(t, journal)
+	fake = fake.afterCrash(random)
+	if journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700)); err != nil {
+		t.Fatalf("got error %v after the power loss, want none", err)
+	}
+	acknowledged.check(t, journal)
+	next := journal.LastIndex() + 1
+	must(t, acknowledged.append(journal, 9, next, next+10, true))
+	return hit
+}
+
 // wantReleased checks that Close releases the files and the lock, whatever happened before.
 func wantReleased(t *testing.T, fake *fakeFileSystem, journal *FolderJournal) {
 	t.Helper()
