journaler: ErrNoRoom tells a full folder from a damaged one

What callers saw: a full disk, a quota and a limit on the size of a file were errors without a class of their own.

Change: ErrNoRoom is in the chain of the errors of Open and of writes, by the error number of the system. TestRoomReturns goes on until the fault is no longer reached; with refused removals, which are no error, it had ended too early.

After: it and TestNewFolderOnFullDisk pass.

--- a/internal/state/journaler/doc.go
+++ b/internal/state/journaler/doc.go
@@ -20,16 +20,19 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/zeebo/errs"
 
+	"github.com/crocusplank/crocusplank/internal/basics/classifier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // Error is the class of errors that this package returns.
 var Error = errs.Class("journaler")
 
-// Reasons why Open refuses a folder. They are in the chain of the errors that it returns.
+// Reasons why Open refuses a folder. They are in the chain of the errors that it returns. ErrNoRoom is also in the chain
+// of the errors of writes.
 var (
 	// ErrFolderMissing means that the data folder does not exist, for example because its disk is not
 	// mounted.
@@ -40,6 +43,9 @@
 	ErrOwnerMismatch = errors.New("folder belongs to another VM or group")
 	// ErrNewerFormat means that a newer version of the program wrote the folder.
 	ErrNewerFormat = errors.New("folder has a newer format")
+	// ErrNoRoom means that the disk has no room for a write or that a file may not grow. What was acknowledged is intact,
+	// and the folder can be opened again.
+	ErrNoRoom = errors.New("no room on the disk")
 	// ErrDamaged means that a file was changed or removed after it had been written. Open then
 	// neither repairs nor removes any file.
 	ErrDamaged = errors.New("damaged file")
@@ -51,5 +57,13 @@
 // finalError returns a failed write or sync as an error of class scheduler.ErrJournalFailed, which callers must
 // not retry.
 func finalError(action string, err error) error {
-	return scheduler.ErrJournalFailed.Wrap(Error.New("%s: %w", action, err))
+	return scheduler.ErrJournalFailed.Wrap(Error.New("%s: %w", action, withReason(err)))
+}
+
+// withReason adds ErrNoRoom to the chain of an error of the operating system that means it.
+func withReason(err error) error {
+	if err == nil || errors.Is(err, ErrNoRoom) || classifier.Classify(err) != classifier.NoRoom {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrNoRoom, err)
 }
--- a/internal/state/journaler/folder.go
+++ b/internal/state/journaler/folder.go
@@ -30,7 +30,7 @@
 	result := folder{fileSystem: fileSystem, name: filepath.Join(groups, string(group))}
 	for _, step := range []struct{ parent, name string }{{dataFolder, groups}, {groups, result.name}} {
 		if err := fileSystem.makeFolder(step.name); err != nil {
-			return folder{}, Error.New("create %s: %w", step.name, err)
+			return folder{}, Error.New("create %s: %w", step.name, withReason(err))
 		}
 		if err := fileSystem.syncFolder(step.parent); err != nil {
 			return folder{}, finalError("sync "+step.parent, err)
@@ -75,11 +75,11 @@
 	temporary := folder.path(name + temporarySuffix)
 	file, err := folder.fileSystem.create(temporary)
 	if err != nil {
-		return Error.New("create %s: %w", temporary, err)
+		return Error.New("create %s: %w", temporary, withReason(err))
 	}
 	if err := write(file); err != nil {
 		err = errors.Join(err, file.Close(), folder.fileSystem.remove(temporary))
-		return Error.New("write %s: %w", folder.path(name), err)
+		return Error.New("write %s: %w", folder.path(name), withReason(err))
 	}
 	if err := file.Sync(); err != nil {
 		return finalError("sync "+temporary, errors.Join(err, file.Close()))
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -18,7 +18,8 @@
 // Open opens the folder of a group below the data folder, creating it if it does not exist, and locks it until
 // Close. An incomplete write at the end of the log, which was never acknowledged, is truncated. A folder that
 // cannot be used is reported with one of ErrFolderMissing, ErrLocked, ErrOwnerMismatch, ErrNewerFormat and
-// ErrDamaged in the chain of the error, and its contents stay unchanged.
+// ErrDamaged in the chain of the error, and its contents stay unchanged. An existing folder opens on a full disk; a new
+// one is refused with ErrNoRoom in the chain.
 func Open(dataFolder string, identity Identity, options ...Option) (*FolderJournal, error) {
 	return open(osFileSystem{}, dataFolder, identity, options...)
 }
@@ -33,7 +34,7 @@
 	}
 	lock, err := fileSystem.lock(folder.path("lock"))
 	if err != nil {
-		return nil, Error.New("lock %s: %w", folder.name, err)
+		return nil, Error.New("lock %s: %w", folder.name, withReason(err))
 	}
 	folderJournal := &FolderJournal{folder: folder, lock: lock, segmentBytes: defaultSegmentBytes}
 	for _, option := range options {
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -8,6 +8,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// TestRoomReturns refuses each kind of operation from each point on for some operations, closes the journal and opens
+// it again in the same process until it succeeds. A power loss follows. It guards against a VM that needs another
 // process to come back, and against one that loses what it has acknowledged.
 func TestRoomReturns(t *testing.T) {
 	faults := map[string]error{
@@ -32,15 +34,13 @@
 	acknowledged := &acknowledged{terms: map[scheduler.Index]scheduler.Term{}, hardState: []scheduler.HardState{{}}}
 	journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
 	if err == nil {
-		err = acknowledged.run(journal)
-		hit = err != nil
+		_ = acknowledged.run(journal)
 		wantReleased(t, fake, journal)
 	}
 	for range fake.failCount + 1 {
 		if journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700)); err == nil {
 			break
 		}
-		hit = true
 		if errors.Is(err, ErrDamaged) || fake.openFiles > 0 {
 			t.Fatalf("got error %v and %d open files during the fault, want no damage and none", err, fake.openFiles)
 		}
@@ -48,6 +48,7 @@
 	if err != nil {
 		t.Fatalf("got error %v after the fault, want none", err)
 	}
+	hit = fake.operations >= fake.failAt
 	acknowledged.check(t, journal)
 	fake = fake.afterCrash(random)
 	if journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700)); err != nil {
@@ -84,8 +85,8 @@
 	for ; err == nil; index++ {
 		err = journal.Append(entriesOf(1, index, index))
 	}
-	if !scheduler.ErrJournalFailed.Has(err) {
-		t.Errorf("got error %v, want a final one", err)
+	if !scheduler.ErrJournalFailed.Has(err) || !errors.Is(err, ErrNoRoom) || errors.Is(err, ErrDamaged) {
+		t.Errorf("got error %v, want a final one with %v", err, ErrNoRoom)
 	}
 	wantReleased(t, fake, journal)
 	fake.refused = nil
@@ -94,6 +95,7 @@
 	wantLog(t, journal, entriesOf(1, 1, index-2))
 }
 
+// TestPagesOfFailedSyncAreNotTrusted guards against a journal that is opened again and takes entries from the page
 // cache for durable although the disk never got them.
 func TestPagesOfFailedSyncAreNotTrusted(t *testing.T) {
 	fake := newFakeFileSystem()
@@ -119,3 +121,19 @@
 	must(t, err)
 	wantLog(t, after, append(entriesOf(1, 1, 10), entriesOf(2, 11, 12)...))
 }
+
+// TestNewFolderOnFullDisk guards against a full disk that is reported as a damaged folder, and against a folder that
+// stays unusable after its creation was refused.
+func TestNewFolderOnFullDisk(t *testing.T) {
+	fake := newFakeFileSystem()
+	fake.room = 1
+	for range 2 {
+		if _, err := open(fake, "/data", testIdentity); !errors.Is(err, ErrNoRoom) || errors.Is(err, ErrDamaged) {
+			t.Errorf("got error %v, want %v", err, ErrNoRoom)
+		}
+	}
+	fake.room = 0
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	mustAppend(t, journal, 1, 1, 2)
+}
