--- a/internal/state/journaler/foldersnapshot.go
+++ b/internal/state/journaler/foldersnapshot.go
@@ -18,6 +18,7 @@
 	if err != nil {
 		return err
 	}
+	folderJournal.folder.removeTemporary(snapshotSuffix + temporarySuffix)
 	err = folderJournal.folder.replaceFile(snapshotName(meta.Index), func(w io.Writer) error {
 		return writeSnapshot(w, header, write)
 	})
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -98,7 +98,8 @@
 			return err
 		}
 	}
-	return folder.removeTemporary(names)
+	folder.removeTemporary(temporarySuffix)
+	return nil
 }
 
 // loadSegments reads the log and opens its last segment for writing. It syncs that segment to make entries durable
@@ -141,15 +142,16 @@
 	return folderJournal.folder.writeRecordFile("hardState", record{HardState: &scheduler.HardState{}})
 }
 
-// removeTemporary removes temporary files that an interrupted write has left.
-func (folder folder) removeTemporary(names map[string]bool) error {
+// removeTemporary removes temporary files with the given suffix that a refused or interrupted write has left. A file that
+// cannot be removed is harmless; the next snapshot and the next Open try again.
+func (folder folder) removeTemporary(suffix string) {
+	names, err := folder.names()
+	if err != nil {
+		return
+	}
 	for name := range names {
-		if !strings.HasSuffix(name, temporarySuffix) {
-			continue
-		}
-		if err := folder.fileSystem.remove(folder.path(name)); err != nil {
-			return Error.New("remove %s: %w", folder.path(name), err)
+		if strings.HasSuffix(name, suffix) {
+			_ = folder.fileSystem.remove(folder.path(name))
 		}
 	}
-	return nil
 }
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -137,3 +138,27 @@
 	must(t, err)
 	mustAppend(t, journal, 1, 1, 2)
 }
+
+// TestLeftoverTemporaryFiles guards against a temporary file of a refused write that makes the next write fail, or that
+// stays and takes up room.
+func TestLeftoverTemporaryFiles(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	mustAppend(t, journal, 1, 1, 20)
+	fake.refused = map[string]error{"write": errDiskFull, "remove": errSync}
+	if err := journal.SaveHardState(scheduler.HardState{Term: 2}); err == nil || scheduler.ErrJournalFailed.Has(err) {
+		t.Errorf("got error %v, want one that is not final", err)
+	}
+	err = journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 10, Term: 1}, 0, writeText("state"))
+	if err == nil || scheduler.ErrJournalFailed.Has(err) || !errors.Is(err, ErrNoRoom) {
+		t.Errorf("got error %v, want one with %v that is not final", err, ErrNoRoom)
+	}
+	fake.refused = nil
+	must(t, journal.SaveHardState(scheduler.HardState{Term: 3}))
+	must(t, journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 20, Term: 1}, 0, writeText("state")))
+	left := fmt.Sprintf("/data/groups/couva/%s%s", snapshotName(10), temporarySuffix)
+	if _, found := fake.current[left]; found {
+		t.Errorf("got %s after the next snapshot, want it removed", left)
+	}
+}
