journaler: obsolete files are removed before the room that they take up is needed

A segment stays while the one after it cannot be read without it. An existing folder otherwise opens without any room.

--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -244,7 +244,9 @@
 	}
 	before := folderJournal.file
 	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
-	folderJournal.segments = append(folderJournal.segments, segment{number: number, size: int64(len(frame))})
+	folderJournal.segments = append(folderJournal.segments, segment{
+		number: number, previous: previous, size: int64(len(frame)),
+	})
 	if before == nil {
 		return nil
 	}
--- a/internal/state/journaler/foldersnapshot.go
+++ b/internal/state/journaler/foldersnapshot.go
@@ -60,7 +60,8 @@
 	return nil
 }
 
-// replaceLog discards the log and starts a new one after the snapshot.
+// replaceLog discards the log and starts a new one after the snapshot. Files that the snapshot makes obsolete are removed
+// first, because the new segment needs room.
 func (folderJournal *FolderJournal) replaceLog(meta scheduler.SnapshotMeta) error {
 	if folderJournal.file != nil {
 		if _, err := folderJournal.sync(); err != nil {
@@ -69,6 +70,7 @@
 	}
 	folderJournal.log.reset(meta.Index, meta.Term)
 	markObsolete(folderJournal.segments)
+	folderJournal.removeObsoleteFiles()
 	if err := folderJournal.startSegment(true); err != nil {
 		return err
 	}
@@ -79,19 +81,31 @@
 // removeObsoleteFiles removes segments and snapshots that the newest snapshot makes obsolete. A file that cannot be
 // removed is harmless; the next snapshot retries the removal.
 func (folderJournal *FolderJournal) removeObsoleteFiles() {
-	folder := folderJournal.folder
-	for len(folderJournal.segments) > 1 && folderJournal.segments[0].lastIndex < folderJournal.log.firstIndex() {
-		if folder.fileSystem.remove(folder.segmentPath(folderJournal.segments[0].number)) != nil {
+	folderJournal.folder.removeSnapshotsBefore(folderJournal.log.snapshot.Index)
+	for folderJournal.isFirstSegmentObsolete() {
+		if folderJournal.folder.fileSystem.remove(folderJournal.folder.segmentPath(folderJournal.segments[0].number)) != nil {
 			return
 		}
 		folderJournal.segments = folderJournal.segments[1:]
 	}
+}
+
+// isFirstSegmentObsolete reports whether the first segment has no entry that is kept, and the next one can be read
+// without it: the entries before the next segment are covered by the snapshot.
+func (folderJournal *FolderJournal) isFirstSegmentObsolete() bool {
+	segments := folderJournal.segments
+	return len(segments) > 1 && segments[0].lastIndex < folderJournal.log.firstIndex() &&
+		segments[1].previous <= folderJournal.log.snapshot.Index
+}
+
+// removeSnapshotsBefore removes snapshots that a newer one replaces.
+func (folder folder) removeSnapshotsBefore(index scheduler.Index) {
 	names, err := folder.names()
 	if err != nil {
 		return
 	}
 	for _, number := range fileNumbers(names, snapshotSuffix) {
-		if scheduler.Index(number) < folderJournal.log.snapshot.Index {
+		if scheduler.Index(number) < index {
 			_ = folder.fileSystem.remove(folder.snapshotPath(scheduler.Index(number)))
 		}
 	}
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"testing"
 
@@ -162,3 +163,86 @@
 		t.Errorf("got %s after the next snapshot, want it removed", left)
 	}
 }
+
+// TestOpenOnFullDisk fills the disk after each step of a journal's life and opens the folder again. It guards against a
+// VM that cannot start, and so cannot free space, because its disk is full.
+func TestOpenOnFullDisk(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	mustAppend(t, journal, 1, 1, 60)
+	must(t, journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 30, Term: 1}, 0, writeText("state")))
+	mustAppend(t, journal, 1, 61, 70)
+	_, err = journal.Sync()
+	must(t, err)
+	fake.current["/data/groups/couva/hardState.temporary"] = &fakeFile{data: make([]byte, 20)}
+	fake.current["/data/groups/couva/"+snapshotName(65)+temporarySuffix] = &fakeFile{data: make([]byte, 2000)}
+	fake.refused = map[string]error{"write": errSync}
+	if err := journal.Append(entriesOf(1, 71, 71)); !scheduler.ErrJournalFailed.Has(err) {
+		t.Fatalf("got error %v, want a final one", err)
+	}
+	must(t, journal.Close())
+	fake.refused, fake.room = nil, fake.used()
+	journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	wantLog(t, journal, entriesOf(1, 31, 70))
+	must(t, journal.SaveHardState(scheduler.HardState{Term: 3, Incarnation: 7}))
+	must(t, journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 70, Term: 1}, 0, writeText("state")))
+	mustAppend(t, journal, 2, 71, 72)
+}
+
+// TestReplacedLogFreesRoomFirst installs a snapshot from another VM of which only the file was stored, on a full disk.
+// It guards against a restart that needs room before it has removed what the snapshot makes obsolete.
+func TestReplacedLogFreesRoomFirst(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	for _, entry := range entriesOf(1, 1, 60) {
+		must(t, journal.Append([]scheduler.Entry{entry}))
+	}
+	must(t, journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 30, Term: 1}, 0, writeText("old state")))
+	err = journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 200, Term: 4}, 0, func(w io.Writer) error {
+		fake.refused = map[string]error{"create": errDiskFull, "remove": errSync}
+		return writeText("new state")(w)
+	})
+	if !scheduler.ErrJournalFailed.Has(err) {
+		t.Fatalf("got error %v, want a final one", err)
+	}
+	must(t, journal.Close())
+	fake.refused, fake.room = nil, fake.used()
+	journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	must(t, journal.Close())
+	journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	mustAppend(t, journal, 4, 201, 210)
+	wantLog(t, journal, entriesOf(4, 201, 210))
+}
+
+// TestReplacedLongerLog installs a snapshot that contradicts a longer log and refuses the segment that follows. It guards
+// against a folder that cannot be read because segments were removed before the new log had started.
+func TestReplacedLongerLog(t *testing.T) {
+	fake := newFakeFileSystem()
+	journal, err := open(fake, "/data", testIdentity, WithSegmentBytes(700))
+	must(t, err)
+	for _, entry := range entriesOf(1, 1, 60) {
+		must(t, journal.Append([]scheduler.Entry{entry}))
+	}
+	err = journal.SaveSnapshot(scheduler.SnapshotMeta{Index: 30, Term: 4}, 0, func(w io.Writer) error {
+		fake.refused = map[string]error{"create": errDiskFull}
+		return writeText("state")(w)
+	})
+	if !scheduler.ErrJournalFailed.Has(err) {
+		t.Fatalf("got error %v, want a final one", err)
+	}
+	must(t, journal.Close())
+	fake.refused = nil
+	for range 2 {
+		journal, err = open(fake, "/data", testIdentity, WithSegmentBytes(700))
+		must(t, err)
+		if got, want := journal.LastIndex(), scheduler.Index(30); got != want {
+			t.Errorf("got last index %d, want %d", got, want)
+		}
+		must(t, journal.Close())
+	}
+}
--- a/internal/state/journaler/segment.go
+++ b/internal/state/journaler/segment.go
@@ -21,10 +21,11 @@
 	Reset        bool            `cbor:"reset,omitempty"`
 }
 
-// segment is a log file. lastIndex is the highest index of any entry in it, including entries that later ones
-// have replaced.
+// segment is a log file. previous is the index of the entry before it, and lastIndex the highest index of any entry in it,
+// including entries that later ones have replaced.
 type segment struct {
 	number    uint64
+	previous  scheduler.Index
 	lastIndex scheduler.Index
 	size      int64
 }
@@ -91,7 +92,7 @@
 	if err := logReader.applyHeader(name, records[0].Segment); err != nil {
 		return err
 	}
-	current := segment{number: number}
+	current := segment{number: number, previous: records[0].Segment.Previous}
 	for _, record := range records[1:] {
 		if record.Entry == nil && record.Synced > 0 {
 			continue // The sync marker that Close writes.
