--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -41,6 +41,7 @@
 	durableIndex, syncingIndex scheduler.Index
 	// durableSize is the offset up to which the current segment is synced.
 	durableSize int64
+	usage       usageMeter
 	// failure is the final error after which every write fails, or nil.
 	failure error
 }
@@ -142,6 +143,7 @@
 		return folderJournal.recordFailure(finalError("append to "+folderJournal.folder.segmentPath(active.number), err))
 	}
 	folderJournal.unsynced = true
+	folderJournal.usage.addLog(int64(len(buffer)))
 	active.size += int64(len(buffer))
 	active.lastIndex = max(active.lastIndex, entries[len(entries)-1].Index)
 	before := entries[0].Index - 1
@@ -244,6 +246,7 @@
 	}
 	before := folderJournal.file
 	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
+	folderJournal.usage.addLog(int64(len(frame)))
 	folderJournal.segments = append(folderJournal.segments, segment{
 		number: number, previous: previous, size: int64(len(frame)),
 	})
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -99,6 +99,7 @@
 		}
 	}
 	folder.removeTemporary(temporarySuffix)
+	folderJournal.measureFolder()
 	return nil
 }
 
@@ -110,6 +111,9 @@
 		return err
 	}
 	folderJournal.segments = reader.segments
+	for _, segment := range reader.segments {
+		folderJournal.usage.addLog(segment.size)
+	}
 	if len(reader.segments) == 0 {
 		if complete {
 			return Error.New("%w: %s: no segments", ErrDamaged, folderJournal.folder.name)
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/basics/suppressor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -56,6 +57,7 @@
 	stopped            chan struct{}
 	stopOnce           sync.Once
 	failure            atomic.Pointer[error]
+	outage             atomic.Pointer[Outage]
 	view               atomic.Pointer[view]
 	running            sync.WaitGroup
 
@@ -103,6 +105,7 @@
 		closeRequests: make(chan struct{}, 1), leadershipReleased: make(chan struct{}), stopped: make(chan struct{}),
 		log: newGroupLog(journal), role: roleFollower, pending: newPendingRequests(),
 		syncing: newSyncer(), applying: newApplier(machine),
+		snapshot: snapshotState{refusals: suppressor.New(refusalLogInterval)},
 	}
 }
 
@@ -155,8 +158,7 @@
 func (node *node) stop(failure error) {
 	node.stopOnce.Do(func() {
 		if failure != nil {
-			node.failure.Store(&failure)
-			node.logger.Error().Str("event", "groupLeftAfterFailure").Err(failure).Msg("left the group after a failure")
+			node.recordFailure(failure)
 		}
 		last := *node.view.Load()
 		last.leaseUntil = 0
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -4,6 +4,9 @@
 	"hash/crc32"
 	"io"
 
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/basics/suppressor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -24,11 +27,22 @@
 	installData []byte
 	// retry delays the next snapshot after the journal has refused to save one.
 	retry snapshotRetry
+	// refusals bounds the log lines about refused snapshots.
+	refusals *suppressor.Suppressor
 }
 
 type snapshotSaved struct {
 	index scheduler.Index
-	err   error
+	// bytes is the size of the snapshot, logBytes that of the log since the one before, and folderBytes that of the
+	// folder afterwards. The last two are zero without a disk.
+	bytes, logBytes, folderBytes int64
+	err                          error
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (snapshotSaved snapshotSaved) MarshalZerologObject(event *zerolog.Event) {
+	event.Uint64("index", uint64(snapshotSaved.index)).Int64("bytes", snapshotSaved.bytes).
+		Int64("logBytes", snapshotSaved.logBytes).Int64("folderBytes", snapshotSaved.folderBytes)
 }
 
 // saved returns a channel that receives the result of saving a snapshot.
@@ -75,11 +89,15 @@
 	node.snapshot.savedCh = make(chan snapshotSaved, 1)
 	results := node.snapshot.savedCh
 	node.running.Go(func() {
+		logBytes := node.journalUsage().LogBytes()
 		err := node.journal.SaveSnapshot(meta, node.settings.snapshotKeep, func(w io.Writer) error {
 			_, err := w.Write(data)
 			return err
 		})
-		results <- snapshotSaved{index: meta.Index, err: err}
+		results <- snapshotSaved{
+			index: meta.Index, bytes: int64(len(data)), logBytes: logBytes,
+			folderBytes: node.journalUsage().FolderBytes(), err: err,
+		}
 	})
 }
 
@@ -93,16 +111,16 @@
 	case saved.err != nil:
 		node.delaySnapshot("snapshotNotSaved", saved.index, saved.err)
 	default:
-		node.recordSavedSnapshot(saved.index)
+		node.recordSavedSnapshot(saved)
 	}
 	return nil
 }
 
-func (node *node) recordSavedSnapshot(index scheduler.Index) {
+func (node *node) recordSavedSnapshot(saved snapshotSaved) {
 	node.snapshot.retry = snapshotRetry{}
-	node.snapshot.index = max(node.snapshot.index, index)
-	node.log.discardMembershipsBefore(index)
-	node.logger.Info().Str("event", "snapshotSaved").Uint64("index", uint64(index)).Msg("snapshot saved")
+	node.snapshot.index = max(node.snapshot.index, saved.index)
+	node.log.discardMembershipsBefore(saved.index)
+	node.logger.Info().Str("event", "snapshotSaved").EmbedObject(saved).Msg("snapshot saved")
 }
 
 // snapshotChecksum returns the checksum that identifies the content of a snapshot.
--- a/internal/state/replicator/snapshot_retry.go
+++ b/internal/state/replicator/snapshot_retry.go
@@ -20,35 +20,24 @@
 	delay time.Duration
 	// next is the time from which the next attempt is allowed.
 	next time.Duration
-	// kind is the kind of the last error that was logged, at loggedAt; unlogged counts the refusals since then.
-	kind     classifier.Kind
-	loggedAt time.Duration
-	unlogged int
 }
 
 func (snapshotRetry *snapshotRetry) isDue(now time.Duration) bool { return now >= snapshotRetry.next }
 
-// refuse records a refusal and reports whether it should be logged, and the number of refusals since the last line.
-func (snapshotRetry *snapshotRetry) refuse(now time.Duration, kind classifier.Kind) (repeated int, log bool) {
+func (snapshotRetry *snapshotRetry) refuse(now time.Duration) {
 	snapshotRetry.delay = min(max(2*snapshotRetry.delay, minSnapshotRetry), maxSnapshotRetry)
 	snapshotRetry.next = now + snapshotRetry.delay
-	snapshotRetry.unlogged++
-	if kind == snapshotRetry.kind && now < snapshotRetry.loggedAt+refusalLogInterval {
-		return 0, false
-	}
-	repeated = snapshotRetry.unlogged
-	snapshotRetry.kind, snapshotRetry.loggedAt, snapshotRetry.unlogged = kind, now, 0
-	return repeated, true
 }
 
 // delaySnapshot records that the journal has refused a snapshot at index. It is tried again later.
 func (node *node) delaySnapshot(event string, index scheduler.Index, err error) {
-	kind := classifier.Classify(err)
-	repeated, log := node.snapshot.retry.refuse(node.clock.now(), kind)
-	if !log {
+	node.snapshot.retry.refuse(node.clock.now())
+	cause := classifier.CauseOf(err)
+	suppressed, allowed := node.snapshot.refusals.Allow(event + string(cause.Kind()))
+	if !allowed {
 		return
 	}
-	node.logger.Warn().Str("event", event).Uint64("index", uint64(index)).Str("kind", string(kind)).
-		Int("refusals", repeated).Dur("retryIn", node.snapshot.retry.delay).Err(err).
+	node.logger.Warn().Str("event", event).EmbedObject(cause).Uint64("index", uint64(index)).
+		Dur("retryIn", node.snapshot.retry.delay).Int("suppressed", suppressed).Err(err).
 		Msg("snapshot refused by the journal; it is tried again")
 }
