--- a/internal/state/replicator/fake_journal_test.go
+++ b/internal/state/replicator/fake_journal_test.go
@@ -27,7 +27,11 @@
 	syncDelay time.Duration
 	// saveDelay is how long SaveSnapshot takes.
 	saveDelay time.Duration
-	syncs     int
+	// refuseSave is the error with which SaveSnapshot fails without changing the journal, or nil. refusedSaves counts
+	// these calls.
+	refuseSave   error
+	refusedSaves int
+	syncs        int
 	// faults are shared by the journals that are opened on the same disk one after the other.
 	faults *diskFaults
 	// syncLost is set by a failed sync: pages that were not written are then marked as written.
@@ -245,6 +249,10 @@
 	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.snapshot }) {
 		return errRefused
 	}
+	if journal.refuseSave != nil {
+		journal.refusedSaves++
+		return journal.refuseSave
+	}
 	journal.meta, journal.snapshot = meta, buffer.Bytes()
 	cut := func(entries []scheduler.Entry) []scheduler.Entry {
 		if len(entries) > 0 && entries[len(entries)-1].Index < meta.Index {
