assembler: a VM whose disk refuses writes returns to its group by itself

Callers lost a VM of a domain until somebody ended its process: nobody watched the replica, and VM.Failed had no caller. A VM that started on a full disk ended.

The parts of a VM (replica, peer listener, overseer, reconciler, relayer, heartbeat collector, leader client) run under a supervisor.

VM.Failed is removed, VM.OutOfGroup says why and for how long the VM is out. Stop does not wait for a disk that hangs longer than its context.

Before, the first two states were final.

--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -19,6 +19,8 @@
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
 	"github.com/crocusplank/crocusplank/internal/jobs/relayer"
+	"github.com/crocusplank/crocusplank/internal/operating/rejoiner"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
 	"github.com/crocusplank/crocusplank/internal/state/messenger"
 	"github.com/crocusplank/crocusplank/internal/state/reconciler"
@@ -54,7 +56,8 @@
 	overseer           *overseer.Overseer
 	replicator         *replicator.Replicator
 	reconciler         *reconciler.Reconciler
-	journal            scheduler.Journal
+	rejoiner           *rejoiner.Rejoiner
+	supervisor         *supervisor.Supervisor
 	server             *http.Server
 	cancel             context.CancelFunc
 	goroutines         sync.WaitGroup
@@ -70,6 +73,9 @@
 	Approver scheduler.Approver
 	// Maintainer is optional. It is nil if VMs are not maintained.
 	Maintainer scheduler.Maintainer
+	// Supervisor runs the parts of the VM. Its owner ends the process when one fails permanently. If it is nil, the VM
+	// creates one.
+	Supervisor *supervisor.Supervisor
 }
 
 // New builds a VM. On a VM that holds state, it opens the data folder.
@@ -80,7 +86,10 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(heapMemoryFraction * float64(settings.MemoryLimit)))
 	}
-	vm := &VM{settings: settings, logger: dependencies.Logger}
+	vm := &VM{settings: settings, logger: dependencies.Logger, supervisor: dependencies.Supervisor}
+	if vm.supervisor == nil {
+		vm.supervisor = supervisor.New(supervisor.WithLogger(dependencies.Logger))
+	}
 	self := scheduler.VMName(settings.Name)
 	if settings.DataFolder != "" {
 		self = scheduler.VMName(settings.Peer.String())
@@ -109,13 +118,12 @@
 	settings := vm.settings
 	incarnation := initialIncarnation
 	if !settings.BootstrapDomain {
-		incarnation = scheduler.Incarnation(time.Now().UnixNano())
+		incarnation = newIncarnation()
 	}
-	journal, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(self, DomainGroup, incarnation))
+	journal, err := vm.openJournal(self, incarnation)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	vm.journal = journal
 	keeper := jobkeeper.New()
 	member := replicator.Member{
 		VM: self, Incarnation: journal.Identity().Incarnation(), Disk: true, StandsForElection: true,
@@ -125,6 +133,13 @@
 	if err != nil {
 		return nil, errs.Combine(Error.Wrap(err), journal.Close())
 	}
+	vm.rejoiner = rejoiner.New(vm.replicator, journal, func() (scheduler.Journal, scheduler.Incarnation, error) {
+		reopened, err := vm.openJournal(self, newIncarnation())
+		if err != nil {
+			return nil, 0, err
+		}
+		return reopened, reopened.Identity().Incarnation(), nil
+	}, dependencies.Logger, dependencies.Scope)
 	relayer.Serve(vm.messenger, DomainGroup, dependencies.Client, stopwatch.StartBootTime())
 	vm.relayer = relayer.New(dependencies.Client, vm.messenger, vm.replicator, vm.memberNames,
 		relayer.WithLogger(dependencies.Logger), relayer.WithScope(dependencies.Scope), relayer.WithSuspension())
@@ -147,6 +162,15 @@
 	return local, nil
 }
 
+func (vm *VM) openJournal(
+	self scheduler.VMName, incarnation scheduler.Incarnation,
+) (*journaler.FolderJournal, error) {
+	return journaler.Open(vm.settings.DataFolder, journaler.NewIdentity(self, DomainGroup, incarnation))
+}
+
+// newIncarnation returns an incarnation that no replica of this VM has had.
+func newIncarnation() scheduler.Incarnation { return scheduler.Incarnation(time.Now().UnixNano()) }
+
 // initialIncarnation is the incarnation of the initial voters of a domain. It is stored when the domain is
 // bootstrapped, so that a VM that starts with an empty data folder later joins as a new member.
 const initialIncarnation scheduler.Incarnation = 1
@@ -173,46 +197,55 @@
 // HeartbeatCollector returns the collector of the heartbeats of workers.
 func (vm *VM) HeartbeatCollector() *handler.HeartbeatCollector { return vm.heartbeatCollector }
 
-// Start opens the listener for other VMs and starts all components.
+// Start opens the listener for other VMs and starts all components. The replica joins its group in the background,
+// because its disk may refuse writes at first.
 func (vm *VM) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.Handle(messenger.Path, vm.messenger)
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", vm.settings.listenAddress().String())
-	if err != nil {
+	vm.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	listener := supervisor.NewListener(func(ctx context.Context) (net.Listener, error) {
+		var config net.ListenConfig
+		return config.Listen(ctx, "tcp", vm.settings.listenAddress().String())
+	}, vm.server.Serve)
+	if err := listener.Open(ctx); err != nil {
 		return Error.Wrap(err)
 	}
-	vm.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	vm.goroutines.Go(func() {
-		if err := vm.server.Serve(listener); err != nil && err != http.ErrServerClosed {
-			vm.logger.Error().Str("event", "peerListenerFailed").Err(err).Msg("peer listener failed; other VMs cannot connect")
-		}
-	})
 	runCtx, cancel := context.WithCancel(context.Background())
 	vm.cancel = cancel
+	vm.run(runCtx, "peerListener", listener.Run, supervisor.WithFailureLimit(supervisor.ListenerFailureLimit))
 	if vm.replicator != nil {
-		if err := vm.replicator.Start(); err != nil {
-			return Error.Wrap(err)
-		}
-		vm.goroutines.Go(func() { vm.overseer.Run(runCtx) })
-		vm.goroutines.Go(func() { vm.reconciler.Run(runCtx) })
-		vm.goroutines.Go(func() { vm.relayer.Run(runCtx) })
-		vm.goroutines.Go(func() { vm.heartbeatCollector.Run(runCtx) })
+		vm.run(runCtx, "replica", vm.rejoiner.Run)
+		vm.run(runCtx, "overseer", withoutError(vm.overseer.Run))
+		vm.run(runCtx, "reconciler", withoutError(vm.reconciler.Run))
+		vm.run(runCtx, "relayer", withoutError(vm.relayer.Run))
+		vm.run(runCtx, "heartbeatCollector", withoutError(vm.heartbeatCollector.Run))
 	}
 	vm.messenger.Start()
-	vm.goroutines.Go(func() { vm.leaderClient.Run(runCtx) })
+	vm.run(runCtx, "leaderClient", withoutError(vm.leaderClient.Run))
 	vm.logger.Info().Str("event", "started").Str("peer", vm.settings.Peer.String()).
 		Bool("holdsState", vm.replicator != nil).Bool("firstStart", vm.settings.BootstrapDomain).Msg("VM of the domain started")
 	return nil
 }
 
-// Failed returns a channel that is closed when the replica of this VM has failed, for example because of a disk
-// error. The channel is nil on a VM that holds no state.
-func (vm *VM) Failed() <-chan struct{} {
-	if vm.replicator == nil {
+// run runs a part of the VM until ctx ends.
+func (vm *VM) run(ctx context.Context, name string, part supervisor.Part, options ...supervisor.PartOption) {
+	vm.goroutines.Go(func() { vm.supervisor.Run(ctx, name, part, options...) })
+}
+
+func withoutError(run func(ctx context.Context)) supervisor.Part {
+	return func(ctx context.Context) error {
+		run(ctx)
 		return nil
 	}
-	return vm.replicator.Stopped()
+}
+
+// OutOfGroup returns why and for how long this VM has been out of the group of the domain, or a nil error while it takes
+// part or holds no state.
+func (vm *VM) OutOfGroup() (time.Duration, error) {
+	if vm.rejoiner == nil {
+		return 0, nil
+	}
+	return vm.rejoiner.OutOfGroup()
 }
 
 // Stop transfers leadership, waiting for it at most until ctx ends, and stops all components.
@@ -224,10 +257,26 @@
 	vm.cancel()
 	vm.messenger.Close()
 	group.Add(vm.server.Close())
-	vm.goroutines.Wait()
-	if vm.journal != nil {
-		group.Add(vm.journal.Close())
+	if err := vm.awaitParts(ctx); err != nil {
+		group.Add(err)
+	} else if vm.rejoiner != nil {
+		group.Add(vm.rejoiner.Close())
 	}
 	vm.logger.Info().Str("event", "stopped").Err(group.Err()).Msg("VM of the domain stopped")
 	return Error.Wrap(group.Err())
 }
+
+// awaitParts waits until all parts have ended. One that waits for a disk that hangs cannot be interrupted.
+func (vm *VM) awaitParts(ctx context.Context) error {
+	finished := make(chan struct{})
+	go func() {
+		vm.goroutines.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return Error.New("a part has not ended: %w", ctx.Err())
+	}
+}
--- a/internal/state/replicator/rejoin.go
+++ b/internal/state/replicator/rejoin.go
@@ -10,8 +10,8 @@
 // emptied. The replica must not vote again under its incarnation.
 var ErrStateLost = Error.New("the journal has lost the state of this replica")
 
-// errClosed is the reason why a closed Replicator does not rejoin.
-var errClosed = Error.New("the replicator is closed")
+// ErrClosed is the reason why a closed Replicator does not rejoin.
+var ErrClosed = Error.New("the replicator is closed")
 
 // Rejoin makes a replica that has left its group after a failure take part again, under the same incarnation. It
 // closes the failed journal and calls reopen for one that has read back what the disk holds.
@@ -27,7 +27,7 @@
 	replicator.rejoining.Lock()
 	defer replicator.rejoining.Unlock()
 	if replicator.isClosed() {
-		return errClosed
+		return ErrClosed
 	}
 	previous := replicator.node()
 	select {
@@ -77,7 +77,7 @@
 	replicator.closing.Lock()
 	defer replicator.closing.Unlock()
 	if replicator.closed {
-		return errClosed
+		return ErrClosed
 	}
 	replicator.current.Store(next)
 	next.start()
