--- a/internal/operating/kernel/kernel.go
+++ b/internal/operating/kernel/kernel.go
@@ -98,7 +98,7 @@
 	for _, plugin := range order {
 		role, err := plugin.build(kernel)
 		if err != nil {
-			return Error.New("build role %s: %v", plugin.name, err)
+			return Error.New("build role %s: %w", plugin.name, err)
 		}
 		kernel.built = append(kernel.built, namedRole{name: plugin.name, role: role})
 	}
@@ -110,7 +110,7 @@
 func (kernel *Kernel) Start(ctx context.Context) error {
 	for _, entry := range kernel.built {
 		if err := entry.role.Start(ctx); err != nil {
-			return errs.Combine(Error.New("start role %s: %v", entry.name, err), kernel.Stop(ctx))
+			return errs.Combine(Error.New("start role %s: %w", entry.name, err), kernel.Stop(ctx))
 		}
 		kernel.mutex.Lock()
 		kernel.running = append(kernel.running, entry)
@@ -128,7 +128,7 @@
 	var group errs.Group
 	for _, entry := range slices.Backward(running) {
 		if err := entry.role.Stop(ctx); err != nil {
-			group.Add(Error.New("stop role %s: %v", entry.name, err))
+			group.Add(Error.New("stop role %s: %w", entry.name, err))
 		}
 	}
 	return group.Err()
--- a/internal/operating/rejoiner/rejoiner.go
+++ b/internal/operating/rejoiner/rejoiner.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -105,6 +104,7 @@
 		rejoiner.outSince = time.Now()
 	}
 	rejoiner.reason = err
+	rejoiner.scope.Gauge("out_of_group").Update(1)
 	if isPermanent(err) {
 		return supervisor.Permanent.Wrap(err)
 	}
@@ -121,6 +121,7 @@
 		rejoiner.scope.Timer("time_out_of_group").Record(out)
 		rejoiner.scope.Counter("group_rejoins").Inc(1)
 	}
+	rejoiner.scope.Gauge("out_of_group").Update(0)
 	rejoiner.outSince, rejoiner.reason = time.Time{}, nil
 }
 
@@ -154,14 +155,3 @@
 	}
 	return replicator.ErrStateMachine.Has(err)
 }
-
-// IsRefused reports whether err says that a disk refused an operation which it may accept later, for example because it
-// is full.
-func IsRefused(err error) bool {
-	for _, refused := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO} {
-		if errors.Is(err, refused) {
-			return !isPermanent(err)
-		}
-	}
-	return false
-}
--- a/internal/operating/supervisor/supervisor.go
+++ b/internal/operating/supervisor/supervisor.go
@@ -23,6 +23,9 @@
 // ExitCode is the exit code of a process that a part has ended.
 const ExitCode = 3
 
+// IsFatal reports whether err is a failure for which the process ends with ExitCode.
+func IsFatal(err error) bool { return Error.Has(err) || Permanent.Has(err) }
+
 const (
 	minBackOff = 50 * time.Millisecond
 	maxBackOff = time.Second
