--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -143,7 +143,7 @@
 		if err == nil {
 			return true
 		}
-		leadership.logger.Warn().Str("event", "marksNotRecorded").Int("attempts", len(marks)).Err(err).
+		leadership.repeatedWarning("marksNotRecorded", err).Int("attempts", len(marks)).
 			Msg("could not record which attempts are blamed if their worker has crashed; will retry")
 		leadership.pause(retryDelay(failures))
 	}
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocusplank/crocusplank/internal/basics/runner"
+	"github.com/crocusplank/crocusplank/internal/basics/suppressor"
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/internal/jobs/forecaster"
@@ -74,6 +75,8 @@
 	packedWorkers map[scheduler.PoolName]*packedWorkers
 	isolationLog  isolationLog
 	crashes       crashes
+	// repeatedWarnings bounds the log lines about failed proposals.
+	repeatedWarnings *suppressor.Suppressor
 }
 
 // approvalQueueSize is the maximum number of queued requests to the approval service.
@@ -95,6 +98,7 @@
 		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
 		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
 		packedWorkers:    map[scheduler.PoolName]*packedWorkers{}, crashes: newCrashes(),
+		repeatedWarnings: suppressor.New(repeatedWarningInterval),
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
 	leadership.goroutines.OnPanic = leadership.handlePanic
@@ -323,9 +327,8 @@
 			leadership.removeAttempts(instance, ends)
 			return true
 		}
-		leadership.logger.Warn().Str("event", "endsNotRecorded").Str("worker", string(instance.name)).
-			Int("ends", len(ends)).
-			Err(err).Msg("could not record attempt ends; will retry")
+		leadership.repeatedWarning("endsNotRecorded", err).Str("worker", string(instance.name)).
+			Int("ends", len(ends)).Msg("could not record attempt ends; will retry")
 		leadership.pause(retryDelay(failures))
 	}
 	return false
--- a/internal/jobs/overseer/maintenance.go
+++ b/internal/jobs/overseer/maintenance.go
@@ -313,7 +313,7 @@
 // recordSteps replicates the progress of VM maintenance.
 func (leadership *leadership) recordSteps(steps []jobkeeper.MaintenanceStep) bool {
 	if _, err := leadership.propose(jobkeeper.Command{MaintenanceSteps: steps}); err != nil {
-		leadership.logger.Warn().Str("event", "maintenanceNotRecorded").Int("steps", len(steps)).Err(err).
+		leadership.repeatedWarning("maintenanceNotRecorded", err).Int("steps", len(steps)).
 			Msg("could not record maintenance steps; will retry")
 		return false
 	}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -88,9 +88,8 @@
 	})
 	for _, startOccurrence := range due {
 		if _, err := leadership.propose(jobkeeper.Command{StartOccurrence: &startOccurrence}); err != nil {
-			leadership.logger.Warn().Str("event", "occurrenceNotBegun").Str("job", string(startOccurrence.Job)).
-				Int("occurrence", startOccurrence.Occurrence).
-				Err(err).Msg("could not start the occurrence; will retry")
+			leadership.repeatedWarning("occurrenceNotBegun", err).Str("job", string(startOccurrence.Job)).
+				Int("occurrence", startOccurrence.Occurrence).Msg("could not start the occurrence; will retry")
 			return
 		}
 	}
@@ -344,7 +343,7 @@
 func (leadership *leadership) commitPlacements(placements []jobkeeper.Placement) {
 	result, err := leadership.propose(jobkeeper.Command{Place: placements})
 	if err != nil {
-		leadership.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
+		leadership.repeatedWarning("placementsNotRecorded", err).Int("placements", len(placements)).
 			Msg("could not record placements; tasks will be placed again")
 		return
 	}
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -232,7 +232,7 @@
 	}
 	result, err := leadership.propose(jobkeeper.Command{Place: placements})
 	if err != nil {
-		leadership.logger.Warn().Str("event", "placementsNotRecorded").Int("placements", len(placements)).Err(err).
+		leadership.repeatedWarning("placementsNotRecorded", err).Int("placements", len(placements)).
 			Msg("could not record copies of running tasks; they will be decided again")
 		return
 	}
