server, commander, assembler, platform: show a VM that is out of its group

A VM that had left its group after a refused write looked like a member: status named it a follower or the leader. crocusplank status now shows the promise of durability as at risk with the time and the cause, vm show has the column OUT, and the API has outSeconds and outReason.

--- a/design/state.go
+++ b/design/state.go
@@ -11,6 +11,8 @@
 	Attribute("applied", UInt64)
 	Attribute("voters", ArrayOf(String))
 	Attribute("holdsLeaderLease", Boolean)
+	Attribute("outSeconds", Float64, "How long the VM has been out of the group after a failure. Missing if it takes part.")
+	Attribute("outReason", String, "The failure because of which the VM is out of the group.")
 	Required("name", "role", "term", "commit", "applied", "voters", "holdsLeaderLease")
 })
 
--- a/gen/http/state/client/encode_decode.go
+++ b/gen/http/state/client/encode_decode.go
@@ -1110,6 +1110,8 @@
 		Commit:           *v.Commit,
 		Applied:          *v.Applied,
 		HoldsLeaderLease: *v.HoldsLeaderLease,
+		OutSeconds:       v.OutSeconds,
+		OutReason:        v.OutReason,
 	}
 	res.Voters = make([]string, len(v.Voters))
 	for i, val := range v.Voters {
--- a/gen/http/state/client/types.go
+++ b/gen/http/state/client/types.go
@@ -698,6 +698,11 @@
 	Applied          *uint64  `form:"applied,omitempty" json:"applied,omitempty" xml:"applied,omitempty"`
 	Voters           []string `form:"voters,omitempty" json:"voters,omitempty" xml:"voters,omitempty"`
 	HoldsLeaderLease *bool    `form:"holdsLeaderLease,omitempty" json:"holdsLeaderLease,omitempty" xml:"holdsLeaderLease,omitempty"`
+	// How long the VM has been out of the group after a failure. Missing if it
+	// takes part.
+	OutSeconds *float64 `form:"outSeconds,omitempty" json:"outSeconds,omitempty" xml:"outSeconds,omitempty"`
+	// The failure because of which the VM is out of the group.
+	OutReason *string `form:"outReason,omitempty" json:"outReason,omitempty" xml:"outReason,omitempty"`
 }
 
 // WorkerStateResponseBody is used to define fields on response body types.
--- a/gen/http/state/server/encode_decode.go
+++ b/gen/http/state/server/encode_decode.go
@@ -973,6 +973,8 @@
 		Commit:           v.Commit,
 		Applied:          v.Applied,
 		HoldsLeaderLease: v.HoldsLeaderLease,
+		OutSeconds:       v.OutSeconds,
+		OutReason:        v.OutReason,
 	}
 	if v.Voters != nil {
 		res.Voters = make([]string, len(v.Voters))
--- a/gen/state/service.go
+++ b/gen/state/service.go
@@ -128,6 +128,11 @@
 	Applied          uint64
 	Voters           []string
 	HoldsLeaderLease bool
+	// How long the VM has been out of the group after a failure. Missing if it
+	// takes part.
+	OutSeconds *float64
+	// The failure because of which the VM is out of the group.
+	OutReason *string
 }
 
 type Promise struct {
--- a/internal/operating/commander/state.go
+++ b/internal/operating/commander/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -35,14 +36,23 @@
 		_, _ = fmt.Fprintf(command.OutOrStdout(), "vm %s in %s: ready %v, revision %d, %s\n",
 			vm.VM, vm.DataCentre, vm.Ready, vm.RevisionInForce, describePeers(vm.Peers))
 	}
-	rows := newTable("GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "LEASE", "VOTERS")
+	rows := newTable("GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "LEASE", "OUT", "VOTERS")
 	for _, group := range vm.Groups {
 		rows.add(group.Name, group.Role, group.Term, stringOrEmpty(group.Leader), group.Commit, group.Applied,
-			group.HoldsLeaderLease, strings.Join(group.Voters, ","))
+			group.HoldsLeaderLease, describeOutage(group), strings.Join(group.Voters, ","))
 	}
 	return commander.print(command, camelCaseKeys(vm), rows)
 }
 
+// describeOutage returns how long and why the VM has been out of a group, or "-" if it takes part.
+func describeOutage(group *state.GroupState) string {
+	if group.OutSeconds == nil {
+		return "-"
+	}
+	out := time.Duration(*group.OutSeconds * float64(time.Second)).Round(time.Second)
+	return fmt.Sprintf("%s: %s", out, stringOrEmpty(group.OutReason))
+}
+
 // describePeers returns the number of connected peers and the names of the others.
 func describePeers(peers map[string]bool) string {
 	var down []string
--- a/internal/operating/composer/metrics.go
+++ b/internal/operating/composer/metrics.go
@@ -40,6 +40,7 @@
 		group.Gauge("group_applied_index").Update(float64(status.Applied()))
 		group.Gauge("group_has_leader").Update(gaugeValue(status.Leader() != ""))
 		group.Gauge("group_leader_lease").Update(gaugeValue(replica.replicator.HoldsLeaderLease()))
+		replica.replicator.UpdateMetrics(group)
 	}
 	counts := replicaRole.jobs.Counts()
 	for state, count := range counts.Tasks {
--- a/internal/operating/server/promises.go
+++ b/internal/operating/server/promises.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/crocusplank/crocusplank/gen/state"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -80,7 +81,11 @@
 		}
 	}
 	voters := len(status.Voters())
+	outage, out := home.Outage()
 	switch {
+	case out:
+		return newPromise(name, promiseAtRisk, "this VM has been out of group %s for %s: %s",
+			home.Name(), time.Since(outage.Since()).Round(time.Second), outage.Cause())
 	case voters == 0 || reachable <= voters/2:
 		return newPromise(name, promiseAtRisk, "%d of %d voters can be reached; changes are refused", reachable, voters)
 	case status.Leader() == "":
