--- a/internal/state/replicator/option.go
+++ b/internal/state/replicator/option.go
@@ -55,8 +55,11 @@
 	// snapshotKeep is the number of entries retained before the index of a snapshot, so that a follower
 	// that is slightly behind needs no snapshot.
 	snapshotKeep int
-	seed         uint64
-	clockRate    float64
+	// snapshotBytes is the number of bytes of log after which a snapshot is taken, and snapshotKeepBytes the size of the
+	// entries that are retained at most. 0 means no limit.
+	snapshotBytes, snapshotKeepBytes int64
+	seed                             uint64
+	clockRate                        float64
 	// countSuspension is true if the clock includes the time for which the VM is suspended.
 	countSuspension bool
 	hooks           hooks
@@ -104,6 +107,17 @@
 	}
 }
 
+// WithLogLimit also makes a snapshot due after a number of bytes of log, and limits the size of the entries that are
+// retained before the index of a snapshot. It has no effect on a journal that is not a scheduler.MeasuredJournal, except
+// on the retained entries. A limit below 1 is ignored.
+func WithLogLimit(bytes, keepBytes int64) Option {
+	return func(settings *settings) {
+		if bytes > 0 && keepBytes > 0 {
+			settings.snapshotBytes, settings.snapshotKeepBytes = bytes, keepBytes
+		}
+	}
+}
+
 // WithBatchLimit sets the maximum number of proposals in one batch, which are appended and synced together,
 // 1,024 by default. Values below 1 are ignored.
 func WithBatchLimit(proposals int) Option {
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -68,7 +68,7 @@
 		data := snapshotState.installData
 		snapshotState.installData = nil
 		return &applyWork{install: snapshotState.install, data: data}
-	case snapshotState.saving || uint64(node.applied-snapshotState.index) < node.settings.snapshotInterval:
+	case snapshotState.saving || !node.isSnapshotDue():
 		return nil
 	}
 	term, known := node.log.term(node.applied)
@@ -85,12 +85,13 @@
 	if node.isInstalling() {
 		return
 	}
+	keep := node.keptEntries(meta.Index)
 	node.snapshot.saving = true
 	node.snapshot.savedCh = make(chan snapshotSaved, 1)
 	results := node.snapshot.savedCh
 	node.running.Go(func() {
 		logBytes := node.journalUsage().LogBytes()
-		err := node.journal.SaveSnapshot(meta, node.settings.snapshotKeep, func(w io.Writer) error {
+		err := node.journal.SaveSnapshot(meta, keep, func(w io.Writer) error {
 			_, err := w.Write(data)
 			return err
 		})
