--- a/internal/operating/assembler/metrics_test.go
+++ b/internal/operating/assembler/metrics_test.go
@@ -43,7 +43,7 @@
 			if got := gauges["group_folder_bytes+group=domain"].Value(); got <= 0 {
 				t.Errorf("got %v bytes in the folder, want more", got)
 			}
-			if err := vm.journal.Close(); err != nil {
+			if err := vm.rejoiner.Close(); err != nil {
 				t.Fatal(err)
 			}
 		})
