overseer: hold adopted attempts back while the start of a suspect is recent

What callers saw: now and then another task started within a second beside a suspect. If the suspect then crashed the worker, the other task was blamed as well.

Cause: the response to a placement was lost, so the leader did not know of an attempt that was in the log. It found the attempt up to a second later. In between it placed a suspect on the same worker, as nothing seemed to be starting there, and after the adoption it started both.

Change: an adopted attempt that its worker does not list waits while the start of a suspect on the worker is recent, at most about a second, as tasks do that are still to be placed. Waiting was preferred to placing the task again, because the end of one member of a gang ends all of them.

--- a/internal/jobs/overseer/isolation.go
+++ b/internal/jobs/overseer/isolation.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// hasRecentSuspect reports whether the start of a suspect on the worker is recent or still to come. Members of the gang to
+// which the given attempt belongs do not count.
+func (worker *worker) hasRecentSuspect(id scheduler.RunID, now time.Duration) bool {
+	var isolation packer.Isolation
+	for other, attempt := range worker.attempts {
+		if !attempt.spec.Gang || packer.StepOf(other.Task) != packer.StepOf(id.Task) {
+			attempt.addTo(&isolation, now)
+		}
+	}
+	return isolation.SuspectStarts > 0
+}
+
 // splitSuspects returns the waiting tasks of a step, with the suspects among them apart from the others. A gang is not
 // split: if one of its members is a suspect, all of them start apart from other tasks.
 func (waiting *waitingStep) splitSuspects() []*waitingStep {
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -279,7 +279,8 @@
 // collectMissing handles attempts that a worker reports neither as running nor as ended. If the last order about an
 // attempt was answered before the report was requested, the attempt is not running and will not start, so its loss is
 // returned. For an attempt of an earlier leader or instance the start order is repeated, because it may never have been sent.
-// A suspect is placed again instead, because other attempts may be starting on the worker.
+// A suspect is placed again instead, because other attempts may be starting on the worker. Other attempts wait while the
+// start of a suspect is recent: it may have been placed before this leadership knew of them.
 func (leadership *leadership) collectMissing(
 	instance *worker, listed map[scheduler.RunID]bool, sent time.Duration,
 ) []jobkeeper.End {
@@ -294,6 +295,9 @@
 				leadership.stopAttempt(instance, id, "a worker crashed under the task")
 				continue
 			}
+			if instance.hasRecentSuspect(id, leadership.now()) {
+				continue
+			}
 			attempt.state, attempt.adopted = attemptStarting, false
 			leadership.goroutines.Go(func() { leadership.start(instance, id) })
 		case attemptRunning, attemptStopped:
