overseer: tell a renamed worker from the next instance of the earlier one

What callers saw: after a crash, a task whose start had not been answered was placed again only 25 s later, and a suspect was blamed only then. Jobs with a deadly task had not ended long after it had crashed its workers.

Cause: a renewal for the earlier worker was answered at its address by a worker with a new name. The response tells the incarnation but not the name, so the leader took it for the next instance under the old name and carried the unanswered attempts over to it. Nothing ran under that name: the attempts ended with the lease that such an instance may hold, after 22 s. The heartbeat of the renamed worker did not end the instance, because it had the same incarnation and had sent no heartbeat.

Change: the leader records the address at which such an instance has answered. The heartbeat of another worker at that address, with the same or a later incarnation, shows that it was that worker, and ends it. Marks that the carried attempts have in the log still blame them. An order for the old name has no effect on a worker with a new one.

--- a/internal/jobs/overseer/crashblame_test.go
+++ b/internal/jobs/overseer/crashblame_test.go
@@ -125,3 +125,27 @@
 		}
 	})
 }
+
+// Guards against attempts that end only with a lease: the response of a worker with a new name was taken for one of the next
+// instance under the old name, to which the attempts were carried over.
+func TestRenamedWorkerIsNotNextInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leadership, instance, id := newBlameLeadership(t)
+		heartbeat := scheduler.WorkerHeartbeat{
+			Worker: "w", Instance: 1, Pool: "pool", Address: "10.0.0.1:1", Phase: scheduler.WorkerReady, Sequence: 1,
+		}
+		leadership.mutex.Lock()
+		leadership.applyHeartbeat(heartbeat, 0)
+		attempt := instance.attempts[id]
+		attempt.state, attempt.startOutstanding, attempt.startUnanswered = attemptStarting, true, true
+		leadership.recordFailure(instance, errConnectionClosed)
+		leadership.checkReport(instance, scheduler.WorkerReport{Result: scheduler.OrderIncarnationMismatch, Instance: 2})
+		heartbeat.Worker, heartbeat.Instance = "renamed", 2
+		leadership.applyHeartbeat(heartbeat, 0)
+		leadership.mutex.Unlock()
+		time.Sleep(time.Second)
+		if points, runs := leadership.blameOfTask(); points != 1 || runs != 0 {
+			t.Errorf("got %d points and %d attempts, want 1 point and no attempts", points, runs)
+		}
+	})
+}
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -175,9 +175,18 @@
 func (leadership *leadership) endSuperseded(heartbeat *scheduler.WorkerHeartbeat) {
 	for _, location := range locationsOf(heartbeat) {
 		other := leadership.instances[leadership.occupants[location]]
-		if other != nil && other.name != heartbeat.Worker && other.hasHeartbeat && other.incarnation < heartbeat.Instance {
+		if other != nil && other.name != heartbeat.Worker && other.isSupersededBy(heartbeat) {
 			leadership.endInstance(other, "a later worker runs at the same location")
 		}
 		leadership.occupants[location] = heartbeat.Worker
 	}
 }
+
+// isSupersededBy reports whether the instance has ended if another worker at one of its locations has sent the heartbeat.
+// An instance that is known only by a response from the same address is one of that other worker, or an earlier one.
+func (worker *worker) isSupersededBy(heartbeat *scheduler.WorkerHeartbeat) bool {
+	if worker.hasHeartbeat {
+		return worker.incarnation < heartbeat.Instance
+	}
+	return worker.respondedAt != "" && worker.respondedAt == heartbeat.Address && worker.incarnation <= heartbeat.Instance
+}
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -206,7 +206,7 @@
 	case instance.ended:
 		return false
 	case report.Instance > instance.incarnation:
-		leadership.replaceInstance(instance, report.Instance)
+		leadership.replaceInstance(instance, report.Instance).respondedAt = instance.heartbeat.Address
 		return false
 	case report.Result == scheduler.OrderIncarnationMismatch:
 		leadership.endInstance(instance, "another worker responds at the address")
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -20,6 +20,9 @@
 	// hasHeartbeat is false while the instance is known only from attempts in the log.
 	hasHeartbeat bool
 	heartbeat    scheduler.WorkerHeartbeat
+	// respondedAt is the address at which the instance answered an order before its first heartbeat, empty if it did not.
+	// A response does not name the worker, so it may be another worker that runs there.
+	respondedAt string
 	// formerCapacities holds the capacities that the instance had recently, in the order of time.
 	formerCapacities []formerCapacity
 	// fullMilliCores is the largest CPU capacity that the instance has had.
