composer: replicas and listeners of crocusplankd are run again when they end

Operators saw a VM that had left a group for good after one refused write (only logged), a listener that stayed closed, an audit trail that was given up after one failure, and a daemon that ended when its disk was full at the start.

Replicas, listeners and the copying of decisions into the audit trail are parts of a supervisor. A replica rejoins its group in place; readiness names the cause and the time out of the group. The start waits for a disk that refuses. A permanent failure stops the daemon and ends the process with exit code 3. The audit trail itself still refuses records until it is opened again; its part retries with a back-off.

--- a/internal/operating/composer/auditrecorder.go
+++ b/internal/operating/composer/auditrecorder.go
@@ -110,10 +110,10 @@
 	return scheduler.GroupName(group), index, true
 }
 
-// run copies new decisions every auditPollInterval until ctx ends.
+// run copies new decisions every auditPollInterval until ctx ends or the audit trail refuses a record.
 func (auditRecorder *auditRecorder) run(
 	ctx context.Context, localGroup scheduler.GroupName, global *configurator.GlobalMachine, jobs *dispatcher.Machine,
-) {
+) error {
 	ticker := time.NewTicker(auditPollInterval)
 	defer ticker.Stop()
 	for {
@@ -122,14 +122,11 @@
 			err = auditRecorder.recordJobDecisions(localGroup, jobs)
 		}
 		if err != nil {
-			// A trail does not recover from a failure, so retries would only flood the log.
-			auditRecorder.log.Error().Str("event", "auditFailed").Err(err).
-				Msg("audit trail failed; no further records are written")
-			return
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-ticker.C:
 		}
 	}
--- a/internal/operating/composer/composer.go
+++ b/internal/operating/composer/composer.go
@@ -18,6 +18,7 @@
 	"github.com/crocusplank/crocusplank/internal/operating/kernel"
 	"github.com/crocusplank/crocusplank/internal/operating/loader"
 	"github.com/crocusplank/crocusplank/internal/operating/reporter"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
 	"github.com/crocusplank/crocusplank/internal/state/messenger"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -94,17 +95,21 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics := reporter.New()
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon := &Daemon{
 		environment: &environment{
 			settings: settings, log: log, transport: transport,
 			processIncarnation: newIncarnation(), callerMux: http.NewServeMux(), authorizer: authorizer,
+			parts: supervisor.New(supervisor.WithLogger(log), supervisor.WithScope(metrics.Scope())),
+			scope: metrics.Scope(),
 		},
-		kernel: kernel.New(), messenger: transport, metrics: reporter.New(), context: ctx, cancel: cancel,
+		kernel: kernel.New(), messenger: transport, metrics: metrics, context: ctx, cancel: cancel,
 	}
 	daemon.kernel.Publish(serviceEnvironment, daemon.environment)
 	if err := daemon.kernel.Build(settings.Roles); err != nil {
 		cancel()
+		metrics.Close()
 		return nil, Error.Wrap(err)
 	}
 	authorizer.configureAuditTrail(daemon.environment, lookupReplicas(daemon.kernel))
@@ -167,25 +172,43 @@
 }
 
 func (daemon *Daemon) serve(name, address string, handler http.Handler) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(daemon.context, "tcp", address)
-	if err != nil {
-		return Error.New("listen for %s: %v", name, err)
-	}
-	listener, err = withTLS(listener, daemon.environment.settings.TLS, name == "peer")
-	if err != nil {
-		return err
-	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	listener := daemon.environment.newListener(address, name == "peer", server.Serve)
+	if err := listener.Open(daemon.context); err != nil {
+		return Error.New("listen for %s: %w", name, err)
+	}
 	daemon.servers = append(daemon.servers, server)
-	go func() {
-		if err := server.Serve(listener); err != http.ErrServerClosed { //nolint:errorlint // Serve returns this error unwrapped.
-			daemon.environment.log.Error().Str("event", "listenerFailed").Str("listener", name).Err(err).Msg("listener failed")
-		}
-	}()
+	go daemon.environment.runListener(daemon.context, name, listener)
 	return nil
 }
 
+// newListener returns a listener that uses TLS if the settings configure certificates.
+func (environment *environment) newListener(
+	address string, isPeer bool, serve func(socket net.Listener) error,
+) *supervisor.Listener {
+	return supervisor.NewListener(func(ctx context.Context) (net.Listener, error) {
+		var config net.ListenConfig
+		socket, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return withTLS(socket, environment.settings.TLS, isPeer)
+	}, serve)
+}
+
+// runListener serves a listener until ctx ends.
+func (environment *environment) runListener(ctx context.Context, name string, listener *supervisor.Listener) {
+	environment.parts.Run(ctx, name+"Listener", listener.Run,
+		supervisor.WithFailureLimit(supervisor.ListenerFailureLimit))
+}
+
+// Failed returns a channel that is closed when a part of the daemon cannot run again and the process must end. Err then
+// returns the reason.
+func (daemon *Daemon) Failed() <-chan struct{} { return daemon.environment.parts.Failed() }
+
+// Err returns the failure of the part that must end the process, or nil if there is none.
+func (daemon *Daemon) Err() error { return daemon.environment.parts.Err() }
+
 // Stop shuts the daemon down gracefully: it fails the readiness check, waits for requests in progress, transfers
 // leadership and closes the listeners. When ctx ends first, the remaining steps are cut short.
 func (daemon *Daemon) Stop(ctx context.Context) error {
--- a/internal/operating/composer/environment.go
+++ b/internal/operating/composer/environment.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusplank/crocusplank/internal/operating/kernel"
 	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -30,6 +32,9 @@
 	// callerMux routes the paths that workers and endpoints use on the caller address.
 	callerMux  *http.ServeMux
 	authorizer *authorizer
+	// parts runs the parts of the roles that must not end before the process does.
+	parts *supervisor.Supervisor
+	scope tally.Scope
 	// inService is true while the VM accepts new requests.
 	inService atomic.Bool
 }
--- a/internal/operating/composer/gatewayrole.go
+++ b/internal/operating/composer/gatewayrole.go
@@ -167,13 +167,10 @@
 
 // Start opens the caller listener and starts the exchange of announcements and slot shares between gateways.
 func (gatewayRole *gatewayRole) Start(ctx context.Context) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", gatewayRole.environment.settings.Addresses.Caller.String())
-	if err != nil {
-		return Error.New("listen for callers: %v", err)
-	}
-	if listener, err = withTLS(listener, gatewayRole.environment.settings.TLS, false); err != nil {
-		return err
+	listener := gatewayRole.environment.newListener(
+		gatewayRole.environment.settings.Addresses.Caller.String(), false, gatewayRole.serve)
+	if err := listener.Open(ctx); err != nil {
+		return Error.New("listen for callers: %w", err)
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	gatewayRole.cancel = cancel
@@ -188,15 +185,17 @@
 				Msg("requests in progress at an earlier start stay unresolved until their deadlines")
 		}
 	})
-	gatewayRole.goroutines.Go(func() {
-		if err := gatewayRole.gateway.Serve(listener); err != nil {
-			gatewayRole.environment.log.Error().Str("event", "listenerFailed").Str("listener", "caller").Err(err).
-				Msg("listener failed")
-		}
-	})
+	gatewayRole.goroutines.Go(func() { gatewayRole.environment.runListener(runCtx, "caller", listener) })
 	return nil
 }
 
+func (gatewayRole *gatewayRole) serve(socket net.Listener) error {
+	if err := gatewayRole.gateway.Serve(socket); err != nil {
+		return err
+	}
+	return http.ErrServerClosed
+}
+
 // hasDiscoveredEndpoints reports whether endpointDiscoveryPeriod has passed since the start.
 func (gatewayRole *gatewayRole) hasDiscoveredEndpoints() bool {
 	started := gatewayRole.started.Load()
--- a/internal/operating/composer/main.go
+++ b/internal/operating/composer/main.go
@@ -14,6 +14,8 @@
 
 	"github.com/crocusplank/crocusplank/internal/operating/authenticator"
 	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/rejoiner"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/operating/versioner"
 )
 
@@ -39,6 +41,9 @@
 	case errors.As(err, &faults):
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitSettings
+	case supervisor.IsFatal(err):
+		_, _ = fmt.Fprintln(stderr, "error:", err)
+		return supervisor.ExitCode
 	default:
 		_, _ = fmt.Fprintln(stderr, "error:", err)
 		return exitFailure
@@ -49,7 +54,8 @@
 func Command() *cobra.Command {
 	root := &cobra.Command{
 		Use: "crocusplankd", Short: "Run an entry VM of crocusplank", SilenceUsage: true, SilenceErrors: true,
-		Long: "Run an entry VM of crocusplank.\n\nExit codes: 0 done, 1 failure, 2 faults in the settings.",
+		Long: "Run an entry VM of crocusplank.\n\nExit codes: 0 done, 1 failure, 2 faults in the settings,\n" +
+			"3 a part of the VM cannot run again, for example because its data folder is damaged.",
 	}
 	root.AddCommand(runCommand(), initCommand(), checkCommand(), tokenCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
@@ -133,16 +139,19 @@
 func run(settings *loader.Settings, log zerolog.Logger) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	daemon, err := New(settings, log)
-	if err != nil {
+	daemon, err := build(settings, log)
+	if err != nil || daemon == nil {
 		return err
 	}
 	if err := daemon.Start(context.Background()); err != nil {
 		return err
 	}
-	received := <-signals
-	log.Info().Str("event", "daemonStopping").Str("signal", received.String()).
-		Msg("received a signal; stopping gracefully")
+	select {
+	case received := <-signals:
+		log.Info().Str("event", "daemonStopping").Str("signal", received.String()).
+			Msg("received a signal; stopping gracefully")
+	case <-daemon.Failed():
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Limits.StopTimeout)
 	defer cancel()
 	go func() {
@@ -150,5 +159,28 @@
 		log.Warn().Str("event", "daemonStopNow").Msg("received a second signal; requests in progress are cancelled")
 		cancel()
 	}()
-	return daemon.Stop(ctx)
+	stopErr := daemon.Stop(ctx)
+	if err := daemon.Err(); err != nil {
+		log.Error().Str("event", "processFailed").Int("exitCode", supervisor.ExitCode).Err(err).
+			Msg("the process ends because of a part that cannot run again")
+		return err
+	}
+	return stopErr
+}
+
+// build builds the daemon. While the disk refuses what that needs, it waits; the result is nil if SIGTERM or SIGINT ends
+// the wait.
+func build(settings *loader.Settings, log zerolog.Logger) (*Daemon, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var daemon *Daemon
+	err := rejoiner.AwaitDisk(ctx, supervisor.New(supervisor.WithLogger(log)), func() (err error) {
+		daemon, err = New(settings, log)
+		return err
+	})
+	if err != nil && ctx.Err() != nil {
+		log.Info().Str("event", "daemonStopped").Err(err).Msg("stopped while the disk refused the start")
+		return nil, nil
+	}
+	return daemon, err
 }
--- a/internal/operating/composer/replicarole.go
+++ b/internal/operating/composer/replicarole.go
@@ -11,6 +11,8 @@
 	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
 	"github.com/crocusplank/crocusplank/internal/operating/kernel"
 	"github.com/crocusplank/crocusplank/internal/operating/loader"
+	"github.com/crocusplank/crocusplank/internal/operating/rejoiner"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/requests/deduplicator"
 	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
@@ -52,6 +54,15 @@
 type replica struct {
 	journal    scheduler.Journal
 	replicator *replicator.Replicator
+	// rejoiner is nil until the replicator is built. It then owns the journal.
+	rejoiner *rejoiner.Rejoiner
+}
+
+func (replica *replica) close() error {
+	if replica.rejoiner != nil {
+		return replica.rejoiner.Close()
+	}
+	return replica.journal.Close()
 }
 
 func lookupReplicas(registry kernel.ServiceRegistry) *replicaRole {
@@ -97,18 +108,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	newReplica := &replica{}
-	incarnation := replicaRole.environment.processIncarnation
-	if replicaRole.environment.settings.HasDisk() {
-		identity := journaler.NewIdentity(replicaRole.environment.settings.VM, group.Name, incarnation)
-		folder, err := journaler.Open(replicaRole.environment.settings.DataFolder, identity)
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		newReplica.journal, incarnation = folder, folder.Identity().Incarnation()
-	} else {
-		newReplica.journal = journaler.NewMemoryJournal()
+	journal, incarnation, err := replicaRole.openJournal(group.Name, replicaRole.environment.processIncarnation)
+	if err != nil {
+		return Error.Wrap(err)
 	}
+	newReplica := &replica{journal: journal}
 	replicaRole.replicas[group.Name] = newReplica
 	members := initialMembers(group)
 	self := ownMember(group, replicaRole.environment.settings.VM)
@@ -118,6 +122,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	reopen := func() (scheduler.Journal, scheduler.Incarnation, error) {
+		return replicaRole.openJournal(group.Name, newIncarnation())
+	}
+	newReplica.rejoiner = rejoiner.New(newReplica.replicator, journal, reopen, replicaRole.environment.log,
+		replicaRole.environment.scope)
 	replicaRole.environment.transport.Handle(group.Name, kindPropose,
 		func(ctx context.Context, _ scheduler.VMName, body []byte) ([]byte, error) {
 			return newReplica.replicator.Propose(ctx, body)
@@ -125,6 +134,22 @@
 	return nil
 }
 
+// openJournal opens the journal of a group. It returns the incarnation under which the journal was created, which is the
+// given one if it is new.
+func (replicaRole *replicaRole) openJournal(
+	group scheduler.GroupName, incarnation scheduler.Incarnation,
+) (scheduler.Journal, scheduler.Incarnation, error) {
+	settings := replicaRole.environment.settings
+	if !settings.HasDisk() {
+		return journaler.NewMemoryJournal(), incarnation, nil
+	}
+	folder, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(settings.VM, group, incarnation))
+	if err != nil {
+		return nil, 0, err
+	}
+	return folder, folder.Identity().Incarnation(), nil
+}
+
 // stateMachine returns the state machine of a group. In a group of another data centre, this VM only votes and stores
 // the log, so the replica gets state machines of its own that no other role reads.
 func (replicaRole *replicaRole) stateMachine(group scheduler.GroupName) (scheduler.StateMachine, error) {
@@ -166,26 +191,29 @@
 	return toMember(member)
 }
 
-// Start starts the replicas. The current configuration is read in the background, because the group may have no
-// majority until other VMs have started.
+// Start starts the replicas. They join their groups in the background, because a disk may refuse writes at first, and so
+// is the current configuration read, because the group may have no majority until other VMs have started.
 func (replicaRole *replicaRole) Start(context.Context) error {
-	for name, replica := range replicaRole.replicas {
-		if err := replica.replicator.Start(); err != nil {
-			return Error.New("group %s: %v", name, err)
-		}
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	replicaRole.cancel = cancel
+	for name, replica := range replicaRole.replicas {
+		replicaRole.run(ctx, "replica "+string(name), replica.rejoiner.Run)
+	}
 	replicaRole.goroutines.Go(func() { replicaRole.awaitConfiguration(ctx) })
-	replicaRole.goroutines.Go(func() { replicaRole.logReplicaFailures(ctx) })
 	if replicaRole.auditRecorder != nil {
-		replicaRole.goroutines.Go(func() {
-			replicaRole.auditRecorder.run(ctx, replicaRole.environment.localGroup(), replicaRole.global, replicaRole.jobs)
+		replicaRole.run(ctx, "auditTrail", func(ctx context.Context) error {
+			return replicaRole.auditRecorder.run(
+				ctx, replicaRole.environment.localGroup(), replicaRole.global, replicaRole.jobs)
 		})
 	}
 	return nil
 }
 
+// run runs a part of the role until ctx ends.
+func (replicaRole *replicaRole) run(ctx context.Context, name string, part supervisor.Part) {
+	replicaRole.goroutines.Go(func() { replicaRole.environment.parts.Run(ctx, name, part) })
+}
+
 func (replicaRole *replicaRole) awaitConfiguration(ctx context.Context) {
 	localGroup := replicaRole.groupView(replicaRole.environment.localGroup(), machineConfiguration)
 	for ctx.Err() == nil {
@@ -202,24 +230,11 @@
 	}
 }
 
-// logReplicaFailures logs when a replica stops because of a failure, such as a disk error.
-func (replicaRole *replicaRole) logReplicaFailures(ctx context.Context) {
-	for name, replica := range replicaRole.replicas {
-		replicaRole.goroutines.Go(func() {
-			select {
-			case <-ctx.Done():
-			case <-replica.replicator.Stopped():
-				replicaRole.environment.log.Error().Str("event", "replicaFailed").Str("group", string(name)).
-					Err(replica.replicator.Err()).Msg("replica failed; this VM has left the group")
-			}
-		})
-	}
-}
-
-// err returns the failure of the replica of the local data centre's group, or nil if it has not failed.
+// err returns why the replica of the local data centre's group is out of its group, or nil if it takes part.
 func (replicaRole *replicaRole) err() error {
-	if err := replicaRole.replicas[replicaRole.environment.localGroup()].replicator.Err(); err != nil {
-		return Error.New("the replica of group %s has failed: %v", replicaRole.environment.localGroup(), err)
+	local := replicaRole.environment.localGroup()
+	if out, err := replicaRole.replicas[local].rejoiner.OutOfGroup(); err != nil {
+		return Error.New("the replica of group %s has been out of its group for %v: %w", local, out.Round(time.Second), err)
 	}
 	return nil
 }
@@ -252,7 +267,7 @@
 func (replicaRole *replicaRole) close() error {
 	var group errs.Group
 	for _, replica := range replicaRole.replicas {
-		group.Add(Error.Wrap(replica.journal.Close()))
+		group.Add(Error.Wrap(replica.close()))
 	}
 	if replicaRole.auditRecorder != nil {
 		group.Add(Error.Wrap(replicaRole.auditRecorder.trail.Close()))
