--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -20,18 +20,6 @@
 	roleLeader       role = "leader"
 )
 
-// view is an immutable copy of the state of a node for other goroutines. The event loop replaces it.
-type view struct {
-	status  scheduler.GroupStatus
-	members []Member
-	// membershipCommitted is true if the newest membership is committed.
-	membershipCommitted bool
-	// responding holds the members that respond to the leader. It is nil on other VMs.
-	responding map[scheduler.VMName]bool
-	// leaseUntil is the end of the leader lease, or zero if the node has none.
-	leaseUntil time.Duration
-}
-
 // inbound is a decoded message from another VM.
 type inbound struct {
 	from    scheduler.VMName
@@ -54,11 +42,14 @@
 	closeRequests      chan struct{}
 	leadershipReleased chan struct{}
 	stopped            chan struct{}
+	joined             atomic.Bool
 	stopOnce           sync.Once
 	failure            atomic.Pointer[error]
 	outage             atomic.Pointer[Outage]
 	view               atomic.Pointer[view]
-	running            sync.WaitGroup
+	// viewMutex makes the replacement of the view and the stop of the node exclude each other.
+	viewMutex sync.Mutex
+	running   sync.WaitGroup
 
 	self             Member
 	journal          scheduler.Journal
@@ -107,70 +98,13 @@
 	}
 }
 
-// load reads the journal and restores the state machine from the newest snapshot.
-func (node *node) load(initial membership) error {
-	hardState := node.journal.HardState()
-	node.term, node.votedFor = hardState.Term, hardState.VotedFor
-	base := indexedMembership{membership: initial}
-	meta, reader, found, err := node.journal.OpenSnapshot()
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if found {
-		defer func() { _ = reader.Close() }()
-		if err := node.applying.machine.Restore(reader); err != nil {
-			return Error.New("restore snapshot at %d: %v", meta.Index, err)
-		}
-		decoded, err := decodeMembership(meta.Membership)
-		if err != nil {
-			return err
-		}
-		base = indexedMembership{index: meta.Index, membership: decoded}
-		node.commit, node.applied = meta.Index, meta.Index
-		node.snapshot.index = meta.Index
-	}
-	if err := node.log.loadMemberships(base); err != nil {
-		return err
-	}
-	node.applying.appliedIndex.Store(uint64(node.applied))
-	node.setApplied(node.applied)
-	node.publish()
-	return nil
-}
-
-func (node *node) start() {
-	now := node.clock.now()
-	// A vote within minElectionTimeout after the start could violate the lease of a leader to which this VM
-	// responded just before it restarted.
-	node.lastLeaderContact = now
-	node.stall = newStallDetector(now)
-	node.resetElectionDeadline(now)
-	node.running.Add(3)
-	go node.run()
-	go node.runSyncer()
-	go node.runApplier()
-}
-
-// stop stops the event loop and its helper goroutines without waiting for them. The failure is nil for a
-// planned stop.
-func (node *node) stop(failure error) {
-	node.stopOnce.Do(func() {
-		if failure != nil {
-			node.recordFailure(failure)
-		}
-		last := *node.view.Load()
-		last.leaseUntil = 0
-		node.view.Store(&last)
-		close(node.stopped)
-	})
-}
-
 func (node *node) run() {
 	defer node.running.Done()
 	ticker := node.clock.newTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		if err := node.handleNext(ticker.C); err != nil {
+			node.transferAfterFailure()
 			node.stop(err)
 		}
 		select {
@@ -308,44 +242,6 @@
 	return nil
 }
 
-func (node *node) publish() {
-	role := scheduler.GroupFollower
-	current := node.log.membership()
-	switch {
-	case node.role == roleLeader:
-		role = scheduler.GroupLeader
-	case node.role != roleFollower:
-		role = scheduler.GroupCandidate
-	case !current.isVoter(node.self.VM, node.self.Incarnation):
-		role = scheduler.GroupLearner
-	}
-	status := scheduler.NewGroupStatus(role, node.term, node.leader, node.commit, node.applied,
-		current.voterNames())
-	node.view.Store(&view{
-		status: status, members: current.Members, membershipCommitted: current.index <= node.commit,
-		leaseUntil: node.leaseUntil(), responding: node.responding(),
-	})
-	select {
-	case node.changed <- struct{}{}:
-	default:
-	}
-}
-
-// responding returns the members that currently respond, or nil if this VM is not the leader.
-func (node *node) responding() map[scheduler.VMName]bool {
-	if node.role != roleLeader {
-		return nil
-	}
-	now := node.clock.now()
-	responding := map[scheduler.VMName]bool{node.self.VM: true}
-	for vm, progress := range node.leading.peers {
-		if progress.isResponding(now) {
-			responding[vm] = true
-		}
-	}
-	return responding
-}
-
 // saveHardState stores the term, the vote and the incarnation. They must be stored before they have any
 // effect outside this VM.
 func (node *node) saveHardState() error {
@@ -353,19 +249,3 @@
 		Term: node.term, VotedFor: node.votedFor, Incarnation: node.self.Incarnation,
 	})
 }
-
-// endLoop completes all pending requests with an error. A proposal that was never appended is known not to
-// have run.
-func (node *node) endLoop() {
-	node.pending.failAll(unknown("group %s has stopped on %s", node.name, node.self.VM))
-	for {
-		select {
-		case proposal := <-node.proposals:
-			proposal.reject("group %s has stopped on %s", node.name, node.self.VM)
-		case read := <-node.reads:
-			read.finish(0, Error.New("group %s has stopped on %s", node.name, node.self.VM))
-		default:
-			return
-		}
-	}
-}
