--- a/internal/state/replicator/lifecycle.go
+++ b/internal/state/replicator/lifecycle.go
@@ -124,8 +124,9 @@
 
 // recordFailure records the first failure.
 func (node *node) recordFailure(failure error) {
-	node.failure.CompareAndSwap(nil, &failure)
-	node.outage.CompareAndSwap(nil, &Outage{since: time.Now(), cause: failure})
+	if node.failure.CompareAndSwap(nil, &failure) {
+		node.outage.Store(&Outage{since: time.Now(), cause: failure})
+	}
 }
 
 // endLoop completes all pending requests with an error. A proposal that was never appended is known not to
--- a/internal/state/replicator/outage_test.go
+++ b/internal/state/replicator/outage_test.go
@@ -138,6 +138,40 @@
 	}
 }
 
+// Guards against an outage that starts again with each failed return, or that is reported after the return.
+func TestOutageEndsWhenTheVMRejoins(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		journal := &measuredJournal{fakeJournal: &fakeJournal{}}
+		replicator := startSingle(t, journal)
+		defer func() { _ = replicator.Close(t.Context()) }()
+		scope := tally.NewTestScope("", nil)
+		journal.refuse(syscall.ENOSPC)
+		_, _ = replicator.Propose(t.Context(), []byte("command"))
+		for range 3 {
+			time.Sleep(10 * time.Second)
+			err := replicator.Rejoin(t.Context(), func() (scheduler.Journal, error) { return nil, syscall.ENOSPC })
+			if err == nil {
+				t.Fatal("got no error, want the refusal")
+			}
+		}
+		replicator.UpdateMetrics(scope)
+		if got := gauge(scope, "group_out_seconds"); got < 30 || got > 31 {
+			t.Errorf("got %v s out of the group, want 30", got)
+		}
+		err := replicator.Rejoin(t.Context(), func() (scheduler.Journal, error) { return journal.crash(nil), nil })
+		if err != nil {
+			t.Fatal(err)
+		}
+		replicator.UpdateMetrics(scope)
+		if got := gauge(scope, "group_out_seconds"); got != 0 {
+			t.Errorf("got %v s out of the group after the return, want 0", got)
+		}
+		if outage, out := replicator.Outage(); out {
+			t.Errorf("got outage %v after the return, want none", outage.Cause())
+		}
+	})
+}
+
 // Guards against a planned stop that is reported as an outage.
 func TestCloseIsNoOutage(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
