overseer: new jobs are refused while the log reaches into the reserve of the disk

What callers saw: nothing yet; a leader whose disk was nearly full stored further jobs until a write was refused, and then left the group with all of them.

Change: WithDiskBudget gives the leader the division of the room and the size of its log. Below the reserve, a new job is refused before it is proposed, with a Retry-After; a copy of a job that may be stored is still answered as before. Cancellations, configurations and evacuations are proposed in any case. Nothing sets the budget yet.

Before: TestNewJobsAreRefusedBelowTheReserve/new_job: "got status done, want status refused". After: it passes.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -46,6 +46,11 @@
 // Admitted returns the decision to admit a job.
 func Admitted() Decision { return Decision{admitted: true} }
 
+// Refused returns the decision to refuse a job. retryAfter is zero if a retry is of no use.
+func Refused(reason string, retryAfter time.Duration) Decision {
+	return Decision{reason: reason, retryAfter: retryAfter}
+}
+
 // Admitted reports whether the job is admitted.
 func (decision Decision) Admitted() bool { return decision.admitted }
 
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -87,8 +88,8 @@
 		overseer.submissions.begin(submission.Job)
 		return admitter.Admitted()
 	}
-	decision := admitter.Admitted()
-	if leadership != nil {
+	decision := overseer.admitByRoom()
+	if decision.Admitted() && leadership != nil {
 		decision = leadership.admit(submission)
 	}
 	if decision.Admitted() {
@@ -97,6 +98,15 @@
 	return decision
 }
 
+// admitByRoom refuses a job while the log of the domain reaches into the reserve of the disk. The reserve is for what
+// lets work end: ends, cancellations, configurations, evacuations and the snapshot that frees room.
+func (overseer *Overseer) admitByRoom() admitter.Decision {
+	if overseer.budget.AcceptsNewWork(overseer.usedBytes()) {
+		return admitter.Admitted()
+	}
+	return admitter.Refused("the disk of the leader has no room for new jobs", budgeter.RetryAfter)
+}
+
 // MayBeStored reports whether a job is stored, or a proposal of it may still take effect.
 func (overseer *Overseer) MayBeStored(job scheduler.JobID) bool {
 	// A proposal that ends between the two checks has stored the job before.
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -91,6 +92,12 @@
 	}
 }
 
+// WithDiskBudget refuses new jobs while the log of the domain takes more of the disk than the budget leaves to new work.
+// usedBytes returns the size of the log on the disk. By default there is no limit.
+func WithDiskBudget(budget budgeter.Budget, usedBytes func() int64) Option {
+	return func(overseer *Overseer) { overseer.budget, overseer.usedBytes = budget, usedBytes }
+}
+
 // WithSuspension includes the time during which the VM is suspended in the elapsed time, see
 // replicator.WithSuspension.
 func WithSuspension() Option {
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -16,6 +16,7 @@
 	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
 	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -45,7 +46,10 @@
 	maxIdle time.Duration
 	// forecastAdmission is true if jobs are refused that could not finish in time.
 	forecastAdmission bool
-	clock             stopwatch.Stopwatch
+	// budget divides the room of the disk, and usedBytes returns how much of it the log of the domain takes.
+	budget    budgeter.Budget
+	usedBytes func() int64
+	clock     stopwatch.Stopwatch
 
 	current     atomic.Pointer[leadership]
 	submissions pendingSubmissions
@@ -56,6 +60,7 @@
 	overseer := &Overseer{
 		group: group, keeper: keeper, client: client, logger: zerolog.Nop(), metrics: newMetrics(tally.NoopScope),
 		leaseDuration: 10 * time.Second, clockDrift: 0.02, heartbeatInterval: time.Second, stopTime: time.Second,
+		usedBytes: func() int64 { return 0 },
 	}
 	for _, option := range options {
 		option(overseer)
