--- a/internal/state/replicator/applier.go
+++ b/internal/state/replicator/applier.go
@@ -64,10 +64,12 @@
 	switch {
 	case work.take != nil:
 		buffer := &bytes.Buffer{}
-		result.err = machine.Snapshot(buffer)
+		if err := machine.Snapshot(buffer); err != nil {
+			result.err = ErrStateMachine.Wrap(err)
+		}
 		result.data = buffer.Bytes()
 	case work.install != nil:
-		result.refused, result.err = node.performInstall(work)
+		result.refused, result.err = node.install(*work.install, work.data)
 	default:
 		result.results = make([][]byte, len(work.entries))
 		for position, entry := range work.entries {
@@ -80,11 +82,12 @@
 	return result
 }
 
-// performInstall saves a received snapshot and restores the state machine from it. refused is set if the journal did
-// not save the snapshot but is unchanged; the state machine is then unchanged too.
-func (node *node) performInstall(work applyWork) (refused, err error) {
-	err = node.journal.SaveSnapshot(*work.install, 0, func(w io.Writer) error {
-		_, err := w.Write(work.data)
+// install stores a received snapshot and restores the state machine from it. refused is set if the journal did not store
+// the snapshot but is unchanged; the state machine is then unchanged too. A state machine that has already applied more,
+// before this VM rejoined the group with a shorter log, keeps its state.
+func (node *node) install(meta scheduler.SnapshotMeta, data []byte) (refused, err error) {
+	err = node.journal.SaveSnapshot(meta, 0, func(w io.Writer) error {
+		_, err := w.Write(data)
 		return err
 	})
 	switch {
@@ -92,8 +95,14 @@
 		return nil, err
 	case err != nil:
 		return err, nil
+	case uint64(meta.Index) <= node.applying.appliedIndex.Load():
+		return nil, nil
+	}
+	if err := node.applying.machine.Restore(bytes.NewReader(data)); err != nil {
+		return nil, ErrStateMachine.Wrap(err)
 	}
-	return nil, node.applying.machine.Restore(bytes.NewReader(work.data))
+	node.applying.appliedIndex.Store(uint64(meta.Index))
+	return nil, nil
 }
 
 // startApply starts the next task of the state machine unless one is running.
--- a/internal/state/replicator/metrics.go
+++ b/internal/state/replicator/metrics.go
@@ -17,7 +17,7 @@
 		seconds = time.Since(outage.Since()).Seconds()
 	}
 	scope.Gauge("group_out_seconds").Update(seconds)
-	usage := replicator.node.journalUsage()
+	usage := replicator.node().journalUsage()
 	scope.Gauge("group_folder_bytes").Update(float64(usage.FolderBytes()))
 	scope.Gauge("group_log_bytes").Update(float64(usage.LogBytes()))
 }
--- a/internal/state/replicator/snapshot_refusal_test.go
+++ b/internal/state/replicator/snapshot_refusal_test.go
@@ -61,7 +61,7 @@
 		follower := cluster.start("b")
 		follower.refuseSaves(true)
 		data := encode([]any{[]string{"1:x"}, nil})
-		follower.replicator.node.inbox <- inbound{from: "a", message: &snapshotChunk{
+		follower.replicator.node().inbox <- inbound{from: "a", message: &snapshotChunk{
 			Term: 3, Incarnation: 1, Index: 3, IndexTerm: 2, Membership: newMembership(cluster.initial).encode(),
 			Size: uint64(len(data)), Checksum: snapshotChecksum(data), Data: data,
 		}}
