assembler, platform: the room of the disk is a checked setting of a VM of a domain

What callers saw: nothing yet; a VM of a domain knew nothing of the size of its disk.

Before: TestFaultyDiskSize: "got error <nil>"; the field did not exist. After: it and TestDiskBytes pass.

--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -116,6 +116,7 @@
 // buildState builds the components of a VM that holds state.
 func (vm *VM) buildState(self scheduler.VMName, dependencies Dependencies) (*handler.Handler, error) {
 	settings := vm.settings
+	budget := settings.diskBudget()
 	incarnation := initialIncarnation
 	if !settings.BootstrapDomain {
 		incarnation = newIncarnation()
@@ -129,7 +130,8 @@
 		VM: self, Incarnation: journal.Identity().Incarnation(), Disk: true, StandsForElection: true,
 	}
 	vm.replicator, err = replicator.New(DomainGroup, member, initialVoters(settings.seedNames()), journal,
-		vm.messenger, keeper, replicator.WithLogger(dependencies.Logger), replicator.WithSuspension())
+		vm.messenger, keeper, replicator.WithLogger(dependencies.Logger), replicator.WithSuspension(),
+		replicator.WithLogLimit(budget.LogBytes(), budget.KeptBytes()))
 	if err != nil {
 		return nil, errs.Combine(Error.Wrap(err), journal.Close())
 	}
@@ -149,6 +151,7 @@
 		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(dependencies.Approver),
 		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease),
 		overseer.WithLookAhead(settings.MaxReservedIdle),
+		overseer.WithDiskBudget(budget, func() int64 { return vm.replicator.JournalUsage().FolderBytes() }),
 	}
 	if settings.ForecastAdmission {
 		options = append(options, overseer.WithForecastAdmission())
@@ -165,7 +168,8 @@
 func (vm *VM) openJournal(
 	self scheduler.VMName, incarnation scheduler.Incarnation,
 ) (*journaler.FolderJournal, error) {
-	return journaler.Open(vm.settings.DataFolder, journaler.NewIdentity(self, DomainGroup, incarnation))
+	return journaler.Open(vm.settings.DataFolder, journaler.NewIdentity(self, DomainGroup, incarnation),
+		journaler.WithSegmentBytes(vm.settings.diskBudget().SegmentBytes()))
 }
 
 // newIncarnation returns an incarnation that no replica of this VM has had.
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -25,6 +26,8 @@
 	Seeds []netip.AddrPort `json:"seeds"`
 	// DataFolder is empty on a VM that holds no state.
 	DataFolder string `json:"dataFolder"`
+	// DiskBytes is the room of the disk that the state may take. 0 stands for budgeter.DefaultRoom.
+	DiskBytes int64 `json:"diskBytes,omitempty"`
 	// BootstrapDomain must be true only when the whole domain starts for the first time.
 	BootstrapDomain bool `json:"firstStart"`
 	// ToleratedLosses is the number of VMs that hold state that may be lost at the same time.
@@ -59,6 +62,9 @@
 		return fmt.Errorf("peer is not an address and port")
 	case len(settings.Seeds) == 0:
 		return fmt.Errorf("seeds is empty")
+	case settings.DataFolder != "" && settings.DiskBytes != 0 &&
+		(settings.DiskBytes < budgeter.MinRoom || settings.DiskBytes > budgeter.MaxRoom):
+		return fmt.Errorf("diskBytes is %d, want 0 or %d to %d", settings.DiskBytes, budgeter.MinRoom, int64(budgeter.MaxRoom))
 	case settings.ToleratedLosses < 0:
 		return fmt.Errorf("toleratedLosses is negative")
 	case settings.LeaseDuration <= 0 || settings.HeartbeatInterval <= 0 || settings.StopTime < 0 ||
@@ -69,6 +75,9 @@
 	return nil
 }
 
+// diskBudget returns the division of the disk.
+func (settings *Settings) diskBudget() budgeter.Budget { return budgeter.New(settings.DiskBytes, 1) }
+
 // listenAddress returns the address on which the VM listens for other VMs.
 func (settings *Settings) listenAddress() netip.AddrPort {
 	if settings.Listen.IsValid() {
--- a/internal/state/replicator/metrics.go
+++ b/internal/state/replicator/metrics.go
@@ -22,6 +22,11 @@
 	scope.Gauge("group_log_bytes").Update(float64(usage.LogBytes()))
 }
 
+// JournalUsage returns the room that the journal takes on its disk, or the zero value if it has none.
+func (replicator *Replicator) JournalUsage() scheduler.JournalUsage {
+	return replicator.node().journalUsage()
+}
+
 // journalUsage returns the room that the journal takes, or the zero value if it has no disk.
 func (node *node) journalUsage() scheduler.JournalUsage {
 	if journal, ok := node.journal.(scheduler.MeasuredJournal); ok {
