loader, dispatcher: crocusplankd bounds its logs by a checked size of the disk

What callers saw: nothing yet; crocusplankd knew nothing of the size of its disk and accepted jobs until a write was refused.

Change: limits.diskBytes, 1 GiB by default and 64 MiB at least, is shared in equal parts by the groups of a VM and the audit trail.

--- a/internal/jobs/dispatcher/engine.go
+++ b/internal/jobs/dispatcher/engine.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/crocusplank/crocusplank/pkg/scheduler"
 	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // Defaults of the engine, from section 6 of the design page.
@@ -52,6 +54,9 @@
 	victimTimeout  time.Duration
 	stepInterval   time.Duration
 	rescheduleRate float64
+	// budget divides the room of the disk, and usedBytes returns how much of it the logs of this VM take.
+	budget    budgeter.Budget
+	usedBytes func() int64
 
 	// mutex must be acquired before the locks of the group and of the machine.
 	mutex sync.Mutex
@@ -117,6 +122,12 @@
 	return func(engine *Engine) { engine.leaseDuration, engine.leaseMargin = duration, margin }
 }
 
+// WithDiskBudget refuses new jobs while the logs on the disk of this VM take more than the budget leaves to new work.
+// usedBytes returns their size. By default there is no limit.
+func WithDiskBudget(budget budgeter.Budget, usedBytes func() int64) Option {
+	return func(engine *Engine) { engine.budget, engine.usedBytes = budget, usedBytes }
+}
+
 // WithRescheduleRate sets the maximum number of tasks of lost workers that are placed again per second.
 func WithRescheduleRate(perSecond float64) Option {
 	return func(engine *Engine) { engine.rescheduleRate = perSecond }
@@ -132,6 +143,7 @@
 		batcher:       &batcher{group: group, delay: batchDelay},
 		usageHandler:  func(scheduler.WorkerName, []scheduler.AttemptUsage) {},
 		endedHandler:  func(scheduler.WorkerName, []scheduler.EndedAttempt) {},
+		usedBytes:     func() int64 { return 0 },
 		leaseDuration: defaultLeaseDuration, leaseMargin: defaultLeaseMargin, grace: defaultGrace,
 		victimTimeout: defaultVictimTimeout, stepInterval: defaultStepInterval, rescheduleRate: defaultRescheduleRate,
 	}
--- a/internal/jobs/dispatcher/jobs.go
+++ b/internal/jobs/dispatcher/jobs.go
@@ -96,6 +96,14 @@
 	return job, ok
 }
 
+// isSubmitted reports whether the job of a submission is known.
+func (machine *Machine) isSubmitted(submission *Submission) bool {
+	machine.mutex.RLock()
+	defer machine.mutex.RUnlock()
+	_, found := machine.findJob(submission)
+	return found
+}
+
 // newJob generates an ID for a job that is submitted without one. The name of the group makes the ID unique across
 // all data centres.
 func (machine *Machine) newJob(submission *Submission, digest []byte, at int64) *job {
--- a/internal/operating/composer/replicarole.go
+++ b/internal/operating/composer/replicarole.go
@@ -112,13 +112,15 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	budget := replicaRole.environment.settings.DiskBudget()
 	newReplica := &replica{journal: journal}
 	replicaRole.replicas[group.Name] = newReplica
 	members := initialMembers(group)
 	self := ownMember(group, replicaRole.environment.settings.VM)
 	self.Incarnation = incarnation
 	newReplica.replicator, err = replicator.New(group.Name, self, members, newReplica.journal,
-		replicaRole.environment.transport, machine, replicator.WithLogger(replicaRole.environment.log))
+		replicaRole.environment.transport, machine, replicator.WithLogger(replicaRole.environment.log),
+		replicator.WithLogLimit(budget.LogBytes(), budget.KeptBytes()))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -143,7 +145,8 @@
 	if !settings.HasDisk() {
 		return journaler.NewMemoryJournal(), incarnation, nil
 	}
-	folder, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(settings.VM, group, incarnation))
+	folder, err := journaler.Open(settings.DataFolder, journaler.NewIdentity(settings.VM, group, incarnation),
+		journaler.WithSegmentBytes(settings.DiskBudget().SegmentBytes()))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/operating/composer/schedulerrole.go
+++ b/internal/operating/composer/schedulerrole.go
@@ -69,7 +69,8 @@
 	schedulerRole.engine = dispatcher.NewEngine(environment.settings.VM, schedulerRole.group,
 		replicas.jobs, schedulerRole.governor,
 		dispatcher.WithLogger(log), dispatcher.WithUsageHandler(schedulerRole.governor.HandleUsage),
-		dispatcher.WithEndedHandler(schedulerRole.governor.HandleEnded))
+		dispatcher.WithEndedHandler(schedulerRole.governor.HandleEnded),
+		dispatcher.WithDiskBudget(environment.settings.DiskBudget(), schedulerRole.localLogBytes))
 	schedulerRole.distributor = configurator.NewDistributor(replicas.global, replicas.local,
 		replicas.groupView(localGroup, machineConfiguration), configurator.WithLogger(log))
 	environment.transport.Handle(localGroup, kindWorkerSync, schedulerRole.handleSync)
@@ -80,6 +81,12 @@
 	return schedulerRole, nil
 }
 
+// localLogBytes returns the room that the log of the data centre's group takes on the disk of this VM, 0 without a disk.
+func (schedulerRole *schedulerRole) localLogBytes() int64 {
+	group := schedulerRole.environment.localGroup()
+	return schedulerRole.replicas.replicas[group].replicator.JournalUsage().FolderBytes()
+}
+
 // Start starts the dispatcher engine, the governor and the distribution of configuration revisions. They take effect
 // only while this VM holds the leader lease.
 func (schedulerRole *schedulerRole) Start(context.Context) error {
--- a/internal/operating/loader/check.go
+++ b/internal/operating/loader/check.go
@@ -7,12 +7,16 @@
 	"slices"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 // namePattern ensures that names can be used as folder names and as prefixes of idempotency keys.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
+// minDiskBytes leaves each of three groups and the audit trail the smallest room.
+const minDiskBytes = 4 * budgeter.MinRoom
+
 // checker validates decoded settings against the rules that go beyond the type of a single value.
 type checker struct {
 	document *document
@@ -191,6 +195,7 @@
 		{"maxHeaderBytes", limits.MaxHeaderBytes, 1 << 10, 1 << 20},
 		{"maxBodyBytes", limits.MaxBodyBytes, 1 << 10, 1 << 30},
 		{"queueLength", limits.QueueLength, 1, 1_000_000},
+		{"diskBytes", limits.DiskBytes, minDiskBytes, budgeter.MaxRoom},
 	} {
 		path := "limits." + limit.name
 		if (limit.value < limit.low || limit.value > limit.high) && !checker.document.invalidPaths[path] {
--- a/internal/operating/loader/load_test.go
+++ b/internal/operating/loader/load_test.go
@@ -76,6 +76,8 @@
 		"duration, too long":          {`"30s"`, `"11m"`, []string{`limits.requestTimeout: want 100ms to 10m0s, got 11m0s`}},
 		"number too small":            {`"maxHeaderBytes": 65536`, `"maxHeaderBytes": 0`, []string{`limits.maxHeaderBytes: want 1024 to 1048576, got 0`}},
 		"negative":                    {`"queueLength": 800`, `"queueLength": -1`, []string{`limits.queueLength: want 1 to 1000000, got -1`}},
+		"disk too small":              {`"queueLength": 800`, `"diskBytes": 67108863`, []string{`68:18: limits.diskBytes: want 67108864 to 1099511627776, got 67108863`}},
+		"disk size with a unit":       {`"queueLength": 800`, `"diskBytes": "128MB"`, []string{`68:18: limits.diskBytes: want an integer, got a string`}},
 		"unknown role":                {`"gateway"]`, `"gatewy"]`, []string{`9:37: roles[2]: unknown role "gatewy", did you mean "gateway"?`}},
 		"role twice":                  {`"gateway"]`, `"replica"]`, []string{`roles[2]: role "replica" is listed twice`}},
 		"replica missing":             {`"replica", `, ``, []string{`needs the role "replica"`, `has the role "replica" exactly when`}},
--- a/internal/operating/loader/settings.go
+++ b/internal/operating/loader/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/crocusplank/crocusplank/internal/state/budgeter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -71,11 +72,13 @@
 	APIAddress    netip.AddrPort           `json:"apiAddress"`
 }
 
-// Limits bound the requests that the gateway accepts and the duration of requests and of a graceful stop.
+// Limits bound the requests that the gateway accepts, the room of the disk, and the duration of requests and of a graceful stop.
 type Limits struct {
-	MaxHeaderBytes int64         `json:"maxHeaderBytes"`
-	MaxBodyBytes   int64         `json:"maxBodyBytes"`
-	QueueLength    int64         `json:"queueLength"`
+	MaxHeaderBytes int64 `json:"maxHeaderBytes"`
+	MaxBodyBytes   int64 `json:"maxBodyBytes"`
+	QueueLength    int64 `json:"queueLength"`
+	// DiskBytes is the room of the disk that the logs of all groups and the audit trail may take.
+	DiskBytes      int64         `json:"diskBytes"`
 	RequestTimeout time.Duration `json:"requestTimeout"`
 	StopTimeout    time.Duration `json:"stopTimeout"`
 }
@@ -107,6 +110,7 @@
 			MaxHeaderBytes: 64 << 10,
 			MaxBodyBytes:   16 << 20,
 			QueueLength:    1000,
+			DiskBytes:      budgeter.DefaultRoom,
 			RequestTimeout: 30 * time.Second,
 			StopTimeout:    60 * time.Second,
 		},
@@ -120,6 +124,11 @@
 // HasDisk reports whether the VM stores the logs of its groups on disk, in the data folder.
 func (settings *Settings) HasDisk() bool { return settings.DataFolder != "" }
 
+// DiskBudget returns the division of the disk. Each group of the VM and the audit trail have equal parts.
+func (settings *Settings) DiskBudget() budgeter.Budget {
+	return budgeter.New(settings.Limits.DiskBytes, len(settings.OwnGroups())+1)
+}
+
 // OwnGroups returns the groups of which the VM is a member.
 func (settings *Settings) OwnGroups() []Group {
 	var groups []Group
