--- a/internal/operating/assembler/refusingdisk_test.go
+++ b/internal/operating/assembler/refusingdisk_test.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"os"
 	"os/exec"
-	"os/signal"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,12 +42,10 @@
 // childVariable is set in the process in which a test limits the size of files.
 const childVariable = "CROCUSPLANK_TEST_CHILD"
 
-// inChild runs a test in a process of its own, because the testing package writes files too. A refused write sends a
-// signal, which the process ignores.
+// inChild runs a test in a process of its own, because the testing package writes files too.
 func inChild(t *testing.T, run func(t *testing.T)) {
 	t.Helper()
 	if os.Getenv(childVariable) != "" {
-		signal.Ignore(syscall.SIGXFSZ)
 		run(t)
 		return
 	}
