handler: a client of the leader looks beyond VMs that know none

Callers got "no reachable VM is the leader" for as long as three VMs were out of their group, if these came first among the members: a request asks three VMs at most, and every request asked the same three.

A VM that answers that it is not the leader and knows none moves to the end of the members, as one that does not answer does already.

Before: TestLeaderIsFoundBehindVMsOutOfTheirGroup got unavailable for the second request, asked a b c a b c.

--- a/internal/jobs/handler/leaderclient.go
+++ b/internal/jobs/handler/leaderclient.go
@@ -248,7 +248,10 @@
 		leaderClient.leader = leader
 		return
 	}
-	if leaderClient.leader == vm {
+	if leader == "" {
+		// A VM out of its group knows no leader. The next request starts with other VMs.
+		leaderClient.demote(vm)
+	} else if leaderClient.leader == vm {
 		leaderClient.leader = ""
 	}
 }
--- a/internal/jobs/handler/leaderclient_test.go
+++ b/internal/jobs/handler/leaderclient_test.go
@@ -267,3 +267,20 @@
 		})
 	}
 }
+
+// Guards against a client that asks the same VMs again and again although they are out of their group.
+func TestLeaderIsFoundBehindVMsOutOfTheirGroup(t *testing.T) {
+	out := respondWith(Response{Status: StatusNotLeader})
+	network := &fakeNetwork{responses: map[scheduler.VMName]func() (Response, error){
+		"a": out, "b": out, "c": out, "d": out, "e": respondWith(Response{Status: StatusDone}),
+	}}
+	seeds := []scheduler.VMName{"a", "b", "c", "d", "e"}
+	client := NewLeaderClient(network, "domain", seeds, nil, tally.NoopScope, zerolog.Nop())
+	var got Status
+	for range 2 {
+		got = client.Do(t.Context(), &Request{Status: &StatusRequest{}}).Status
+	}
+	if want := StatusDone; got != want {
+		t.Errorf("second request: got %s, want %s; asked %v", got, want, network.called)
+	}
+}
