server: the state of a VM says that it has left a group and why

Operators saw a VM that had left a group as a follower or leader of it in "crocusplank vm show".

The state of a group gets the field outOfGroup with the failure; the command prints a line for it.

--- a/design/state.go
+++ b/design/state.go
@@ -11,6 +11,7 @@
 	Attribute("applied", UInt64)
 	Attribute("voters", ArrayOf(String))
 	Attribute("holdsLeaderLease", Boolean)
+	Attribute("outOfGroup", String, "Why the VM has left the group. Absent while it takes part.")
 	Required("name", "role", "term", "commit", "applied", "voters", "holdsLeaderLease")
 })
 
--- a/gen/http/cli/entry_vm/cli.go
+++ b/gen/http/cli/entry_vm/cli.go
@@ -42,8 +42,8 @@
 	return os.Args[0] + " " + "jobs submit --body '{\n      \"class\": \"batch\",\n      \"constraints\": {\n         \"In totam veritatis.\": \"Ea reprehenderit odit dolores.\"\n      },\n      \"deadline\": \"2001-03-04T21:57:19Z\",\n      \"id\": \"2\",\n      \"kind\": \"it\",\n      \"request\": {\n         \"accelerators\": 1585363689697246773,\n         \"memoryBytes\": 8102496689125745683,\n         \"milliCores\": 9167561360984121210\n      },\n      \"runTime\": \"Occaecati voluptatem est enim.\",\n      \"spread\": \"rack\",\n      \"tasks\": 9279,\n      \"team\": \"a\",\n      \"urgent\": true\n   }' --token \"Quia quidem.\"" + "\n" +
 		os.Args[0] + " " + "configuration show --revision 13656842526131089128 --token \"Laborum soluta.\"" + "\n" +
 		os.Args[0] + " " + "state vm --token \"Sint dolore et.\"" + "\n" +
-		os.Args[0] + " " + "audit list --from 4170265069013125889 --limit 334 --token \"Tempora praesentium placeat.\"" + "\n" +
-		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Quam assumenda quia veritatis et.\",\n      \"standsForElection\": true,\n      \"vm\": \"Dolorem necessitatibus omnis.\"\n   }' --group \"Voluptatibus recusandae voluptatem nesciunt aut.\" --token \"Rem quod cumque quo.\"" + "\n" +
+		os.Args[0] + " " + "audit list --from 17531380906807200225 --limit 924 --token \"Et ab ut quo aut omnis.\"" + "\n" +
+		os.Args[0] + " " + "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Eos possimus quaerat qui aliquid omnis.\",\n      \"standsForElection\": false,\n      \"vm\": \"Nisi sunt molestiae soluta labore a dolores.\"\n   }' --group \"Odit amet adipisci eos.\" --token \"Repellat corporis ipsam molestias itaque perspiciatis.\"" + "\n" +
 		""
 }
 
@@ -716,7 +716,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state workers --after \"Quos itaque eos et dolore perspiciatis.\" --limit 794 --token \"Quos autem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state workers --after \"Quisquam culpa qui tempore voluptatem vel.\" --limit 144 --token \"Modi qui fugit harum quia.\"")
 }
 
 func stateDrainUsage() {
@@ -738,7 +738,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state drain --body '{\n      \"drained\": false,\n      \"evict\": true\n   }' --worker \"Eos eos voluptatum suscipit incidunt.\" --token \"Autem vero omnis debitis illo quibusdam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state drain --body '{\n      \"drained\": true,\n      \"evict\": true\n   }' --worker \"Suscipit repellat possimus incidunt suscipit.\" --token \"Ab assumenda esse sit reiciendis.\"")
 }
 
 func stateEndpointsUsage() {
@@ -760,7 +760,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state endpoints --after \"Cum rerum et sit.\" --limit 575 --token \"Dolores doloribus ea distinctio ducimus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state endpoints --after \"Consequatur placeat fugit quia architecto voluptates porro.\" --limit 102 --token \"Eius nemo in.\"")
 }
 
 func stateEvictionsUsage() {
@@ -778,7 +778,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state evictions --token \"Vitae excepturi vitae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state evictions --token \"Consequatur asperiores.\"")
 }
 
 func statePromisesUsage() {
@@ -796,7 +796,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state promises --token \"Ipsum aut ea et nisi praesentium.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "state promises --token \"Aliquam cum perspiciatis.\"")
 }
 
 // auditUsage displays the usage of the audit command and its subcommands.
@@ -829,7 +829,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit list --from 4170265069013125889 --limit 334 --token \"Tempora praesentium placeat.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit list --from 17531380906807200225 --limit 924 --token \"Et ab ut quo aut omnis.\"")
 }
 
 func auditVerifyUsage() {
@@ -847,7 +847,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit verify --token \"Nemo eos quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "audit verify --token \"Est eligendi dicta aperiam sequi.\"")
 }
 
 // replicasUsage displays the usage of the replicas command and its subcommands.
@@ -879,7 +879,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Quam assumenda quia veritatis et.\",\n      \"standsForElection\": true,\n      \"vm\": \"Dolorem necessitatibus omnis.\"\n   }' --group \"Voluptatibus recusandae voluptatem nesciunt aut.\" --token \"Rem quod cumque quo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "replicas change --body '{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Eos possimus quaerat qui aliquid omnis.\",\n      \"standsForElection\": false,\n      \"vm\": \"Nisi sunt molestiae soluta labore a dolores.\"\n   }' --group \"Odit amet adipisci eos.\" --token \"Repellat corporis ipsam molestias itaque perspiciatis.\"")
 }
 
 // healthUsage displays the usage of the health command and its subcommands.
--- a/gen/http/replicas/client/cli.go
+++ b/gen/http/replicas/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(replicasChangeBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Quam assumenda quia veritatis et.\",\n      \"standsForElection\": true,\n      \"vm\": \"Dolorem necessitatibus omnis.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"action\": \"addLearner\",\n      \"disk\": false,\n      \"replacement\": \"Eos possimus quaerat qui aliquid omnis.\",\n      \"standsForElection\": false,\n      \"vm\": \"Nisi sunt molestiae soluta labore a dolores.\"\n   }'")
 		}
 		if !(body.Action == "addLearner" || body.Action == "promote" || body.Action == "replace" || body.Action == "remove") {
 			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.action", body.Action, []any{"addLearner", "promote", "replace", "remove"}))
--- a/gen/http/state/client/cli.go
+++ b/gen/http/state/client/cli.go
@@ -82,7 +82,7 @@
 	{
 		err = json.Unmarshal([]byte(stateDrainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"drained\": false,\n      \"evict\": true\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"drained\": true,\n      \"evict\": true\n   }'")
 		}
 	}
 	var worker string
--- a/gen/http/state/client/encode_decode.go
+++ b/gen/http/state/client/encode_decode.go
@@ -1110,6 +1110,7 @@
 		Commit:           *v.Commit,
 		Applied:          *v.Applied,
 		HoldsLeaderLease: *v.HoldsLeaderLease,
+		OutOfGroup:       v.OutOfGroup,
 	}
 	res.Voters = make([]string, len(v.Voters))
 	for i, val := range v.Voters {
--- a/gen/http/state/client/types.go
+++ b/gen/http/state/client/types.go
@@ -698,6 +698,8 @@
 	Applied          *uint64  `form:"applied,omitempty" json:"applied,omitempty" xml:"applied,omitempty"`
 	Voters           []string `form:"voters,omitempty" json:"voters,omitempty" xml:"voters,omitempty"`
 	HoldsLeaderLease *bool    `form:"holdsLeaderLease,omitempty" json:"holdsLeaderLease,omitempty" xml:"holdsLeaderLease,omitempty"`
+	// Why the VM has left the group. Absent while it takes part.
+	OutOfGroup *string `form:"outOfGroup,omitempty" json:"outOfGroup,omitempty" xml:"outOfGroup,omitempty"`
 }
 
 // WorkerStateResponseBody is used to define fields on response body types.
--- a/gen/http/state/server/encode_decode.go
+++ b/gen/http/state/server/encode_decode.go
@@ -973,6 +973,7 @@
 		Commit:           v.Commit,
 		Applied:          v.Applied,
 		HoldsLeaderLease: v.HoldsLeaderLease,
+		OutOfGroup:       v.OutOfGroup,
 	}
 	if v.Voters != nil {
 		res.Voters = make([]string, len(v.Voters))
--- a/gen/http/state/server/types.go
+++ b/gen/http/state/server/types.go
@@ -698,6 +698,8 @@
 	Applied          uint64   `form:"applied" json:"applied" xml:"applied"`
 	Voters           []string `form:"voters" json:"voters" xml:"voters"`
 	HoldsLeaderLease bool     `form:"holdsLeaderLease" json:"holdsLeaderLease" xml:"holdsLeaderLease"`
+	// Why the VM has left the group. Absent while it takes part.
+	OutOfGroup *string `form:"outOfGroup,omitempty" json:"outOfGroup,omitempty" xml:"outOfGroup,omitempty"`
 }
 
 // WorkerStateResponseBody is used to define fields on response body types.
--- a/gen/state/service.go
+++ b/gen/state/service.go
@@ -128,6 +128,8 @@
 	Applied          uint64
 	Voters           []string
 	HoldsLeaderLease bool
+	// Why the VM has left the group. Absent while it takes part.
+	OutOfGroup *string
 }
 
 type Promise struct {
--- a/internal/operating/commander/state.go
+++ b/internal/operating/commander/state.go
@@ -34,6 +34,11 @@
 	if commander.output != outputJSON {
 		_, _ = fmt.Fprintf(command.OutOrStdout(), "vm %s in %s: ready %v, revision %d, %s\n",
 			vm.VM, vm.DataCentre, vm.Ready, vm.RevisionInForce, describePeers(vm.Peers))
+		for _, group := range vm.Groups {
+			if group.OutOfGroup != nil {
+				_, _ = fmt.Fprintf(command.OutOrStdout(), "out of group %s: %s\n", group.Name, *group.OutOfGroup)
+			}
+		}
 	}
 	rows := newTable("GROUP", "ROLE", "TERM", "LEADER", "COMMIT", "APPLIED", "LEASE", "VOTERS")
 	for _, group := range vm.Groups {
--- a/internal/operating/server/state.go
+++ b/internal/operating/server/state.go
@@ -56,6 +56,10 @@
 		Commit: uint64(status.Commit()), Applied: uint64(status.Applied()), Voters: []string{},
 		HoldsLeaderLease: replicator.HoldsLeaderLease(),
 	}
+	if err := replicator.Err(); err != nil {
+		reason := err.Error()
+		shown.OutOfGroup = &reason
+	}
 	for _, voter := range status.Voters() {
 		shown.Voters = append(shown.Voters, string(voter))
 	}
