inspector, platform: crocusplank-vm status shows which VMs are out of the domain's group

Domains had no counterpart of crocusplank status, and what asks the leader fails just when the group has lost its majority. Each VM that holds state now answers for itself: role, term, leader, sizes of folder and log, and since when and why it is out of the group.

--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
 	"github.com/crocusplank/crocusplank/internal/jobs/relayer"
+	"github.com/crocusplank/crocusplank/internal/operating/inspector"
 	"github.com/crocusplank/crocusplank/internal/operating/rejoiner"
 	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
@@ -159,6 +160,7 @@
 	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger,
 		handler.WithDataCentres(settings.DataCentres))
 	handler.Serve(vm.messenger, DomainGroup, local)
+	inspector.Serve(vm.messenger, DomainGroup, vm.replicator)
 	return local, nil
 }
 
--- a/internal/state/replicator/metrics.go
+++ b/internal/state/replicator/metrics.go
@@ -17,11 +17,16 @@
 		seconds = time.Since(outage.Since()).Seconds()
 	}
 	scope.Gauge("group_out_seconds").Update(seconds)
-	usage := replicator.node().journalUsage()
+	usage := replicator.JournalUsage()
 	scope.Gauge("group_folder_bytes").Update(float64(usage.FolderBytes()))
 	scope.Gauge("group_log_bytes").Update(float64(usage.LogBytes()))
 }
 
+// JournalUsage returns the room that the journal takes on its disk, or the zero value if it has none.
+func (replicator *Replicator) JournalUsage() scheduler.JournalUsage {
+	return replicator.node().journalUsage()
+}
+
 // journalUsage returns the room that the journal takes, or the zero value if it has no disk.
 func (node *node) journalUsage() scheduler.JournalUsage {
 	if journal, ok := node.journal.(scheduler.MeasuredJournal); ok {
