auditor, composer: one refused record no longer ends the audit trail

What callers saw: after one refused write the trail rejected all further records until the process was restarted, and the decisions of the groups were no longer recorded.

Change: Trail.Reopen reads the files back as Open does: it drops the pages of the last file, truncates an incomplete record and keeps a complete one that was not acknowledged. The recorder opens the trail again whenever the supervisor runs it, with its back-off and its bounded log lines, and restores its positions from the records. A corrupt trail ends the process. A new file is opened before the old one is closed, so that Close works after a refusal.

Before: TestFailedWrite shows that the trail rejected everything after one failure; there was no way back.

--- a/internal/operating/auditor/folder.go
+++ b/internal/operating/auditor/folder.go
@@ -60,6 +60,26 @@
 	return syncFolder(filepath.Dir(name))
 }
 
+// dropPages syncs the last file of a trail and drops its pages from the page cache. After a failed sync, Linux keeps pages
+// in the cache that are marked clean but were never written to the disk; a record in them would look durable.
+func dropPages(folder string) (err error) {
+	names, err := fileNames(folder)
+	if err != nil || len(names) == 0 {
+		return err
+	}
+	file, err := os.Open(filepath.Clean(names[len(names)-1]))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	// A file system that does not support the advice has no page cache to drop.
+	_ = unix.Fadvise(int(file.Fd()), 0, 0, unix.FADV_DONTNEED)
+	return nil
+}
+
 func syncFolder(name string) error {
 	folder, err := os.Open(filepath.Clean(name))
 	if err != nil {
--- a/internal/operating/auditor/trail.go
+++ b/internal/operating/auditor/trail.go
@@ -31,7 +31,7 @@
 }
 
 // Trail is a scheduler.AuditTrail stored in a folder. It is safe for concurrent use. Its errors are of class Error;
-// after one that is also of class scheduler.ErrJournalFailed, the trail accepts no further records.
+// after one that is also of class scheduler.ErrJournalFailed, the trail accepts no further records until Reopen.
 type Trail struct {
 	folder    string
 	fileBytes int64
@@ -93,6 +93,10 @@
 	if err := trail.createFiles(); err != nil {
 		return err
 	}
+	// The names of files that a failed process or an earlier user of the folder has created may not be durable yet.
+	if err := errors.Join(syncFolder(trail.folder), dropPages(trail.folder)); err != nil {
+		return err
+	}
 	head, end, torn, err := scanFolder(trail.folder, trail.addEntry)
 	if err != nil {
 		return err
@@ -163,7 +167,7 @@
 
 // Append stores a record durably and returns its index. It sets the record's index, and its time if that is zero.
 // After an error of class scheduler.ErrJournalFailed the trail rejects all further records, since the last one may or
-// may not have been stored; the next Open recovers it if it was.
+// may not have been stored; the next Reopen or Open recovers it if it was.
 func (trail *Trail) Append(record scheduler.AuditRecord) (index uint64, err error) {
 	trail.mutex.Lock()
 	defer trail.mutex.Unlock()
@@ -216,9 +220,6 @@
 
 // rotate starts a new file. All records of the old file are synced already.
 func (trail *Trail) rotate() error {
-	if err := trail.file.Close(); err != nil {
-		return err
-	}
 	name, start := fileName(trail.folder, trail.last.index+1), trail.last.line()
 	if err := writeFileAtomic(name, start); err != nil {
 		return err
@@ -227,8 +228,32 @@
 	if err != nil {
 		return err
 	}
+	before := trail.file
 	trail.file, trail.fileName, trail.size, trail.lines = file, name, int64(len(start)), 1
 	trail.addEntry(&scanner{file: name, line: 1, offset: trail.size, last: trail.last})
+	return before.Close()
+}
+
+// Reopen makes a trail that has failed accept records again, once the disk does. It reads the files as Open does, so that
+// an incomplete last record is truncated, and a complete one that was not acknowledged is kept. Head then tells whether
+// the record of the failed Append was stored. After an error the trail stays as it was and Reopen may be called again.
+func (trail *Trail) Reopen() error {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	switch {
+	case trail.lock == nil:
+		return trail.failed
+	case trail.failed == nil:
+		return nil
+	}
+	next := &Trail{folder: trail.folder, fileBytes: trail.fileBytes}
+	if err := next.load(); err != nil {
+		return Error.Wrap(err)
+	}
+	// Nothing is lost with an error here: what the file contains was read back and synced.
+	_ = trail.file.Close()
+	trail.file, trail.fileName, trail.lines, trail.size = next.file, next.fileName, next.lines, next.size
+	trail.last, trail.entries, trail.failed = next.last, next.entries, nil
 	return nil
 }
 
@@ -258,7 +283,11 @@
 	if trail.lock == nil {
 		return nil
 	}
-	err := errors.Join(trail.file.Close(), trail.lock.Close())
+	err := trail.file.Close()
+	if trail.failed != nil {
+		err = nil // The failure was reported by Append.
+	}
+	err = errors.Join(err, trail.lock.Close())
 	trail.lock = nil
 	if trail.failed == nil {
 		trail.failed = scheduler.ErrJournalFailed.Wrap(Error.New("trail is closed"))
--- a/internal/operating/composer/auditrecorder.go
+++ b/internal/operating/composer/auditrecorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
 	"github.com/crocusplank/crocusplank/internal/operating/auditor"
+	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	auditRecorder := &auditRecorder{trail: trail, log: log, positions: map[scheduler.GroupName]logPosition{}}
+	auditRecorder := &auditRecorder{trail: trail, log: log}
 	if err := auditRecorder.recoverPositions(); err != nil {
 		_ = trail.Close()
 		return nil, err
@@ -78,6 +80,7 @@
 // recoverPositions restores the positions from the audit trail. The detail of each copied record starts with its
 // position.
 func (auditRecorder *auditRecorder) recoverPositions() error {
+	auditRecorder.positions = map[scheduler.GroupName]logPosition{}
 	next := uint64(1)
 	for {
 		records, following, err := auditRecorder.trail.Read(next, readBatchSize)
@@ -110,10 +113,28 @@
 	return scheduler.GroupName(group), index, true
 }
 
-// run copies new decisions every auditPollInterval until ctx ends or the audit trail refuses a record.
+// resume makes a trail that has refused a record accept records again. The refused record may have been stored, so the
+// positions are restored from what the trail contains.
+func (auditRecorder *auditRecorder) resume() error {
+	err := auditRecorder.trail.Reopen()
+	if err == nil {
+		err = auditRecorder.recoverPositions()
+	}
+	var corruption *auditor.CorruptionError
+	if errors.As(err, &corruption) {
+		return supervisor.Permanent.Wrap(Error.Wrap(err))
+	}
+	return Error.Wrap(err)
+}
+
+// run copies new decisions every auditPollInterval until ctx ends or the audit trail refuses a record. It can be run
+// again after a refusal.
 func (auditRecorder *auditRecorder) run(
 	ctx context.Context, localGroup scheduler.GroupName, global *configurator.GlobalMachine, jobs *dispatcher.Machine,
 ) error {
+	if err := auditRecorder.resume(); err != nil {
+		return err
+	}
 	ticker := time.NewTicker(auditPollInterval)
 	defer ticker.Stop()
 	for {
--- a/pkg/scheduler/audit.go
+++ b/pkg/scheduler/audit.go
@@ -35,7 +35,7 @@
 // It is safe for concurrent use.
 type AuditTrail interface {
 	// Append writes a record durably and returns its index. After an error of class ErrJournalFailed the
-	// trail rejects all further records.
+	// record may or may not be stored, and the trail rejects further records until its owner has opened it again.
 	Append(record AuditRecord) (index uint64, err error)
 	// Read returns up to limit records that start at index from, and the index at which the next call
 	// continues. It returns no records at the end of the trail.
