composer, assembler: the room of a group is a gauge and part of the line started

crocusplank_group_room_bytes beside the size of the folder shows how near a group is to its reserve. TestGroupRoom fails without the check of the disk.

--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -227,7 +227,8 @@
 	vm.messenger.Start()
 	vm.run(runCtx, "leaderClient", withoutError(vm.leaderClient.Run))
 	vm.logger.Info().Str("event", "started").Str("peer", vm.settings.Peer.String()).
-		Bool("holdsState", vm.replicator != nil).Bool("firstStart", vm.settings.BootstrapDomain).Msg("VM of the domain started")
+		Bool("holdsState", vm.replicator != nil).Int64("diskBytes", vm.settings.diskBudget().Room()).
+		Bool("firstStart", vm.settings.BootstrapDomain).Msg("VM of the domain started")
 	return nil
 }
 
--- a/internal/operating/composer/metrics.go
+++ b/internal/operating/composer/metrics.go
@@ -29,11 +29,21 @@
 	return 0
 }
 
+// groupRoom returns the room of the disk that each group has, 0 without a disk.
+func (replicaRole *replicaRole) groupRoom() int64 {
+	settings := replicaRole.environment.settings
+	if !settings.HasDisk() {
+		return 0
+	}
+	return settings.DiskBudget().Room()
+}
+
 func (replicaRole *replicaRole) updateMetrics(scope tally.Scope) {
 	revision, _, _ := replicaRole.local.InForce()
 	scope.Gauge("configuration_revision").Update(float64(revision))
 	for name, replica := range replicaRole.replicas {
 		group := scope.Tagged(map[string]string{"group": string(name)})
+		group.Gauge("group_room_bytes").Update(float64(replicaRole.groupRoom()))
 		status := replica.replicator.Status()
 		group.Gauge("group_term").Update(float64(status.Term()))
 		group.Gauge("group_commit_index").Update(float64(status.Commit()))
