jobkeeper: give no task up after one likely crash and two possible ones

What callers saw: jobs without a deadly task were shown as failed, because workers had crashed under their tasks several times.

Cause: a task was given up at 4 points, 2 for a crash of which it was a likely cause and 1 for one of which it was a possible cause.

Change: a task is given up after 2 crashes of which it was a likely cause, or after 4 in all.

Evidence: two cases of TestCrashesOfWorkers, of which the first failed before.

--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -13,8 +13,10 @@
 const (
 	pointsStarting = 2
 	pointsRunning  = 1
-	// BlameLimit is the number of points at which a task is given up.
-	BlameLimit = 4
+	// likelyCrashLimit is the number of crashes of which a task is a likely cause at which it is given up, crashLimit the
+	// number of all crashes at which it is.
+	likelyCrashLimit = 2
+	crashLimit       = 4
 )
 
 // blame records the crashes of workers that a task may have caused.
@@ -23,6 +25,13 @@
 	crashes int
 }
 
+// isConclusive reports whether the task is given up. Several attempts may be likely causes of one crash, so being one of
+// them once counts no more than being a possible cause.
+func (blame blame) isConclusive() bool {
+	likely := (blame.points - blame.crashes*pointsRunning) / (pointsStarting - pointsRunning)
+	return likely >= likelyCrashLimit || blame.crashes >= crashLimit
+}
+
 // blameTask adds the points for the end of an attempt. Ends that are not crashes add none.
 func (state *State) blameTask(task *Task, kind scheduler.EndKind) {
 	added := task.blame
@@ -113,7 +122,7 @@
 // task is running, which could still finish.
 func (state *State) giveUpIfBlamed(task *Task) {
 	job := task.step.occurrence.job
-	if task.blame.points < BlameLimit || task.finished || job.state.Ended() {
+	if !task.blame.isConclusive() || task.finished || job.state.Ended() {
 		return
 	}
 	job.failureReason = fmt.Sprintf("task %d of step %d was given up: %d workers crashed while they ran it",
--- a/internal/jobs/jobkeeper/blame_test.go
+++ b/internal/jobs/jobkeeper/blame_test.go
@@ -55,7 +55,13 @@
 		"one crash at the start":          {singleTask(), crashes(starting, lost, lost, lost), scheduler.WorkflowActive},
 		"four crashes of a running task":  {singleTask(), crashes(running, running, running, running), scheduler.WorkflowFailed},
 		"three crashes of a running task": {singleTask(), crashes(running, running, running), scheduler.WorkflowActive},
-		"crashes of a long-running task":  {scheduler.Step{Count: 1, LongRunning: true}, crashes(starting, starting), scheduler.WorkflowFailed},
+		"one crash at the start, two of a running task": {
+			singleTask(), crashes(starting, running, running), scheduler.WorkflowActive,
+		},
+		"one crash at the start, three of a running task": {
+			singleTask(), crashes(running, starting, running, running), scheduler.WorkflowFailed,
+		},
+		"crashes of a long-running task": {scheduler.Step{Count: 1, LongRunning: true}, crashes(starting, starting), scheduler.WorkflowFailed},
 		"crashes of different tasks": {scheduler.Step{Count: 2}, func(fixture *fixture) {
 			fixture.crash(0, 0, starting)
 			fixture.crash(0, 1, starting)
--- a/internal/jobs/overseer/isolation.go
+++ b/internal/jobs/overseer/isolation.go
@@ -138,7 +138,7 @@
 type SuspectExplanation struct {
 	_    struct{}             `cbor:",toarray"`
 	Task scheduler.StepTaskID `json:"task"`
-	// Blame is the number of points for the crashes. At jobkeeper.BlameLimit the task is given up.
+	// Blame is the number of points for the crashes.
 	Blame int `json:"blame"`
 	// Accepting is the number of workers that accept the task. Excluded counts the others by reason.
 	Accepting int           `json:"accepting"`
