--- a/internal/state/journaler/fake_test.go
+++ b/internal/state/journaler/fake_test.go
@@ -147,6 +147,9 @@
 	if !found {
 		return nil, fs.ErrNotExist
 	}
+	if err := fake.refused["read"]; err != nil {
+		return nil, err
+	}
 	if file.lostTo > 0 {
 		// The pages are dropped and read from the disk.
 		file.data, file.lostFrom, file.lostTo = file.onDisk(), 0, 0
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -246,3 +247,24 @@
 		must(t, journal.Close())
 	}
 }
+
+// TestReadErrorIsNoDamage guards against a disk that cannot be read for a while, or a VM that has no descriptors left,
+// and whose folder is taken for damaged.
+func TestReadErrorIsNoDamage(t *testing.T) {
+	for name, failure := range map[string]syscall.Errno{"device": syscall.EIO, "descriptors": syscall.EMFILE} {
+		t.Run(name, func(t *testing.T) {
+			fake := newFilledFolder(t)
+			fake.refused = map[string]error{"read": failure}
+			if _, err := open(fake, "/data", testIdentity); !errors.Is(err, failure) || errors.Is(err, ErrDamaged) {
+				t.Errorf("got error %v, want %v and no damage", err, failure)
+			}
+			if fake.openFiles > 0 || fake.locked["/data/groups/couva/lock"] {
+				t.Errorf("got %d open files, lock %v, want none", fake.openFiles, fake.locked)
+			}
+			fake.refused = nil
+			journal, err := open(fake, "/data", testIdentity)
+			must(t, err)
+			wantLog(t, journal, entriesOf(1, 1, 17))
+		})
+	}
+}
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -23,7 +23,8 @@
 	incoming incomingSnapshot
 	// install is the received snapshot that replaces the local state, or nil if there is none.
 	install *scheduler.SnapshotMeta
-	// installData is the content of that snapshot. It is passed to the applier once and then released.
+	// installData is the content of that snapshot. It is released while the applier has it, and kept again if the journal
+	// refuses it.
 	installData []byte
 	// retry delays the next snapshot after the journal has refused to save one.
 	retry snapshotRetry
