--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -268,3 +269,20 @@
 		})
 	}
 }
+
+// TestSnapshotReadErrorIsNoDamage guards against a snapshot that is taken for damaged because the disk could not be read.
+func TestSnapshotReadErrorIsNoDamage(t *testing.T) {
+	tests := map[string]struct {
+		err     error
+		damaged bool
+	}{"device": {syscall.EIO, false}, "end of the file": {io.EOF, true}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reader := &snapshotReader{file: io.NopCloser(iotest.ErrReader(test.err)), name: "1.snapshot"}
+			_, err := reader.next()
+			if errors.Is(err, ErrDamaged) != test.damaged || !test.damaged && !errors.Is(err, test.err) {
+				t.Errorf("got error %v, want damage %t", err, test.damaged)
+			}
+		})
+	}
+}
--- a/internal/state/journaler/snapshot.go
+++ b/internal/state/journaler/snapshot.go
@@ -120,16 +120,16 @@
 func (snapshotReader *snapshotReader) next() (result record, err error) {
 	position := framePosition{offset: snapshotReader.offset}
 	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+chunkBytes)
-	if _, err := io.ReadFull(snapshotReader.file, frame); err != nil {
-		return result, snapshotReader.damaged(err.Error())
+	if err := snapshotReader.readFull(frame); err != nil {
+		return result, err
 	}
 	length, _, ok := readHeader(position, frame)
 	if !ok {
 		return result, snapshotReader.damaged("invalid record")
 	}
 	frame = append(frame, make([]byte, length)...)
-	if _, err := io.ReadFull(snapshotReader.file, frame[frameHeaderBytes:]); err != nil {
-		return result, snapshotReader.damaged(err.Error())
+	if err := snapshotReader.readFull(frame[frameHeaderBytes:]); err != nil {
+		return result, err
 	}
 	result, size, ok := readFrame(position, frame)
 	if !ok {
@@ -139,6 +139,18 @@
 	return result, nil
 }
 
+// readFull fills the buffer. Only the end of the file is damage; any other error may pass.
+func (snapshotReader *snapshotReader) readFull(buffer []byte) error {
+	_, err := io.ReadFull(snapshotReader.file, buffer)
+	switch {
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return snapshotReader.damaged(err.Error())
+	case err != nil:
+		return Error.New("read %s: %w", snapshotReader.name, err)
+	}
+	return nil
+}
+
 func (snapshotReader *snapshotReader) damaged(reason string) error {
 	return Error.New("%w: %s: %s at offset %d", ErrDamaged, snapshotReader.name, reason, snapshotReader.offset)
 }
