journaler: a segment whose last write was incomplete is not continued

What callers saw: nothing yet. Under a limit on the size of a file, a VM would have opened its folder again and again: each time the incomplete entry was truncated, and the next append to the same segment was refused.

Change: after a truncated write, the next entries start a new segment. A segment that ends exactly at the limit has no incomplete write and is still continued.

Before: TestFileSizeLimit: "got a second refusal of entry 14, want a new segment". After: it passes.

--- a/internal/state/journaler/fake_test.go
+++ b/internal/state/journaler/fake_test.go
@@ -33,6 +33,8 @@
 	refused map[string]error
 	// room is the number of bytes that the disk holds, or 0 for no limit. peak is the largest number that it held.
 	room, peak int
+	// fileLimit is the size that a file may have, or 0 for no limit.
+	fileLimit int
 	// openFiles is the number of handles that are not closed.
 	openFiles int
 }
@@ -242,6 +244,11 @@
 		fakeHandle.file.data = append(fakeHandle.file.data, data[:len(data)/2]...)
 		return len(data) / 2, err
 	}
+	if limit := fakeHandle.fake.fileLimit; limit > 0 && len(fakeHandle.file.data)+len(data) > limit {
+		count := limit - len(fakeHandle.file.data)
+		fakeHandle.file.data = append(fakeHandle.file.data, data[:count]...)
+		return count, syscall.EFBIG
+	}
 	if fake := fakeHandle.fake; fake.room > 0 {
 		used := fake.used()
 		if free := max(fake.room-used, 0); free < len(data) {
--- a/internal/state/journaler/folderjournal.go
+++ b/internal/state/journaler/folderjournal.go
@@ -34,6 +34,9 @@
 	hardState scheduler.HardState
 	segments  []segment
 	buffer    []byte
+	// atLimit is true if the last write to the current segment was incomplete when the folder was opened. The segment
+	// may have reached a limit on the size of a file, so the next entries start a new one.
+	atLimit bool
 	// unsynced is true while the file contains entries that no sync has covered.
 	unsynced bool
 	// durableIndex is the last index that is synced, syncingIndex the last one that a running sync
@@ -208,7 +211,7 @@
 // rotateIfFull starts a new segment if the current one is full.
 func (folderJournal *FolderJournal) rotateIfFull() error {
 	folderJournal.mutex.Lock()
-	full := folderJournal.segments[len(folderJournal.segments)-1].size >= folderJournal.segmentBytes
+	full := folderJournal.atLimit || folderJournal.segments[len(folderJournal.segments)-1].size >= folderJournal.segmentBytes
 	folderJournal.mutex.Unlock()
 	if !full {
 		return nil
@@ -245,7 +248,7 @@
 		return finalError("create "+folderJournal.folder.segmentPath(number), err)
 	}
 	before := folderJournal.file
-	folderJournal.file, folderJournal.durableSize = file, int64(len(frame))
+	folderJournal.file, folderJournal.durableSize, folderJournal.atLimit = file, int64(len(frame)), false
 	folderJournal.usage.addLog(int64(len(frame)))
 	folderJournal.segments = append(folderJournal.segments, segment{
 		number: number, previous: previous, size: int64(len(frame)),
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -110,7 +110,7 @@
 	if err := reader.read(fileNumbers(names, segmentSuffix)); err != nil {
 		return err
 	}
-	folderJournal.segments = reader.segments
+	folderJournal.segments, folderJournal.atLimit = reader.segments, reader.torn
 	for _, segment := range reader.segments {
 		folderJournal.usage.addLog(segment.size)
 	}
--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -286,3 +286,25 @@
 		})
 	}
 }
+
+// TestFileSizeLimit guards against a journal that is opened again and again under a limit on the size of a file, because
+// it goes on with the segment that has reached the limit.
+func TestFileSizeLimit(t *testing.T) {
+	fake := newFakeFileSystem()
+	fake.fileLimit = 1500
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	for index, failures := scheduler.Index(1), 0; index <= 200; {
+		if err := journal.Append(entriesOf(1, index, index)); err == nil {
+			index, failures = index+1, 0
+			continue
+		}
+		if failures++; failures > 1 {
+			t.Fatalf("got a second refusal of entry %d, want a new segment", index)
+		}
+		must(t, journal.Close())
+		journal, err = open(fake, "/data", testIdentity)
+		must(t, err)
+	}
+	wantLog(t, journal, entriesOf(1, 1, 200))
+}
--- a/internal/state/journaler/segment.go
+++ b/internal/state/journaler/segment.go
@@ -52,6 +52,8 @@
 	folder   folder
 	log      *entryLog
 	segments []segment
+	// torn is true if an incomplete write was truncated.
+	torn bool
 }
 
 // read reads all segments. Only the last one may end in an incomplete write, which is truncated.
@@ -78,6 +80,7 @@
 		}
 		logReader.segments[len(logReader.segments)-1].size = valid
 		if valid < int64(len(data)) {
+			logReader.torn = true
 			return logReader.truncateTail(name, valid)
 		}
 	}
