--- a/internal/state/journaler/reopen_test.go
+++ b/internal/state/journaler/reopen_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -246,3 +248,63 @@
 		must(t, journal.Close())
 	}
 }
+
+// TestReadErrorIsNoDamage guards against a disk that cannot be read for a while, or a VM that has no descriptors left,
+// and whose folder is taken for damaged.
+func TestReadErrorIsNoDamage(t *testing.T) {
+	for name, failure := range map[string]syscall.Errno{"device": syscall.EIO, "descriptors": syscall.EMFILE} {
+		t.Run(name, func(t *testing.T) {
+			fake := newFilledFolder(t)
+			fake.refused = map[string]error{"read": failure}
+			if _, err := open(fake, "/data", testIdentity); !errors.Is(err, failure) || errors.Is(err, ErrDamaged) {
+				t.Errorf("got error %v, want %v and no damage", err, failure)
+			}
+			if fake.openFiles > 0 || fake.locked["/data/groups/couva/lock"] {
+				t.Errorf("got %d open files, lock %v, want none", fake.openFiles, fake.locked)
+			}
+			fake.refused = nil
+			journal, err := open(fake, "/data", testIdentity)
+			must(t, err)
+			wantLog(t, journal, entriesOf(1, 1, 17))
+		})
+	}
+}
+
+// TestSnapshotReadErrorIsNoDamage guards against a snapshot that is taken for damaged because the disk could not be read.
+func TestSnapshotReadErrorIsNoDamage(t *testing.T) {
+	tests := map[string]struct {
+		err     error
+		damaged bool
+	}{"device": {syscall.EIO, false}, "end of the file": {io.EOF, true}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			reader := &snapshotReader{file: io.NopCloser(iotest.ErrReader(test.err)), name: "1.snapshot"}
+			_, err := reader.next()
+			if errors.Is(err, ErrDamaged) != test.damaged || !test.damaged && !errors.Is(err, test.err) {
+				t.Errorf("got error %v, want damage %t", err, test.damaged)
+			}
+		})
+	}
+}
+
+// TestFileSizeLimit guards against a journal that is opened again and again under a limit on the size of a file, because
+// it goes on with the segment that has reached the limit.
+func TestFileSizeLimit(t *testing.T) {
+	fake := newFakeFileSystem()
+	fake.fileLimit = 1500
+	journal, err := open(fake, "/data", testIdentity)
+	must(t, err)
+	for index, failures := scheduler.Index(1), 0; index <= 200; {
+		if err := journal.Append(entriesOf(1, index, index)); err == nil {
+			index, failures = index+1, 0
+			continue
+		}
+		if failures++; failures > 1 {
+			t.Fatalf("got a second refusal of entry %d, want a new segment", index)
+		}
+		must(t, journal.Close())
+		journal, err = open(fake, "/data", testIdentity)
+		must(t, err)
+	}
+	wantLog(t, journal, entriesOf(1, 1, 200))
+}
