assembler: a test of a folder that is emptied under a VM

Guards against a vote under an incarnation whose stored term and vote are gone: the process ends, and the folder that the reopening created has a new incarnation for the next start.

--- a/internal/operating/assembler/refusingdisk_test.go
+++ b/internal/operating/assembler/refusingdisk_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
+	"github.com/crocusplank/crocusplank/internal/state/replicator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -194,3 +197,42 @@
 		t.Errorf("stopped after %v, want at most %v", got, want)
 	}
 }
+
+// Guards against a vote under the incarnation of a folder that was emptied while the VM was out of its group.
+func TestVMEndsWhenItsFolderWasEmptied(t *testing.T) { inChild(t, checkEmptiedFolder) }
+
+func checkEmptiedFolder(t *testing.T) {
+	parts := supervisor.New()
+	vm := newLoneVM(t, &lockedBuffer{}, parts)
+	start(t, vm)
+	eventually(t, 10*time.Second, "the VM leads", vm.overseer.IsLeader)
+	limitFileSize(t, true)
+	_, _ = vm.replicator.Propose(t.Context(), []byte("refused"))
+	eventually(t, time.Second, "the VM is out of its group", func() bool {
+		_, reason := vm.OutOfGroup()
+		return reason != nil
+	})
+	if err := os.RemoveAll(filepath.Join(vm.settings.DataFolder, "groups")); err != nil {
+		t.Fatal(err)
+	}
+	limitFileSize(t, false)
+	select {
+	case <-parts.Failed():
+	case <-time.After(returnLimit):
+		t.Fatal("got a process that goes on, want a permanent failure")
+	}
+	if err := parts.Err(); !errors.Is(err, replicator.ErrStateLost) {
+		t.Errorf("failure: got %v, want %v", err, replicator.ErrStateLost)
+	}
+	if err := vm.rejoiner.Close(); err != nil {
+		t.Fatal(err)
+	}
+	journal, err := vm.openJournal(scheduler.VMName(vm.settings.Peer.String()), newIncarnation())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = journal.Close() }()
+	if got := journal.Identity().Incarnation(); got == initialIncarnation {
+		t.Errorf("incarnation at the next start: got %d, the one of the lost folder", got)
+	}
+}
