replicator: a failure that repeats after rejoins is logged every 10 s

A disk that accepts the hard state and refuses entries lets the VM rejoin and leave again for as long as that lasts, with an error line each time. TestRepeatedFailureIsLoggedSeldom: over 100 departures in a minute, at most 7 lines.

--- a/internal/state/replicator/lifecycle.go
+++ b/internal/state/replicator/lifecycle.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -110,7 +113,7 @@
 	node.stopOnce.Do(func() {
 		if failure != nil {
 			node.recordFailure(failure)
-			node.logger.Error().Str("event", "groupLeftAfterFailure").Err(failure).Msg("left the group after a failure")
+			node.logFailure(failure)
 		}
 		node.viewMutex.Lock()
 		defer node.viewMutex.Unlock()
@@ -121,6 +124,18 @@
 	})
 }
 
+// logFailure logs a failure. One that repeats after a rejoin is logged as an error only every repeatedLogInterval, because
+// a disk may accept a hard state and refuse entries for hours.
+func (node *node) logFailure(failure error) {
+	level := zerolog.ErrorLevel
+	if failure.Error() == node.logged.text && time.Since(node.logged.at) < repeatedLogInterval {
+		level = zerolog.DebugLevel
+	} else {
+		node.logged = loggedFailure{text: failure.Error(), at: time.Now()}
+	}
+	node.logger.WithLevel(level).Str("event", "groupLeftAfterFailure").Err(failure).Msg("left the group after a failure")
+}
+
 // recordFailure records the first failure.
 func (node *node) recordFailure(failure error) { node.failure.CompareAndSwap(nil, &failure) }
 
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -27,6 +27,12 @@
 	preVote bool
 }
 
+// loggedFailure is the last failure that was logged as an error.
+type loggedFailure struct {
+	text string
+	at   time.Time
+}
+
 // node is the state of one VM in a group. The event loop, a single goroutine, owns all fields except those
 // in the first block.
 type node struct {
@@ -48,6 +54,7 @@
 	view               atomic.Pointer[view]
 	// viewMutex makes the replacement of the view and the stop of the node exclude each other.
 	viewMutex sync.Mutex
+	logged    loggedFailure
 	running   sync.WaitGroup
 
 	self             Member
--- a/internal/state/replicator/option.go
+++ b/internal/state/replicator/option.go
@@ -33,6 +33,9 @@
 	// replication restarts from the last acknowledged index.
 	resendTimeout = 300 * time.Millisecond
 
+	// repeatedLogInterval is the interval at which a failure that repeats after rejoins is logged as an error.
+	repeatedLogInterval = 10 * time.Second
+
 	inboxCapacity    = 4096
 	proposalCapacity = 4096
 	// maxUncommitted is the number of uncommitted entries above which the leader accepts no proposals.
--- a/internal/state/replicator/rejoin.go
+++ b/internal/state/replicator/rejoin.go
@@ -62,6 +62,7 @@
 		return ErrStateLost
 	}
 	next := newNode(previous.name, previous.self, journal, previous.transport, previous.applying.machine, previous.settings)
+	next.logged = previous.logged
 	err := next.load(replicator.initial, scheduler.Index(previous.applying.appliedIndex.Load()))
 	// If this attempt fails, the next one must know what the state machine contains.
 	previous.applying.appliedIndex.Store(next.applying.appliedIndex.Load())
--- a/internal/state/replicator/rejoin_test.go
+++ b/internal/state/replicator/rejoin_test.go
@@ -1,12 +1,16 @@
 package replicator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -158,3 +162,29 @@
 		}
 	})
 }
+
+// Guards against a log that fills with the failure of a disk that lets the VM rejoin and refuses the next entries.
+func TestRepeatedFailureIsLoggedSeldom(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		var output bytes.Buffer
+		cluster := newCluster(t, 1, []Member{disk("a"), disk("b"), disk("c")},
+			WithLogger(zerolog.New(zerolog.SyncWriter(&output)).Level(zerolog.InfoLevel)))
+		defer cluster.stop()
+		cluster.startAll()
+		vm := cluster.vms[cluster.otherVM(cluster.leader())]
+		faults, left := vm.journal.faults, 0
+		faults.set(func() { faults.append = true })
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(tickInterval) {
+			if vm.replicator.Err() != nil {
+				left++
+			}
+			cluster.rejoinFailed()
+			_, _ = cluster.propose(cluster.leader(), "entry")
+		}
+		faults.set(func() { faults.append = false })
+		lines := strings.Count(output.String(), "groupLeftAfterFailure")
+		if want := int(time.Minute/repeatedLogInterval) + 1; left < 100 || lines == 0 || lines > want {
+			t.Errorf("left the group %d times, lines: got %d, want 1 to %d", left, lines, want)
+		}
+	})
+}
