--- a/internal/state/replicator/outage.go
+++ b/internal/state/replicator/outage.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/crocusplank/crocusplank/internal/basics/classifier"
 )
 
@@ -36,9 +38,16 @@
 }
 
 // logFailure logs the failure that makes this VM leave the group. The fields of the cause come before the text of the
-// error, because lines may be cut off.
+// error, because lines may be cut off. A failure that repeats after a rejoin is logged as an error only every
+// repeatedLogInterval, because a disk may accept a hard state and refuse entries for hours.
 func (node *node) logFailure(failure error) {
-	node.logger.Error().Str("event", "groupLeftAfterFailure").EmbedObject(classifier.CauseOf(failure)).
+	level := zerolog.ErrorLevel
+	if failure.Error() == node.logged.text && time.Since(node.logged.at) < repeatedLogInterval {
+		level = zerolog.DebugLevel
+	} else {
+		node.logged = loggedFailure{text: failure.Error(), at: time.Now()}
+	}
+	node.logger.WithLevel(level).Str("event", "groupLeftAfterFailure").EmbedObject(classifier.CauseOf(failure)).
 		Uint64("term", uint64(node.view.Load().status.Term())).Str("role", string(node.view.Load().status.Role())).
 		Err(failure).Msg("left the group after a failure")
 }
