--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -18,7 +18,8 @@
 // Open opens the folder of a group below the data folder, creating it if it does not exist, and locks it until
 // Close. An incomplete write at the end of the log, which was never acknowledged, is truncated. A folder that
 // cannot be used is reported with one of ErrFolderMissing, ErrLocked, ErrOwnerMismatch, ErrNewerFormat and
-// ErrDamaged in the chain of the error, and its contents stay unchanged.
+// ErrDamaged in the chain of the error, and its contents stay unchanged. An existing folder opens on a full disk; a new
+// one is refused with ErrNoRoom in the chain.
 func Open(dataFolder string, identity Identity, options ...Option) (*FolderJournal, error) {
 	return open(osFileSystem{}, dataFolder, identity, options...)
 }
@@ -33,7 +34,7 @@
 	}
 	lock, err := fileSystem.lock(folder.path("lock"))
 	if err != nil {
-		return nil, Error.New("lock %s: %w", folder.name, err)
+		return nil, Error.New("lock %s: %w", folder.name, withReason(err))
 	}
 	folderJournal := &FolderJournal{folder: folder, lock: lock, segmentBytes: defaultSegmentBytes}
 	for _, option := range options {
@@ -97,9 +98,7 @@
 			return err
 		}
 	}
-	if err := folder.removeTemporary(names); err != nil {
-		return err
-	}
+	folder.removeTemporary(temporarySuffix)
 	folderJournal.measureFolder()
 	return nil
 }
@@ -147,15 +146,16 @@
 	return folderJournal.folder.writeRecordFile("hardState", record{HardState: &scheduler.HardState{}})
 }
 
-// removeTemporary removes temporary files that an interrupted write has left.
-func (folder folder) removeTemporary(names map[string]bool) error {
+// removeTemporary removes temporary files with the given suffix that a refused or interrupted write has left. A file that
+// cannot be removed is harmless; the next snapshot and the next Open try again.
+func (folder folder) removeTemporary(suffix string) {
+	names, err := folder.names()
+	if err != nil {
+		return
+	}
 	for name := range names {
-		if !strings.HasSuffix(name, temporarySuffix) {
-			continue
-		}
-		if err := folder.fileSystem.remove(folder.path(name)); err != nil {
-			return Error.New("remove %s: %w", folder.path(name), err)
+		if strings.HasSuffix(name, suffix) {
+			_ = folder.fileSystem.remove(folder.path(name))
 		}
 	}
-	return nil
 }
--- a/internal/state/replicator/applier.go
+++ b/internal/state/replicator/applier.go
@@ -22,7 +22,9 @@
 	results [][]byte
 	// data is the content of the snapshot that was taken.
 	data []byte
-	err  error
+	// refused is the error with which the journal refused a received snapshot and stayed usable.
+	refused error
+	err     error
 }
 
 // applier runs the state machine outside the event loop, one task at a time.
@@ -67,7 +69,7 @@
 		}
 		result.data = buffer.Bytes()
 	case work.install != nil:
-		result.err = node.install(*work.install, work.data)
+		result.refused, result.err = node.install(*work.install, work.data)
 	default:
 		result.results = make([][]byte, len(work.entries))
 		for position, entry := range work.entries {
@@ -80,21 +82,27 @@
 	return result
 }
 
-// install stores a received snapshot and restores the state machine from it. A state machine that has already applied
-// more, before this VM rejoined the group with a shorter log, keeps its state.
-func (node *node) install(meta scheduler.SnapshotMeta, data []byte) error {
-	err := node.journal.SaveSnapshot(meta, 0, func(w io.Writer) error {
+// install stores a received snapshot and restores the state machine from it. refused is set if the journal did not store
+// the snapshot but is unchanged; the state machine is then unchanged too. A state machine that has already applied more,
+// before this VM rejoined the group with a shorter log, keeps its state.
+func (node *node) install(meta scheduler.SnapshotMeta, data []byte) (refused, err error) {
+	err = node.journal.SaveSnapshot(meta, 0, func(w io.Writer) error {
 		_, err := w.Write(data)
 		return err
 	})
-	if err != nil || uint64(meta.Index) <= node.applying.appliedIndex.Load() {
-		return err
+	switch {
+	case scheduler.ErrJournalFailed.Has(err):
+		return nil, err
+	case err != nil:
+		return err, nil
+	case uint64(meta.Index) <= node.applying.appliedIndex.Load():
+		return nil, nil
 	}
 	if err := node.applying.machine.Restore(bytes.NewReader(data)); err != nil {
-		return ErrStateMachine.Wrap(err)
+		return nil, ErrStateMachine.Wrap(err)
 	}
 	node.applying.appliedIndex.Store(uint64(meta.Index))
-	return nil
+	return nil, nil
 }
 
 // startApply starts the next task of the state machine unless one is running.
@@ -132,6 +140,9 @@
 		return Error.Wrap(done.err)
 	}
 	switch {
+	case done.refused != nil:
+		node.snapshot.installData = done.work.data
+		node.delaySnapshot("snapshotNotInstalled", done.work.install.Index, done.refused)
 	case done.work.take != nil:
 		node.saveSnapshot(*done.work.take, done.data)
 	case done.work.install != nil:
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/basics/suppressor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -95,6 +96,7 @@
 		closeRequests: make(chan struct{}, 1), leadershipReleased: make(chan struct{}), stopped: make(chan struct{}),
 		log: newGroupLog(journal), role: roleFollower, pending: newPendingRequests(),
 		syncing: newSyncer(), applying: newApplier(machine),
+		snapshot: snapshotState{refusals: suppressor.New(refusalLogInterval)},
 	}
 }
 
--- a/internal/state/replicator/outage.go
+++ b/internal/state/replicator/outage.go
@@ -28,8 +28,15 @@
 	return *last, true
 }
 
-// logFailure logs the failure that makes this VM leave the group. The fields of the cause come before the
-// text of the error, because lines may be cut off.
+// recordFailure records the first failure.
+func (node *node) recordFailure(failure error) {
+	if node.failure.CompareAndSwap(nil, &failure) {
+		node.outage.Store(&Outage{since: time.Now(), cause: failure})
+	}
+}
+
+// logFailure logs the failure that makes this VM leave the group. The fields of the cause come before the text of the
+// error, because lines may be cut off.
 func (node *node) logFailure(failure error) {
 	node.logger.Error().Str("event", "groupLeftAfterFailure").EmbedObject(classifier.CauseOf(failure)).
 		Uint64("term", uint64(node.view.Load().status.Term())).Str("role", string(node.view.Load().status.Role())).
--- a/internal/state/replicator/snapshot.go
+++ b/internal/state/replicator/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/basics/suppressor"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -24,6 +25,10 @@
 	install *scheduler.SnapshotMeta
 	// installData is the content of that snapshot. It is passed to the applier once and then released.
 	installData []byte
+	// retry delays the next snapshot after the journal has refused to save one.
+	retry snapshotRetry
+	// refusals bounds the log lines about refused snapshots.
+	refusals *suppressor.Suppressor
 }
 
 type snapshotSaved struct {
@@ -52,6 +57,9 @@
 
 // nextWork returns the snapshot task that the state machine must perform before it applies more entries.
 func (snapshotState *snapshotState) nextWork(node *node) *applyWork {
+	if !snapshotState.retry.isDue(node.clock.now()) {
+		return nil
+	}
 	switch {
 	case snapshotState.install != nil:
 		if snapshotState.saving || snapshotState.installData == nil || node.syncing.busy {
@@ -60,7 +68,7 @@
 		data := snapshotState.installData
 		snapshotState.installData = nil
 		return &applyWork{install: snapshotState.install, data: data}
-	case snapshotState.saving || uint64(node.applied-snapshotState.index) < node.settings.snapshotInterval:
+	case snapshotState.saving || !node.isSnapshotDue():
 		return nil
 	case node.applied > node.commit:
 		// After a rejoin, the log may not contain the applied entry but an older one at its index.
@@ -80,12 +88,13 @@
 	if node.isInstalling() {
 		return
 	}
+	keep := node.keptEntries(meta.Index)
 	node.snapshot.saving = true
 	node.snapshot.savedCh = make(chan snapshotSaved, 1)
 	results := node.snapshot.savedCh
 	node.running.Go(func() {
 		logBytes := node.journalUsage().LogBytes()
-		err := node.journal.SaveSnapshot(meta, node.settings.snapshotKeep, func(w io.Writer) error {
+		err := node.journal.SaveSnapshot(meta, keep, func(w io.Writer) error {
 			_, err := w.Write(data)
 			return err
 		})
@@ -96,15 +105,26 @@
 	})
 }
 
+// handleSnapshotSaved ends the participation of this VM in the group only if the journal has failed. After any other
+// error, for example on a full disk, the journal is unchanged and a later snapshot is tried.
 func (node *node) handleSnapshotSaved(saved snapshotSaved) error {
 	node.snapshot.saving = false
-	if saved.err != nil {
+	switch {
+	case scheduler.ErrJournalFailed.Has(saved.err):
 		return Error.Wrap(saved.err)
+	case saved.err != nil:
+		node.delaySnapshot("snapshotNotSaved", saved.index, saved.err)
+	default:
+		node.recordSavedSnapshot(saved)
 	}
+	return nil
+}
+
+func (node *node) recordSavedSnapshot(saved snapshotSaved) {
+	node.snapshot.retry = snapshotRetry{}
 	node.snapshot.index = max(node.snapshot.index, saved.index)
 	node.log.discardMembershipsBefore(saved.index)
 	node.logger.Info().Str("event", "snapshotSaved").EmbedObject(saved).Msg("snapshot saved")
-	return nil
 }
 
 // snapshotChecksum returns the checksum that identifies the content of a snapshot.
