--- a/internal/state/replicator/applier.go
+++ b/internal/state/replicator/applier.go
@@ -82,9 +82,9 @@
 	return result
 }
 
-// install stores a received snapshot and restores the state machine from it. A state machine that has already applied
-// more, before this VM rejoined the group with a shorter log, keeps its state. refused is set if the journal did not
-// save the snapshot but is unchanged; the state machine is then unchanged too.
+// install stores a received snapshot and restores the state machine from it. refused is set if the journal did not store
+// the snapshot but is unchanged; the state machine is then unchanged too. A state machine that has already applied more,
+// before this VM rejoined the group with a shorter log, keeps its state.
 func (node *node) install(meta scheduler.SnapshotMeta, data []byte) (refused, err error) {
 	err = node.journal.SaveSnapshot(meta, 0, func(w io.Writer) error {
 		_, err := w.Write(data)
--- a/internal/state/replicator/fake_journal_test.go
+++ b/internal/state/replicator/fake_journal_test.go
@@ -246,13 +246,13 @@
 	if journal.failed {
 		return errJournalFailed
 	}
-	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.snapshot }) {
-		return errRefused
-	}
 	if journal.refuseSave != nil {
 		journal.refusedSaves++
 		return journal.refuseSave
 	}
+	if journal.faults.refuses(func(faults *diskFaults) bool { return faults.snapshot }) {
+		return errRefused
+	}
 	journal.meta, journal.snapshot = meta, buffer.Bytes()
 	cut := func(entries []scheduler.Entry) []scheduler.Entry {
 		if len(entries) > 0 && entries[len(entries)-1].Index < meta.Index {
--- a/internal/state/replicator/lifecycle.go
+++ b/internal/state/replicator/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -122,13 +121,6 @@
 	})
 }
 
-// recordFailure records the first failure.
-func (node *node) recordFailure(failure error) {
-	if node.failure.CompareAndSwap(nil, &failure) {
-		node.outage.Store(&Outage{since: time.Now(), cause: failure})
-	}
-}
-
 // endLoop completes all pending requests with an error. A proposal that was never appended is known not to
 // have run.
 func (node *node) endLoop() {
