--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
 	"github.com/crocusplank/crocusplank/internal/jobs/relayer"
+	"github.com/crocusplank/crocusplank/internal/operating/inspector"
 	"github.com/crocusplank/crocusplank/internal/operating/rejoiner"
 	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 	"github.com/crocusplank/crocusplank/internal/state/journaler"
@@ -162,6 +163,7 @@
 	local := handler.New(vm.replicator, keeper, vm.overseer, vm.memberNames, dependencies.Logger,
 		handler.WithDataCentres(settings.DataCentres))
 	handler.Serve(vm.messenger, DomainGroup, local)
+	inspector.Serve(vm.messenger, DomainGroup, vm.replicator)
 	return local, nil
 }
 
@@ -227,7 +229,8 @@
 	vm.messenger.Start()
 	vm.run(runCtx, "leaderClient", withoutError(vm.leaderClient.Run))
 	vm.logger.Info().Str("event", "started").Str("peer", vm.settings.Peer.String()).
-		Bool("holdsState", vm.replicator != nil).Bool("firstStart", vm.settings.BootstrapDomain).Msg("VM of the domain started")
+		Bool("holdsState", vm.replicator != nil).Int64("diskBytes", vm.settings.diskBudget().Room()).
+		Bool("firstStart", vm.settings.BootstrapDomain).Msg("VM of the domain started")
 	return nil
 }
 
