composer, deduplicator: the registration of a gateway is tried again until all groups know it

Since replicas join their groups in the background, a gateway could register its incarnation before the replica of its VM ran. The proposal was then rejected at once as not run, the registration was given up, and callers that had repeated requests of the earlier incarnation waited until the deadlines of those. The same followed a group without a leader for more than 3 s.

The registration is now a part of the supervisor, which runs it again until each group has answered; groups that know the incarnation are not asked again. The case "crash after begin, then restart" uses the constructor of the Store, with the same checks.

--- a/internal/operating/composer/gatewayrole.go
+++ b/internal/operating/composer/gatewayrole.go
@@ -178,17 +178,21 @@
 	gatewayRole.started.Store(&now)
 	gatewayRole.goroutines.Go(func() { _ = gatewayRole.registrar.Run(runCtx) })
 	gatewayRole.goroutines.Go(func() { _ = gatewayRole.shareClient.Run(runCtx) })
-	gatewayRole.goroutines.Go(func() {
-		// If this fails, requests in progress at an earlier start are resolved when their deadlines pass.
-		if err := gatewayRole.keys.Start(runCtx); err != nil && runCtx.Err() == nil {
-			gatewayRole.environment.log.Warn().Str("event", "keysNotSettled").Err(err).
-				Msg("requests in progress at an earlier start stay unresolved until their deadlines")
-		}
-	})
+	gatewayRole.goroutines.Go(func() { gatewayRole.environment.parts.Run(runCtx, "keys", gatewayRole.settleKeys) })
 	gatewayRole.goroutines.Go(func() { gatewayRole.environment.runListener(runCtx, "caller", listener) })
 	return nil
 }
 
+// settleKeys ends the requests that were in progress at an earlier start. It is a supervisor.Part, because it fails while a
+// group has no leader or the replica of this VM has not joined its group yet.
+func (gatewayRole *gatewayRole) settleKeys(ctx context.Context) error {
+	if err := gatewayRole.keys.Start(ctx); err != nil {
+		return Error.New("requests in progress at an earlier start stay unresolved: %w", err)
+	}
+	<-ctx.Done()
+	return nil
+}
+
 func (gatewayRole *gatewayRole) serve(socket net.Listener) error {
 	if err := gatewayRole.gateway.Serve(socket); err != nil {
 		return err
--- a/internal/requests/deduplicator/deduplicator_test.go
+++ b/internal/requests/deduplicator/deduplicator_test.go
@@ -178,7 +178,8 @@
 					switch {
 					case step.restart:
 						next := cluster.stores[step.store]
-						_ = (&Store{vm: next.vm, incarnation: 2, homes: next.homes, proposer: next.proposer}).Start(t.Context())
+						gateway := scheduler.Gateway{VM: next.vm, DataCentre: next.dataCentre}
+						_ = NewStore(gateway, 2, next.homes, next.proposer).Start(t.Context())
 					case step.async:
 						waiting.Go(check)
 						time.Sleep(10 * time.Millisecond)
@@ -195,6 +196,31 @@
 	}
 }
 
+// TestStartAgain guards against requests of an earlier incarnation that stay in progress because a group was not reached at
+// the start, and against a registration that is repeated for the groups that were reached.
+func TestStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t)
+		cluster.groups["couva"].fault = func(number int) string {
+			if number == 1 {
+				return "unreachable"
+			}
+			return ""
+		}
+		store := cluster.stores[0]
+		for number, wantErr := range []bool{true, false, false} {
+			if err := store.Start(t.Context()); (err != nil) != wantErr {
+				t.Errorf("start %d: got error %v, want one: %v", number, err, wantErr)
+			}
+		}
+		for home, want := range map[scheduler.DataCentreName]int{"couva": 2, "chaguanas": 1} {
+			if got := cluster.groups[home].proposals; got != want {
+				t.Errorf("proposals in %s: got %d, want %d", home, got, want)
+			}
+		}
+	})
+}
+
 // TestWithdraw guards against a key that stays in use after a begin whose outcome was unknown and whose request
 // was not run.
 func TestWithdraw(t *testing.T) {
--- a/internal/requests/deduplicator/store.go
+++ b/internal/requests/deduplicator/store.go
@@ -42,6 +42,9 @@
 	machine     *Machine
 	log         zerolog.Logger
 
+	// registered holds the data centres whose groups know this incarnation. Only Start uses it.
+	registered map[scheduler.DataCentreName]bool
+
 	mutex       sync.Mutex
 	attempts    map[string][]byte
 	withdrawals sync.WaitGroup
@@ -68,7 +71,7 @@
 ) *Store {
 	store := &Store{
 		dataCentre: gateway.DataCentre, vm: gateway.VM, incarnation: incarnation, homes: homes, proposer: proposer,
-		log: zerolog.Nop(), attempts: map[string][]byte{},
+		log: zerolog.Nop(), registered: map[scheduler.DataCentreName]bool{}, attempts: map[string][]byte{},
 	}
 	for _, option := range options {
 		option(store)
@@ -116,11 +119,17 @@
 
 // Start registers this gateway's incarnation with the groups of all data centres, so that requests of its earlier
 // incarnations no longer count as running. It returns the first error; a group that was not reached sets those
-// requests to unknown after their deadlines.
+// requests to unknown after their deadlines. After an error, Start may be called again for the groups that were not
+// reached. It must not be called concurrently.
 func (store *Store) Start(ctx context.Context) error {
 	var first error
 	for _, home := range store.homes() {
-		if _, err := store.propose(ctx, home, command{Kind: commandRegister}); err != nil && first == nil {
+		if store.registered[home] {
+			continue
+		}
+		_, err := store.propose(ctx, home, command{Kind: commandRegister})
+		store.registered[home] = err == nil
+		if first == nil {
 			first = err
 		}
 	}
