auditor, composer: a trail that failed on a refused request is opened again at once

Operators of crocusplankd could miss records of refused requests: the trail can fail in the goroutine that records these, and the recorder of decisions, whose supervisor opens it again, noticed only with its next decision.

The recorder now ends when the trail has failed, so that it is run again. TestTrailThatFailedElsewhereEndsTheRun failed before: "got a recorder that goes on with a failed trail, want its end".

--- a/internal/operating/auditor/trail.go
+++ b/internal/operating/auditor/trail.go
@@ -257,6 +257,13 @@
 	return nil
 }
 
+// Err returns the failure because of which the trail accepts no records, or nil.
+func (trail *Trail) Err() error {
+	trail.mutex.Lock()
+	defer trail.mutex.Unlock()
+	return trail.failed
+}
+
 // Head returns the index and the hash of the last record.
 func (trail *Trail) Head() (index uint64, hash string) {
 	trail.mutex.Lock()
--- a/internal/operating/composer/auditrecorder.go
+++ b/internal/operating/composer/auditrecorder.go
@@ -142,6 +142,10 @@
 		if err == nil {
 			err = auditRecorder.recordJobDecisions(localGroup, jobs)
 		}
+		if err == nil {
+			// Another goroutine, which records refused requests, may have met the failure.
+			err = Error.Wrap(auditRecorder.trail.Err())
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/operating/composer/auditrecorder_test.go
+++ b/internal/operating/composer/auditrecorder_test.go
@@ -1,14 +1,19 @@
 package composer
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/dispatcher"
 	"github.com/crocusplank/crocusplank/internal/operating/auditor"
+	"github.com/crocusplank/crocusplank/internal/state/configurator"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -74,3 +79,40 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a trail that stays failed until the next decision, after it refused a record of another goroutine.
+func TestTrailThatFailedElsewhereEndsTheRun(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		recorder, err := openAuditRecorder(folder, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = recorder.trail.Close() }()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() {
+			ended <- recorder.run(ctx, "couva", configurator.NewGlobalMachine(), dispatcher.NewMachine("couva"))
+		}()
+		synctest.Wait()
+		// A folder in place of the temporary file of the head makes the trail refuse a record.
+		if err := os.Mkdir(filepath.Join(folder, auditFolder, "head.json.temporary"), 0o750); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := recorder.trail.Append(scheduler.AuditRecord{Who: "operator-3"}); !scheduler.ErrJournalFailed.Has(err) {
+			t.Fatalf("got %v, want an error of class %q", err, scheduler.ErrJournalFailed)
+		}
+		time.Sleep(2 * auditPollInterval)
+		select {
+		case err := <-ended:
+			if !scheduler.ErrJournalFailed.Has(err) {
+				t.Errorf("got %v, want an error of class %q", err, scheduler.ErrJournalFailed)
+			}
+		default:
+			t.Error("got a recorder that goes on with a failed trail, want its end")
+			cancel()
+			<-ended
+		}
+	})
+}
