composer: a listener whose certificate cannot be read closes its socket

A listener of crocusplankd that was opened again while its certificate could not be read left the socket open. Each further attempt failed with "address already in use", also once the certificate was readable, until the process ended after 30 s.

TestListenerOpensOnceCertificateIsReadable failed before ("bind: address already in use") and passes with -race.

--- a/internal/operating/composer/composer.go
+++ b/internal/operating/composer/composer.go
@@ -192,7 +192,13 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		return withTLS(socket, environment.settings.TLS, isPeer)
+		encrypted, err := withTLS(socket, environment.settings.TLS, isPeer)
+		if err != nil {
+			// An open socket would occupy the address when the listener is opened again.
+			_ = socket.Close()
+			return nil, Error.Wrap(err)
+		}
+		return encrypted, nil
 	}, serve)
 }
 
--- a/internal/operating/composer/tls_test.go
+++ b/internal/operating/composer/tls_test.go
@@ -1,6 +1,7 @@
 package composer
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -123,6 +124,42 @@
 	}
 }
 
+// Guards against a listener that occupies its own address after its certificate could not be read.
+func TestListenerOpensOnceCertificateIsReadable(t *testing.T) {
+	settings := newTestCA(t).issueCertificate(t, t.TempDir(), 9)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	if err := free.Close(); err != nil {
+		t.Fatal(err)
+	}
+	missing := settings.KeyFile + ".missing"
+	if err := os.Rename(settings.KeyFile, missing); err != nil {
+		t.Fatal(err)
+	}
+	environment := &environment{settings: &loader.Settings{TLS: settings}}
+	listener := environment.newListener(address, false, func(socket net.Listener) error {
+		_ = socket.Close()
+		return http.ErrServerClosed
+	})
+	if err := listener.Open(t.Context()); err == nil {
+		t.Fatal("without a key: got none, want an error")
+	}
+	if err := os.Rename(missing, settings.KeyFile); err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Open(t.Context()); err != nil {
+		t.Fatalf("with a key: got %v, want none", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := listener.Run(ctx); err != nil {
+		t.Errorf("run: got %v, want none", err)
+	}
+}
+
 // Guards against renewed certificates that take effect only after a restart, and against a partly written certificate
 // file that makes TLS handshakes fail.
 func TestCertificateIsRenewed(t *testing.T) {
