replicator: a replica that is closed before its start does not start

Since replicas start in the background, a VM that is stopped at once could close its replica first.

Start returns ErrClosed after Close, and starts the node under the lock that Close takes, as Rejoin does.

TestStartAfterClose failed before ("Start: got <nil>", hard state stored) and passes; all tests of the replicator pass with -race.

--- a/internal/state/replicator/lifecycle.go
+++ b/internal/state/replicator/lifecycle.go
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// join stores the incarnation and starts the node. If the incarnation cannot be stored, the node stays stopped.
+// join stores the incarnation. If that fails, the node stops.
 func (node *node) join() error {
 	if err := node.saveHardState(); err != nil {
 		err = Error.Wrap(err)
@@ -49,7 +49,6 @@
 		node.stop(nil)
 		return err
 	}
-	node.start()
 	return nil
 }
 
--- a/internal/state/replicator/rejoin.go
+++ b/internal/state/replicator/rejoin.go
@@ -10,7 +10,7 @@
 // emptied. The replica must not vote again under its incarnation.
 var ErrStateLost = Error.New("the journal has lost the state of this replica")
 
-// ErrClosed is the reason why a closed Replicator does not rejoin.
+// ErrClosed is the reason why a closed Replicator neither starts nor rejoins.
 var ErrClosed = Error.New("the replicator is closed")
 
 // Rejoin makes a replica that has left its group after a failure take part again, under the same incarnation. It
@@ -75,14 +75,7 @@
 	if err := next.saveHardState(); err != nil {
 		return Error.Wrap(err)
 	}
-	replicator.closing.Lock()
-	defer replicator.closing.Unlock()
-	if replicator.closed {
-		return ErrClosed
-	}
-	replicator.current.Store(next)
-	next.start()
-	return nil
+	return replicator.startUnlessClosed(next)
 }
 
 func (replicator *Replicator) isClosed() bool {
--- a/internal/state/replicator/rejoin_test.go
+++ b/internal/state/replicator/rejoin_test.go
@@ -117,6 +117,28 @@
 	})
 }
 
+// Guards against a VM that joins its group after it was closed, because the start of its replica was slower than its stop.
+func TestStartAfterClose(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := newCluster(t, 1, []Member{disk("a"), disk("b"), disk("c")})
+		defer cluster.stop()
+		vm := cluster.vms["a"]
+		replicator, err := New(testGroup, vm.member, cluster.initial, vm.journal, cluster.network.connect("a"), &fakeMachine{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := replicator.Close(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := replicator.Start(); !errors.Is(got, ErrClosed) {
+			t.Errorf("Start: got %v, want %v", got, ErrClosed)
+		}
+		if got := vm.journal.HardState(); got.Incarnation != 0 {
+			t.Errorf("stored state: got %v, want none", got)
+		}
+	})
+}
+
 // Guards against a second node beside one that runs.
 func TestRejoinOfRunningVM(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -79,9 +79,29 @@
 func (replicator *Replicator) node() *node { return replicator.current.Load() }
 
 // Start joins the group. It returns an error if the incarnation cannot be stored; Rejoin then tries again with
-// another journal.
+// another journal. It returns ErrClosed after Close.
 func (replicator *Replicator) Start() error {
-	return replicator.node().join()
+	if replicator.isClosed() {
+		return ErrClosed
+	}
+	node := replicator.node()
+	if err := node.join(); err != nil {
+		return err
+	}
+	// Close may have been called while the disk was written.
+	return replicator.startUnlessClosed(node)
+}
+
+// startUnlessClosed makes node the current node and starts it.
+func (replicator *Replicator) startUnlessClosed(node *node) error {
+	replicator.closing.Lock()
+	defer replicator.closing.Unlock()
+	if replicator.closed {
+		return ErrClosed
+	}
+	replicator.current.Store(node)
+	node.start()
+	return nil
 }
 
 // Close transfers leadership if this VM is the leader, and then stops participating in the group. It returns
