--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -246,15 +246,6 @@
 	}
 }
 
-// OutOfGroup returns why and for how long this VM has been out of the group of the domain, or a nil error while it takes
-// part or holds no state.
-func (vm *VM) OutOfGroup() (time.Duration, error) {
-	if vm.rejoiner == nil {
-		return 0, nil
-	}
-	return vm.rejoiner.OutOfGroup()
-}
-
 // Stop transfers leadership, waiting for it at most until ctx ends, and stops all components.
 func (vm *VM) Stop(ctx context.Context) error {
 	var group errs.Group
--- a/internal/operating/assembler/refusingdisk_test.go
+++ b/internal/operating/assembler/refusingdisk_test.go
@@ -139,8 +139,7 @@
 			t.Errorf("proposal on a refusing disk: got %v, want an unknown outcome", err)
 		}
 		eventually(t, time.Second, "the VM says that it is out of its group", func() bool {
-			_, reason := vm.OutOfGroup()
-			return reason != nil && !vm.overseer.IsLeader()
+			return vm.replicator.Err() != nil && !vm.overseer.IsLeader()
 		})
 		if _, err := vm.replicator.Propose(t.Context(), []byte("late")); !scheduler.ErrNotRun.Has(err) {
 			t.Errorf("proposal outside the group: got %v, want not run", err)
@@ -148,7 +147,7 @@
 		time.Sleep(2 * time.Second)
 		limitFileSize(t, false)
 		eventually(t, returnLimit, "the VM leads again", vm.overseer.IsLeader)
-		if _, reason := vm.OutOfGroup(); reason != nil {
+		if reason := vm.replicator.Err(); reason != nil {
 			t.Errorf("out of the group: got %v, want none", reason)
 		}
 		if _, err := vm.replicator.Propose(t.Context(), []byte("after")); err != nil {
@@ -169,8 +168,7 @@
 	limitFileSize(t, true)
 	start(t, vm)
 	eventually(t, time.Second, "the VM says that it is out of its group", func() bool {
-		_, reason := vm.OutOfGroup()
-		return reason != nil
+		return vm.replicator.Err() != nil
 	})
 	if !strings.Contains(log.String(), "file too large") {
 		t.Errorf("log: got %s, want the reason", log.String())
@@ -209,8 +207,7 @@
 	limitFileSize(t, true)
 	_, _ = vm.replicator.Propose(t.Context(), []byte("refused"))
 	eventually(t, time.Second, "the VM is out of its group", func() bool {
-		_, reason := vm.OutOfGroup()
-		return reason != nil
+		return vm.replicator.Err() != nil
 	})
 	if err := os.RemoveAll(filepath.Join(vm.settings.DataFolder, "groups")); err != nil {
 		t.Fatal(err)
--- a/internal/operating/composer/replicarole.go
+++ b/internal/operating/composer/replicarole.go
@@ -236,8 +236,9 @@
 // err returns why the replica of the local data centre's group is out of its group, or nil if it takes part.
 func (replicaRole *replicaRole) err() error {
 	local := replicaRole.environment.localGroup()
-	if out, err := replicaRole.replicas[local].rejoiner.OutOfGroup(); err != nil {
-		return Error.New("the replica of group %s has been out of its group for %v: %w", local, out.Round(time.Second), err)
+	if outage, out := replicaRole.replicas[local].replicator.Outage(); out {
+		return Error.New("the replica of group %s has been out of its group for %v: %w",
+			local, time.Since(outage.Since()).Round(time.Second), outage.Cause())
 	}
 	return nil
 }
--- a/internal/operating/rejoiner/rejoiner.go
+++ b/internal/operating/rejoiner/rejoiner.go
@@ -104,7 +104,6 @@
 		rejoiner.outSince = time.Now()
 	}
 	rejoiner.reason = err
-	rejoiner.scope.Gauge("out_of_group").Update(1)
 	if isPermanent(err) {
 		return supervisor.Permanent.Wrap(err)
 	}
@@ -121,21 +120,9 @@
 		rejoiner.scope.Timer("time_out_of_group").Record(out)
 		rejoiner.scope.Counter("group_rejoins").Inc(1)
 	}
-	rejoiner.scope.Gauge("out_of_group").Update(0)
 	rejoiner.outSince, rejoiner.reason = time.Time{}, nil
 }
 
-// OutOfGroup returns why and for how long the replica has been out of its group. The error is nil while the replica
-// takes part or has not failed yet.
-func (rejoiner *Rejoiner) OutOfGroup() (time.Duration, error) {
-	rejoiner.mutex.Lock()
-	defer rejoiner.mutex.Unlock()
-	if rejoiner.reason == nil {
-		return 0, nil
-	}
-	return time.Since(rejoiner.outSince), rejoiner.reason
-}
-
 // Close closes the journal. The replicator must have been closed, and Run must have returned.
 func (rejoiner *Rejoiner) Close() error {
 	rejoiner.mutex.Lock()
