composer, assembler: a process whose disk hangs stops within its time

A replica or an audit trail that waits for a hanging disk cannot be interrupted. crocusplankd waited for it without a limit when it was stopped, so that SIGTERM, and a part that ends the process, had no effect until the disk answered.

--- a/internal/basics/waiter/waiter.go
+++ b/internal/basics/waiter/waiter.go
@@ -1,8 +1,10 @@
-// Package waiter provides a sleep that a context can cancel.
+// Package waiter provides waits that a context can cancel.
 package waiter
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"time"
 )
 
@@ -17,3 +19,18 @@
 		return false
 	}
 }
+
+// Join waits until the goroutines of group have ended. It returns an error if ctx is done first.
+func Join(ctx context.Context, group *sync.WaitGroup) error {
+	finished := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("a goroutine has not ended: %w", ctx.Err())
+	}
+}
--- a/internal/basics/waiter/waiter_test.go
+++ b/internal/basics/waiter/waiter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,3 +35,33 @@
 		})
 	}
 }
+
+// Guards against a wait for a goroutine that hangs.
+func TestJoin(t *testing.T) {
+	tests := map[string]struct {
+		runs      time.Duration
+		want      error
+		wantAfter time.Duration
+	}{
+		"goroutine ends":     {runs: time.Second, wantAfter: time.Second},
+		"context ends first": {runs: time.Hour, want: context.DeadlineExceeded, wantAfter: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				var group sync.WaitGroup
+				group.Go(func() { time.Sleep(test.runs) })
+				start := time.Now()
+				if got := Join(ctx, &group); !errors.Is(got, test.want) {
+					t.Errorf("got %v, want %v", got, test.want)
+				}
+				if got := time.Since(start); got != test.wantAfter {
+					t.Errorf("returned after %v, want %v", got, test.wantAfter)
+				}
+				group.Wait()
+			})
+		})
+	}
+}
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/crocusplank/crocusplank/internal/basics/stopwatch"
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/internal/jobs/handler"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/overseer"
@@ -249,32 +250,20 @@
 // Stop transfers leadership, waiting for it at most until ctx ends, and stops all components.
 func (vm *VM) Stop(ctx context.Context) error {
 	var group errs.Group
+	var closeErr error
 	if vm.replicator != nil {
-		group.Add(vm.replicator.Close(ctx))
+		closeErr = vm.replicator.Close(ctx)
+		group.Add(closeErr)
 	}
 	vm.cancel()
 	vm.messenger.Close()
 	group.Add(vm.server.Close())
-	if err := vm.awaitParts(ctx); err != nil {
-		group.Add(err)
-	} else if vm.rejoiner != nil {
+	// A call that waits for a disk that hangs cannot be interrupted, and the journal cannot be closed beside it.
+	joinErr := waiter.Join(ctx, &vm.goroutines)
+	group.Add(joinErr)
+	if vm.rejoiner != nil && closeErr == nil && joinErr == nil {
 		group.Add(vm.rejoiner.Close())
 	}
 	vm.logger.Info().Str("event", "stopped").Err(group.Err()).Msg("VM of the domain stopped")
 	return Error.Wrap(group.Err())
 }
-
-// awaitParts waits until all parts have ended. One that waits for a disk that hangs cannot be interrupted.
-func (vm *VM) awaitParts(ctx context.Context) error {
-	finished := make(chan struct{})
-	go func() {
-		vm.goroutines.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-		return nil
-	case <-ctx.Done():
-		return Error.New("a part has not ended: %w", ctx.Err())
-	}
-}
--- a/internal/operating/composer/replicarole.go
+++ b/internal/operating/composer/replicarole.go
@@ -252,7 +252,8 @@
 	return multiplexer.NewGroupView(replica.replicator, machine)
 }
 
-// Stop transfers leadership, stops the replicas and closes their journals and the audit trail.
+// Stop transfers leadership, stops the replicas and closes their journals and the audit trail. If a disk hangs, it returns
+// when ctx ends and closes none of them, because that would wait for the disk too.
 func (replicaRole *replicaRole) Stop(ctx context.Context) error {
 	if replicaRole.cancel != nil {
 		replicaRole.cancel()
@@ -263,9 +264,11 @@
 			group.Add(Error.New("group %s: %v", name, err))
 		}
 	}
-	replicaRole.goroutines.Wait()
-	group.Add(replicaRole.close())
-	return group.Err()
+	group.Add(Error.Wrap(waiter.Join(ctx, &replicaRole.goroutines)))
+	if err := group.Err(); err != nil {
+		return err
+	}
+	return replicaRole.close()
 }
 
 func (replicaRole *replicaRole) close() error {
