read-through: comments on disk budgets, blame and stops of parts

Comments that stopped a reader who does not know the code: the limits of the blame for crashes, the supersession of an instance without a heartbeat, the source of each field of a cause, and the error by which a listener recognises a planned shutdown. The options WithDiskBudget spoke of the size of the log, but compare the size of all files of the group; localLogBytes is renamed localFolderBytes for the same reason.

rejoiner used a list of error numbers of its own that equals the kinds noRoom and device of classifier; it now asks classifier.

No behaviour changes.

--- a/internal/basics/classifier/cause.go
+++ b/internal/basics/classifier/cause.go
@@ -18,7 +18,8 @@
 	errno, operation, file string
 }
 
-// CauseOf returns the cause of an error, from the first such errors in its chain.
+// CauseOf returns the cause of an error. The errno is that of the first error number in its chain, operation and file are
+// those of the first path error, or else link error.
 func CauseOf(err error) Cause {
 	cause := Cause{kind: Classify(err)}
 	var errno syscall.Errno
--- a/internal/jobs/dispatcher/engine.go
+++ b/internal/jobs/dispatcher/engine.go
@@ -54,7 +54,7 @@
 	victimTimeout  time.Duration
 	stepInterval   time.Duration
 	rescheduleRate float64
-	// budget divides the room of the disk, and usedBytes returns how much of it the logs of this VM take.
+	// budget divides the room of the disk, and usedBytes returns how much of it the files of the group take.
 	budget    budgeter.Budget
 	usedBytes func() int64
 
@@ -122,8 +122,8 @@
 	return func(engine *Engine) { engine.leaseDuration, engine.leaseMargin = duration, margin }
 }
 
-// WithDiskBudget refuses new jobs while the logs on the disk of this VM take more than the budget leaves to new work.
-// usedBytes returns their size. By default there is no limit.
+// WithDiskBudget refuses new jobs while the files of the group on the disk of this VM, log and snapshots, take more than
+// the budget leaves to new work. usedBytes returns their size. By default there is no limit.
 func WithDiskBudget(budget budgeter.Budget, usedBytes func() int64) Option {
 	return func(engine *Engine) { engine.budget, engine.usedBytes = budget, usedBytes }
 }
--- a/internal/jobs/dispatcher/operator.go
+++ b/internal/jobs/dispatcher/operator.go
@@ -18,8 +18,8 @@
 }
 
 // Submit proposes a submission. It may be called on every VM of the group. After an error of class
-// scheduler.ErrOutcomeUnknown the caller should send the same submission again. While the logs on the disk of this VM
-// reach into its reserve, a job that is not known yet is refused with an error of class scheduler.ErrNotRun.
+// scheduler.ErrOutcomeUnknown the caller should send the same submission again. While the files of the group
+// on the disk of this VM reach into the reserve, a job that is not known yet is refused with an error of class scheduler.ErrNotRun.
 func (engine *Engine) Submit(ctx context.Context, submission Submission) (SubmitResult, error) {
 	if !engine.budget.AcceptsNewWork(engine.usedBytes()) && !engine.machine.isSubmitted(&submission) {
 		return SubmitResult{}, Error.Wrap(scheduler.ErrNotRun.New("the disk of VM %s has no room for new jobs", engine.vm))
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -13,8 +13,8 @@
 const (
 	pointsStarting = 2
 	pointsRunning  = 1
-	// likelyCrashLimit is the number of crashes of which a task is a likely cause at which it is given up, crashLimit the
-	// number of all crashes at which it is.
+	// A task is given up after likelyCrashLimit crashes of which it is a likely cause, or after crashLimit crashes of which
+	// it is a likely or possible cause.
 	likelyCrashLimit = 2
 	crashLimit       = 4
 )
@@ -25,8 +25,8 @@
 	crashes int
 }
 
-// isConclusive reports whether the task is given up. Several attempts may be likely causes of one crash, so being one of
-// them once counts no more than being a possible cause.
+// isConclusive reports whether the task is given up. One crash may have several likely causes, so a single one of them
+// counts only towards crashLimit, like a possible cause.
 func (blame blame) isConclusive() bool {
 	likely := (blame.points - blame.crashes*pointsRunning) / (pointsStarting - pointsRunning)
 	return likely >= likelyCrashLimit || blame.crashes >= crashLimit
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -98,8 +98,8 @@
 	return decision
 }
 
-// admitByRoom refuses a job while the log of the domain reaches into the reserve of the disk. The reserve is for what
-// lets work end: ends, cancellations, configurations, evacuations and the snapshot that frees room.
+// admitByRoom refuses a job while the files of the domain's group reach into the reserve of the disk. The reserve is for
+// what lets work end: ends, cancellations, configurations, evacuations and the snapshot that frees room.
 func (overseer *Overseer) admitByRoom() admitter.Decision {
 	if overseer.budget.AcceptsNewWork(overseer.usedBytes()) {
 		return admitter.Admitted()
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -182,8 +182,9 @@
 	}
 }
 
-// isSupersededBy reports whether the instance has ended if another worker at one of its locations has sent the heartbeat.
-// An instance that is known only by a response from the same address is one of that other worker, or an earlier one.
+// isSupersededBy reports whether a heartbeat of another worker at one of the instance's locations shows that the instance
+// has ended. Without a heartbeat of its own, the instance is known only by a response from an address. If the other worker
+// sends from that address, the response was its own or that of an earlier worker, so an equal incarnation counts too.
 func (worker *worker) isSupersededBy(heartbeat *scheduler.WorkerHeartbeat) bool {
 	if worker.hasHeartbeat {
 		return worker.incarnation < heartbeat.Instance
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// WithDiskBudget refuses new jobs while the log of the domain takes more of the disk than the budget leaves to new work.
-// usedBytes returns the size of the log on the disk. By default there is no limit.
+// WithDiskBudget refuses new jobs while the files of the domain's group, log and snapshots, take more of the disk than the
+// budget leaves to new work. usedBytes returns their size. By default there is no limit.
 func WithDiskBudget(budget budgeter.Budget, usedBytes func() int64) Option {
 	return func(overseer *Overseer) { overseer.budget, overseer.usedBytes = budget, usedBytes }
 }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -46,7 +46,7 @@
 	maxIdle time.Duration
 	// forecastAdmission is true if jobs are refused that could not finish in time.
 	forecastAdmission bool
-	// budget divides the room of the disk, and usedBytes returns how much of it the log of the domain takes.
+	// budget divides the room of the disk, and usedBytes returns how much of it the files of the domain's group take.
 	budget    budgeter.Budget
 	usedBytes func() int64
 	clock     stopwatch.Stopwatch
--- a/internal/operating/auditor/trail.go
+++ b/internal/operating/auditor/trail.go
@@ -166,8 +166,8 @@
 }
 
 // Append stores a record durably and returns its index. It sets the record's index, and its time if that is zero.
-// After an error of class scheduler.ErrJournalFailed the trail rejects all further records, since the last one may or
-// may not have been stored; the next Reopen or Open recovers it if it was.
+// After an error of class scheduler.ErrJournalFailed the trail rejects further records until Reopen, since the last one
+// may or may not have been stored; the next Reopen or Open recovers it if it was.
 func (trail *Trail) Append(record scheduler.AuditRecord) (index uint64, err error) {
 	trail.mutex.Lock()
 	defer trail.mutex.Unlock()
--- a/internal/operating/composer/gatewayrole.go
+++ b/internal/operating/composer/gatewayrole.go
@@ -193,6 +193,7 @@
 	return nil
 }
 
+// serve turns the nil of a gateway that was stopped into the error that supervisor.Listener takes for a closed server.
 func (gatewayRole *gatewayRole) serve(socket net.Listener) error {
 	if err := gatewayRole.gateway.Serve(socket); err != nil {
 		return err
--- a/internal/operating/composer/schedulerrole.go
+++ b/internal/operating/composer/schedulerrole.go
@@ -70,7 +70,7 @@
 		replicas.jobs, schedulerRole.governor,
 		dispatcher.WithLogger(log), dispatcher.WithUsageHandler(schedulerRole.governor.HandleUsage),
 		dispatcher.WithEndedHandler(schedulerRole.governor.HandleEnded),
-		dispatcher.WithDiskBudget(environment.settings.DiskBudget(), schedulerRole.localLogBytes))
+		dispatcher.WithDiskBudget(environment.settings.DiskBudget(), schedulerRole.localFolderBytes))
 	schedulerRole.distributor = configurator.NewDistributor(replicas.global, replicas.local,
 		replicas.groupView(localGroup, machineConfiguration), configurator.WithLogger(log))
 	environment.transport.Handle(localGroup, kindWorkerSync, schedulerRole.handleSync)
@@ -81,8 +81,9 @@
 	return schedulerRole, nil
 }
 
-// localLogBytes returns the room that the log of the data centre's group takes on the disk of this VM, 0 without a disk.
-func (schedulerRole *schedulerRole) localLogBytes() int64 {
+// localFolderBytes returns the room that the files of the data centre's group take on the disk of this VM, 0 without a
+// disk.
+func (schedulerRole *schedulerRole) localFolderBytes() int64 {
 	group := schedulerRole.environment.localGroup()
 	return schedulerRole.replicas.replicas[group].replicator.JournalUsage().FolderBytes()
 }
--- a/internal/operating/loader/settings.go
+++ b/internal/operating/loader/settings.go
@@ -72,7 +72,8 @@
 	APIAddress    netip.AddrPort           `json:"apiAddress"`
 }
 
-// Limits bound the requests that the gateway accepts, the room of the disk, and the duration of requests and of a graceful stop.
+// Limits bound the requests that the gateway accepts, the room of the disk, and the duration of requests and of a
+// graceful stop.
 type Limits struct {
 	MaxHeaderBytes int64 `json:"maxHeaderBytes"`
 	MaxBodyBytes   int64 `json:"maxBodyBytes"`
--- a/internal/operating/rejoiner/disk.go
+++ b/internal/operating/rejoiner/disk.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 
+	"github.com/crocusplank/crocusplank/internal/basics/classifier"
 	"github.com/crocusplank/crocusplank/internal/operating/supervisor"
 )
 
-// refusals are the errors of a disk that refuses an operation and may accept it later, for example because it is full.
-var refusals = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG, syscall.EIO}
-
 // AwaitDisk calls build again while it fails because a disk refuses an operation, until ctx ends. It returns the error of
 // the last call, in class supervisor.Permanent if the process must end because of the contents of the disk.
 func AwaitDisk(ctx context.Context, parts *supervisor.Supervisor, build func() error) error {
@@ -29,14 +25,11 @@
 	return failure
 }
 
+// isRefused reports whether the disk has refused an operation and may accept it later, for example because it is full.
 func isRefused(err error) bool {
 	if err == nil || isPermanent(err) {
 		return false
 	}
-	for _, refusal := range refusals {
-		if errors.Is(err, refusal) {
-			return true
-		}
-	}
-	return false
+	kind := classifier.Classify(err)
+	return kind == classifier.NoRoom || kind == classifier.Device
 }
--- a/internal/operating/supervisor/listen.go
+++ b/internal/operating/supervisor/listen.go
@@ -23,7 +23,8 @@
 	socket net.Listener
 }
 
-// NewListener returns a Listener. serve returns when the socket is closed or fails.
+// NewListener returns a Listener. serve returns when the socket is closed or fails, with http.ErrServerClosed after a
+// planned shutdown.
 func NewListener(
 	open func(ctx context.Context) (net.Listener, error), serve func(socket net.Listener) error,
 ) *Listener {
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -49,11 +49,12 @@
 	closeRequests      chan struct{}
 	leadershipReleased chan struct{}
 	stopped            chan struct{}
-	joined             atomic.Bool
-	stopOnce           sync.Once
-	failure            atomic.Pointer[error]
-	outage             atomic.Pointer[Outage]
-	view               atomic.Pointer[view]
+	// joined is set by start and stays true after stopped is closed.
+	joined   atomic.Bool
+	stopOnce sync.Once
+	failure  atomic.Pointer[error]
+	outage   atomic.Pointer[Outage]
+	view     atomic.Pointer[view]
 	// viewMutex makes the replacement of the view and the stop of the node exclude each other.
 	viewMutex sync.Mutex
 	logged    loggedFailure
--- a/internal/state/replicator/outage.go
+++ b/internal/state/replicator/outage.go
@@ -20,8 +20,8 @@
 // Cause returns the failure.
 func (outage Outage) Cause() error { return outage.cause }
 
-// Outage returns the first failure since this VM last took part in the group, for as long as it is out of it. ok is false if it takes part,
-// or was closed without a failure.
+// Outage returns the first failure since this VM last took part in the group, for as long as it is out of it. ok is false
+// if it takes part, or was closed without a failure.
 func (replicator *Replicator) Outage() (outage Outage, ok bool) {
 	last := replicator.node().outage.Load()
 	if last == nil {
--- a/internal/state/replicator/transfer.go
+++ b/internal/state/replicator/transfer.go
@@ -88,8 +88,8 @@
 }
 
 // transferAfterFailure transfers leadership when this VM leaves the group after a failure, for example because its
-// disk refuses writes. An election needs nothing from this VM: it has already stopped to accept proposals, and
-// sendTransfer ends its lease first.
+// disk refuses writes. An election needs nothing from this VM: its event loop handles no more proposals, and sendTransfer
+// ends its lease first.
 func (node *node) transferAfterFailure() {
 	if node.role == roleLeader {
 		node.sendTransferToLongestLog(node.clock.now())
--- a/internal/state/replicator/view.go
+++ b/internal/state/replicator/view.go
@@ -6,7 +6,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// view is an immutable copy of the state of a node for other goroutines. The event loop replaces it.
+// view is an immutable copy of the state of a node for other goroutines. The event loop replaces it, and stop
+// removes the leader from the last one.
 type view struct {
 	status  scheduler.GroupStatus
 	members []Member
