read-through: one wait for goroutines, the unit of an outage in crocusplank-vm status

waiter.Join replaces the twin in the replicator, whose error said that a group was being closed when it was joined again. The outage in the JSON of crocusplank-vm status had nanoseconds without a unit; it is outSeconds now, as in the API.

--- a/internal/operating/inspector/inspector.go
+++ b/internal/operating/inspector/inspector.go
@@ -39,11 +39,11 @@
 	Commit  scheduler.Index     `cbor:"commit" json:"commit"`
 	Applied scheduler.Index     `cbor:"applied" json:"applied"`
 	Members []scheduler.VMName  `cbor:"members" json:"members"`
-	// OutFor is how long the VM has been out of the group, and Reason why. Both are empty while it takes part.
-	OutFor      time.Duration `cbor:"outFor" json:"outFor"`
-	Reason      string        `cbor:"reason" json:"reason"`
-	FolderBytes int64         `cbor:"folderBytes" json:"folderBytes"`
-	LogBytes    int64         `cbor:"logBytes" json:"logBytes"`
+	// OutSeconds is how long the VM has been out of the group, and Reason why. Both are empty while it takes part.
+	OutSeconds  float64 `cbor:"outSeconds" json:"outSeconds"`
+	Reason      string  `cbor:"reason" json:"reason"`
+	FolderBytes int64   `cbor:"folderBytes" json:"folderBytes"`
+	LogBytes    int64   `cbor:"logBytes" json:"logBytes"`
 	// Unreachable is why the VM gave no answer. It is empty in answers.
 	Unreachable string `cbor:"-" json:"unreachable,omitempty"`
 }
@@ -66,7 +66,7 @@
 		replica.Members = append(replica.Members, member.VM)
 	}
 	if outage, out := replicator.Outage(); out {
-		replica.OutFor, replica.Reason = time.Since(outage.Since()), outage.Cause().Error()
+		replica.OutSeconds, replica.Reason = time.Since(outage.Since()).Seconds(), outage.Cause().Error()
 	}
 	return replica
 }
--- a/internal/operating/inspector/inspector_test.go
+++ b/internal/operating/inspector/inspector_test.go
@@ -100,7 +100,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			replica := got[scheduler.VMName(test.vm.String())]
-			if got := replica.Reason != "" && replica.OutFor > 0; got != test.out {
+			if got := replica.Reason != "" && replica.OutSeconds > 0; got != test.out {
 				t.Errorf("got %+v, want an outage: %t", replica, test.out)
 			}
 			if got := replica.Unreachable != ""; got != test.unanswered {
@@ -141,7 +141,7 @@
 		want    []string
 	}{
 		"member":      {Replica{VM: "a:1", Role: scheduler.GroupLeader, Term: 3, Leader: "a:1", FolderBytes: 5000, LogBytes: 300}, []string{"a:1", "leader", "3", "5000", "300"}},
-		"outside":     {Replica{VM: "a:1", OutFor: 12 * time.Second, Reason: "no space left on device"}, []string{"none", "12s", "no space left on device"}},
+		"outside":     {Replica{VM: "a:1", OutSeconds: 12, Reason: "no space left on device"}, []string{"none", "12s", "no space left on device"}},
 		"unreachable": {Replica{VM: "a:1", Unreachable: "not connected"}, []string{"a:1", "unreachable", "not connected"}},
 	}
 	for name, test := range tests {
--- a/internal/operating/inspector/printer.go
+++ b/internal/operating/inspector/printer.go
@@ -26,7 +26,7 @@
 	}
 	out, reason := "-", "-"
 	if replica.Reason != "" {
-		out, reason = replica.OutFor.Round(time.Second).String(), replica.Reason
+		out, reason = (time.Duration(replica.OutSeconds) * time.Second).String(), replica.Reason
 	}
 	leader := string(replica.Leader)
 	if leader == "" {
--- a/internal/state/replicator/lifecycle.go
+++ b/internal/state/replicator/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/crocusplank/crocusplank/internal/basics/waiter"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -76,17 +77,10 @@
 
 // awaitEnd waits until the goroutines of a stopped node have ended.
 func (node *node) awaitEnd(ctx context.Context) error {
-	finished := make(chan struct{})
-	go func() {
-		node.running.Wait()
-		close(finished)
-	}()
-	select {
-	case <-finished:
-		return nil
-	case <-ctx.Done():
-		return Error.New("close group %s: %v", node.name, ctx.Err())
+	if err := waiter.Join(ctx, &node.running); err != nil {
+		return Error.New("group %s is still using its journal or state machine: %w", node.name, err)
 	}
+	return nil
 }
 
 func (node *node) start() {
