review: finished tasks run again after a cut of their runner

Cause: a runner lists at most 500 ends at a time. The overseer takes every attempt that a report does not list for lost, also if the list is cut short.

Change: case 1, a script with stand-ins for clients, operator and runners on loopback (review/harness). A runner with 1500 tasks is cut off for 5.5 s while they end.

--- /dev/null
+++ b/review/harness/runner.go
@@ -0,0 +1,444 @@
+package harness
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of the smaller site.
+const (
+	// HeartbeatInterval is heartbeatMs.
+	HeartbeatInterval = 1500 * time.Millisecond
+	// MaxLease is holdMaxMs, StopTime is stopMs.
+	MaxLease = 10 * time.Second
+	StopTime = 200 * time.Millisecond
+	// Capacity of a runner of the smaller site.
+	capacityCPU   = 32_000
+	capacityMemMb = 128_000
+	// RareLabel is the kind of the first runner. The others are of kind "a".
+	RareLabel = "b"
+
+	contentType = "application/json"
+	// maxEndsListed is how many ends a renewal returns at a time.
+	maxEndsListed = 500
+	// endDone is how a run ends that has done its work.
+	endDone = "done"
+	// startupTime is how long a task that lasts takes to be at work.
+	startupTime = 400 * time.Millisecond
+	// tickInterval is how often a runner looks for runs that are to end.
+	tickInterval = 5 * time.Millisecond
+	// heartbeatTimeout is how long a runner waits for the acknowledgement of a heartbeat.
+	heartbeatTimeout = time.Second
+)
+
+// Runner is a stand-in for one machine of the users' platform and the runner on it. A crash ends the runner; its machine
+// then gets another one at the same address.
+type Runner struct {
+	Machine string
+	Address string
+	Zone    string
+	labels  []string
+	// work returns how long a run of a task takes, or 0 if the task lasts.
+	work     func(task string) time.Duration
+	controls []string
+	ledger   *Ledger
+	recorder *Recorder
+
+	mutex    sync.Mutex
+	up       bool
+	server   *http.Server
+	id       string
+	born     time.Time
+	sequence uint64
+	token    uint64
+	lease    time.Duration
+	active   map[string]*active
+	// highest holds the highest attempt of each task that was stopped or has ended here.
+	highest   map[string]uint32
+	ends      []listedEnd
+	lastEnd   uint64
+	endSignal chan struct{}
+	// cutOff is closed when the runner is reached again, nil while it is reached. cuts counts the cuts.
+	cutOff chan struct{}
+	cuts   int
+	closed chan struct{}
+}
+
+// active is a run that goes on.
+type active struct {
+	run      *Run
+	cpu, mem int
+	endsAt   time.Time
+	stopping bool
+}
+
+type listedEnd struct {
+	number uint64
+	run    *Run
+}
+
+type order struct {
+	Task         string `json:"task"`
+	Attempt      uint32 `json:"attempt"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadlineMs"`
+	FencingToken uint64 `json:"fencingToken"`
+	AckCursor    uint64 `json:"ackCursor"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+// StartRunners starts runners on the given number of machines. Each task needs cpu and memMb, and works for the time that
+// work returns.
+func (deployment *Deployment) StartRunners(
+	count int, ledger *Ledger, task Step, work func(task string) time.Duration,
+) ([]*Runner, error) {
+	var runners []*Runner
+	for number := range count {
+		runner := &Runner{
+			Machine: fmt.Sprintf("m-%02d", number), Zone: zones[number%len(zones)], labels: []string{"a", fmt.Sprintf("r1-%d", number/8)},
+			work: work, controls: deployment.Controls(), ledger: ledger, recorder: deployment.recorder,
+			closed: make(chan struct{}),
+		}
+		if number == 0 {
+			runner.labels[0] = RareLabel
+		}
+		listener, err := listen("127.0.0.1:0")
+		if err != nil {
+			return runners, err
+		}
+		runner.Address = listener.Addr().String()
+		runner.begin(listener, task)
+		go runner.tick()
+		go runner.sendHeartbeats()
+		runners = append(runners, runner)
+	}
+	return runners, nil
+}
+
+// begin starts a new life of the runner.
+func (runner *Runner) begin(listener net.Listener, task Step) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", runner.handle(func(order *order) (int, string) { return runner.start(order, task) }))
+	mux.HandleFunc("POST /v1/run-stop", runner.handle(runner.stop))
+	mux.HandleFunc("POST /v1/pace", runner.handle(func(*order) (int, string) { return http.StatusOK, "" }))
+	mux.HandleFunc("POST /v1/hold", runner.hold)
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.up, runner.born, runner.id = true, time.Now(), fmt.Sprintf("i-%08x", rand.Uint32())
+	runner.sequence, runner.token, runner.lease, runner.lastEnd, runner.ends = 0, 0, 0, 0, nil
+	runner.active, runner.highest, runner.endSignal = map[string]*active{}, map[string]uint32{}, make(chan struct{})
+	runner.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	runner.recorder.Printf("runner %s: starts on machine %s at %s", runner.id, runner.Machine, runner.Address)
+	go func(server *http.Server) { _ = server.Serve(listener) }(runner.server)
+}
+
+// Crash ends the process of the runner: its connections are closed, and new ones are refused.
+func (runner *Runner) Crash() {
+	runner.mutex.Lock()
+	runner.recorder.Printf("runner %s: crashes", runner.id)
+	runner.up = false
+	for _, active := range runner.active {
+		runner.ledger.end(active.run, "crashed")
+	}
+	server := runner.server
+	runner.active = map[string]*active{}
+	runner.mutex.Unlock()
+	_ = server.Close()
+}
+
+// Restart starts another runner at the address of a machine whose runner has crashed.
+func (runner *Runner) Restart(task Step) error {
+	listener, err := listen(runner.Address)
+	if err != nil {
+		return err
+	}
+	runner.begin(listener, task)
+	return nil
+}
+
+// Cut cuts the runner off. What is sent to it until Heal is lost, and so are its responses.
+func (runner *Runner) Cut() {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.recorder.Printf("runner %s: cut off", runner.id)
+	runner.cutOff = make(chan struct{})
+	runner.cuts++
+}
+
+// Heal ends a cut.
+func (runner *Runner) Heal() {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.recorder.Printf("runner %s: reached again; %d runs at work, %d ends not acknowledged", runner.id, len(runner.active), len(runner.ends))
+	close(runner.cutOff)
+	runner.cutOff = nil
+}
+
+// Active returns the number of runs that go on.
+func (runner *Runner) Active() int {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return len(runner.active)
+}
+
+// ID returns the id of the runner's present life.
+func (runner *Runner) ID() string {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return runner.id
+}
+
+// Close ends the runner at the end of a script.
+func (runner *Runner) Close() {
+	close(runner.closed)
+	runner.mutex.Lock()
+	server := runner.server
+	runner.mutex.Unlock()
+	_ = server.Close()
+}
+
+func (runner *Runner) clock() time.Duration { return time.Since(runner.born) }
+
+// tick ends runs that have done their work, and all runs when the lease has run out.
+func (runner *Runner) tick() {
+	for {
+		select {
+		case <-runner.closed:
+			return
+		case <-time.After(tickInterval):
+		}
+		runner.mutex.Lock()
+		now, lapsed := time.Now(), runner.lease > 0 && runner.clock() > runner.lease
+		if lapsed {
+			for _, end := range runner.ends {
+				runner.ledger.lapse(end.run)
+			}
+		}
+		for _, active := range runner.active {
+			switch {
+			case lapsed:
+				runner.end(active, "lapsed")
+			case active.stopping && !now.Before(active.endsAt):
+				runner.end(active, "stopped")
+			case !active.endsAt.IsZero() && !now.Before(active.endsAt):
+				runner.end(active, endDone)
+			}
+		}
+		runner.mutex.Unlock()
+	}
+}
+
+// end ends a run and lists its end. The mutex must be held.
+func (runner *Runner) end(ended *active, how string) {
+	delete(runner.active, ended.run.Task)
+	runner.highest[ended.run.Task] = max(runner.highest[ended.run.Task], ended.run.Attempt)
+	runner.lastEnd++
+	runner.ends = append(runner.ends, listedEnd{number: runner.lastEnd, run: ended.run})
+	runner.ledger.end(ended.run, how)
+	close(runner.endSignal)
+	runner.endSignal = make(chan struct{})
+}
+
+// accept reads an order and checks its runner, its token and its deadline. It returns with the mutex held if ok is true.
+func (runner *Runner) accept(writer http.ResponseWriter, request *http.Request) (received *order, cuts int, ok bool) {
+	received = &order{}
+	if err := json.NewDecoder(request.Body).Decode(received); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return nil, 0, false
+	}
+	runner.mutex.Lock()
+	if cutOff := runner.cutOff; cutOff != nil {
+		runner.mutex.Unlock()
+		<-cutOff
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !runner.up:
+		runner.mutex.Unlock()
+		panic(http.ErrAbortHandler)
+	case request.Header.Get("Expect-Instance") != runner.id:
+		runner.mutex.Unlock()
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return nil, 0, false
+	case received.FencingToken < runner.token:
+		runner.respond(writer, runner.cuts, http.StatusConflict, map[string]any{"reason": "fence"})
+		return nil, 0, false
+	case received.DeadlineMs > 0 && time.Duration(received.DeadlineMs)*time.Millisecond < runner.clock():
+		runner.respond(writer, runner.cuts, http.StatusConflict, map[string]any{"reason": "late"})
+		return nil, 0, false
+	}
+	runner.token = received.FencingToken
+	if deadline := time.Duration(received.DeadlineMs) * time.Millisecond; deadline > 0 {
+		runner.lease = max(runner.lease, min(deadline, runner.clock()+MaxLease))
+	}
+	return received, runner.cuts, true
+}
+
+// respond sends a response with the clock of the runner, and unlocks the mutex. A response to an order from before a cut
+// is lost.
+func (runner *Runner) respond(writer http.ResponseWriter, cuts, status int, body map[string]any) {
+	body["clockMs"], body["born"] = runner.clock().Milliseconds(), runner.born.UnixMilli()
+	cutOff, lost := runner.cutOff, runner.cuts != cuts
+	runner.mutex.Unlock()
+	if cutOff != nil {
+		<-cutOff
+	}
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	writer.Header().Set("Content-Type", contentType)
+	writer.WriteHeader(status)
+	_, _ = writer.Write(data)
+}
+
+func (runner *Runner) handle(carryOut func(order *order) (status int, reason string)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		order, cuts, ok := runner.accept(writer, request)
+		if !ok {
+			return
+		}
+		body := map[string]any{}
+		status, reason := carryOut(order)
+		if reason != "" {
+			body["reason"] = reason
+		}
+		runner.respond(writer, cuts, status, body)
+	}
+}
+
+func (runner *Runner) start(order *order, task Step) (status int, reason string) {
+	if known := runner.active[order.Task]; known != nil && known.run.Attempt == order.Attempt {
+		return http.StatusOK, ""
+	}
+	if known := runner.active[order.Task]; order.Attempt <= runner.highest[order.Task] || known != nil {
+		return http.StatusConflict, "old"
+	}
+	cpu, mem := task.CPU, task.MemMb
+	for _, other := range runner.active {
+		cpu, mem = cpu+other.cpu, mem+other.mem
+	}
+	if cpu > capacityCPU || mem > capacityMemMb {
+		return http.StatusConflict, "room"
+	}
+	started := &active{
+		run: &Run{Task: order.Task, Attempt: order.Attempt, Runner: runner.id, Began: time.Now()}, cpu: task.CPU, mem: task.MemMb,
+	}
+	if work := runner.work(order.Task); work > 0 {
+		started.endsAt = started.run.Began.Add(work)
+	}
+	runner.active[order.Task] = started
+	runner.ledger.begin(started.run)
+	return http.StatusOK, ""
+}
+
+func (runner *Runner) stop(order *order) (status int, reason string) {
+	runner.highest[order.Task] = max(runner.highest[order.Task], order.Attempt)
+	if known := runner.active[order.Task]; known != nil && known.run.Attempt <= order.Attempt && !known.stopping {
+		known.stopping, known.endsAt = true, time.Now().Add(StopTime/2)
+	}
+	return http.StatusOK, ""
+}
+
+// hold renews the lease, forgets the ends that are acknowledged, and lists what runs and what has ended.
+func (runner *Runner) hold(writer http.ResponseWriter, request *http.Request) {
+	order, cuts, ok := runner.accept(writer, request)
+	if !ok {
+		return
+	}
+	for len(runner.ends) > 0 && runner.ends[0].number <= order.AckCursor {
+		runner.ledger.note(runner.ends[0].run)
+		runner.ends = runner.ends[1:]
+	}
+	if len(runner.ends) == 0 && order.WaitMs > 0 {
+		ended := runner.endSignal
+		runner.mutex.Unlock()
+		select {
+		case <-ended:
+		case <-time.After(time.Duration(order.WaitMs) * time.Millisecond):
+		}
+		runner.mutex.Lock()
+	}
+	running, finished := [][]any{}, [][]any{}
+	for _, active := range runner.active {
+		percent := 0
+		if active.endsAt.IsZero() && time.Since(active.run.Began) > startupTime {
+			percent = 100
+		}
+		running = append(running, []any{active.run.Task, active.run.Attempt, "", percent, active.cpu})
+	}
+	for _, end := range runner.ends[:min(len(runner.ends), maxEndsListed)] {
+		finished = append(finished, []any{end.number, end.run.Task, end.run.Attempt, end.run.How, ""})
+	}
+	runner.respond(writer, cuts, http.StatusOK, map[string]any{"running": running, "finished": finished})
+}
+
+// heartbeat returns the next heartbeat, or false while the runner is down or cut off.
+func (runner *Runner) heartbeat() (id string, body []byte, ok bool) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	if !runner.up || runner.cutOff != nil {
+		return "", nil, false
+	}
+	runner.sequence++
+	body, err := json.Marshal(map[string]any{
+		"service": Service, "address": runner.Address, "zone": runner.Zone, "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": map[string]int{"cpu": capacityCPU, "memMb": capacityMemMb, "gpu": 0},
+		"labels": runner.labels, "machine": runner.Machine, "born": runner.born.UnixMilli(),
+		"clockMs": runner.clock().Milliseconds(), "sequence": runner.sequence,
+	})
+	return runner.id, body, err == nil
+}
+
+// sendHeartbeats sends heartbeats. After a failure it calls the next core machine.
+func (runner *Runner) sendHeartbeats() {
+	client := &http.Client{Timeout: heartbeatTimeout}
+	target, next := "", rand.IntN(len(runner.controls))
+	for {
+		wait := HeartbeatInterval
+		if id, body, ok := runner.heartbeat(); ok {
+			address := target
+			if address == "" {
+				next = (next + 1) % len(runner.controls)
+				address = runner.controls[next]
+			}
+			if target, ok = SendHeartbeat(client, address, id, body); !ok {
+				wait = retryPause
+			}
+		}
+		select {
+		case <-runner.closed:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// SendHeartbeat sends a heartbeat to a core machine. It returns the address for later ones, and whether it was acknowledged.
+func SendHeartbeat(client *http.Client, address, id string, body []byte) (target string, acknowledged bool) {
+	response, err := post(client, address, "/v1/instances/"+id+"/heartbeat", body)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var content struct {
+		HeartbeatURL string `json:"heartbeatUrl"`
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || json.Unmarshal(data, &content) != nil {
+		return "", false
+	}
+	if content.HeartbeatURL == "" {
+		return address, true
+	}
+	return content.HeartbeatURL, true
+}
