review: jobs are given up as failed when runners crash

Cause: the jobkeeper fails the job of a task that is blamed for two to four crashes of its runners, although no run of it has ended failed.

The runner stand-in takes the need of each task now.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -36,11 +36,11 @@
 		return nil, err
 	}
 	var accepted atomic.Int64
-	work := func(string) time.Duration {
+	behaviour := func(string) (harness.Step, time.Duration) {
 		waited := time.Since(time.Unix(0, accepted.Load()))
-		return max(firstEnd-waited+rand.N(endSpread), shortWork)
+		return task, max(firstEnd-waited+rand.N(endSpread), shortWork)
 	}
-	machines, err := script.StartRunners(runners, script.Ledger, task, work)
+	machines, err := script.StartRunners(runners, script.Ledger, behaviour)
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -40,15 +40,14 @@
 // Runner is a stand-in for one machine of the users' platform and the runner on it. A crash ends the runner; its machine
 // then gets another one at the same address.
 type Runner struct {
-	Machine string
-	Address string
-	Zone    string
-	labels  []string
-	// work returns how long a run of a task takes, or 0 if the task lasts.
-	work     func(task string) time.Duration
-	controls []string
-	ledger   *Ledger
-	recorder *Recorder
+	Machine   string
+	Address   string
+	Zone      string
+	labels    []string
+	behaviour Behaviour
+	controls  []string
+	ledger    *Ledger
+	recorder  *Recorder
 
 	mutex    sync.Mutex
 	up       bool
@@ -93,16 +92,16 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
-// StartRunners starts runners on the given number of machines. Each task needs cpu and memMb, and works for the time that
-// work returns.
-func (deployment *Deployment) StartRunners(
-	count int, ledger *Ledger, task Step, work func(task string) time.Duration,
-) ([]*Runner, error) {
+// Behaviour returns what a task needs and how long a run of it takes from now on, or 0 if it lasts.
+type Behaviour func(task string) (need Step, work time.Duration)
+
+// StartRunners starts runners on the given number of machines.
+func (deployment *Deployment) StartRunners(count int, ledger *Ledger, behaviour Behaviour) ([]*Runner, error) {
 	var runners []*Runner
 	for number := range count {
 		runner := &Runner{
 			Machine: fmt.Sprintf("m-%02d", number), Zone: zones[number%len(zones)], labels: []string{"a", fmt.Sprintf("r1-%d", number/8)},
-			work: work, controls: deployment.Controls(), ledger: ledger, recorder: deployment.recorder,
+			behaviour: behaviour, controls: deployment.Controls(), ledger: ledger, recorder: deployment.recorder,
 			closed: make(chan struct{}),
 		}
 		if number == 0 {
@@ -113,7 +112,7 @@
 			return runners, err
 		}
 		runner.Address = listener.Addr().String()
-		runner.begin(listener, task)
+		runner.begin(listener)
 		go runner.tick()
 		go runner.sendHeartbeats()
 		runners = append(runners, runner)
@@ -122,9 +121,9 @@
 }
 
 // begin starts a new life of the runner.
-func (runner *Runner) begin(listener net.Listener, task Step) {
+func (runner *Runner) begin(listener net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", runner.handle(func(order *order) (int, string) { return runner.start(order, task) }))
+	mux.HandleFunc("POST /v1/run-start", runner.handle(runner.start))
 	mux.HandleFunc("POST /v1/run-stop", runner.handle(runner.stop))
 	mux.HandleFunc("POST /v1/pace", runner.handle(func(*order) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /v1/hold", runner.hold)
@@ -153,12 +152,12 @@
 }
 
 // Restart starts another runner at the address of a machine whose runner has crashed.
-func (runner *Runner) Restart(task Step) error {
+func (runner *Runner) Restart() error {
 	listener, err := listen(runner.Address)
 	if err != nil {
 		return err
 	}
-	runner.begin(listener, task)
+	runner.begin(listener)
 	return nil
 }
 
@@ -316,14 +315,15 @@
 	}
 }
 
-func (runner *Runner) start(order *order, task Step) (status int, reason string) {
+func (runner *Runner) start(order *order) (status int, reason string) {
 	if known := runner.active[order.Task]; known != nil && known.run.Attempt == order.Attempt {
 		return http.StatusOK, ""
 	}
 	if known := runner.active[order.Task]; order.Attempt <= runner.highest[order.Task] || known != nil {
 		return http.StatusConflict, "old"
 	}
-	cpu, mem := task.CPU, task.MemMb
+	need, work := runner.behaviour(order.Task)
+	cpu, mem := need.CPU, need.MemMb
 	for _, other := range runner.active {
 		cpu, mem = cpu+other.cpu, mem+other.mem
 	}
@@ -331,9 +331,9 @@
 		return http.StatusConflict, "room"
 	}
 	started := &active{
-		run: &Run{Task: order.Task, Attempt: order.Attempt, Runner: runner.id, Began: time.Now()}, cpu: task.CPU, mem: task.MemMb,
+		run: &Run{Task: order.Task, Attempt: order.Attempt, Runner: runner.id, Began: time.Now()}, cpu: need.CPU, mem: need.MemMb,
 	}
-	if work := runner.work(order.Task); work > 0 {
+	if work > 0 {
 		started.endsAt = started.run.Began.Add(work)
 	}
 	runner.active[order.Task] = started
