review: starts come to a standstill when many jobs are due at once

Cause: the overseer takes the time of an order before it waits for its mutex and drops orders older than 200 ms. With thousands of waiting starts the wait is longer than that, so that hardly any order is sent.

The stand-in runners get ids in the form of a UUID.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -36,9 +36,14 @@
 	Requirements string `json:"requirements,omitempty"`
 }
 
-type jobBody struct {
+// Job is a job as clients hand it in.
+type Job struct {
 	Spec   string `json:"spec"`
 	Phases []Step `json:"phases"`
+	// Repetitions and StartMs are set for a job that is due at a time.
+	Repetitions int   `json:"repetitions,omitempty"`
+	StartMs     int64 `json:"startMs,omitempty"`
+	IntervalMs  int64 `json:"intervalMs,omitempty"`
 }
 
 // Configure sends the first configuration until it is acknowledged: one queue, whose tasks may fail maxAttempts times.
@@ -91,7 +96,12 @@
 
 // Submit hands a job in until it is accepted.
 func (deployment *Deployment) Submit(job, spec string, limit time.Duration, steps ...Step) error {
-	body, err := json.Marshal(jobBody{Spec: spec, Phases: steps})
+	return deployment.SubmitJob(job, limit, Job{Spec: spec, Phases: steps})
+}
+
+// SubmitJob hands a job in until it is accepted.
+func (deployment *Deployment) SubmitJob(job string, limit time.Duration, content Job) error {
+	body, err := json.Marshal(content)
 	if err != nil {
 		return err
 	}
--- a/review/harness/ledger.go
+++ b/review/harness/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -99,6 +100,27 @@
 	return len(ledger.runs)
 }
 
+// Progress returns how many tasks of a job have begun, how many of its runs go on, and how many have ended done.
+func (ledger *Ledger) Progress(job string) (begun, working, done int) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	for task, runs := range ledger.runs {
+		if !strings.HasPrefix(task, job+".") {
+			continue
+		}
+		begun++
+		for _, run := range runs {
+			switch {
+			case run.Ended.IsZero():
+				working++
+			case run.How == endDone:
+				done++
+			}
+		}
+	}
+	return begun, working, done
+}
+
 // Ends returns how many runs ended in the given way.
 func (ledger *Ledger) Ends(how string) int {
 	ledger.mutex.Lock()
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -129,7 +129,7 @@
 	mux.HandleFunc("POST /v1/hold", runner.hold)
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
-	runner.up, runner.born, runner.id = true, time.Now(), fmt.Sprintf("i-%08x", rand.Uint32())
+	runner.up, runner.born, runner.id = true, time.Now(), newID()
 	runner.sequence, runner.token, runner.lease, runner.lastEnd, runner.ends = 0, 0, 0, 0, nil
 	runner.active, runner.highest, runner.endSignal = map[string]*active{}, map[string]uint32{}, make(chan struct{})
 	runner.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
@@ -137,6 +137,12 @@
 	go func(server *http.Server) { _ = server.Serve(listener) }(runner.server)
 }
 
+// newID returns an id in the form of a UUID.
+func newID() string {
+	a, b := rand.Uint64(), rand.Uint64()
+	return fmt.Sprintf("%08x-%04x-%04x-%04x-%012x", a>>32, a>>16&0xffff, a&0xffff, b>>48, b&0xffffffffffff)
+}
+
 // Crash ends the process of the runner: its connections are closed, and new ones are refused.
 func (runner *Runner) Crash() {
 	runner.mutex.Lock()
