review: a queue with a new name hides its waiting jobs

Cause: the handler counts pending jobs by the name of the queue only, but finds jobs of a renamed queue by host and prefix.

One valid configuration gives the route another name at the same host and prefix.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -46,21 +46,38 @@
 	IntervalMs  int64 `json:"intervalMs,omitempty"`
 }
 
-// Configure sends the first configuration until it is acknowledged: one queue, whose tasks may fail maxAttempts times.
-func (deployment *Deployment) Configure(maxAttempts int, limit time.Duration) error {
-	body := fmt.Sprintf(`{"version":7,"routes":[{"name":"r-3hwrr6x","host":%q,"pathPrefix":%q,"kind":"unsafe",`+
+// Configuration is a configuration with one queue.
+type Configuration struct {
+	Version uint64
+	// Route is the name of the queue, at the host and prefix that the clients use.
+	Route       string
+	MaxAttempts int
+}
+
+func (configuration Configuration) body() []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":%q,"host":%q,"pathPrefix":%q,"kind":"unsafe",`+
 		`"timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":%q,"maxAttempts":%d,"slowdownFactor":3}],`+
 		`"services":[{"name":%q,"healthPath":"/healthz","maxConnections":64,"protocol":"h1","tls":false,`+
 		`"enforcesCapacity":true,"standby":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,`+
-		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, queueHost, queuePrefix, Service, maxAttempts, Service)
+		`"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, configuration.Version, configuration.Route, queueHost, queuePrefix,
+		Service, configuration.MaxAttempts, Service)
+}
+
+// Configure sends the first configuration until it is acknowledged. Tasks may fail maxAttempts times.
+func (deployment *Deployment) Configure(maxAttempts int, limit time.Duration) error {
+	return deployment.Replace(Configuration{Version: 7, Route: "r-3hwrr6x", MaxAttempts: maxAttempts}, limit)
+}
+
+// Replace sends a configuration until it is acknowledged.
+func (deployment *Deployment) Replace(configuration Configuration, limit time.Duration) error {
 	client := &http.Client{Timeout: operatorWait}
 	controls := deployment.Controls()
 	for attempt, end := 0, time.Now().Add(limit); time.Now().Before(end); attempt++ {
-		response, err := post(client, controls[attempt%len(controls)], "/v1/config/replace", []byte(body))
+		response, err := post(client, controls[attempt%len(controls)], "/v1/config/replace", configuration.body())
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				deployment.recorder.Printf("operator: configuration 7 acknowledged")
+				deployment.recorder.Printf("operator: configuration %d acknowledged: %s", configuration.Version, configuration.body())
 				return nil
 			}
 		}
@@ -143,3 +160,15 @@
 	}
 	return seen
 }
+
+// Pending returns the number of pending jobs of the queue that an entry machine tells.
+func (deployment *Deployment) Pending(entry int) (pending int, ok bool) {
+	status, content := deployment.call(entry, http.MethodGet, "", nil)
+	var body struct {
+		Pending int `json:"pending"`
+	}
+	if status != http.StatusOK || json.Unmarshal(content, &body) != nil {
+		return 0, false
+	}
+	return body.Pending, true
+}
