--- a/review/1/main.go
+++ b/review/1/main.go
@@ -3,9 +3,7 @@
 package main
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +49,7 @@
 	}
 	accepted.Store(time.Now().UnixNano())
 	time.Sleep(firstEnd - time.Second)
-	cut := fullest(machines)
+	cut := harness.Fullest(machines)
 	script.Recorder.Printf("%d tasks begun, %d of them on runner %s", script.Ledger.Begun(), cut.Active(), cut.ID())
 	if script.Trouble {
 		cut.Cut()
@@ -62,8 +60,3 @@
 	script.Recorder.Printf("the job is shown as %q; %d tasks begun, %d runs ended done", state, script.Ledger.Begun(), script.Ledger.Ends("done"))
 	return script.Ledger.Breaks(), nil
 }
-
-// fullest returns the runner with most runs at work.
-func fullest(machines []*harness.Runner) *harness.Runner {
-	return slices.MaxFunc(machines, func(a, b *harness.Runner) int { return cmp.Compare(a.Active(), b.Active()) })
-}
--- a/review/harness/network.go
+++ b/review/harness/network.go
@@ -22,3 +22,13 @@
 	request.Header.Set("Content-Type", contentType)
 	return client.Do(request)
 }
+
+// SendHeartbeat sends a heartbeat to a core machine and returns whether it was acknowledged.
+func SendHeartbeat(client *http.Client, address, id string, body []byte) (acknowledged bool) {
+	response, err := post(client, address, "/v1/instances/"+id+"/heartbeat", body)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
