--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -32,6 +32,9 @@
 	EstimateMs    int  `json:"estimateMs,omitempty"`
 	Checkpointing bool `json:"checkpointing,omitempty"`
 	LongRunning   bool `json:"longRunning,omitempty"`
+	Gang          bool `json:"gang,omitempty"`
+	// AntiAffinity is the maximum number of tasks of the step on one runner.
+	AntiAffinity int `json:"antiAffinity,omitempty"`
 	// Requirements is a label that the runner must have.
 	Requirements string `json:"requirements,omitempty"`
 }
