--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -163,15 +163,3 @@
 	}
 	return seen
 }
-
-// Pending returns the number of pending jobs of the queue that an entry machine tells.
-func (deployment *Deployment) Pending(entry int) (pending int, ok bool) {
-	status, content := deployment.call(entry, http.MethodGet, "", nil)
-	var body struct {
-		Pending int `json:"pending"`
-	}
-	if status != http.StatusOK || json.Unmarshal(content, &body) != nil {
-		return 0, false
-	}
-	return body.Pending, true
-}
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -189,40 +188,12 @@
 	return nil
 }
 
-// Signal sends a signal to the process.
-func (machine *Machine) Signal(signal syscall.Signal) error {
-	return machine.command.Process.Signal(signal)
-}
-
 // Kill kills the process and waits for its end.
 func (machine *Machine) Kill() {
-	_ = machine.command.Process.Signal(syscall.SIGCONT)
 	_ = machine.command.Process.Kill()
 	<-machine.ended
 }
 
-// Restart starts the process again after it has ended, with its disk.
-func (machine *Machine) Restart() error { return machine.start(false) }
-
-// Log returns the lines of the process's log that contain all texts.
-func (machine *Machine) Log(texts ...string) [][]byte {
-	content, err := os.ReadFile(filepath.Join(machine.folder, machine.Name+".log"))
-	if err != nil {
-		return nil
-	}
-	var lines [][]byte
-	for line := range bytes.Lines(content) {
-		found := true
-		for _, text := range texts {
-			found = found && bytes.Contains(line, []byte(text))
-		}
-		if found {
-			lines = append(lines, bytes.TrimSpace(line))
-		}
-	}
-	return lines
-}
-
 // Controls returns the control addresses of all core machines.
 func (deployment *Deployment) Controls() []string {
 	var addresses []string
@@ -232,20 +203,6 @@
 	return addresses
 }
 
-// Leader returns the core machine that took the leadership last, by the logs.
-func (deployment *Deployment) Leader() *Machine {
-	var leader *Machine
-	newest := ""
-	for _, core := range deployment.Cores {
-		for _, line := range core.Log(`"event":"leadershipTaken"`) {
-			if _, at, _ := bytes.Cut(line, []byte(`"time":`)); string(at) > newest {
-				leader, newest = core, string(at)
-			}
-		}
-	}
-	return leader
-}
-
 // Close kills all processes and removes their files. If REVIEW_KEEP is set, the files stay.
 func (deployment *Deployment) Close() {
 	var group sync.WaitGroup
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -42,8 +41,8 @@
 	heartbeatTimeout = time.Second
 )
 
-// Runner is a stand-in for one machine of the users' platform and the runner on it. A crash ends the runner; its machine
-// then gets another one at the same address.
+// Runner is a stand-in for one machine of the users' platform and the runner on it. It implements the
+// parts of the protocol that the cases need.
 type Runner struct {
 	Machine   string
 	Address   string
@@ -185,16 +184,6 @@
 	_ = server.Close()
 }
 
-// Restart starts another runner at the address of a machine whose runner has crashed.
-func (runner *Runner) Restart() error {
-	listener, err := listen(runner.Address)
-	if err != nil {
-		return err
-	}
-	runner.begin(listener)
-	return nil
-}
-
 // Cut cuts the runner off. What is sent to it until Heal is lost, and so are its responses.
 func (runner *Runner) Cut() {
 	runner.mutex.Lock()
@@ -234,46 +223,6 @@
 	runner.Crash()
 }
 
-// deregister sends the notification to the core machine that gets the heartbeats, later to the others.
-func (runner *Runner) deregister(position int) (acknowledged bool) {
-	runner.mutex.Lock()
-	address, id := runner.target, runner.id
-	if position > 0 || address == "" {
-		address = runner.controls[position%len(runner.controls)]
-	}
-	runner.mutex.Unlock()
-	acknowledged = runner.call(address, "/v1/instances/"+id+"/deregister", []byte("{}"), nil)
-	runner.recorder.Printf("runner %s: deregisters at %s, acknowledged: %v", id, address, acknowledged)
-	return acknowledged
-}
-
-// call sends a body to a core machine and decodes the response. It returns false if there is no response with status 200
-// that reaches the runner.
-func (runner *Runner) call(address, path string, body []byte, content any) bool {
-	runner.mutex.Lock()
-	cut, delivered := runner.cutOff != nil, runner.cutOff == nil || runner.oneWay
-	runner.oneWay = false
-	runner.mutex.Unlock()
-	if !delivered {
-		time.Sleep(heartbeatTimeout)
-		return false
-	}
-	response, err := post(runner.client, address, path, body)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	if cut {
-		runner.recorder.Printf("runner %s: the response of %s with status %d is lost", runner.ID(), address, response.StatusCode)
-		return false
-	}
-	if err != nil || response.StatusCode != http.StatusOK {
-		return false
-	}
-	return content == nil || json.Unmarshal(data, content) == nil
-}
-
 // Heal ends a cut.
 func (runner *Runner) Heal() {
 	runner.mutex.Lock()
@@ -492,60 +441,3 @@
 	}
 	runner.respond(writer, cuts, http.StatusOK, map[string]any{"running": running, "finished": finished})
 }
-
-// heartbeat returns the next heartbeat, or false while the runner is down.
-func (runner *Runner) heartbeat() (id string, body []byte, ok bool) {
-	runner.mutex.Lock()
-	defer runner.mutex.Unlock()
-	if !runner.up {
-		return "", nil, false
-	}
-	runner.sequence++
-	content := map[string]any{
-		"service": Service, "address": runner.Address, "zone": runner.Zone, "version": "v1", "slots": 8, "state": "ready",
-		"coldRemainingMs": 0, "capacity": map[string]int{"cpu": capacityCPU, "memMb": capacityMemMb, "gpu": 0},
-		"labels": runner.labels, "machine": runner.Machine, "born": runner.born.UnixMilli(),
-		"clockMs": runner.clock().Milliseconds(), "sequence": runner.sequence,
-	}
-	if !runner.leavesAt.IsZero() {
-		content["state"], content["drainRemainingMs"] = "draining", max(0, time.Until(runner.leavesAt).Milliseconds())
-	}
-	body, err := json.Marshal(content)
-	return runner.id, body, err == nil
-}
-
-// sendHeartbeats sends heartbeats. After a failure it calls the next core machine.
-func (runner *Runner) sendHeartbeats() {
-	next := rand.IntN(len(runner.controls))
-	for {
-		wait := HeartbeatInterval
-		if id, body, ok := runner.heartbeat(); ok {
-			runner.mutex.Lock()
-			address := runner.target
-			runner.mutex.Unlock()
-			if address == "" {
-				next = (next + 1) % len(runner.controls)
-				address = runner.controls[next]
-			}
-			var content struct {
-				HeartbeatURL string `json:"heartbeatUrl"`
-			}
-			acknowledged := runner.call(address, "/v1/instances/"+id+"/heartbeat", body, &content)
-			if content.HeartbeatURL != "" {
-				address = content.HeartbeatURL
-			}
-			if !acknowledged {
-				address, wait = "", retryPause
-			}
-			runner.mutex.Lock()
-			runner.target = address
-			runner.mutex.Unlock()
-		}
-		select {
-		case <-runner.closed:
-			return
-		case <-runner.beatNow:
-		case <-time.After(wait):
-		}
-	}
-}
