review: case 3 drains no more runners than the site allows

Cause: one of six runners was drained, a share above the 0.065 of scale_in, and the stand-in could open a connection during a cut of one way.

Change: one of 16 runners drains. In a cut no connection is opened; a lost response closes the connection.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// One of six runners is cut off one way, a share of 0.167, for cutTime.
-	runners    = 6
+	// One of 16 runners drains and is cut off one way, a share of 0.0625, for cutTime.
+	runners    = 16
 	cutTime    = 5500 * time.Millisecond
-	tasks      = 24
+	tasks      = 48
 	job        = "7d1e0b93c25a4f60"
 	workTime   = 20 * time.Second
 	setupLimit = 20 * time.Second
--- a/review/harness/heartbeat.go
+++ b/review/harness/heartbeat.go
@@ -1,9 +1,11 @@
 package harness
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 )
@@ -78,12 +80,24 @@
 	return acknowledged
 }
 
+// dial opens a connection to a core machine. In a cut there is none, also if only one way is cut.
+func (runner *Runner) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	runner.mutex.Lock()
+	cut := runner.cutOff != nil
+	runner.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, address)
+}
+
 // call sends a body to a core machine and decodes the response. It returns false if there is no response with status 200
-// that reaches the runner.
+// that reaches the runner. If one way is cut, what is sent on an open connection arrives, and its response is lost.
 func (runner *Runner) call(address, path string, body []byte, content any) bool {
 	runner.mutex.Lock()
 	cut, delivered := runner.cutOff != nil, runner.cutOff == nil || runner.oneWay
-	runner.oneWay = false
 	runner.mutex.Unlock()
 	if !delivered {
 		time.Sleep(heartbeatTimeout)
@@ -97,6 +111,8 @@
 	data, err := io.ReadAll(response.Body)
 	if cut {
 		runner.recorder.Printf("runner %s: the response of %s with status %d is lost", runner.ID(), address, response.StatusCode)
+		time.Sleep(heartbeatTimeout)
+		runner.client.CloseIdleConnections()
 		return false
 	}
 	if err != nil || response.StatusCode != http.StatusOK {
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,8 +32,11 @@
 	// maxEndsListed is how many ends a renewal returns at a time.
 	maxEndsListed = 500
 	// endDone is how a run ends that has done its work, endFailed how one ends that fails.
+	// Of a gang, one is "broken" if another member has ended, and "alone" if it has waited for the others in vain.
 	endDone   = "done"
 	endFailed = "failed"
+	endBroken = "broken"
+	endAlone  = "alone"
 	// startupTime is how long a task that lasts takes to be at work.
 	startupTime = 400 * time.Millisecond
 	// tickInterval is how often a runner looks for runs that are to end.
@@ -51,6 +55,7 @@
 	behaviour Behaviour
 	controls  []string
 	client    *http.Client
+	gangs     *gangs
 	ledger    *Ledger
 	recorder  *Recorder
 
@@ -78,8 +83,8 @@
 	oneWay bool
 	// leavesAt is when the runner deregisters, zero unless it drains.
 	leavesAt time.Time
-	// failsUntil is the time until which the runner fails what it runs.
-	failsUntil time.Time
+	// failsUntil is the time until which the runner fails what it runs, in Unix nanoseconds.
+	failsUntil atomic.Int64
 	// beatNow requests a heartbeat at once.
 	beatNow chan struct{}
 	closed  chan struct{}
@@ -91,6 +96,7 @@
 	cpu, mem int
 	endsAt   time.Time
 	stopping bool
+	gang     bool
 }
 
 type listedEnd struct {
@@ -114,12 +120,14 @@
 // StartRunners starts runners on the given number of machines.
 func (deployment *Deployment) StartRunners(count int, ledger *Ledger, behaviour Behaviour) ([]*Runner, error) {
 	var runners []*Runner
+	shared := &gangs{runs: map[string]*gangRun{}}
 	for number := range count {
 		runner := &Runner{
 			Machine: fmt.Sprintf("m-%02d", number), Zone: zones[number%len(zones)], labels: []string{"a", fmt.Sprintf("r1-%d", number/8)},
-			behaviour: behaviour, controls: deployment.Controls(), client: &http.Client{Timeout: heartbeatTimeout}, ledger: ledger, recorder: deployment.recorder,
+			behaviour: behaviour, controls: deployment.Controls(), gangs: shared, ledger: ledger, recorder: deployment.recorder,
 			closed: make(chan struct{}), beatNow: make(chan struct{}, 1),
 		}
+		runner.client = &http.Client{Timeout: heartbeatTimeout, Transport: &http.Transport{DialContext: runner.dial}}
 		if number < rareRunners(count) {
 			runner.labels[0] = RareLabel
 		}
@@ -141,12 +149,13 @@
 
 // Fail makes the runner fail what it runs for some time.
 func (runner *Runner) Fail(duration time.Duration) {
-	runner.mutex.Lock()
-	defer runner.mutex.Unlock()
-	runner.recorder.Printf("runner %s: fails what it runs for %v", runner.id, duration)
-	runner.failsUntil = time.Now().Add(duration)
+	runner.recorder.Printf("runner %s: fails what it runs for %v", runner.ID(), duration)
+	runner.failsUntil.Store(time.Now().Add(duration).UnixNano())
 }
 
+// fails reports whether the runner fails what ends at the given time.
+func (runner *Runner) fails(at time.Time) bool { return at.UnixNano() < runner.failsUntil.Load() }
+
 // begin starts a new life of the runner.
 func (runner *Runner) begin(listener net.Listener) {
 	mux := http.NewServeMux()
@@ -278,21 +287,36 @@
 			}
 		}
 		for _, active := range runner.active {
-			switch {
-			case lapsed:
-				runner.end(active, "lapsed")
-			case active.stopping && !now.Before(active.endsAt):
-				runner.end(active, "stopped")
-			case !active.endsAt.IsZero() && !now.Before(active.endsAt) && now.Before(runner.failsUntil):
-				runner.end(active, endFailed)
-			case !active.endsAt.IsZero() && !now.Before(active.endsAt):
-				runner.end(active, endDone)
+			if how := runner.endOf(active, now, lapsed); how != "" {
+				runner.end(active, how)
 			}
 		}
 		runner.mutex.Unlock()
 	}
 }
 
+// endOf returns how a run ends now, or an empty string if it goes on. The mutex must be held.
+func (runner *Runner) endOf(active *active, now time.Time, lapsed bool) string {
+	due := !active.endsAt.IsZero() && !now.Before(active.endsAt)
+	switch {
+	case lapsed || active.stopping && due:
+		if active.gang {
+			runner.gangs.leave(active.run)
+		}
+		if lapsed {
+			return "lapsed"
+		}
+		return "stopped"
+	case active.gang:
+		return runner.gangs.end(active.run, now)
+	case due && runner.fails(now):
+		return endFailed
+	case due:
+		return endDone
+	}
+	return ""
+}
+
 // end ends a run and lists its end. The mutex must be held.
 func (runner *Runner) end(ended *active, how string) {
 	delete(runner.active, ended.run.Task)
@@ -393,7 +417,11 @@
 	started := &active{
 		run: &Run{Task: order.Task, Attempt: order.Attempt, Runner: runner.id, Began: time.Now()}, cpu: need.CPU, mem: need.MemMb,
 	}
-	if work > 0 {
+	switch {
+	case need.Gang:
+		started.gang = true
+		runner.gangs.join(started.run, runner, need.Count, work)
+	case work > 0:
 		started.endsAt = started.run.Began.Add(work)
 	}
 	runner.active[order.Task] = started
