overseer: end the attempts of a worker that shuts down by proof only

Cause: handleShutdown freed the attempts by a fixed time.

Change: the deregistration stops the attempts and ends the renewal of the lease. Attempts end by a listed end, an answered stop, the end of the lease or a later incarnation, which are proofs whatever the worker's patience is.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -254,33 +254,6 @@
 // lateOrderWindow is how long an unanswered order may still take effect.
 const lateOrderWindow = 12 * time.Second
 
-// handleShutdown processes the notification that a draining worker is shutting down. A delayed notification from an
-// earlier instance is ignored, because the current instance is not draining.
-func (leadership *leadership) handleShutdown(name scheduler.WorkerName) {
-	leadership.mutex.Lock()
-	defer leadership.mutex.Unlock()
-	instance := leadership.instances[name]
-	if instance == nil || instance.ended || instance.heartbeat.Phase != scheduler.WorkerDraining {
-		return
-	}
-	instance.backoffUntil = leadership.now() + time.Hour
-	leadership.goroutines.Go(func() {
-		select {
-		case <-leadership.context.Done():
-			return
-		case <-time.After(shutdownDelay):
-		}
-		leadership.mutex.Lock()
-		defer leadership.mutex.Unlock()
-		if !instance.ended {
-			leadership.endClassified(instance, "the worker has shut down", leadership.classifyEnding(instance, false))
-		}
-	})
-}
-
-// shutdownDelay is the time after its notification within which a worker has certainly shut down.
-const shutdownDelay = time.Second
-
 // endInstance marks a worker instance as ended because a later one has started: none of its attempts is running any more.
 // The mutex must be held.
 func (leadership *leadership) endInstance(instance *worker, reason string) {
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -132,7 +132,8 @@
 }
 
 // expireLeases ends the attempts of workers whose leases have expired. These are workers that do not respond, and
-// workers that this leader knows only from the log and has never received a heartbeat from.
+// workers that this leader knows only from the log and has never received a heartbeat from. It also ends the instances of
+// workers that have shut down.
 func (leadership *leadership) expireLeases() {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
@@ -141,6 +142,7 @@
 		if len(instance.attempts) > 0 && now > instance.leaseExpiry {
 			leadership.expireInstance(instance)
 		}
+		leadership.endShutDown(instance)
 	}
 }
 
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -59,8 +59,10 @@
 	// They are being stopped.
 	unknownAttempts int
 	renewing        bool
-	ended           bool
-	pace            pacer.Pacer
+	// shuttingDown is true once the worker has announced that it is shutting down. It may still run for seconds.
+	shuttingDown bool
+	ended        bool
+	pace         pacer.Pacer
 }
 
 // attempt is the leadership's view of an attempt on a worker.
@@ -172,9 +174,10 @@
 // grantLease returns the end of a lease that starts now, on the worker's clock, and updates the time until which the
 // worker may hold it. clockDrift is the fraction by which the worker's clock may run slow. The lease of a worker that
 // does not respond is not extended: an unanswered order may take effect, so with each retry the lease would be
-// extended and never expire.
+// extended and never expire. Neither is the lease of a worker that is shutting down: its end may be the only proof that its
+// attempts have ended.
 func (worker *worker) grantLease(now, duration time.Duration, clockDrift float64) time.Duration {
-	if worker.consecutiveFailures > 0 && worker.maxLeaseEnd > 0 {
+	if (worker.consecutiveFailures > 0 || worker.shuttingDown) && worker.maxLeaseEnd > 0 {
 		return worker.maxLeaseEnd
 	}
 	end := worker.clock + (now - worker.clockReadAt) + duration
@@ -189,7 +192,8 @@
 
 // acceptsWork reports whether new work may be placed on the worker.
 func (worker *worker) acceptsWork(now, heartbeatTimeout time.Duration) bool {
-	return worker.hasHeartbeat && !worker.ended && worker.heartbeat.Phase == scheduler.WorkerReady && worker.clock > 0 &&
+	return worker.hasHeartbeat && !worker.ended && !worker.shuttingDown &&
+		worker.heartbeat.Phase == scheduler.WorkerReady && worker.clock > 0 &&
 		now >= worker.backoffUntil && worker.consecutiveFailures == 0 &&
 		now-max(worker.lastHeartbeat, worker.lastResponse) < heartbeatTimeout
 }
