overseer: conclude nothing from what an incomplete report does not list

Cause: a worker lists up to 500 ends at a time; attempts that the first report left out counted as lost, and a new leader sent their start orders again and then counted them as lost.

Change: the domain has a setting for the number of ends in a report. A report with as many is incomplete: its ends are recorded and acknowledged, and the absence of other attempts means nothing until a complete report.

--- a/internal/jobs/overseer/fake_client_test.go
+++ b/internal/jobs/overseer/fake_client_test.go
@@ -123,7 +123,7 @@
 	}
 	report := scheduler.WorkerReport{
 		Result: result, Instance: worker.incarnation, Clock: worker.clock(),
-		Ended: append([]scheduler.AttemptEnd(nil), worker.ends...),
+		Ended: append([]scheduler.AttemptEnd(nil), worker.listedEnds()...),
 	}
 	for id, run := range worker.runs {
 		report.Running = append(report.Running, scheduler.RunningAttempt{
@@ -133,6 +133,14 @@
 	return report, nil
 }
 
+// listedEnds returns the ends that fit into one report.
+func (worker *fakeWorker) listedEnds() []scheduler.AttemptEnd {
+	if limit := worker.fleet.maxListedEnds; limit > 0 && len(worker.ends) > limit {
+		return worker.ends[:limit]
+	}
+	return worker.ends
+}
+
 func (worker *fakeWorker) renew(order scheduler.RenewOrder) scheduler.OrderResult {
 	worker.advance()
 	if order.Token < worker.token {
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -53,6 +53,8 @@
 	lateStart scheduler.RunID
 	// finishedAt is when the finish of each task was acknowledged for the first time.
 	finishedAt map[scheduler.StepTaskID]time.Time
+	// maxListedEnds is how many ends a worker lists in one report. 0 means all.
+	maxListedEnds int
 	// unguarded is true if the workers start whatever they are told to, and their capacity changes.
 	unguarded     bool
 	cancellations cancellations
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -79,6 +79,12 @@
 	return func(overseer *Overseer) { overseer.stopTime = stopTime }
 }
 
+// WithMaxReportedEnds sets how many ended attempts a worker lists in one report at most. A report with as many may leave
+// out others. By default there is no limit.
+func WithMaxReportedEnds(limit int) Option {
+	return func(overseer *Overseer) { overseer.maxReportedEnds = limit }
+}
+
 // WithApprover sets the approval service. Without one, tasks of queues that require approval are not placed.
 func WithApprover(approver scheduler.Approver) Option {
 	return func(overseer *Overseer) { overseer.approver = approver }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -41,7 +41,9 @@
 	clockDrift        float64
 	heartbeatInterval time.Duration
 	stopTime          time.Duration
-	countSuspension   bool
+	// maxReportedEnds is the maximum number of ended attempts in one report of a worker, or zero if there is none.
+	maxReportedEnds int
+	countSuspension bool
 	// maxIdle is the maximum idle time of a reservation, or zero if none are made.
 	maxIdle time.Duration
 	// forecastAdmission is true if jobs are refused that could not finish in time.
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -174,8 +174,22 @@
 	return ends
 }
 
-// handleReport compares the attempts that a worker reports with the expected ones. It returns the ends to be
-// recorded.
+// isComplete reports whether a report lists all attempts of a worker that have ended and are not acknowledged. Only then does
+// the absence of an attempt mean anything. The others follow in the next reports, once those listed are acknowledged.
+func (leadership *leadership) isComplete(report *scheduler.WorkerReport) bool {
+	limit := leadership.overseer.maxReportedEnds
+	return limit <= 0 || len(report.Ended) < limit
+}
+
+func (leadership *leadership) logIncompleteReport(instance *worker, ends int) {
+	leadership.overseer.metrics.incompleteReports.Inc(1)
+	leadership.logger.Info().Str("event", "reportIncomplete").Str("worker", string(instance.name)).Int("ends", ends).
+		Int("attempts", len(instance.attempts)).Bool("synced", instance.synced).
+		Msg("report lists as many ends as fit; attempts that it does not list stay as they are")
+}
+
+// handleReport compares the attempts that a worker reports with the expected ones. Nothing is concluded from what an
+// incomplete report does not list. It returns the ends to be recorded.
 func (leadership *leadership) handleReport(
 	instance *worker, order scheduler.RenewOrder, report scheduler.WorkerReport, sent time.Duration,
 ) (ends []jobkeeper.End, accepted bool) {
@@ -194,9 +208,14 @@
 		listed[running.Run] = true
 		leadership.updateRunning(instance, running)
 	}
-	ends = append(ends, leadership.collectMissing(instance, listed, sent)...)
+	if leadership.isComplete(&report) {
+		ends = append(ends, leadership.collectMissing(instance, listed, sent)...)
+		instance.synced = true
+	} else {
+		leadership.logIncompleteReport(instance, len(report.Ended))
+	}
 	leadership.clearMarks(instance)
-	instance.synced, instance.renewalAnswered = true, true
+	instance.renewalAnswered = true
 	leadership.adjustShares(instance)
 	return ends, true
 }
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -45,7 +45,7 @@
 	// one of them failed because the worker's side closed, reset or refused the connection.
 	failingSince     time.Duration
 	connectionClosed bool
-	// synced is true once the worker has answered a renewal of this term. From then on its running attempts are
+	// synced is true once the worker has sent a complete report in this term. From then on its running attempts are
 	// known, and it rejects orders of earlier leaders.
 	synced bool
 	// renewalAnswered is true if the last renewal was answered.
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -150,7 +150,8 @@
 	options := []overseer.Option{
 		overseer.WithLogger(dependencies.Logger), overseer.WithScope(dependencies.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, maxClockDrift), overseer.WithHeartbeatInterval(settings.HeartbeatInterval),
-		overseer.WithStopTime(settings.StopTime), overseer.WithApprover(dependencies.Approver),
+		overseer.WithStopTime(settings.StopTime), overseer.WithMaxReportedEnds(settings.MaxReportedEnds),
+		overseer.WithApprover(dependencies.Approver),
 		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease),
 		overseer.WithLookAhead(settings.MaxReservedIdle),
 		overseer.WithDiskBudget(budget, func() int64 { return vm.replicator.JournalUsage().FolderBytes() }),
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -40,6 +40,9 @@
 	HeartbeatInterval time.Duration `json:"beatInterval"`
 	// StopTime is the maximum time that a worker takes to stop an attempt.
 	StopTime time.Duration `json:"stopTime"`
+	// MaxReportedEnds is how many ended attempts a worker lists in one report at most; a report with as many may be
+	// incomplete. 0 means no limit.
+	MaxReportedEnds int `json:"maxReportedEnds,omitempty"`
 	// MaintenanceLease is how long maintenance orders of a former leader may still arrive. A new leader waits for this
 	// time before its first order.
 	MaintenanceLease time.Duration `json:"maintenanceLease"`
@@ -68,9 +71,10 @@
 	case settings.ToleratedLosses < 0:
 		return fmt.Errorf("toleratedLosses is negative")
 	case settings.LeaseDuration <= 0 || settings.HeartbeatInterval <= 0 || settings.StopTime < 0 ||
-		settings.MaintenanceLease < 0 || settings.StopTimeout <= 0 || settings.MaxReservedIdle < 0:
+		settings.MaintenanceLease < 0 || settings.StopTimeout <= 0 || settings.MaxReservedIdle < 0 ||
+		settings.MaxReportedEnds < 0:
 		return fmt.Errorf("leaseDuration, beatInterval and stopTimeout must be positive; " +
-			"stopTime, maintenanceLease and maxReservedIdle must not be negative")
+			"stopTime, maintenanceLease, maxReservedIdle and maxReportedEnds must not be negative")
 	}
 	return nil
 }
