--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -115,6 +115,9 @@
 	if len(ends) == 0 || leadership.recordEnds(instance, ends) {
 		leadership.acknowledge(instance, report)
 	}
+	if report.Result == scheduler.OrderAcceptedUnreadable {
+		leadership.pause(minRetryDelay) // The rest may stay unreadable.
+	}
 }
 
 func (leadership *leadership) renewFailed(instance *worker, err error) {
@@ -178,14 +181,22 @@
 // the absence of an attempt mean anything. The others follow in the next reports, once those listed are acknowledged.
 func (leadership *leadership) isComplete(report *scheduler.WorkerReport) bool {
 	limit := leadership.overseer.maxReportedEnds
+	if report.Result == scheduler.OrderAcceptedUnreadable {
+		return false
+	}
 	return limit <= 0 || len(report.Ended) < limit
 }
 
-func (leadership *leadership) logIncompleteReport(instance *worker, ends int) {
+func (leadership *leadership) logIncompleteReport(instance *worker, report *scheduler.WorkerReport) {
 	leadership.overseer.metrics.incompleteReports.Inc(1)
-	leadership.logger.Info().Str("event", "reportIncomplete").Str("worker", string(instance.name)).Int("ends", ends).
-		Int("attempts", len(instance.attempts)).Bool("synced", instance.synced).
-		Msg("report lists as many ends as fit; attempts that it does not list stay as they are")
+	suppressed, allowed := leadership.repeatedWarnings.Allow("reportIncomplete")
+	if !allowed {
+		return
+	}
+	leadership.logger.Info().Str("event", "reportIncomplete").Str("worker", string(instance.name)).
+		Str("verdict", string(report.Result)).Int("ends", len(report.Ended)).Int("attempts", len(instance.attempts)).
+		Bool("synced", instance.synced).Int("suppressed", suppressed).
+		Msg("report does not list all attempts; those that it does not list stay as they are")
 }
 
 // handleReport compares the attempts that a worker reports with the expected ones. Nothing is concluded from what an
@@ -212,7 +223,7 @@
 		ends = append(ends, leadership.collectMissing(instance, listed, sent)...)
 		instance.synced = true
 	} else {
-		leadership.logIncompleteReport(instance, len(report.Ended))
+		leadership.logIncompleteReport(instance, &report)
 	}
 	leadership.clearMarks(instance)
 	instance.renewalAnswered = true
@@ -242,7 +253,7 @@
 		instance.recordResponse(now)
 		instance.updateClock(report.Clock, now)
 		return false
-	case report.Result != scheduler.OrderAccepted:
+	case report.Result != scheduler.OrderAccepted && report.Result != scheduler.OrderAcceptedUnreadable:
 		instance.consecutiveFailures++
 		return false
 	}
--- a/pkg/scheduler/workerclient.go
+++ b/pkg/scheduler/workerclient.go
@@ -52,10 +52,13 @@
 // OrderResult is the result of an order that was sent to a called worker.
 type OrderResult string
 
-// Values of OrderResult. Every value other than OrderAccepted means that this transmission of the order had no
-// effect.
+// Values of OrderResult. Every value other than OrderAccepted and OrderAcceptedUnreadable means that this transmission of
+// the order had no effect.
 const (
 	OrderAccepted OrderResult = "accepted"
+	// OrderAcceptedUnreadable means that a renewal was accepted, but that the report contains attempts that cannot be read.
+	// They are left out, so that an attempt that the report does not list may be running or have ended.
+	OrderAcceptedUnreadable OrderResult = "acceptedUnreadable"
 	// OrderFenced means that the worker has seen a higher fencing token.
 	OrderFenced OrderResult = "fenced"
 	// OrderStaleAttempt means that the worker has already ended or stopped this attempt or a later one.
