overseer: a heartbeat does not move a worker that answers, nor displace one by an unknown pool

Callers would see tasks run twice or wait after a heartbeat of another writer: with another address for the same instance, orders went there and the answer of another worker ended the true one; a later worker of a pool that does not exist ended the one at its address.

An instance that answers keeps its address, VM, pool and data centre; only a worker of a pool in the configuration displaces another.

--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -1,8 +1,10 @@
 package overseer
 
 import (
+	"slices"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -116,6 +118,9 @@
 		return
 	case leadership.isSuperseded(&heartbeat):
 		return
+	case instance != nil && instance.contradicts(&heartbeat):
+		leadership.logContradiction(instance, &heartbeat)
+		return
 	case instance != nil && instance.incarnation < heartbeat.Instance:
 		instance = leadership.replaceInstance(instance, heartbeat.Instance)
 	}
@@ -159,22 +164,63 @@
 
 func vmLocation(vm scheduler.VMName) location { return location("VM " + string(vm)) }
 
+// contradicts reports whether a heartbeat gives the instance another identity than the one under which it answers orders.
+// An instance keeps its address, VM, pool and data centre, so that such a heartbeat comes from another writer.
+func (worker *worker) contradicts(heartbeat *scheduler.WorkerHeartbeat) bool {
+	if !worker.hasHeartbeat || worker.incarnation != heartbeat.Instance || worker.lastResponse == 0 ||
+		worker.consecutiveFailures > 0 {
+		return false
+	}
+	known := &worker.heartbeat
+	return known.Address != heartbeat.Address || known.VM != heartbeat.VM || known.Pool != heartbeat.Pool ||
+		known.DataCentre != heartbeat.DataCentre
+}
+
+func (leadership *leadership) logContradiction(instance *worker, heartbeat *scheduler.WorkerHeartbeat) {
+	suppressed, allowed := leadership.repeatedWarnings.Allow("beatContradicts")
+	if !allowed {
+		return
+	}
+	leadership.logger.Warn().Str("event", "beatContradicts").Str("worker", string(instance.name)).
+		Uint64("life", uint64(instance.incarnation)).Str("address", heartbeat.Address).
+		Str("knownAddress", instance.heartbeat.Address).Str("pool", string(heartbeat.Pool)).
+		Str("dataCentre", string(heartbeat.DataCentre)).Int("suppressed", suppressed).
+		Msg("heartbeat gives a worker that answers another identity; ignored")
+}
+
 // isSuperseded reports whether a later worker runs at one of the heartbeat's locations, so that the heartbeat is
 // stale.
 func (leadership *leadership) isSuperseded(heartbeat *scheduler.WorkerHeartbeat) bool {
 	for _, location := range locationsOf(heartbeat) {
 		if other := leadership.instances[leadership.occupants[location]]; other != nil &&
-			other.name != heartbeat.Worker && other.incarnation > heartbeat.Instance {
+			other.name != heartbeat.Worker && other.incarnation > heartbeat.Instance &&
+			leadership.isKnownPool(other.heartbeat.Pool) {
 			return true
 		}
 	}
 	return false
 }
 
+// isKnownPool reports whether the configuration has a pool. A worker of any other pool cannot be used, and does not displace
+// one that can.
+func (leadership *leadership) isKnownPool(name scheduler.PoolName) bool {
+	known := false
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		configuration := state.Configuration()
+		known = configuration != nil && slices.ContainsFunc(configuration.Pools, func(pool scheduler.Pool) bool {
+			return pool.Name == name
+		})
+	})
+	return known
+}
+
 // endSuperseded ends the instances of other workers that started earlier at the same locations.
 func (leadership *leadership) endSuperseded(heartbeat *scheduler.WorkerHeartbeat) {
 	for _, location := range locationsOf(heartbeat) {
 		other := leadership.instances[leadership.occupants[location]]
+		if other != nil && other.name != heartbeat.Worker && !leadership.isKnownPool(heartbeat.Pool) {
+			continue
+		}
 		if other != nil && other.name != heartbeat.Worker && other.isSupersededBy(heartbeat) {
 			leadership.endInstance(other, "a later worker runs at the same location")
 		}
