overseer: a command that cannot be applied is an error

Ends whose command no VM could decode (a checkpoint that is not UTF-8) counted as recorded and were acknowledged to their worker, also those of other tasks, which would run again. TestEndsThatCannotBeRecorded failed before.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -215,10 +215,16 @@
 	}
 }
 
+// propose replicates a command. A command that no VM can apply is an error: ends that were not recorded must not be
+// acknowledged.
 func (leadership *leadership) propose(command jobkeeper.Command) (jobkeeper.Result, error) {
 	ctx, cancel := context.WithTimeout(leadership.context, proposeTimeout)
 	defer cancel()
-	return leadership.overseer.Propose(ctx, command)
+	result, err := leadership.overseer.Propose(ctx, command)
+	if err == nil && result.Status == jobkeeper.StatusInvalid {
+		err = scheduler.ErrNotRun.Wrap(Error.New("the command cannot be applied"))
+	}
+	return result, err
 }
 
 // replaceInstance replaces an instance of a worker with a later one of the same name. An order for the earlier
