overseer: split lists that exceed the size of a command

Checkpoints of 4 KiB bring a full report of 500 ends to 2 MB.

Change: lists are split by their estimated size; gangs stay whole. TestMorePlacementsThanFitIntoACommand failed before (0 of 4500 tasks began), TestSplitBySize too. Open: a gang whose placements alone exceed 1 MiB.

--- /dev/null
+++ b/internal/jobs/overseer/batch_test.go
@@ -0,0 +1,93 @@
+package overseer
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// Guards against a planning cycle whose placements exceed the size of a command, so that nothing is placed any more, and
+// against a worker with as many attempts whose ends are never recorded.
+func TestMorePlacementsThanFitIntoACommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 4500
+		simulation := newSimulation(t, 1)
+		simulation.names = []scheduler.WorkerName{scheduler.WorkerName(strings.Repeat("w", 250))}
+		simulation.fleet.runTimeOf = func(scheduler.RunID) time.Duration { return 3 * time.Second }
+		stop := startOneWorker(simulation, tasks)
+		simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{Count: tasks, Request: oneCore}}})
+		time.Sleep(2 * time.Second)
+		simulation.fleet.mutex.Lock()
+		if got, want := simulation.fleet.starts, tasks; got != want {
+			t.Errorf("got %d runs after 2 s, want %d", got, want)
+		}
+		simulation.fleet.mutex.Unlock()
+		simulation.restart(simulation.names[0])
+		time.Sleep(5 * time.Second)
+		waiting := 0
+		simulation.domain.keeper.View(func(state *jobkeeper.State) { waiting = state.ReadyCount() })
+		if got, want := waiting+simulation.fleet.starts-tasks, tasks; got < want {
+			t.Errorf("got %d tasks that wait or run again after the crash of their worker, want %d", got, want)
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// Guards against lists that do not fit into a command, against items that are left out, and against a gang that is split.
+func TestSplitBySize(t *testing.T) {
+	end := jobkeeper.End{Kind: scheduler.EndStopped, Checkpoint: strings.Repeat("c", 4096)}
+	tests := map[string]struct{ ends, wantLists int }{"none": {0, 0}, "one": {1, 1}, "a full report": {500, 5}, "many": {10_000, 81}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lists := splitEnds(slices.Repeat([]jobkeeper.End{end}, test.ends))
+			if got := len(lists); got != test.wantLists {
+				t.Errorf("got %d lists, want %d", got, test.wantLists)
+			}
+			total := 0
+			for _, list := range lists {
+				command := jobkeeper.Command{End: list}
+				if data, err := command.Encode(); err != nil || len(data) > maxFakeCommandBytes {
+					t.Errorf("got a command of %d bytes, %v", len(data), err)
+				}
+				total += len(list)
+			}
+			if total != test.ends {
+				t.Errorf("got %d ends in all lists, want %d", total, test.ends)
+			}
+		})
+	}
+}
+
+func TestGangsAreNotSplit(t *testing.T) {
+	const members = 300
+	var placements []jobkeeper.Placement
+	for index := range members { // The members of the jobs take turns.
+		for _, job := range []scheduler.JobID{"gang1", "plain", "gang2"} {
+			placements = append(placements, jobkeeper.Placement{
+				Task: scheduler.StepTaskID{Job: job, Index: index}, Worker: scheduler.WorkerName(strings.Repeat("w", 2000)),
+			})
+		}
+	}
+	lists := splitPlacements(placements, func(placement *jobkeeper.Placement) bool { return placement.Task.Job != "plain" })
+	placed, listsOf := 0, map[scheduler.JobID]int{}
+	for _, list := range lists {
+		inList := map[scheduler.JobID]bool{}
+		for _, placement := range list {
+			inList[placement.Task.Job] = true
+			placed++
+		}
+		for job := range inList {
+			listsOf[job]++
+		}
+	}
+	if placed != len(placements) || listsOf["gang1"] != 1 || listsOf["gang2"] != 1 || len(lists) < 2 {
+		t.Errorf("got %d of %d placements in %d lists, gangs in %v lists, want each gang in one", placed, len(placements),
+			len(lists), listsOf)
+	}
+}
--- a/internal/jobs/overseer/fake_group_test.go
+++ b/internal/jobs/overseer/fake_group_test.go
@@ -35,10 +35,16 @@
 
 const noLeader = -1
 
+// maxFakeCommandBytes is the limit of the replicator.
+const maxFakeCommandBytes = 1 << 20
+
 func (group *fakeGroup) Name() scheduler.GroupName { return "domain" }
 
 func (group *fakeGroup) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	domain := group.domain
+	if len(command) > maxFakeCommandBytes {
+		return nil, scheduler.ErrNotRun.New("command of %d bytes exceeds the limit", len(command))
+	}
 	domain.mutex.Lock()
 	delay := domain.proposalDelay + time.Duration(domain.random.Int64N(int64(30*time.Millisecond)))
 	domain.mutex.Unlock()
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -298,8 +298,8 @@
 	leadership.replan()
 }
 
-// recordEnds proposes attempt ends until they are committed or the term ends.
-func (leadership *leadership) recordEnds(instance *worker, ends []jobkeeper.End) bool {
+// recordEndBatch proposes the attempt ends of one command until they are committed or the term ends.
+func (leadership *leadership) recordEndBatch(instance *worker, ends []jobkeeper.End) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
 		_, err := leadership.propose(jobkeeper.Command{End: ends})
 		if err == nil {
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -339,13 +339,14 @@
 	return attempts
 }
 
-// commitPlacements replicates placements and then launches the attempts that were accepted.
-func (leadership *leadership) commitPlacements(placements []jobkeeper.Placement) {
+// commitPlacementBatch replicates the placements of one command and then launches the attempts that were accepted. It
+// returns false if they could not be replicated.
+func (leadership *leadership) commitPlacementBatch(placements []jobkeeper.Placement) bool {
 	result, err := leadership.propose(jobkeeper.Command{Place: placements})
 	if err != nil {
 		leadership.repeatedWarning("placementsNotRecorded", err).Int("placements", len(placements)).
 			Msg("could not record placements; tasks will be placed again")
-		return
+		return false
 	}
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
@@ -357,6 +358,7 @@
 		run := scheduler.RunID{Task: placement.Task, Attempt: result.Attempts[position]}
 		leadership.launch(placement, run)
 	}
+	return true
 }
 
 // launch sends the start order of a placed attempt. The mutex must be held.
