--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -259,7 +259,7 @@
 		return response
 	}
 	handler.keeper.View(func(state *jobkeeper.State) {
-		response = Response{Status: StatusDone, QueuedJobs: state.Queued(queue.Name)}
+		response = Response{Status: StatusDone, QueuedJobs: state.Queued(queue)}
 	})
 	return response
 }
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -1,6 +1,7 @@
 package jobkeeper
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -51,11 +52,13 @@
 	if state.configuration != nil && configuration.Version <= state.configuration.Version {
 		return StatusUnchanged
 	}
+	former := state.configuration
 	state.configuration = configuration
 	queues := map[scheduler.QueueName]scheduler.Queue{}
 	for _, queue := range configuration.Queues {
 		queues[queue.Name] = queue
 	}
+	state.updateRemoved(former, queues)
 	for _, job := range state.jobs {
 		if queue, found := queues[job.queue.Name]; found && !job.state.Ended() {
 			job.queue = queue
@@ -64,6 +67,21 @@
 	return StatusDone
 }
 
+// updateRemoved updates the definitions of removed queues after the configuration has changed from former.
+func (state *State) updateRemoved(
+	former *scheduler.QueueConfiguration, queues map[scheduler.QueueName]scheduler.Queue,
+) {
+	if former != nil {
+		for _, queue := range former.Queues {
+			state.removed[queue.Name] = queue
+		}
+	}
+	maps.DeleteFunc(state.removed, func(name scheduler.QueueName, _ scheduler.Queue) bool {
+		_, found := queues[name]
+		return found || state.queued[name] == 0
+	})
+}
+
 // submit adds a job. It does not change a job that already exists, because a submission is repeated if its response
 // was lost.
 func (state *State) submit(submit *Submit) Status {
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -269,6 +269,9 @@
 	state.jobs[job.id] = job
 	if job.state == scheduler.WorkflowQueued {
 		state.queued[job.queue.Name]++
+		if _, found := state.queue(job.queue.Name); !found {
+			state.removed[job.queue.Name] = job.queue
+		}
 	}
 	if job.workflow.Repeat != nil && !job.state.Ended() && job.started < job.times() {
 		state.repeated[job.id] = job
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -36,6 +36,8 @@
 	blamed map[*Task]struct{}
 	// queued is the number of jobs of each queue of which no task has started.
 	queued map[scheduler.QueueName]int
+	// removed holds the last definitions of queues that the configuration no longer has while jobs of them are queued.
+	removed map[scheduler.QueueName]scheduler.Queue
 }
 
 func newState() *State {
@@ -49,6 +51,7 @@
 		obsolete:    map[*Run]struct{}{},
 		repeated:    map[scheduler.JobID]*Job{},
 		queued:      map[scheduler.QueueName]int{},
+		removed:     map[scheduler.QueueName]scheduler.Queue{},
 		blamed:      map[*Task]struct{}{},
 	}
 }
@@ -109,8 +112,17 @@
 	}
 }
 
-// Queued returns the number of accepted jobs of a queue of which no task has started.
-func (state *State) Queued(queue scheduler.QueueName) int { return state.queued[queue] }
+// Queued returns the number of accepted jobs of a queue of which no task has started. It includes those that were submitted
+// when the queue had another name.
+func (state *State) Queued(queue *scheduler.Queue) int {
+	queued := state.queued[queue.Name]
+	for name, former := range state.removed {
+		if former.HasRouteOf(queue) {
+			queued += state.queued[name]
+		}
+	}
+	return queued
+}
 
 // updateTaskIndexes updates the indexes of a task.
 func (state *State) updateTaskIndexes(task *Task) {
--- a/internal/jobs/jobkeeper/withdrawal_test.go
+++ b/internal/jobs/jobkeeper/withdrawal_test.go
@@ -95,7 +95,7 @@
 	})
 	fixture.submit("j", singleTask())
 	fixture.keeper.View(func(state *State) {
-		if got := state.Queued("checks"); got != 0 {
+		if got := state.Queued(&configuration(1).Queues[0]); got != 0 {
 			t.Errorf("got %d waiting jobs, want 0", got)
 		}
 	})
