jobkeeper: count the failure of a gang once for all its members

Members of a gang now keep only the failures of the current attempt, and the gang counts the first of them. The case of TestJobLifecycle for it failed before.

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -331,14 +331,26 @@
 	if spec.LongRunning {
 		return
 	}
-	task.failures++
-	failures := task.failures
+	var failures int
 	if spec.Gang {
-		task.step.failures++
-		failures = task.step.failures
+		failures = task.step.countGangFailure(task)
+	} else {
+		task.failures++
+		failures = task.failures
 	}
 	job := task.step.occurrence.job
 	if limit := job.queue.MaxAttempts; limit > 0 && failures >= limit {
 		state.finish(job, scheduler.WorkflowFailed)
 	}
 }
+
+// countGangFailure counts the failure of a gang's current attempt, once for all members that end as failed. It returns the
+// number of attempts that have failed.
+func (stepState *StepState) countGangFailure(failed *Task) int {
+	counted := slices.ContainsFunc(stepState.tasks, func(member *Task) bool { return member.failures > 0 })
+	if !counted {
+		stepState.failures++
+	}
+	failed.failures = 1
+	return stepState.failures
+}
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -105,7 +105,7 @@
 	// that have not finished.
 	unmetDependencies int
 	unfinished        int
-	// failures is the number of failures of a gang, attempt the number of its latest attempt.
+	// failures is the number of attempts of a gang that have failed, attempt the number of its latest attempt.
 	failures int
 	attempt  scheduler.AttemptNumber
 }
@@ -138,9 +138,10 @@
 
 // Task is one task of a step.
 type Task struct {
-	step       *StepState
-	index      int
-	finished   bool
+	step     *StepState
+	index    int
+	finished bool
+	// failures is the number of failures. For a member of a gang, only those of the current attempt count.
 	failures   int
 	attempt    scheduler.AttemptNumber
 	checkpoint string
--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -73,6 +73,14 @@
 	fixture.apply(Command{End: []End{{Run: id, Kind: kind, Checkpoint: checkpoint}}})
 }
 
+// restart continues from a snapshot, as a VM does after a restart.
+func (fixture *fixture) restart() {
+	fixture.t.Helper()
+	if err := fixture.keeper.Restore(bytes.NewReader(fixture.snapshot())); err != nil {
+		fixture.t.Fatal(err)
+	}
+}
+
 func (fixture *fixture) state(job scheduler.JobID) (found scheduler.WorkflowState) {
 	fixture.keeper.View(func(state *State) {
 		if job, known := state.Job(job); known {
@@ -204,6 +212,29 @@
 			},
 			want: scheduler.WorkflowActive, wantReady: 0,
 		},
+		"gang whose members fail together has failed once": {
+			steps: []scheduler.Step{{Count: 3, Gang: true}},
+			act: func(fixture *fixture) {
+				fixture.place("j", 0, 0, 1, 2)
+				fixture.end("j", 0, 0, 1, scheduler.EndFailed, "")
+				fixture.restart()
+				fixture.end("j", 0, 1, 1, scheduler.EndFailed, "")
+				fixture.end("j", 0, 2, 1, scheduler.EndFailed, "")
+			},
+			want: scheduler.WorkflowActive, wantReady: 3,
+		},
+		"gang fails as often as its queue allows": {
+			steps: []scheduler.Step{{Count: 2, Gang: true}},
+			act: func(fixture *fixture) {
+				fixture.place("j", 0, 0, 1)
+				fixture.end("j", 0, 0, 1, scheduler.EndFailed, "")
+				fixture.end("j", 0, 1, 1, scheduler.EndGangBroken, "")
+				fixture.place("j", 0, 0, 1)
+				fixture.restart()
+				fixture.end("j", 0, 1, 2, scheduler.EndFailed, "")
+			},
+			want: scheduler.WorkflowFailed,
+		},
 		"gang restarts with a common attempt number": {
 			steps: []scheduler.Step{{Count: 2, Gang: true}},
 			act: func(fixture *fixture) {
--- a/internal/jobs/jobkeeper/placement.go
+++ b/internal/jobs/jobkeeper/placement.go
@@ -47,6 +47,9 @@
 		if _, placing := gangs[task.step]; !placing {
 			task.step.attempt++
 			gangs[task.step] = task.step.attempt
+			for _, member := range task.step.tasks {
+				member.failures = 0
+			}
 		}
 		task.attempt = task.step.attempt
 	} else {
--- a/internal/jobs/jobkeeper/renamedqueue_test.go
+++ b/internal/jobs/jobkeeper/renamedqueue_test.go
@@ -1,7 +1,6 @@
 package jobkeeper
 
 import (
-	"bytes"
 	"testing"
 	"time"
 
@@ -28,9 +27,7 @@
 	fixture.apply(Command{Configure: configuration(2, queue("renamed", "/c/"), queue("other", "/o/"))})
 	check("renamed", queue("renamed", "/c/"), 2)
 	check("renamed", queue("other", "/o/"), 0)
-	if err := fixture.keeper.Restore(bytes.NewReader(fixture.snapshot())); err != nil {
-		t.Fatal(err)
-	}
+	fixture.restart()
 	check("restored", queue("renamed", "/c/"), 2)
 	fixture.apply(Command{Configure: configuration(3, queue("again", "/c/"))})
 	check("renamed again", queue("again", "/c/"), 2)
