overseer: date orders after the wait for the mutex

Each start took its time before it waited for the mutex of the leadership, behind some thousands of others. All were older than 200 ms when they held it, were prepared again, and waited again: a livelock. Renewals did the same, and the worker's address was read under the mutex once more after the age had been checked.

The age now counts from when the mutex is held and the state is read, and the order carries the address read with it. The bound on what may be sent is the same: at most 200 ms after the state was read, and after a check of the leader lease.

--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/crc32"
+	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -10,25 +11,27 @@
 
 // startPlan is a start order built from the replicated state, if the attempt is still wanted.
 type startPlan struct {
+	worker scheduler.WorkerRef
 	order  scheduler.StartOrder
 	wanted bool
+	// prepared is when the state was read from which the order was built.
+	prepared time.Duration
 }
 
 // start sends the start order of an attempt until it is answered or the attempt is no longer wanted.
 func (leadership *leadership) start(instance *worker, id scheduler.RunID) {
 	began := leadership.now()
 	for failures := 0; leadership.context.Err() == nil; {
-		prepared := leadership.now()
 		plan := leadership.planStart(instance, id)
 		if !plan.wanted {
 			leadership.abandonStart(instance, id)
 			return
 		}
-		if !leadership.maySend(prepared) {
+		if !leadership.maySend(plan.prepared) {
 			leadership.pause(leaseCheckInterval)
 			continue
 		}
-		response, err := leadership.sendStart(instance, plan.order)
+		response, err := leadership.sendStart(&plan)
 		if err != nil {
 			failures++
 			leadership.handleStartError(instance, id, err)
@@ -43,7 +46,8 @@
 	}
 }
 
-// planStart builds the start order and records that it may take effect from now on.
+// planStart builds the start order and records that it may take effect from now on. The age of the order counts from the
+// time at which the mutex is held: when thousands of starts wait for it, none would be young enough otherwise.
 func (leadership *leadership) planStart(instance *worker, id scheduler.RunID) startPlan {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
@@ -59,7 +63,7 @@
 		leadership.recordStartOverCapacity(instance, id)
 		return startPlan{}
 	}
-	plan, withheld := startPlan{}, false
+	plan, withheld := startPlan{prepared: leadership.now(), worker: instance.ref()}, false
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		run, found := state.Run(instance.name, id)
 		if !found || !run.Task().IsRunnable() {
@@ -89,21 +93,22 @@
 	return plan
 }
 
-func (leadership *leadership) sendStart(instance *worker, order scheduler.StartOrder) (scheduler.OrderResponse, error) {
+func (leadership *leadership) sendStart(plan *startPlan) (scheduler.OrderResponse, error) {
 	ctx, cancel := context.WithTimeout(leadership.context, orderTimeout)
 	defer cancel()
-	leadership.logStart(instance, &order)
-	return leadership.overseer.client.Start(ctx, leadership.ref(instance), order)
+	leadership.logStart(plan)
+	return leadership.overseer.client.Start(ctx, plan.worker, plan.order)
 }
 
 // logStart logs the content of a start order. The level is debug because a large domain starts hundreds of tasks a second.
-func (leadership *leadership) logStart(instance *worker, order *scheduler.StartOrder) {
+func (leadership *leadership) logStart(plan *startPlan) {
 	event := leadership.logger.Debug()
 	if !event.Enabled() {
 		return
 	}
-	event.Str("event", "startSent").Stringer("run", order.Run).Str("worker", string(instance.name)).
-		Uint64("life", uint64(instance.incarnation)).
+	order := &plan.order
+	event.Str("event", "startSent").Stringer("run", order.Run).Str("worker", string(plan.worker.Worker)).
+		Uint64("life", uint64(plan.worker.Instance)).
 		Uint32("payloadChecksum", crc32.ChecksumIEEE([]byte(order.Payload))).Str("checkpoint", order.Checkpoint).
 		Msg("sending a start order")
 }
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -22,38 +22,44 @@
 // renew renews the lease of a worker while it has attempts, and records the ends that it reports.
 func (leadership *leadership) renew(instance *worker) {
 	for first := true; leadership.context.Err() == nil; first = false {
-		prepared := leadership.now()
-		order, more := leadership.nextRenewal(instance, first)
+		plan, more := leadership.nextRenewal(instance, first)
 		if !more {
 			return
 		}
-		if !leadership.maySend(prepared) {
+		if !leadership.maySend(plan.prepared) {
 			leadership.pause(leaseCheckInterval)
 			continue
 		}
-		leadership.renewOnce(instance, order)
+		leadership.renewOnce(instance, &plan)
 	}
 }
 
+// renewalPlan is a renewal for a worker. prepared is when the lease was granted.
+type renewalPlan struct {
+	worker   scheduler.WorkerRef
+	order    scheduler.RenewOrder
+	prepared time.Duration
+}
+
 // nextRenewal returns the next order, or more = false when the worker has nothing left to report. A worker without
 // attempts that does not respond is retried once per heartbeat. After it responds again, renewal continues until it
 // has sent a complete report, because the results of attempts that were given up count only until their tasks are
 // placed again.
-func (leadership *leadership) nextRenewal(instance *worker, first bool) (order scheduler.RenewOrder, more bool) {
+func (leadership *leadership) nextRenewal(instance *worker, first bool) (plan renewalPlan, more bool) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	if instance.ended || len(instance.attempts) == 0 && (instance.consecutiveFailures > 0 && !first ||
 		instance.endsAcknowledged() && instance.renewalAnswered && instance.unknownAttempts == 0) {
 		instance.renewing = false
-		return scheduler.RenewOrder{}, false
+		return renewalPlan{}, false
 	}
 	now := leadership.now()
-	order = scheduler.RenewOrder{
+	plan = renewalPlan{worker: instance.ref(), prepared: now, order: scheduler.RenewOrder{
 		LeaseEnd:     instance.grantLease(now, leadership.overseer.leaseDuration, leadership.overseer.clockDrift),
 		Token:        leadership.term,
 		Acknowledged: instance.ackCursor(), Wait: instance.renewWait(len(leadership.instances)),
-	}
-	return order, true
+	}}
+	return plan, true
 }
 
 // ackCursor returns the end up to which the next renewal acknowledges. After an unanswered renewal it is 0: a later
@@ -98,16 +104,16 @@
 // stoppingRenewWait is the renewal wait while it is not certain whether an attempt is running.
 const stoppingRenewWait = 150 * time.Millisecond
 
-func (leadership *leadership) renewOnce(instance *worker, order scheduler.RenewOrder) {
-	ctx, cancel := context.WithTimeout(leadership.context, order.Wait+renewTimeoutMargin)
+func (leadership *leadership) renewOnce(instance *worker, plan *renewalPlan) {
+	ctx, cancel := context.WithTimeout(leadership.context, plan.order.Wait+renewTimeoutMargin)
 	defer cancel()
 	sent := leadership.now()
-	report, err := leadership.overseer.client.Renew(ctx, leadership.ref(instance), order)
+	report, err := leadership.overseer.client.Renew(ctx, plan.worker, plan.order)
 	if err != nil {
 		leadership.renewFailed(instance, err)
 		return
 	}
-	ends, accepted := leadership.handleReport(instance, order, report, sent)
+	ends, accepted := leadership.handleReport(instance, plan.order, report, sent)
 	if !accepted {
 		leadership.pause(minRetryDelay)
 		return
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -141,7 +141,12 @@
 func (leadership *leadership) ref(instance *worker) scheduler.WorkerRef {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	return scheduler.WorkerRef{Worker: instance.name, Instance: instance.incarnation, Address: instance.heartbeat.Address}
+	return instance.ref()
+}
+
+// ref returns the identity and address of the instance. The mutex must be held.
+func (worker *worker) ref() scheduler.WorkerRef {
+	return scheduler.WorkerRef{Worker: worker.name, Instance: worker.incarnation, Address: worker.heartbeat.Address}
 }
 
 // rack returns the label that identifies the rack, or an empty string.
