--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -360,6 +360,8 @@
 		return errorResponse(StatusSuperseded, "another request was accepted first; this copy had no effect", 0)
 	case jobkeeper.StatusUnknownQueue:
 		return errorResponse(StatusNoQueue, "the queue was removed during the request", 0)
+	case jobkeeper.StatusOtherQueue:
+		return errorResponse(StatusRefused, "the id belongs to a job of another queue; this one was not accepted", 0)
 	case jobkeeper.StatusUnknownJob:
 		return errorResponse(StatusNoJob, "the job does not exist", 0)
 	}
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -83,12 +83,15 @@
 }
 
 // submit adds a job. It does not change a job that already exists, because a submission is repeated if its response
-// was lost.
+// was lost. A job of another queue with the same id is another job.
 func (state *State) submit(submit *Submit) Status {
-	if _, known := state.jobs[submit.Job]; known {
+	queue, found := state.queue(submit.Queue)
+	if job, known := state.jobs[submit.Job]; known {
+		if job.queue.Name != submit.Queue && !job.queue.HasRouteOf(&queue) {
+			return StatusOtherQueue
+		}
 		return StatusDone
 	}
-	queue, found := state.queue(submit.Queue)
 	if !found {
 		return StatusUnknownQueue
 	}
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -70,6 +70,8 @@
 	StatusUnchanged Status = "unchanged"
 	// StatusUnknownQueue means that the queue is not configured.
 	StatusUnknownQueue Status = "unknownQueue"
+	// StatusOtherQueue means that the id of a submitted job belongs to a job of another queue.
+	StatusOtherQueue Status = "otherQueue"
 	// StatusUnknownJob means that the job does not exist.
 	StatusUnknownJob Status = "unknownJob"
 	// StatusSuperseded means that the command had no effect because another one was accepted since its sender read the
