--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -162,9 +162,6 @@
 // Finished reports whether an attempt of the task has finished.
 func (task *Task) Finished() bool { return task.finished }
 
-// Failures returns the number of failed attempts.
-func (task *Task) Failures() int { return task.failures }
-
 // Checkpoint returns the latest checkpoint of the task, or an empty string if there is none.
 func (task *Task) Checkpoint() string { return task.checkpoint }
 
--- a/internal/jobs/overseer/otherwriter_test.go
+++ b/internal/jobs/overseer/otherwriter_test.go
@@ -44,17 +44,12 @@
 					time.Sleep(time.Second)
 				}
 				time.Sleep(5 * time.Second)
+				simulation.check()
 				simulation.fleet.mutex.Lock()
-				for _, violation := range simulation.fleet.violations {
-					t.Error(violation)
-				}
 				if got, want := simulation.fleet.starts, 20; got != want {
 					t.Errorf("got %d runs, want %d", got, want)
 				}
 				simulation.fleet.mutex.Unlock()
-				if got := simulation.openJobs(); got != 0 {
-					t.Errorf("got %d jobs that have not ended, want none", got)
-				}
 				stop()
 				time.Sleep(20 * time.Second)
 			})
--- a/internal/jobs/overseer/partialreport_test.go
+++ b/internal/jobs/overseer/partialreport_test.go
@@ -53,9 +53,7 @@
 				if got := simulation.maxWaiting(8 * time.Second); got != 0 {
 					t.Errorf("got %d tasks that are taken for lost, want none", got)
 				}
-				if got := simulation.openJobs(); got != 0 {
-					t.Errorf("got %d jobs that have not ended, want none", got)
-				}
+				simulation.check()
 				simulation.fleet.mutex.Lock()
 				if got, want := simulation.fleet.starts, test.ends; got != want {
 					t.Errorf("got %d runs, want %d: each task has ended", got, want)
@@ -94,9 +92,9 @@
 	return stop
 }
 
-// Guards against an attempt that is never placed again: it is lost while its worker lists full reports, and the report that
-// shows its loss comes last.
-func TestLossBehindFullReports(t *testing.T) {
+// Guards against a full report that counts as complete, and against losses that are never noticed because a report that is
+// not full counts as incomplete.
+func TestFullReportsAreIncomplete(t *testing.T) {
 	leadership := &leadership{overseer: New(nil, nil, nil, WithMaxReportedEnds(listedEnds))}
 	tests := map[string]struct {
 		ends         int
--- a/internal/jobs/overseer/randomshutdown_test.go
+++ b/internal/jobs/overseer/randomshutdown_test.go
@@ -73,12 +73,7 @@
 				simulation.run()
 				shutdowns.Wait()
 				time.Sleep(20 * time.Second) // Late orders must end before the synctest bubble does.
-				for _, violation := range simulation.fleet.violations {
-					t.Error(violation)
-				}
-				if got := simulation.openJobs(); got != 0 {
-					t.Errorf("got %d jobs that have not ended, want 0", got)
-				}
+				simulation.check()
 			})
 		})
 	}
--- a/internal/jobs/overseer/shutdown_test.go
+++ b/internal/jobs/overseer/shutdown_test.go
@@ -37,6 +37,19 @@
 	simulation.t.Error("got no leader that accepts the deregistration, want one")
 }
 
+// check fails the test if an invariant was violated or a job that can end has not.
+func (simulation *simulation) check() {
+	simulation.t.Helper()
+	simulation.fleet.mutex.Lock()
+	for _, violation := range simulation.fleet.violations {
+		simulation.t.Error(violation)
+	}
+	simulation.fleet.mutex.Unlock()
+	if got := simulation.openJobs(); got != 0 {
+		simulation.t.Errorf("got %d jobs that have not ended, want none", got)
+	}
+}
+
 func (fleet *fakeFleet) runsOn(worker *fakeWorker) int {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -82,14 +95,7 @@
 				time.Sleep(test.runsOn)
 				simulation.fleet.kill(leaving.name)
 				simulation.settle()
-				simulation.fleet.mutex.Lock()
-				for _, violation := range simulation.fleet.violations {
-					t.Error(violation)
-				}
-				simulation.fleet.mutex.Unlock()
-				if got := simulation.openJobs(); got != 0 {
-					t.Errorf("got %d jobs that have not ended, want none", got)
-				}
+				simulation.check()
 				stop()
 				time.Sleep(20 * time.Second)
 			})
