--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -37,6 +37,8 @@
 		return Result{Status: state.evacuate(command.Evacuate)}
 	case command.ClearBlame != nil:
 		return Result{Status: state.clearBlame(command.ClearBlame)}
+	case command.Forget != nil:
+		return Result{Status: state.forget(command.Forget)}
 	case command.Mark != nil:
 		return Result{Status: state.mark(command.Mark)}
 	}
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -21,6 +21,8 @@
 	ClearBlame       []scheduler.RunID             `cbor:"10,keyasint,omitempty"`
 	Mark             []Mark                        `cbor:"11,keyasint,omitempty"`
 	Withdraw         *Withdraw                     `cbor:"12,keyasint,omitempty"`
+	// Forget removes jobs that have ended.
+	Forget []scheduler.JobID `cbor:"13,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -85,6 +85,11 @@
 	return func(overseer *Overseer) { overseer.maxReportedEnds = limit }
 }
 
+// WithJobRetention sets how long a job is kept after its end. By default it is kept for ever.
+func WithJobRetention(retention time.Duration) Option {
+	return func(overseer *Overseer) { overseer.jobRetention = retention }
+}
+
 // WithApprover sets the approval service. Without one, tasks of queues that require approval are not placed.
 func WithApprover(approver scheduler.Approver) Option {
 	return func(overseer *Overseer) { overseer.approver = approver }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -44,6 +44,8 @@
 	// maxReportedEnds is the maximum number of ended attempts in one report of a worker, or zero if there is none.
 	maxReportedEnds int
 	countSuspension bool
+	// jobRetention is how long a job is kept after its end, or zero if it is kept for ever.
+	jobRetention time.Duration
 	// maxIdle is the maximum idle time of a reservation, or zero if none are made.
 	maxIdle time.Duration
 	// forecastAdmission is true if jobs are refused that could not finish in time.
@@ -100,6 +102,9 @@
 	if overseer.maintainer != nil {
 		leadership.goroutines.Go(leadership.maintain)
 	}
+	if overseer.jobRetention > 0 {
+		leadership.goroutines.Go(leadership.forgetEndedJobs)
+	}
 	for ctx.Err() == nil && overseer.isLeaderOf(term) && !leadership.deposed.Load() {
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
--- a/internal/operating/assembler/settings.go
+++ b/internal/operating/assembler/settings.go
@@ -43,6 +43,9 @@
 	// MaxReportedEnds is how many ended attempts a worker lists in one report at most; a report with as many may be
 	// incomplete. 0 means no limit.
 	MaxReportedEnds int `json:"maxReportedEnds,omitempty"`
+	// JobRetention is how long a job is kept after its end; a large number of them is kept for a shorter time. 0 keeps all
+	// jobs for ever.
+	JobRetention time.Duration `json:"jobRetention,omitempty"`
 	// MaintenanceLease is how long maintenance orders of a former leader may still arrive. A new leader waits for this
 	// time before its first order.
 	MaintenanceLease time.Duration `json:"maintenanceLease"`
@@ -72,9 +75,9 @@
 		return fmt.Errorf("toleratedLosses is negative")
 	case settings.LeaseDuration <= 0 || settings.HeartbeatInterval <= 0 || settings.StopTime < 0 ||
 		settings.MaintenanceLease < 0 || settings.StopTimeout <= 0 || settings.MaxReservedIdle < 0 ||
-		settings.MaxReportedEnds < 0:
+		settings.MaxReportedEnds < 0 || settings.JobRetention < 0:
 		return fmt.Errorf("leaseDuration, beatInterval and stopTimeout must be positive; " +
-			"stopTime, maintenanceLease, maxReservedIdle and maxReportedEnds must not be negative")
+			"stopTime, maintenanceLease, maxReservedIdle, maxReportedEnds and jobRetention must not be negative")
 	}
 	return nil
 }
