packer: limits that never yield apart from rules that may

The reasons that keep a task off a worker are one list of a dozen, in which limits (capacity, label, tasks per worker, approval) and preferences (slack, interference, holds, isolation of suspects) stand side by side. No decision changes; the tests of the packer pass.

--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -55,10 +55,25 @@
 // constraint returns which limit of capacity, constraint of the step or rule for suspects keeps another task of the group
 // off a worker. It considers neither slack nor interference. The rules for suspects come last, see isolationCandidates.
 func (group *Group) constraint(worker *Worker, assigned int) Exclusion {
+	if worker.heldForLongRunning && !group.Step.Fill {
+		return ExcludedByLongRunning
+	}
+	if exclusion := group.hardExclusion(worker, assigned); exclusion != NotExcluded {
+		return exclusion
+	}
+	switch {
+	case group.Avoid[worker.Name]:
+		return ExcludedByFailure
+	case !worker.admits(group):
+		return ExcludedByHold
+	}
+	return group.isolation(worker, assigned)
+}
+
+// hardExclusion returns which limit that never yields keeps another task of the group off a worker.
+func (group *Group) hardExclusion(worker *Worker, assigned int) Exclusion {
 	step := group.Step
 	switch {
-	case worker.heldForLongRunning && !step.Fill:
-		return ExcludedByLongRunning
 	case !step.Reserved().FitsIn(worker.Free):
 		return ExcludedByCapacity
 	case !worker.hasLabel(step.RequiredLabel):
@@ -67,12 +82,20 @@
 		return ExcludedByTaskLimit
 	case group.Approved != nil && !group.Approved[worker.Name]:
 		return ExcludedByApproval
-	case group.Avoid[worker.Name]:
-		return ExcludedByFailure
-	case !worker.admits(group):
-		return ExcludedByHold
 	}
-	return group.isolation(worker, assigned)
+	return NotExcluded
+}
+
+// IsSoft reports whether the reason is a preference, which may yield to a task that has waited for long. The others are
+// limits of workers, steps and policies.
+func (exclusion Exclusion) IsSoft() bool {
+	switch exclusion {
+	case ExcludedBySlack, ExcludedByInterference, ExcludedByLongRunning, ExcludedByHold, ExcludedByFailure,
+		ExcludedBySuspect, ExcludedByStarts:
+		return true
+	default:
+		return false
+	}
 }
 
 // Candidates is what the workers of a pool offer a group of tasks.
