overseer: blame of a crash of many workers fits into commands

What an operator would see: after a crash of many workers, marksNotRecorded for the rest of the term, and tasks that are suspected for ever because their blame is not cleared. Cause: marks and the attempts whose blame is cleared went into one command each; above 1 MiB, about 14,000 attempts with ids of 64 bytes, the log refuses it, and the same command was proposed again and again. They are split like ends and placements; marks keep their order. recordCarried had a retry loop of its own and now uses the same one. TestMoreBlameThanFitsIntoACommand failed before in both checks (command of 1479725 bytes).

--- a/internal/jobs/overseer/batch.go
+++ b/internal/jobs/overseer/batch.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
 const (
@@ -21,6 +22,19 @@
 	}, func(_, _ *jobkeeper.End) bool { return true })
 }
 
+// splitMarks splits marks into lists that fit into a command each, in the same order.
+func splitMarks(marks []jobkeeper.Mark) [][]jobkeeper.Mark {
+	return splitBySize(marks, func(mark *jobkeeper.Mark) int {
+		return itemBytes + len(mark.Run.Task.Job) + len(mark.Kind)
+	}, func(_, _ *jobkeeper.Mark) bool { return true })
+}
+
+// splitRuns splits the attempts whose blame is cleared into lists that fit into a command each.
+func splitRuns(runs []scheduler.RunID) [][]scheduler.RunID {
+	return splitBySize(runs, func(run *scheduler.RunID) int { return itemBytes + len(run.Task.Job) },
+		func(_, _ *scheduler.RunID) bool { return true })
+}
+
 // splitPlacements splits placements into lists that fit into a command each. The members of a gang stay together, because
 // they must be placed by the same command; isMember reports whether a placement is one of a gang.
 func splitPlacements(
--- a/internal/jobs/overseer/batch_test.go
+++ b/internal/jobs/overseer/batch_test.go
@@ -45,6 +45,38 @@
 	})
 }
 
+// Guards against blame that is never recorded or cleared after a crash of many workers, because its command exceeds the limit.
+func TestMoreBlameThanFitsIntoACommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		logs := simulation.recordLogs()
+		stop := simulation.start()
+		time.Sleep(2 * time.Second)
+		leader := simulation.leading()
+		runs := make([]scheduler.RunID, 20_000)
+		marks := make([]jobkeeper.Mark, len(runs))
+		for index := range runs {
+			task := scheduler.StepTaskID{Job: scheduler.JobID(strings.Repeat("j", 64)), Index: index}
+			runs[index] = scheduler.RunID{Task: task, Attempt: 1}
+			marks[index] = jobkeeper.Mark{Run: runs[index], Kind: scheduler.EndCrashedRunning}
+		}
+		recorded := false
+		leader.goroutines.Go(func() { recorded = leader.commitMarks(marks) })
+		time.Sleep(time.Second)
+		if !recorded {
+			t.Errorf("got %d marks that are not recorded after 1 s, want all recorded", len(marks))
+		}
+		leader.clearBlame(runs)
+		stop()
+		for line := range strings.Lines(logs.String()) {
+			if strings.Contains(line, `"blameCleared"`) && strings.Contains(line, `"error"`) {
+				t.Errorf("clearing the blame of %d attempts: got %s, want no error", len(runs), line)
+			}
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against lists that do not fit into a command, against items that are left out, and against a gang that is split.
 func TestSplitBySize(t *testing.T) {
 	end := jobkeeper.End{Kind: scheduler.EndStopped, Checkpoint: strings.Repeat("c", 4096)}
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -138,6 +138,16 @@
 
 // commitMarks proposes marks until they are committed. It returns false if the term ends before.
 func (leadership *leadership) commitMarks(marks []jobkeeper.Mark) bool {
+	for _, batch := range splitMarks(marks) {
+		if !leadership.commitMarkBatch(batch) {
+			return false
+		}
+	}
+	return true
+}
+
+// commitMarkBatch proposes the marks of one command until they are committed. It returns false if the term ends before.
+func (leadership *leadership) commitMarkBatch(marks []jobkeeper.Mark) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
 		_, err := leadership.propose(jobkeeper.Command{Mark: marks})
 		if err == nil {
@@ -273,14 +283,7 @@
 	if len(marks) == 0 {
 		return
 	}
-	leadership.goroutines.Go(func() {
-		for failures := 1; leadership.context.Err() == nil; failures++ {
-			if _, err := leadership.propose(jobkeeper.Command{Mark: marks}); err == nil {
-				return
-			}
-			leadership.pause(retryDelay(failures))
-		}
-	})
+	leadership.goroutines.Go(func() { leadership.commitMarks(marks) })
 }
 
 // observeBlame updates the suspects and clears the blame of those that have survived.
@@ -320,7 +323,12 @@
 
 // clearBlame clears the blame of tasks with the given attempts. If that fails, the next planning cycle tries again.
 func (leadership *leadership) clearBlame(survivors []scheduler.RunID) {
-	_, err := leadership.propose(jobkeeper.Command{ClearBlame: survivors})
+	var err error
+	for _, batch := range splitRuns(survivors) {
+		if _, err = leadership.propose(jobkeeper.Command{ClearBlame: batch}); err != nil {
+			break
+		}
+	}
 	leadership.logger.Info().Str("event", "blameCleared").Int("tasks", len(survivors)).Err(err).
 		Msg("suspected tasks have survived")
 	leadership.mutex.Lock()
