--- a/internal/jobs/overseer/batch_test.go
+++ b/internal/jobs/overseer/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,10 +61,10 @@
 			runs[index] = scheduler.RunID{Task: task, Attempt: 1}
 			marks[index] = jobkeeper.Mark{Run: runs[index], Kind: scheduler.EndCrashedRunning}
 		}
-		recorded := false
-		leader.goroutines.Go(func() { recorded = leader.commitMarks(marks) })
+		var recorded atomic.Bool
+		leader.goroutines.Go(func() { recorded.Store(leader.commitMarks(marks)) })
 		time.Sleep(time.Second)
-		if !recorded {
+		if !recorded.Load() {
 			t.Errorf("got %d marks that are not recorded after 1 s, want all recorded", len(marks))
 		}
 		leader.clearBlame(runs)
