overseer, replicator: a VM whose leaderships panic again and again hands over

Class: a part fails, and its owner goes on without it.

Now a pure decision (panicRecovery) gives the back-off, 100 ms doubling up to 5 s, and from the second panic within 10 s on asks another VM to lead (Replicator.TransferLeadership: lease revoked first, then the transfer that a stopping VM uses). A panic that the replicated state causes strikes each leader; the back-off then bounds the log.

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -30,6 +30,8 @@
 	// deposed is set when a worker or the platform has seen a higher fencing token, or after a panic. It ends the
 	// leadership.
 	deposed atomic.Bool
+	// panicked is set if a panic ended the leadership.
+	panicked atomic.Bool
 	// replanSignal requests a planning cycle.
 	replanSignal chan struct{}
 
@@ -112,6 +114,7 @@
 func (leadership *leadership) handlePanic(cause any, stack []byte) {
 	leadership.logger.Error().Str("event", "leadershipPanicked").Interface("cause", cause).Bytes("stack", stack).
 		Msg("panic in a goroutine; the leadership ends")
+	leadership.panicked.Store(true)
 	leadership.deposed.Store(true)
 }
 
--- a/internal/jobs/overseer/option.go
+++ b/internal/jobs/overseer/option.go
@@ -85,6 +85,12 @@
 	return func(overseer *Overseer) { overseer.maxReportedEnds = limit }
 }
 
+// WithHandOver sets a function that asks another VM to lead. It is called when panics end the leaderships of this VM one after
+// the other. By default, this VM goes on trying.
+func WithHandOver(handOver func()) Option {
+	return func(overseer *Overseer) { overseer.handOver = handOver }
+}
+
 // WithJobRetention sets how long a job is kept after its end. By default it is kept for ever.
 func WithJobRetention(retention time.Duration) Option {
 	return func(overseer *Overseer) { overseer.jobRetention = retention }
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -46,6 +46,8 @@
 	countSuspension bool
 	// jobRetention is how long a job is kept after its end, or zero if it is kept for ever.
 	jobRetention time.Duration
+	// handOver asks another VM to lead. It may be nil.
+	handOver func()
 	// maxIdle is the maximum idle time of a reservation, or zero if none are made.
 	maxIdle time.Duration
 	// forecastAdmission is true if jobs are refused that could not finish in time.
@@ -78,16 +80,21 @@
 
 // Run schedules jobs whenever this VM leads, until ctx is done.
 func (overseer *Overseer) Run(ctx context.Context) {
+	var recovery panicRecovery
 	for ctx.Err() == nil {
 		if overseer.group.HoldsLeaderLease() {
-			overseer.lead(ctx, overseer.group.Status().Term())
+			began := overseer.clock.Elapsed()
+			if panicked := overseer.lead(ctx, overseer.group.Status().Term()); panicked {
+				overseer.recoverFromPanic(ctx, recovery.next(overseer.clock.Elapsed()-began))
+			}
 		}
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
 }
 
-// lead schedules jobs for one term, until the VM is no longer the leader, the leadership is deposed or ctx is done.
-func (overseer *Overseer) lead(ctx context.Context, term scheduler.Term) {
+// lead schedules jobs for one term, until the VM is no longer the leader, the leadership is deposed or ctx is done. It
+// reports whether a panic ended the leadership.
+func (overseer *Overseer) lead(ctx context.Context, term scheduler.Term) (panicked bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leadership := newLeadership(ctx, overseer, term)
@@ -114,6 +121,7 @@
 	overseer.metrics.resetGauges()
 	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).
 		Msg("this VM is no longer the leader of the domain")
+	return leadership.panicked.Load()
 }
 
 // isLeaderOf reports whether this VM still leads the given term. A leader lease that has expired temporarily suspends
--- a/internal/operating/assembler/assembler.go
+++ b/internal/operating/assembler/assembler.go
@@ -151,7 +151,7 @@
 		overseer.WithLogger(dependencies.Logger), overseer.WithScope(dependencies.Scope), overseer.WithSuspension(),
 		overseer.WithLease(settings.LeaseDuration, maxClockDrift), overseer.WithHeartbeatInterval(settings.HeartbeatInterval),
 		overseer.WithStopTime(settings.StopTime), overseer.WithMaxReportedEnds(settings.MaxReportedEnds),
-		overseer.WithJobRetention(settings.JobRetention),
+		overseer.WithJobRetention(settings.JobRetention), overseer.WithHandOver(vm.replicator.TransferLeadership),
 		overseer.WithApprover(dependencies.Approver),
 		overseer.WithMaintainer(dependencies.Maintainer, self, settings.MaintenanceLease),
 		overseer.WithLookAhead(settings.MaxReservedIdle),
--- a/internal/state/replicator/lease_test.go
+++ b/internal/state/replicator/lease_test.go
@@ -105,6 +105,27 @@
 	})
 }
 
+// Guards against a leader that keeps its lease, or stays out of the group, after it was asked to hand over, and against a
+// follower whose request disturbs the leader.
+func TestLeadershipIsTransferredOnRequest(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		cluster := startThreeVoters(t)
+		defer cluster.stop()
+		cluster.vms["b"].replicator.TransferLeadership()
+		time.Sleep(time.Second)
+		if got, want := cluster.leader(), scheduler.VMName("a"); got != want {
+			t.Fatalf("leader after the request of a follower: got %s, want %s", got, want)
+		}
+		former := cluster.vms["a"].replicator
+		former.TransferLeadership()
+		time.Sleep(minElectionTimeout / 2)
+		if got, want := cluster.leader(), scheduler.VMName("b"); got != want || former.HoldsLeaderLease() {
+			t.Errorf("leader: got %s, want %s; the former one holds the lease: %t", got, want, former.HoldsLeaderLease())
+		}
+		cluster.mustPropose("a", "after")
+	})
+}
+
 // Checks that a VM that cannot receive, cannot send, or returns from a long isolation does not disrupt a
 // healthy leader.
 func TestBadLinkDoesNotDisrupt(t *testing.T) {
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -47,6 +47,7 @@
 	reads              chan *readRequest
 	changed            chan struct{}
 	closeRequests      chan struct{}
+	transferRequests   chan struct{}
 	leadershipReleased chan struct{}
 	stopped            chan struct{}
 	// joined is set by start and stays true after stopped is closed.
@@ -101,7 +102,7 @@
 		clock:  newClock(settings.clockRate, settings.countSuspension), random: newRandom(settings.seed),
 		inbox: make(chan inbound, inboxCapacity), proposals: make(chan *proposal, proposalCapacity),
 		reads: make(chan *readRequest, proposalCapacity), changed: make(chan struct{}, 1),
-		closeRequests: make(chan struct{}, 1), leadershipReleased: make(chan struct{}), stopped: make(chan struct{}),
+		closeRequests: make(chan struct{}, 1), transferRequests: make(chan struct{}, 1), leadershipReleased: make(chan struct{}), stopped: make(chan struct{}),
 		log: newGroupLog(journal), role: roleFollower, pending: newPendingRequests(),
 		syncing: newSyncer(), applying: newApplier(machine),
 		snapshot: snapshotState{refusals: suppressor.New(refusalLogInterval)},
@@ -157,6 +158,8 @@
 		node.handleSnapshotLoaded(loaded)
 	case <-node.closeRequests:
 		node.closing = true
+	case <-node.transferRequests:
+		node.transferOnRequest()
 	case <-ticks:
 		node.pause()
 		err = node.handleTick()
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -122,6 +122,10 @@
 	return node.awaitEnd(ctx)
 }
 
+// TransferLeadership asks another voter to lead if this VM is the leader. It does not wait for the election, and has no
+// effect while no other voter responds.
+func (replicator *Replicator) TransferLeadership() { replicator.node().requestTransfer() }
+
 // Name returns the name of the group.
 func (replicator *Replicator) Name() scheduler.GroupName { return replicator.node().name }
 
--- a/internal/state/replicator/transfer.go
+++ b/internal/state/replicator/transfer.go
@@ -17,6 +17,21 @@
 	}
 }
 
+// requestTransfer asks the event loop to transfer leadership, unless a request is already queued.
+func (node *node) requestTransfer() {
+	select {
+	case node.transferRequests <- struct{}{}:
+	default:
+	}
+}
+
+// transferOnRequest transfers leadership unless a transfer is under way or no voter responds.
+func (node *node) transferOnRequest() {
+	if node.role == roleLeader && node.leading.transferDeadline == 0 {
+		node.sendTransferToLongestLog(node.clock.now())
+	}
+}
+
 func (node *node) signalLeadershipReleased() {
 	select {
 	case <-node.leadershipReleased:
