overseer: a worker that is back after a leader change gets work again

Cause: a leader that adopts attempts from the log of a worker that it has not heard yet takes the worker for not synced. If their leases expire before the first heartbeat, no attempt is left, renewal is not started, and so the complete report never comes without which the worker gets no work: for the rest of the term the worker stands idle and tasks that fit nowhere else wait. The same happens after reports that stay incomplete until the last attempt has ended. Change: a worker without a complete report is asked for one with each heartbeat. TestRepeatedHeartbeatAfterGap builds a leadership without goroutines: its worker is synced now, so that it needs no renewal. The check itself is as before.

--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -176,7 +176,7 @@
 		t.Run(name, func(t *testing.T) {
 			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
 			instance := newWorker("w", 1)
-			instance.hasHeartbeat, leadership.instances["w"] = true, instance
+			instance.hasHeartbeat, instance.synced, leadership.instances["w"] = true, true, instance
 			instance.heartbeat = scheduler.WorkerHeartbeat{Phase: scheduler.WorkerReady, Sequence: 2, Clock: time.Second}
 			delta := HeartbeatDelta{Worker: "w", Instance: 1, Sequence: test.sequence, Clock: 2 * time.Second}
 			if got := leadership.applyDelta(&delta); got != test.known {
--- /dev/null
+++ b/internal/jobs/overseer/liveness_test.go
@@ -0,0 +1,182 @@
+package overseer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+const (
+	// startBound is the maximum time for which a task with room for it waits. A long-running task may wait for
+	// restartBound after the end of its last run.
+	startBound   = 3 * time.Second
+	restartBound = 6 * time.Second
+	// silenceBound is the maximum time until tasks of a worker start elsewhere that is silent and not replaced: only the
+	// expiry of its lease, on a slow clock, shows that they have ended.
+	silenceBound = fakeLease + leaseMargin + fakeLease/40 + startBound
+)
+
+// waitUntil waits until a condition holds, at most for the given time, and reports whether it does.
+func waitUntil(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return condition()
+}
+
+// waitingTasks returns the number of tasks of a job that run on no worker.
+func (simulation *simulation) waitingTasks(id scheduler.JobID) int {
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	waiting := 0
+	for number, step := range simulation.fleet.workflows[id].Steps {
+		for index := range step.Count {
+			if simulation.fleet.running[scheduler.StepTaskID{Job: id, Step: number, Index: index}] == 0 {
+				waiting++
+			}
+		}
+	}
+	return waiting
+}
+
+// submitOneEach submits a long-running task for each worker and checks that all of them start within startBound.
+func (simulation *simulation) submitOneEach() {
+	simulation.t.Helper()
+	last := simulation.submitLongRunning(scheduler.Step{Count: simulationWorkers, MaxPerWorker: 1})
+	if !waitUntil(startBound, func() bool { return simulation.waitingTasks(last) == 0 }) {
+		simulation.t.Errorf("got %d of %d tasks waiting, one for each worker, want none", simulation.waitingTasks(last),
+			simulationWorkers)
+	}
+}
+
+// submitLongRunning submits a job with one long-running step and returns its ID.
+func (simulation *simulation) submitLongRunning(step scheduler.Step) scheduler.JobID {
+	step.Request, step.LongRunning = oneCore, true
+	simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{step}})
+	return scheduler.JobID(fmt.Sprintf("job%d", simulation.jobs-1))
+}
+
+// workerLoss is a way in which a worker is lost.
+type workerLoss struct {
+	// lose ends or cuts the worker. back lets it come back after the given time, never if it is nil.
+	lose  func(simulation *simulation, name scheduler.WorkerName)
+	back  func(simulation *simulation, name scheduler.WorkerName)
+	after time.Duration
+	// bound is the maximum time until its tasks run again.
+	bound time.Duration
+}
+
+func killWorker(simulation *simulation, name scheduler.WorkerName) { simulation.fleet.kill(name) }
+
+func cutWorker(simulation *simulation, name scheduler.WorkerName) {
+	simulation.setPartitioned(name, true)
+}
+
+func healWorker(simulation *simulation, name scheduler.WorkerName) {
+	simulation.setPartitioned(name, false)
+}
+
+// renameWorker starts the next instance at the address of a worker under another name.
+func renameWorker(simulation *simulation, name scheduler.WorkerName) {
+	simulation.fleet.addAt(addressOf(name), name+"b", simulation.nextIncarnation(name))
+}
+
+// moveWorker starts the next instance of a worker at another address.
+func moveWorker(simulation *simulation, name scheduler.WorkerName) {
+	simulation.fleet.addAt(addressOf(name+"b"), name, simulation.nextIncarnation(name))
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	simulation.names[slices.Index(simulation.names, name)] = name + "b"
+}
+
+// check loses a worker with tasks, changes the leader at the given times after that, and checks that the tasks run again
+// within the bound and that the worker, if it is back, gets work.
+func (workerLoss *workerLoss) check(t *testing.T, leaderChanges []time.Duration) {
+	t.Helper()
+	simulation := newSimulation(t, 1)
+	stop := simulation.start()
+	job := simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: simulationWorkers})
+	time.Sleep(startBound)
+	name, lostAt := simulation.names[0], time.Now()
+	if simulation.runningOn(name) == 0 {
+		t.Fatal("got no task on the worker that is to be lost, want some")
+	}
+	for position, after := range leaderChanges {
+		time.AfterFunc(after, func() { simulation.domain.elect(1 + position) })
+	}
+	workerLoss.lose(simulation, name)
+	if workerLoss.back != nil {
+		time.AfterFunc(workerLoss.after, func() { workerLoss.back(simulation, name) })
+	}
+	bound := workerLoss.bound
+	if bound == silenceBound && len(leaderChanges) > 0 {
+		bound += slices.Max(leaderChanges) // A leader does not know when its predecessor sent the last renewal.
+	}
+	time.Sleep(time.Until(lostAt.Add(time.Second)))
+	if !waitUntil(time.Until(lostAt.Add(bound)), func() bool { return simulation.waitingTasks(job) == 0 }) {
+		t.Errorf("got %d tasks waiting %v after the loss, want none", simulation.waitingTasks(job), bound)
+	}
+	time.Sleep(time.Until(lostAt.Add(2*fakeLease + restartBound)))
+	if workerLoss.back != nil {
+		simulation.submitOneEach()
+	}
+	stop()
+	time.Sleep(20 * time.Second)
+	simulation.check()
+}
+
+// renamed is the loss of a worker whose address is taken over by a worker of another name.
+var renamed = workerLoss{lose: killWorker, back: renameWorker, after: processStartTime, bound: restartBound}
+
+// Guards against tasks that wait for the lease of a worker although a later one has taken over its address.
+func TestTasksOfRenamedWorkersStartAgain(t *testing.T) {
+	for name, times := range map[string][]time.Duration{"same leader": nil, "later leader change": {2 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { renamed.check(t, times) })
+		})
+	}
+}
+
+// Guards against tasks that wait for the lease of such a worker because the new leader never knew its address.
+func TestTasksOfRenamedWorkersUnderNewLeader(t *testing.T) {
+	for name, times := range map[string][]time.Duration{"leader change": {0}, "two leader changes": {0, 4 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { renamed.check(t, times) })
+		})
+	}
+}
+
+// Guards against tasks that never start again, or too late, because the proof that their attempts have ended never comes, and
+// against workers that are back and get no work.
+func TestTasksOfLostWorkersStartAgain(t *testing.T) {
+	losses := map[string]workerLoss{
+		"gone for good": {lose: killWorker, bound: silenceBound},
+		"same name": {
+			lose: killWorker, bound: restartBound, after: processStartTime,
+			back: func(simulation *simulation, name scheduler.WorkerName) {
+				simulation.fleet.add(name, simulation.nextIncarnation(name))
+			},
+		},
+		"same name, other address":                 {lose: killWorker, back: moveWorker, after: processStartTime, bound: restartBound},
+		"cut, healed before the lease has expired": {lose: cutWorker, back: healWorker, after: fakeLease / 2, bound: silenceBound},
+		"cut, healed as the lease expires":         {lose: cutWorker, back: healWorker, after: fakeLease + leaseMargin, bound: silenceBound},
+		"cut, healed later":                        {lose: cutWorker, back: healWorker, after: 2 * fakeLease, bound: silenceBound},
+	}
+	leaderChanges := map[string][]time.Duration{
+		"same leader": nil, "leader change": {0}, "later leader change": {2 * time.Second},
+		"leader change as the lease expires": {fakeLease}, "two leader changes": {0, 4 * time.Second},
+	}
+	for lossName, loss := range losses {
+		for changeName, times := range leaderChanges {
+			t.Run(lossName+", "+changeName, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { loss.check(t, times) })
+			})
+		}
+	}
+}
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -8,11 +8,12 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// ensureRenewal starts the renewal of a worker's lease if the worker has attempts, known or unknown, or if it did not
-// respond and may have ends to report. The mutex must be held.
+// ensureRenewal starts the renewal of a worker's lease if the worker has attempts, known or unknown, if it did not respond
+// and may have ends to report, or if it has not sent a complete report yet, without which it gets no work. The mutex must be
+// held.
 func (leadership *leadership) ensureRenewal(instance *worker) {
-	if instance.renewing || instance.ended || !instance.hasHeartbeat ||
-		len(instance.attempts) == 0 && instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 {
+	if instance.renewing || instance.ended || !instance.hasHeartbeat || len(instance.attempts) == 0 &&
+		instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 && instance.synced {
 		return
 	}
 	instance.renewing = true
@@ -42,14 +43,15 @@
 }
 
 // nextRenewal returns the next order, or more = false when the worker has nothing left to report. A worker without
-// attempts that does not respond is retried once per heartbeat. After it responds again, renewal continues until it
-// has sent a complete report, because the results of attempts that were given up count only until their tasks are
-// placed again.
+// attempts that does not respond, or whose reports are incomplete, is retried once per heartbeat. After it responds again,
+// renewal continues until its ends are acknowledged, because the results of attempts that were given up count only until
+// their tasks are placed again.
 func (leadership *leadership) nextRenewal(instance *worker, first bool) (plan renewalPlan, more bool) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	if instance.ended || len(instance.attempts) == 0 && (instance.consecutiveFailures > 0 && !first ||
-		instance.endsAcknowledged() && instance.renewalAnswered && instance.unknownAttempts == 0) {
+	reported := instance.endsAcknowledged() && instance.renewalAnswered && instance.unknownAttempts == 0
+	if instance.ended || len(instance.attempts) == 0 &&
+		(instance.consecutiveFailures > 0 && !first || reported && (instance.synced || !first)) {
 		instance.renewing = false
 		return renewalPlan{}, false
 	}
