overseer: admitted jobs count while their proposals are pending

Cause: each observation of the load replaces the load that RecordAdmission has counted. A job whose proposal is pending at that time is not in the state yet, so that it no longer counts.

Change: the leadership keeps admitted jobs with long-running tasks until they are stored or their proposals have failed, and adds them to each observation. LongRunningRequest is exported for that.

TestPendingSubmissionsReserveCapacity fails without the change: "proposal pending" and "outcome unknown" admitted a second job in 3 of 3 runs each.

--- a/internal/jobs/admitter/admitter.go
+++ b/internal/jobs/admitter/admitter.go
@@ -101,7 +101,7 @@
 // Admit decides whether a job is admitted. Short jobs and jobs without a reservation are always admitted, because they
 // wait in their queue and end on their own.
 func (admitter *Admitter) Admit(workflow *scheduler.Workflow) Decision {
-	requested := longRunningRequest(workflow)
+	requested := LongRunningRequest(workflow)
 	if requested == 0 || !admitter.observed {
 		return Admitted()
 	}
@@ -118,7 +118,7 @@
 
 // RecordAdmission adds a job that was admitted since the last observation to the load.
 func (admitter *Admitter) RecordAdmission(workflow *scheduler.Workflow) {
-	admitter.load.LongRunning += longRunningRequest(workflow)
+	admitter.load.LongRunning += LongRunningRequest(workflow)
 }
 
 // retryAfter returns the time until the missing capacity is expected to be released.
@@ -130,8 +130,8 @@
 	return min(max(time.Duration(seconds*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
 
-// longRunningRequest returns the total CPU reservation of the long-running tasks of a workflow.
-func longRunningRequest(workflow *scheduler.Workflow) int64 {
+// LongRunningRequest returns the total CPU reservation of the long-running tasks of a workflow.
+func LongRunningRequest(workflow *scheduler.Workflow) int64 {
 	var sum int64
 	for position := range workflow.Steps {
 		step := &workflow.Steps[position]
--- a/internal/jobs/admitter/admitter_test.go
+++ b/internal/jobs/admitter/admitter_test.go
@@ -97,7 +97,7 @@
 	for range 100 {
 		if job := workflow(5, 25, true); admitter.Admit(job).Admitted() {
 			admitter.RecordAdmission(job)
-			reserved += longRunningRequest(job)
+			reserved += LongRunningRequest(job)
 		}
 	}
 	if free := capacity*9/10 - reserved; free < short {
--- a/internal/jobs/admitter/backlogadmitter.go
+++ b/internal/jobs/admitter/backlogadmitter.go
@@ -155,7 +155,7 @@
 
 // isForecastable reports whether a job starts now and ends by itself. Others add no work to the backlog at a known time.
 func isForecastable(workflow *scheduler.Workflow) bool {
-	return workflow.Repeat == nil && longRunningRequest(workflow) == 0
+	return workflow.Repeat == nil && LongRunningRequest(workflow) == 0
 }
 
 // refuse returns a refusal. A caller that does not wait until the return time gets no time.
--- a/internal/jobs/overseer/admission.go
+++ b/internal/jobs/overseer/admission.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/admitter"
@@ -32,7 +33,7 @@
 	leadership.observeForecasts(now)
 }
 
-// poolLoads returns the load of each pool. The mutex must be held.
+// poolLoads returns the load of each pool, with the admitted jobs that are not stored yet. The mutex must be held.
 func (leadership *leadership) poolLoads() map[scheduler.PoolName]*admitter.Load {
 	loads := map[scheduler.PoolName]*admitter.Load{}
 	loadOf := func(pool scheduler.PoolName) *admitter.Load {
@@ -58,10 +59,40 @@
 		state.VisitReady(func(task *jobkeeper.Task) {
 			addTask(loadOf(task.Step().Job().Queue().Pool), task.Step().Spec())
 		})
+		leadership.dropSettledAdmissions(state)
 	})
+	for _, pending := range leadership.pendingAdmissions {
+		loadOf(pending.pool).LongRunning += pending.request
+	}
 	return loads
 }
 
+// pendingAdmission is an admitted job whose proposal may still be pending.
+type pendingAdmission struct {
+	pool scheduler.PoolName
+	// request is the total request of its long-running tasks in millicores.
+	request int64
+}
+
+// recordAdmission adds an admitted job to the load of its pool. The mutex must be held.
+func (leadership *leadership) recordAdmission(submission *admitter.Submission) {
+	pool, request := submission.Queue.Pool, admitter.LongRunningRequest(submission.Workflow)
+	if request == 0 {
+		return
+	}
+	leadership.admitters[pool].RecordAdmission(submission.Workflow)
+	leadership.pendingAdmissions[submission.Job] = pendingAdmission{pool: pool, request: request}
+}
+
+// dropSettledAdmissions forgets the admitted jobs that are in the state or will not be stored. The mutex must be held.
+func (leadership *leadership) dropSettledAdmissions(state *jobkeeper.State) {
+	now := time.Now()
+	maps.DeleteFunc(leadership.pendingAdmissions, func(job scheduler.JobID, _ pendingAdmission) bool {
+		_, stored := state.Job(job)
+		return stored || !leadership.overseer.submissions.contains(job, now)
+	})
+}
+
 func addTask(load *admitter.Load, spec *scheduler.Step) {
 	if spec.LongRunning {
 		load.LongRunning += spec.Reserved().MilliCores
@@ -143,7 +174,7 @@
 		}
 	}
 	if decision.Admitted() {
-		poolAdmitter.RecordAdmission(submission.Workflow)
+		leadership.recordAdmission(submission)
 	}
 	return decision
 }
--- a/internal/jobs/overseer/admission_test.go
+++ b/internal/jobs/overseer/admission_test.go
@@ -69,6 +69,57 @@
 	}
 }
 
+// Guards against a burst of long-running jobs that takes the capacity reserved for short ones: the load is observed while
+// the proposals of admitted jobs are pending. Guards also against a job that counts twice, or after it was not stored.
+func TestPendingSubmissionsReserveCapacity(t *testing.T) {
+	const first = "job0"
+	tests := map[string]struct {
+		// settle continues with the proposal of the first job, which has 15 tasks of one core. 36 cores are not reserved.
+		settle func(simulation *simulation, overseer *Overseer)
+		second int
+		want   bool
+	}{
+		"proposal pending": {func(*simulation, *Overseer) {}, 30, false},
+		"outcome unknown": {func(_ *simulation, overseer *Overseer) {
+			overseer.RecordSubmission(first, false)
+		}, 30, false},
+		"proposal had no effect": {func(_ *simulation, overseer *Overseer) {
+			overseer.RecordSubmission(first, true)
+		}, 30, true},
+		"job stored, response pending": {func(simulation *simulation, _ *Overseer) {
+			simulation.submitWorkflow(lastingWorkflow(15))
+		}, 15, true},
+		"job stored": {func(simulation *simulation, overseer *Overseer) {
+			simulation.submitWorkflow(lastingWorkflow(15))
+			overseer.RecordSubmission(first, true)
+		}, 30, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				stop := simulation.start()
+				time.Sleep(3 * time.Second)
+				leader := simulation.overseers[simulation.domain.leader.Load()]
+				if !leader.Admit(lastingSubmission(first, 15)).Admitted() {
+					t.Fatal("got the first job refused, want admitted")
+				}
+				test.settle(simulation, leader)
+				time.Sleep(3 * admissionInterval)
+				if got := leader.Admit(lastingSubmission("second", test.second)).Admitted(); got != test.want {
+					t.Errorf("got second job admitted %v, want %v", got, test.want)
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+func lastingSubmission(job scheduler.JobID, tasks int) admitter.Submission {
+	return admitter.Submission{Job: job, Queue: &batchQueue, Workflow: lastingWorkflow(tasks)}
+}
+
 // Guards against pending submissions that are kept for ever.
 func TestPendingSubmissionsEnd(t *testing.T) {
 	var pending pendingSubmissions
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -65,6 +65,9 @@
 	// admitters hold the load of each pool. loadObservedAt is when they were last updated; only plan uses it.
 	admitters      map[scheduler.PoolName]*admitter.Admitter
 	loadObservedAt time.Duration
+	// pendingAdmissions holds the jobs with long-running tasks that this leadership has admitted and that were not stored
+	// when the load was last observed.
+	pendingAdmissions map[scheduler.JobID]pendingAdmission
 	// runTimes predicts run times from the attempts that ended during this term.
 	runTimes *forecaster.Forecaster
 	// speculation is the state of copies of running tasks.
@@ -97,9 +100,10 @@
 		starved:            map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		evacuations: newEvacuations(), guardedPools: map[scheduler.PoolName]bool{}, runTimes: forecaster.New(),
-		admitters:        map[scheduler.PoolName]*admitter.Admitter{},
-		backlogAdmitters: map[scheduler.PoolName]*admitter.BacklogAdmitter{},
-		packedWorkers:    map[scheduler.PoolName]*packedWorkers{}, crashes: newCrashes(),
+		admitters:         map[scheduler.PoolName]*admitter.Admitter{},
+		pendingAdmissions: map[scheduler.JobID]pendingAdmission{},
+		backlogAdmitters:  map[scheduler.PoolName]*admitter.BacklogAdmitter{},
+		packedWorkers:     map[scheduler.PoolName]*packedWorkers{}, crashes: newCrashes(),
 		repeatedWarnings: suppressor.New(repeatedWarningInterval),
 	}
 	leadership.speculation = newSpeculation(leadership.runTimes)
