overseer: tasks avoid a worker on which they failed for a limited time only

Cause: a task avoided the worker on which it failed last until it finished or failed elsewhere, and all tasks of a step avoid the workers of each of them. A task that failed on the only worker that can run it, or a step of which one task failed on each worker, was never placed again in that term. Nothing else ended the rule, only a leader change. Change: the failure counts for 1.5 s, half the time within which a task with room for it must start. Workers on which everything fails are quarantined as before. Copies still go elsewhere, because they are optional.

--- a/internal/jobs/overseer/failuretracker.go
+++ b/internal/jobs/overseer/failuretracker.go
@@ -17,16 +17,26 @@
 // attract all waiting tasks. The leadership's mutex guards it.
 type failureTracker struct {
 	quarantiner *quarantiner.Quarantiner
-	// lastFailedOn holds the worker on which each task failed most recently.
-	lastFailedOn map[scheduler.StepTaskID]scheduler.WorkerName
+	// lastFailures holds the most recent failure of each task that has not finished since.
+	lastFailures map[scheduler.StepTaskID]failure
 }
 
+// failure is a failure of a task on a worker.
+type failure struct {
+	worker scheduler.WorkerName
+	at     time.Time
+}
+
+// avoidanceTime is how long tasks of a step avoid a worker on which one of them has failed. It is well below the time within
+// which a task with room for it must start, because no other worker may be able to run it.
+const avoidanceTime = 1500 * time.Millisecond
+
 func newFailureTracker() failureTracker {
 	quarantiner, err := quarantiner.New(quarantiner.WithInitialQuarantine(initialQuarantine))
 	if err != nil {
 		panic(err) // The options are constant, so this is a programming error.
 	}
-	return failureTracker{quarantiner: quarantiner, lastFailedOn: map[scheduler.StepTaskID]scheduler.WorkerName{}}
+	return failureTracker{quarantiner: quarantiner, lastFailures: map[scheduler.StepTaskID]failure{}}
 }
 
 // observe records the end of an attempt. Long-running tasks are ignored because they may fail at any time and never
@@ -39,28 +49,30 @@
 	switch end.Kind {
 	case scheduler.EndFinished:
 		attempt.Outcome = quarantiner.OutcomeSucceeded
-		delete(failureTracker.lastFailedOn, end.Run.Task)
+		delete(failureTracker.lastFailures, end.Run.Task)
 	case scheduler.EndFailed:
 		attempt.Outcome = quarantiner.OutcomeFailed
-		failureTracker.lastFailedOn[end.Run.Task] = instance.name
+		failureTracker.lastFailures[end.Run.Task] = failure{worker: instance.name, at: now}
 	default:
 		return
 	}
 	failureTracker.quarantiner.Observe(attempt)
 }
 
-// lastFailedWorkers returns the workers on which the given waiting tasks failed most recently.
-func (failureTracker *failureTracker) lastFailedWorkers(tasks []*jobkeeper.Task) map[scheduler.WorkerName]bool {
+// avoidedWorkers returns the workers on which the given waiting tasks failed within avoidanceTime.
+func (failureTracker *failureTracker) avoidedWorkers(
+	tasks []*jobkeeper.Task, now time.Time,
+) map[scheduler.WorkerName]bool {
 	var workers map[scheduler.WorkerName]bool
 	for _, task := range tasks {
-		worker, failed := failureTracker.lastFailedOn[task.ID()]
-		if !failed {
+		failure, failed := failureTracker.lastFailures[task.ID()]
+		if !failed || now.Sub(failure.at) >= avoidanceTime {
 			continue
 		}
 		if workers == nil {
 			workers = map[scheduler.WorkerName]bool{}
 		}
-		workers[worker] = true
+		workers[failure.worker] = true
 	}
 	return workers
 }
@@ -68,9 +80,9 @@
 // forget discards the records of a job that has ended.
 func (failureTracker *failureTracker) forget(job scheduler.JobID) {
 	failureTracker.quarantiner.RemoveJob(job)
-	for task := range failureTracker.lastFailedOn {
+	for task := range failureTracker.lastFailures {
 		if task.Job == job {
-			delete(failureTracker.lastFailedOn, task)
+			delete(failureTracker.lastFailures, task)
 		}
 	}
 }
--- a/internal/jobs/overseer/liveness_test.go
+++ b/internal/jobs/overseer/liveness_test.go
@@ -180,3 +180,38 @@
 		}
 	}
 }
+
+// Guards against a task that never runs again because it has failed on every worker that could run it.
+func TestTaskThatFailedEverywhereStartsAgain(t *testing.T) {
+	tests := map[string]struct{ workers, tasks, maxPerWorker int }{
+		"the only worker": {1, 1, 1}, "each worker": {simulationWorkers, 4 * simulationWorkers, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				simulation.names = simulation.names[:test.workers]
+				simulation.fleet.runTime = time.Second
+				stop := simulation.start()
+				time.Sleep(startBound)
+				simulation.setFailureRate(1)
+				simulation.submitWorkflow(&scheduler.Workflow{Steps: []scheduler.Step{{
+					Count: test.tasks, Request: oneCore, MaxPerWorker: test.maxPerWorker,
+				}}})
+				time.Sleep(100 * time.Millisecond)
+				simulation.setFailureRate(0)
+				if !waitUntil(2*simulation.fleet.runTime+startBound, func() bool { return simulation.openJobs() == 0 }) {
+					t.Error("got a job that has not ended, want none")
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+func (simulation *simulation) setFailureRate(rate float64) {
+	simulation.fleet.mutex.Lock()
+	defer simulation.fleet.mutex.Unlock()
+	simulation.fleet.failureRate = rate
+}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -317,7 +317,7 @@
 ) packer.Group {
 	group := packer.Group{
 		Step: waiting.step.Spec(), Approved: approved, Priority: waiting.step.Job().Queue().Priority,
-		Avoid: leadership.failureTracker.lastFailedWorkers(waiting.tasks), Suspect: waiting.suspect,
+		Avoid: leadership.failureTracker.avoidedWorkers(waiting.tasks, time.Now()), Suspect: waiting.suspect,
 	}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
--- a/internal/jobs/overseer/speculation.go
+++ b/internal/jobs/overseer/speculation.go
@@ -203,7 +203,7 @@
 	if rack == "" && spec.RackLocal {
 		rack = original.rack()
 	}
-	failedOn := leadership.failureTracker.lastFailedOn[task]
+	failedOn := leadership.failureTracker.lastFailures[task].worker
 	workers = slices.DeleteFunc(slices.Clone(workers), func(worker *packer.Worker) bool {
 		return worker.Name == original.name || worker.Name == failedOn || rack != "" && worker.Rack != rack ||
 			leadership.runTimes.IsSlow(worker.Name)
