overseer: no work for a worker before it has answered an order

A heartbeat alone made a worker one that takes tasks. Those that another writer had made up got starts that nobody answered, and their tasks waited until the lease that was granted with the start had expired: the users' job took 17 s in place of 7 s, and with many of them it was placed on one after the other.

The leader now renews the lease of a worker at its first heartbeat, as it does at the next ones while there is no answer, and places tasks on it once it has answered. Orders would open the connection and verify the incarnation anyway, so a true worker pays one round trip. Heartbeats of an instance that has never answered count as contact once only; the forecast then takes it for absent after a lease.

TestWorkersThatNeverRespondGetNoWork: a job of 40 tasks of 5 s on 6 workers beside 5 silent ones took 15.6 s and beside 100 more than a minute; now at most 6 s in all 5 cases. TestOnlyApprovedWorkersRunAStep read the counts of its approver without the mutex. Tests that build instances by hand say that these have responded.

The table of TestTasksOfLostWorkersStartAgain submitted its job before all workers had answered, so that one of them got no task and the test ended early ("got no task on the worker that is to be lost"); it waits a second first. Its checks are as before.

--- a/internal/jobs/overseer/approval_test.go
+++ b/internal/jobs/overseer/approval_test.go
@@ -83,10 +83,12 @@
 				if running != 6 {
 					t.Errorf("got %d runs, want 6", running)
 				}
+				approver.mutex.Lock()
 				if approver.asked < 0 || approver.calls > 3+test.failing {
 					t.Errorf("got %d calls for %d workers, want at most %d calls, one at a time", approver.calls,
 						approver.asked, 3+test.failing)
 				}
+				approver.mutex.Unlock()
 				stop()
 			})
 		})
--- a/internal/jobs/overseer/capacity_test.go
+++ b/internal/jobs/overseer/capacity_test.go
@@ -177,6 +177,7 @@
 			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
 			instance := newWorker("w", 1)
 			instance.hasHeartbeat, instance.synced, leadership.instances["w"] = true, true, instance
+			instance.responded = true
 			instance.heartbeat = scheduler.WorkerHeartbeat{Phase: scheduler.WorkerReady, Sequence: 2, Clock: time.Second}
 			delta := HeartbeatDelta{Worker: "w", Instance: 1, Sequence: test.sequence, Clock: 2 * time.Second}
 			if got := leadership.applyDelta(&delta); got != test.known {
@@ -201,6 +202,7 @@
 		t.Run(name, func(t *testing.T) {
 			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
 			instance := newWorker("w", 1)
+			instance.responded = true
 			instance.hasHeartbeat, instance.synced, instance.clock, instance.lastHeartbeat = true, true, time.Second, test.now
 			instance.heartbeat = scheduler.WorkerHeartbeat{
 				Pool: "pool", Phase: scheduler.WorkerReady, Capacity: scheduler.Resources{MilliCores: 8000},
--- a/internal/jobs/overseer/crashblame_test.go
+++ b/internal/jobs/overseer/crashblame_test.go
@@ -14,7 +14,7 @@
 // newBlameLeadership returns a leadership with one task that has been running on a worker for 2 s.
 func newBlameLeadership(t *testing.T) (*leadership, *worker, scheduler.RunID) {
 	domain := &fakeDomain{random: rand.New(rand.NewPCG(1, 1)), keeper: jobkeeper.New()}
-	overseer := New(&fakeGroup{domain: domain}, domain.keeper, nil)
+	overseer := New(&fakeGroup{domain: domain}, domain.keeper, newFleet(1))
 	propose := func(command jobkeeper.Command) {
 		t.Helper()
 		data, err := command.Encode()
--- a/internal/jobs/overseer/forecastadmission.go
+++ b/internal/jobs/overseer/forecastadmission.go
@@ -83,7 +83,7 @@
 // isAbsent reports whether a worker certainly takes no tasks: it has ended, has been silent for longer than its lease, or
 // is withdrawn. The mutex must be held.
 func (leadership *leadership) isAbsent(instance *worker, now time.Duration, wallTime time.Time) bool {
-	lastContact := max(instance.lastHeartbeat, instance.lastResponse, leadership.startedAt)
+	lastContact := max(instance.lastContact(), leadership.startedAt)
 	return instance.ended || now-lastContact >= leadership.overseer.leaseDuration ||
 		instance.heartbeat.Phase == scheduler.WorkerDraining || leadership.isInMaintenance(instance) ||
 		leadership.isInEvacuatedDataCentre(instance) || leadership.failureTracker.isQuarantined(instance.name, wallTime)
--- a/internal/jobs/overseer/forecastadmission_test.go
+++ b/internal/jobs/overseer/forecastadmission_test.go
@@ -88,6 +88,8 @@
 		"not synced":                       {workers, func(instance *worker) { instance.synced = false }, true},
 		"silent for less than the lease":   {workers, func(instance *worker) { instance.lastHeartbeat = now - 5*time.Second }, true},
 		"silent for longer than the lease": {workers, func(instance *worker) { instance.lastHeartbeat = 0 }, false},
+		"new, without a response":          {workers, func(instance *worker) { instance.responded, instance.firstHeartbeat = false, now }, true},
+		"never a response":                 {workers, func(instance *worker) { instance.responded = false }, false},
 		"draining": {workers, func(instance *worker) {
 			instance.heartbeat.Phase = scheduler.WorkerDraining
 		}, false},
@@ -100,6 +102,7 @@
 			leadership := newBenchmarkLeadership(New(&fakeGroup{domain: &fakeDomain{}}, jobkeeper.New(), nil))
 			for number := range workers {
 				instance := newWorker(scheduler.WorkerName(fmt.Sprintf("w%d", number)), 1)
+				instance.responded = true
 				instance.hasHeartbeat, instance.synced, instance.clock, instance.lastHeartbeat = true, true, time.Second, now
 				instance.heartbeat = scheduler.WorkerHeartbeat{Pool: "pool", Phase: scheduler.WorkerReady}
 				if number < test.affected {
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -143,6 +143,9 @@
 		leadership.recordCapacityChange(instance, heartbeat.Capacity)
 	}
 	now := leadership.now()
+	if !instance.hasHeartbeat {
+		instance.firstHeartbeat = now - age
+	}
 	instance.hasHeartbeat, instance.heartbeat, instance.lastHeartbeat = true, heartbeat,
 		max(instance.lastHeartbeat, now-age)
 	instance.fullMilliCores = max(instance.fullMilliCores, heartbeat.Capacity.MilliCores)
@@ -167,7 +170,7 @@
 // contradicts reports whether a heartbeat gives the instance another identity than the one under which it answers orders.
 // An instance keeps its address, VM, pool and data centre, so that such a heartbeat comes from another writer.
 func (worker *worker) contradicts(heartbeat *scheduler.WorkerHeartbeat) bool {
-	if !worker.hasHeartbeat || worker.incarnation != heartbeat.Instance || worker.lastResponse == 0 ||
+	if !worker.hasHeartbeat || worker.incarnation != heartbeat.Instance || !worker.responded ||
 		worker.consecutiveFailures > 0 {
 		return false
 	}
--- a/internal/jobs/overseer/liveness_test.go
+++ b/internal/jobs/overseer/liveness_test.go
@@ -101,6 +101,7 @@
 	t.Helper()
 	simulation := newSimulation(t, 1)
 	stop := simulation.start()
+	time.Sleep(time.Second) // All workers have answered the leader, so that each gets some of the tasks.
 	job := simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: simulationWorkers})
 	time.Sleep(startBound)
 	name, lostAt := simulation.names[0], time.Now()
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -9,11 +9,11 @@
 )
 
 // ensureRenewal starts the renewal of a worker's lease if the worker has attempts, known or unknown, if it did not respond
-// and may have ends to report, or if it has not sent a complete report yet, without which it gets no work. The mutex must be
-// held.
+// and may have ends to report, or if it has not responded or sent a complete report yet, without which it gets no work. The
+// mutex must be held.
 func (leadership *leadership) ensureRenewal(instance *worker) {
 	if instance.renewing || instance.ended || !instance.hasHeartbeat || len(instance.attempts) == 0 &&
-		instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 && instance.synced {
+		instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 && instance.synced && instance.responded {
 		return
 	}
 	instance.renewing = true
@@ -265,6 +265,9 @@
 		instance.consecutiveFailures++
 		return false
 	}
+	if !instance.responded {
+		leadership.replan()
+	}
 	instance.recordResponse(now)
 	instance.updateClock(report.Clock, now)
 	return true
--- a/internal/jobs/overseer/speculation_benchmark_test.go
+++ b/internal/jobs/overseer/speculation_benchmark_test.go
@@ -88,6 +88,7 @@
 // markRunning makes the attempts of a worker look as if they had been running for a minute.
 func markRunning(leadership *leadership, instance *worker) {
 	now := leadership.now()
+	instance.responded = true
 	instance.hasHeartbeat, instance.synced, instance.clock, instance.lastHeartbeat = true, true, 1, now+time.Hour
 	instance.heartbeat = scheduler.WorkerHeartbeat{
 		Worker: instance.name, Pool: "pool", Phase: scheduler.WorkerReady,
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -20,6 +20,9 @@
 	// hasHeartbeat is false while the instance is known only from attempts in the log.
 	hasHeartbeat bool
 	heartbeat    scheduler.WorkerHeartbeat
+	// responded is true once the instance has answered an order of this leadership. A heartbeat alone does not prove that it
+	// exists, because others than workers may send some.
+	responded bool
 	// respondedAt is the address at which the instance answered an order before its first heartbeat, empty if it did not.
 	// A response does not name the worker, so it may be another worker that runs there.
 	respondedAt string
@@ -27,9 +30,10 @@
 	formerCapacities []formerCapacity
 	// fullMilliCores is the largest CPU capacity that the instance has had.
 	fullMilliCores int64
-	// lastHeartbeat is when the last heartbeat was received. lastResponse is when the worker last answered an order.
-	lastHeartbeat time.Duration
-	lastResponse  time.Duration
+	// firstHeartbeat and lastHeartbeat are when heartbeats were received. lastResponse is when the worker last answered an order.
+	firstHeartbeat time.Duration
+	lastHeartbeat  time.Duration
+	lastResponse   time.Duration
 	// clock was the worker's clock reading at, or shortly before, clockReadAt.
 	clock       time.Duration
 	clockReadAt time.Duration
@@ -197,15 +201,24 @@
 
 // acceptsWork reports whether new work may be placed on the worker.
 func (worker *worker) acceptsWork(now, heartbeatTimeout time.Duration) bool {
-	return worker.hasHeartbeat && !worker.ended && !worker.shuttingDown &&
+	return worker.hasHeartbeat && worker.responded && !worker.ended && !worker.shuttingDown &&
 		worker.heartbeat.Phase == scheduler.WorkerReady && worker.clock > 0 &&
 		now >= worker.backoffUntil && worker.consecutiveFailures == 0 &&
-		now-max(worker.lastHeartbeat, worker.lastResponse) < heartbeatTimeout
+		now-worker.lastContact() < heartbeatTimeout
+}
+
+// lastContact returns when the worker was last heard. Of an instance that has never responded only the first heartbeat
+// counts, so that one that does not exist becomes silent.
+func (worker *worker) lastContact() time.Duration {
+	if !worker.responded {
+		return worker.firstHeartbeat
+	}
+	return max(worker.lastHeartbeat, worker.lastResponse)
 }
 
 // recordResponse records that the worker has answered an order.
 func (worker *worker) recordResponse(now time.Duration) {
-	worker.lastResponse, worker.consecutiveFailures = now, 0
+	worker.responded, worker.lastResponse, worker.consecutiveFailures = true, now, 0
 	worker.failingSince, worker.connectionClosed = 0, false
 }
 
