--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -90,7 +90,9 @@
 	closed   bool
 	draining bool
 	// broken workers fail every run immediately.
-	broken    bool
+	broken bool
+	// unhealthy workers refuse every start.
+	unhealthy bool
 	endSignal chan struct{}
 }
 
@@ -327,6 +329,9 @@
 	if order.Run.Attempt <= worker.highestAttempt[order.Run.Task] {
 		return scheduler.OrderStaleAttempt
 	}
+	if worker.unhealthy {
+		return scheduler.OrderWorkerUnhealthy
+	}
 	if worker.capacities == nil && !worker.used.Plus(oneCore).FitsIn(worker.capacity) {
 		return scheduler.OrderInsufficientCapacity
 	}
--- a/internal/jobs/overseer/liveness_test.go
+++ b/internal/jobs/overseer/liveness_test.go
@@ -45,6 +45,15 @@
 	return waiting
 }
 
+// waitingInAll returns the number of tasks of all jobs that run on no worker.
+func (simulation *simulation) waitingInAll() int {
+	waiting := 0
+	for number := range simulation.jobs {
+		waiting += simulation.waitingTasks(scheduler.JobID(fmt.Sprintf("job%d", number)))
+	}
+	return waiting
+}
+
 // submitOneEach submits a long-running task for each worker and checks that all of them start within startBound.
 func (simulation *simulation) submitOneEach() {
 	simulation.t.Helper()
@@ -89,10 +98,12 @@
 
 // moveWorker starts the next instance of a worker at another address.
 func moveWorker(simulation *simulation, name scheduler.WorkerName) {
-	simulation.fleet.addAt(addressOf(name+"b"), name, simulation.nextIncarnation(name))
+	incarnation, moved := simulation.nextIncarnation(name), name+"b"
+	simulation.fleet.addAt(addressOf(moved), name, incarnation)
 	simulation.fleet.mutex.Lock()
 	defer simulation.fleet.mutex.Unlock()
-	simulation.names[slices.Index(simulation.names, name)] = name + "b"
+	simulation.names[slices.Index(simulation.names, name)] = moved
+	simulation.incarnations[moved] = incarnation
 }
 
 // check loses a worker with tasks, changes the leader at the given times after that, and checks that the tasks run again
@@ -102,9 +113,9 @@
 	simulation := newSimulation(t, 1)
 	stop := simulation.start()
 	time.Sleep(time.Second) // All workers have answered the leader, so that each gets some of the tasks.
-	job := simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: simulationWorkers})
+	simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: simulationWorkers})
 	time.Sleep(startBound)
-	name, lostAt := simulation.names[0], time.Now()
+	name := simulation.names[0]
 	if simulation.runningOn(name) == 0 {
 		t.Fatal("got no task on the worker that is to be lost, want some")
 	}
@@ -112,6 +123,7 @@
 		time.AfterFunc(after, func() { simulation.domain.elect(1 + position) })
 	}
 	workerLoss.lose(simulation, name)
+	lostAt := time.Now()
 	if workerLoss.back != nil {
 		time.AfterFunc(workerLoss.after, func() { workerLoss.back(simulation, name) })
 	}
@@ -120,8 +132,8 @@
 		bound += slices.Max(leaderChanges) // A leader does not know when its predecessor sent the last renewal.
 	}
 	time.Sleep(time.Until(lostAt.Add(time.Second)))
-	if !waitUntil(time.Until(lostAt.Add(bound)), func() bool { return simulation.waitingTasks(job) == 0 }) {
-		t.Errorf("got %d tasks waiting %v after the loss, want none", simulation.waitingTasks(job), bound)
+	if !waitUntil(time.Until(lostAt.Add(bound)), func() bool { return simulation.waitingInAll() == 0 }) {
+		t.Errorf("got %d tasks waiting %v after the loss, want none", simulation.waitingInAll(), bound)
 	}
 	time.Sleep(time.Until(lostAt.Add(2*fakeLease + restartBound)))
 	if workerLoss.back != nil {
@@ -153,6 +165,20 @@
 	}
 }
 
+// Guards against tasks that wait for longer than a lease because their worker had replaced another one shortly before it was
+// lost.
+func TestTasksOfWorkerThatEndsTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		twice := workerLoss{bound: silenceBound, lose: func(simulation *simulation, name scheduler.WorkerName) {
+			simulation.restart(name)
+			time.Sleep(startBound)
+			simulation.submitOneEach()
+			simulation.fleet.kill(name)
+		}}
+		twice.check(t, nil)
+	})
+}
+
 // Guards against tasks that never start again, or too late, because the proof that their attempts have ended never comes, and
 // against workers that are back and get no work.
 func TestTasksOfLostWorkersStartAgain(t *testing.T) {
