overseer: a new leader sets the shares of fill tasks

Batch tasks that the earlier leader had paused made no progress.

Cause: a new leader took an adopted attempt for running at full speed, but the worker keeps the share that the earlier leader had set. As long as full speed was wanted, nothing was sent.

Change: an adopted fill task has an unknown share, so that the first decision on it is sent whatever it is. That is one order for each fill task after a change of the leader.

TestNewLeaderSetsSharesOfFillTasks fails without the change: "got orders for the shares [], want [100]".

--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -155,8 +155,8 @@
 	}
 	instance.attempts[run.ID()] = &attempt{
 		state: attemptUnknown, mayHaveStarted: true, adopted: true, mark: run.Mark(), spec: *run.Task().Step().Spec(),
-		share: fullShare, targetShare: fullShare, times: attemptTimes{placedAt: leadership.now()},
-		suspect: isSuspect(run.Task()),
+		share: fullShare, targetShare: fullShare, shareUnknown: run.Task().Step().Spec().Fill,
+		times: attemptTimes{placedAt: leadership.now()}, suspect: isSuspect(run.Task()),
 	}
 	instance.synced = false
 	leadership.ensureRenewal(instance)
--- a/internal/jobs/overseer/throttle.go
+++ b/internal/jobs/overseer/throttle.go
@@ -63,10 +63,15 @@
 	return milliCores / float64(full)
 }
 
+// hasTargetShare reports whether the attempt runs at the intended share for certain.
+func (attempt *attempt) hasTargetShare() bool {
+	return attempt.share == attempt.targetShare && !attempt.shareUnknown
+}
+
 // throttle sends the target share of an attempt unless a throttle order for it is in progress. The mutex must be
 // held.
 func (leadership *leadership) throttle(instance *worker, id scheduler.RunID, attempt *attempt) {
-	if attempt.throttling || attempt.targetShare == attempt.share || attempt.state != attemptRunning {
+	if attempt.throttling || attempt.hasTargetShare() || attempt.state != attemptRunning {
 		return
 	}
 	attempt.throttling = true
@@ -91,7 +96,7 @@
 		}
 		if response.Result == scheduler.OrderAccepted {
 			leadership.mutex.Lock()
-			attempt.share = share
+			attempt.share, attempt.shareUnknown = share, false
 			attempt.timing.setShare(leadership.now(), share)
 			leadership.mutex.Unlock()
 			continue
@@ -110,7 +115,7 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	if instance.ended || instance.attempts[id] != attempt || attempt.state != attemptRunning ||
-		attempt.share == attempt.targetShare {
+		attempt.hasTargetShare() {
 		attempt.throttling = false
 		return 0, false
 	}
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -105,8 +105,10 @@
 	spec       scheduler.Step
 	// approval is the proof that the approval service issued. It is empty if no approval is required.
 	approval string
-	// share is the percentage of the full speed that the worker last accepted for the attempt.
-	share int
+	// share is the percentage of the full speed that the worker last accepted for the attempt. shareUnknown is true if an
+	// earlier leader may have set another one.
+	share        int
+	shareUnknown bool
 	// targetShare is the intended percentage. throttling is true while a throttle order is in progress. pausedSince
 	// is when targetShare became 0, or zero if the attempt is not paused.
 	targetShare int
