overseer: an instance that answers ends only by the proof of another one

A heartbeat of another writer on the VM or address of a worker, or under its name, with a later start ended that worker: its attempts were recorded as lost and started again elsewhere while they went on. Sent before the worker's first heartbeat, it hid the worker for the rest of the term, because its start was the later one.

Such a heartbeat is now a claim. The leader sends a renewal that extends no lease and acknowledges nothing to the address of the claim, and applies the heartbeat once the instance that it names has answered there. An instance that has stopped answering gives way at once, as before. One that has never answered gives way to an earlier one that does. An instance is subject to one claim at a time, which bounds the renewals. Claims without proof are logged (beatUnproven), at most once per interval.

--- /dev/null
+++ b/internal/jobs/overseer/claim.go
@@ -0,0 +1,137 @@
+package overseer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// claim is a heartbeat whose sender says that it runs in place of other instances. The start time in a heartbeat proves
+// nothing, because others than workers may send some: the heartbeat is applied once the sender has answered at its address.
+type claim struct {
+	heartbeat  scheduler.WorkerHeartbeat
+	receivedAt time.Duration
+	// displaced holds the instances that end if the claim holds.
+	displaced []*worker
+}
+
+// displacedBy returns the instances that cannot be up if the sender of a heartbeat is: another one of the same worker, and
+// those of other workers at its locations. outdated is true if one of them started later, so that the heartbeat is one that
+// arrives late. The mutex must be held.
+func (leadership *leadership) displacedBy(heartbeat *scheduler.WorkerHeartbeat) (displaced []*worker, outdated bool) {
+	if known := leadership.instances[heartbeat.Worker]; known != nil && known.incarnation != heartbeat.Instance {
+		displaced = append(displaced, known)
+	}
+	for _, location := range locationsOf(heartbeat) {
+		other := leadership.instances[leadership.occupants[location]]
+		if other == nil || other.name == heartbeat.Worker || slices.Contains(displaced, other) {
+			continue
+		}
+		if leadership.isLaterOccupant(other, heartbeat) ||
+			leadership.isKnownPool(heartbeat.Pool) && other.isSupersededBy(heartbeat) {
+			displaced = append(displaced, other)
+		}
+	}
+	outdated = slices.ContainsFunc(displaced, func(other *worker) bool {
+		return other.incarnation > heartbeat.Instance && other.mayRun()
+	})
+	return displaced, outdated
+}
+
+// isLaterOccupant reports whether another worker at a location of the heartbeat started after its sender.
+func (leadership *leadership) isLaterOccupant(other *worker, heartbeat *scheduler.WorkerHeartbeat) bool {
+	return other.incarnation > heartbeat.Instance && leadership.isKnownPool(other.heartbeat.Pool)
+}
+
+// mayRun reports whether the instance has answered, or attempts may run on it. Otherwise it is known from heartbeats only.
+func (worker *worker) mayRun() bool { return worker.responded || len(worker.attempts) > 0 }
+
+// needsProof reports whether a heartbeat counts only once its sender has answered. That of a later instance counts at once
+// if the earlier one no longer answers, as after a crash.
+func needsProof(displaced []*worker, heartbeat *scheduler.WorkerHeartbeat) bool {
+	return slices.ContainsFunc(displaced, func(other *worker) bool {
+		answers := other.mayRun() && other.consecutiveFailures == 0 && other.respondedAt == ""
+		return answers || other.incarnation > heartbeat.Instance
+	})
+}
+
+// verifyClaim asks the sender of a heartbeat to answer at its address. Each displaced instance is subject to one
+// verification at a time, which bounds their number; the sender repeats its heartbeat. The mutex must be held.
+func (leadership *leadership) verifyClaim(claim *claim) {
+	if slices.ContainsFunc(claim.displaced, func(other *worker) bool { return other.claimed }) {
+		return
+	}
+	for _, other := range claim.displaced {
+		other.claimed = true
+	}
+	leadership.goroutines.Go(func() {
+		report, proven := leadership.askSender(&claim.heartbeat)
+		leadership.settleClaim(claim, &report, proven)
+	})
+}
+
+// askSender sends the sender of a heartbeat a renewal that extends no lease and acknowledges nothing. proven is true if the
+// instance of the heartbeat answered.
+func (leadership *leadership) askSender(
+	heartbeat *scheduler.WorkerHeartbeat,
+) (report scheduler.WorkerReport, proven bool) {
+	if !leadership.mayAct() {
+		return scheduler.WorkerReport{}, false
+	}
+	ctx, cancel := context.WithTimeout(leadership.context, orderTimeout)
+	defer cancel()
+	sender := scheduler.WorkerRef{Worker: heartbeat.Worker, Instance: heartbeat.Instance, Address: heartbeat.Address}
+	report, err := leadership.overseer.client.Renew(ctx, sender, scheduler.RenewOrder{Token: leadership.term})
+	return report, err == nil && report.Instance == heartbeat.Instance &&
+		report.Result != scheduler.OrderIncarnationMismatch
+}
+
+// settleClaim applies the heartbeat of a claim if its sender has answered.
+func (leadership *leadership) settleClaim(claim *claim, report *scheduler.WorkerReport, proven bool) {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	for _, other := range claim.displaced {
+		other.claimed = false
+	}
+	if !proven {
+		leadership.logUnprovenClaim(claim)
+		return
+	}
+	if leadership.knows(&claim.heartbeat) {
+		return
+	}
+	if _, outdated := leadership.displacedBy(&claim.heartbeat); outdated {
+		return
+	}
+	for _, other := range claim.displaced {
+		if other.incarnation > claim.heartbeat.Instance {
+			leadership.endInstance(other, "another worker responds in its place")
+		}
+	}
+	now := leadership.now()
+	instance := leadership.acceptHeartbeat(claim.heartbeat, now-claim.receivedAt)
+	instance.recordResponse(now)
+	instance.updateClock(report.Clock, now)
+	leadership.replan()
+}
+
+// knows reports whether a heartbeat of the same instance has been applied. The mutex must be held.
+func (leadership *leadership) knows(heartbeat *scheduler.WorkerHeartbeat) bool {
+	known := leadership.instances[heartbeat.Worker]
+	return known != nil && known.hasHeartbeat && known.incarnation == heartbeat.Instance
+}
+
+func (leadership *leadership) logUnprovenClaim(claim *claim) {
+	suppressed, allowed := leadership.repeatedWarnings.Allow("beatUnproven")
+	if !allowed {
+		return
+	}
+	heartbeat := &claim.heartbeat
+	leadership.logger.Warn().Str("event", "beatUnproven").Str("worker", string(heartbeat.Worker)).
+		Uint64("life", uint64(heartbeat.Instance)).Str("address", heartbeat.Address).
+		Str("displaces", string(claim.displaced[0].name)).Uint64("displacedLife", uint64(claim.displaced[0].incarnation)).
+		Int("suppressed", suppressed).
+		Msg("heartbeat displaces a worker, but its sender does not answer at its address; ignored")
+}
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -107,21 +107,34 @@
 	return true
 }
 
-// applyHeartbeat processes a heartbeat that was received age ago. A heartbeat of an earlier instance, or one that
-// arrives after a later heartbeat of the same instance, is ignored. The mutex must be held.
+// applyHeartbeat processes a heartbeat that was received age ago. A heartbeat of an earlier instance, or one that arrives
+// after a later heartbeat of the same instance, is ignored. One that displaces an instance that may be up is applied once
+// its sender has proven that it runs. The mutex must be held.
 func (leadership *leadership) applyHeartbeat(heartbeat scheduler.WorkerHeartbeat, age time.Duration) {
 	instance := leadership.instances[heartbeat.Worker]
-	switch {
-	case instance != nil && heartbeat.Instance < instance.incarnation,
-		instance != nil && instance.hasHeartbeat && heartbeat.Instance == instance.incarnation &&
-			heartbeat.Sequence <= instance.heartbeat.Sequence:
-		return
-	case leadership.isSuperseded(&heartbeat):
+	if instance != nil && instance.hasHeartbeat && heartbeat.Instance == instance.incarnation &&
+		heartbeat.Sequence <= instance.heartbeat.Sequence {
 		return
-	case instance != nil && instance.contradicts(&heartbeat):
+	}
+	if instance != nil && instance.contradicts(&heartbeat) {
 		leadership.logContradiction(instance, &heartbeat)
 		return
-	case instance != nil && instance.incarnation < heartbeat.Instance:
+	}
+	displaced, outdated := leadership.displacedBy(&heartbeat)
+	switch {
+	case outdated:
+	case needsProof(displaced, &heartbeat):
+		leadership.verifyClaim(&claim{heartbeat: heartbeat, receivedAt: leadership.now() - age, displaced: displaced})
+	default:
+		leadership.acceptHeartbeat(heartbeat, age)
+	}
+}
+
+// acceptHeartbeat applies a heartbeat and ends the instances that it displaces. It returns the instance that sent it. The
+// mutex must be held.
+func (leadership *leadership) acceptHeartbeat(heartbeat scheduler.WorkerHeartbeat, age time.Duration) *worker {
+	instance := leadership.instances[heartbeat.Worker]
+	if instance != nil && instance.incarnation < heartbeat.Instance {
 		instance = leadership.replaceInstance(instance, heartbeat.Instance)
 	}
 	if instance == nil {
@@ -152,6 +165,7 @@
 	leadership.failureTracker.quarantiner.Add(heartbeat.Worker)
 	instance.updateClockFromHeartbeat(heartbeat.Clock, now)
 	leadership.ensureRenewal(instance)
+	return instance
 }
 
 // location is an address or a VM. At most one worker runs at a location at a time.
@@ -191,19 +205,6 @@
 		Msg("heartbeat gives a worker that answers another identity; ignored")
 }
 
-// isSuperseded reports whether a later worker runs at one of the heartbeat's locations, so that the heartbeat is
-// stale.
-func (leadership *leadership) isSuperseded(heartbeat *scheduler.WorkerHeartbeat) bool {
-	for _, location := range locationsOf(heartbeat) {
-		if other := leadership.instances[leadership.occupants[location]]; other != nil &&
-			other.name != heartbeat.Worker && other.incarnation > heartbeat.Instance &&
-			leadership.isKnownPool(other.heartbeat.Pool) {
-			return true
-		}
-	}
-	return false
-}
-
 // isKnownPool reports whether the configuration has a pool. A worker of any other pool cannot be used, and does not displace
 // one that can.
 func (leadership *leadership) isKnownPool(name scheduler.PoolName) bool {
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -23,6 +23,8 @@
 	// responded is true once the instance has answered an order of this leadership. A heartbeat alone does not prove that it
 	// exists, because others than workers may send some.
 	responded bool
+	// claimed is true while the sender of a heartbeat that would end the instance is asked to prove that it runs.
+	claimed bool
 	// respondedAt is the address at which the instance answered an order before its first heartbeat, empty if it did not.
 	// A response does not name the worker, so it may be another worker that runs there.
 	respondedAt string
