overseer: a watchdog reports tasks that wait although there is room

The leader now observes once a second what a planning cycle has left waiting. Package waitwatcher (pure) decides which steps are examined (64 at most) and remembers since when there has been room for each task twice over; packer.ExamineRoom counts the places that hard limits leave, and why workers with room accept none. Workers that respond but are backing off, quarantined, unsynced, outdated or with unknown attempts count as room. Overdue after 3 s: gauge tasks_overdue and histogram oldest_overdue_age by queue and reason, log line taskOverdue, one in 10 s for each queue and reason.

TestFormerLeaderResetsGauges fails without the reset.

--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -174,6 +174,9 @@
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
 
+// LastAttempt returns the number of the latest attempt, or 0 if there was none.
+func (task *Task) LastAttempt() scheduler.AttemptNumber { return task.attempt }
+
 // IsRunnable reports whether the task may have a running attempt: it has not finished, the steps on which it depends
 // have, and its job has not ended.
 func (task *Task) IsRunnable() bool {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -15,6 +15,7 @@
 	"github.com/crocusplank/crocusplank/internal/jobs/forecaster"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/pacer"
+	"github.com/crocusplank/crocusplank/internal/jobs/waitwatcher"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -51,6 +52,7 @@
 	// approvalCandidates is cleared at the start of each decision.
 	approvalCandidates approvalCandidates
 	jobLog             jobLog
+	waitWatcher        *waitwatcher.Watcher
 	// planning holds the durations of the planning cycles since the last load event; only plan uses it.
 	planning planningTimes
 	// starved holds all tasks of the groups that the last planning cycle found starved, from before their placement
@@ -97,7 +99,7 @@
 		interference: pacer.NewInterference(),
 		approvals:    map[stepKey]*approvals{}, approvalRequests: make(chan approvalRequest, approvalQueueSize),
 		approvalCandidates: approvalCandidates{},
-		starved:            map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), failureTracker: newFailureTracker(),
+		starved:            map[scheduler.StepTaskID]bool{}, jobLog: newJobLog(), waitWatcher: waitwatcher.New(), failureTracker: newFailureTracker(),
 		pendingEnds: map[scheduler.RunID]bool{}, maintenance: newMaintenance(),
 		evacuations: newEvacuations(), guardedPools: map[scheduler.PoolName]bool{}, runTimes: forecaster.New(),
 		admitters:         map[scheduler.PoolName]*admitter.Admitter{},
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -49,6 +49,7 @@
 
 	evacuation evacuationMetrics
 	admission  *admissionMetrics
+	waiting    *waitingMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -72,6 +73,7 @@
 		suspectsWaiting: scope.Gauge("suspects_waiting"), workersKept: scope.Gauge("workers_kept_for_suspects"),
 		evacuation: newEvacuationMetrics(scope),
 		admission:  newAdmissionMetrics(scope),
+		waiting:    newWaitingMetrics(scope),
 	}
 }
 
@@ -85,6 +87,7 @@
 	metrics.evacuation.resetGauges()
 	metrics.admission.update(0, 0, 0)
 	metrics.admission.updateOldest(waitBySize{})
+	metrics.waiting.update(nil)
 }
 
 // queueScope returns the scope of the metrics that are counted by queue.
--- a/internal/jobs/overseer/metrics_test.go
+++ b/internal/jobs/overseer/metrics_test.go
@@ -7,8 +7,21 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/waitwatcher"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
+// overdueTask returns an overdue task.
+func overdueTask() []waitwatcher.Overdue {
+	watcher := waitwatcher.New()
+	steps := []waitwatcher.Step{{Examine: func() waitwatcher.Room {
+		return waitwatcher.Room{Tasks: make([]scheduler.RunID, 1), Places: waitwatcher.RoomFactor}
+	}}}
+	watcher.Observe(0, steps)
+	return watcher.Observe(waitwatcher.OverdueAfter+1, steps)
+}
+
 // Guards against gauges of a former leader that keep their last value beside those of the current one.
 func TestFormerLeaderResetsGauges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -24,6 +37,7 @@
 		overseer.metrics.evacuation.dataCentres.Update(1)
 		overseer.metrics.evacuation.tasks.Update(1)
 		overseer.metrics.admission.update(1, 1, 1)
+		overseer.metrics.waiting.update(overdueTask())
 		overseer.metrics.admission.updateOldest(waitBySize{time.Second, time.Second, time.Second})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -129,6 +129,7 @@
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
 			leadership.jobLog.updateWaiting(leadership.now(), nil)
+			leadership.watchWaiting(state, nil, nil, nil)
 			leadership.logIsolation()
 			leadership.dropReservations()
 			clear(leadership.evacuations.blocked)
@@ -161,6 +162,7 @@
 				})
 			}
 		}
+		leadership.watchWaiting(state, pools, steps, placements)
 		leadership.logIsolation()
 	})
 	return placements
--- a/internal/jobs/packer/exclusion.go
+++ b/internal/jobs/packer/exclusion.go
@@ -40,14 +40,8 @@
 // exclusion returns why a worker does not accept another task of the group. assigned is the number of tasks of the group
 // that this decision has assigned to the worker.
 func (group *Group) exclusion(worker *Worker, assigned int) Exclusion {
-	step := group.Step
-	if step.Fill {
-		if worker.Slack < step.Request.MilliCores/minSlackDivisor {
-			return ExcludedBySlack
-		}
-		if worker.excess(step) > 0 {
-			return ExcludedByInterference
-		}
+	if exclusion := group.servingExclusion(worker); exclusion != NotExcluded {
+		return exclusion
 	}
 	return group.constraint(worker, assigned)
 }
