--- a/internal/jobs/packer/isolation_test.go
+++ b/internal/jobs/packer/isolation_test.go
@@ -208,3 +208,52 @@
 		})
 	}
 }
+
+// survivalTime is how long a suspect must run until it is no longer one.
+const survivalTime = 30 * time.Second
+
+// Guards against suspects that wait until others have survived, because each worker already runs one.
+func TestSuspectsOutnumberWorkers(t *testing.T) {
+	tests := map[string]int{"small pool": 6, "pool": 48, "large pool": 540}
+	for name, size := range tests {
+		t.Run(name, func(t *testing.T) {
+			waiting := oneCoreGroup("suspects", 2*size, true)
+			waiting.Step.LongRunning = true
+			startedAt := map[scheduler.WorkerName][]time.Duration{}
+			now := time.Duration(0)
+			for ; len(waiting.Tasks) > 0 && now < time.Minute; now += playedStep {
+				var workers []*Worker
+				for number := range size {
+					name := fmt.Sprintf("w%d", number)
+					workers = append(workers, suspectsWorker(name, startedAt[scheduler.WorkerName(name)], now))
+				}
+				assignments := Pack(workers, []Group{waiting})
+				for _, assignment := range assignments {
+					startedAt[assignment.Worker] = append(startedAt[assignment.Worker], now)
+				}
+				waiting.Tasks = waiting.Tasks[len(assignments):]
+			}
+			if got, want := now, 3*time.Second; got > want {
+				t.Errorf("got all suspects started after %v, want at most %v", got, want)
+			}
+		})
+	}
+}
+
+// suspectsWorker returns a worker with running suspects that have started at the given times.
+func suspectsWorker(name string, startedAt []time.Duration, now time.Duration) *Worker {
+	worker := isolatedWorker(name, Isolation{Attempts: len(startedAt)})
+	worker.Free = cores(int64(8 - len(startedAt)))
+	for _, at := range startedAt {
+		age := now - at
+		if age < survivalTime {
+			worker.Isolation.Suspects++
+		}
+		if age < startWindow {
+			worker.Isolation.Starts++
+			worker.Isolation.SuspectStarts++
+			worker.Isolation.RecentFor = max(worker.Isolation.RecentFor, startWindow-age)
+		}
+	}
+	return worker
+}
