packer, overseer: suspects that have waited share a worker

Cause: a worker takes no second suspect until the first has survived 30 s, so that 76 suspects on 48 workers wait for each other.

A suspect that has waited for 1 s may now join suspects whose starts are no longer recent, and up to half of the workers are kept for such suspects. It still starts apart, so a crash at its start is blamed on it alone. Between two suspects a worker is open to others.

--- a/internal/jobs/overseer/isolation.go
+++ b/internal/jobs/overseer/isolation.go
@@ -12,6 +12,9 @@
 // isolationLogInterval is how often waiting suspects are logged.
 const isolationLogInterval = time.Second
 
+// openTime is how long a worker is open to other tasks between the starts of two suspects that share it.
+const openTime = crashclassifier.StartWindow
+
 // isSuspect reports whether a task must start apart from others, see packer.Isolation. A task that was blamed once together
 // with everything else on a worker need not.
 func isSuspect(task *jobkeeper.Task) bool { return task.IsSuspect() }
@@ -39,13 +42,14 @@
 	isolation.Attempts++
 	acceptedAt := attempt.times.acceptedAt
 	isSuspect := attempt.suspect && (acceptedAt == 0 || now-acceptedAt < crashclassifier.SurvivalTime)
-	if isSuspect {
-		isolation.Suspects++
-	}
 	recentFor := crashclassifier.StartWindow
 	if acceptedAt > 0 {
 		recentFor -= now - acceptedAt
 	}
+	if isSuspect {
+		isolation.Suspects++
+		isolation.ClosedFor = max(isolation.ClosedFor, recentFor+openTime)
+	}
 	if recentFor <= 0 {
 		return
 	}
@@ -91,6 +95,44 @@
 	return []*waitingStep{waiting, &suspected}
 }
 
+// updateSuspectWaits sets since when the waiting suspects have been waiting. The wait of a task ends only with its
+// placement or with the term. The mutex must be held.
+func (leadership *leadership) updateSuspectWaits(steps []*waitingStep) {
+	now := leadership.now()
+	var next map[scheduler.StepTaskID]time.Duration
+	for _, waiting := range steps {
+		if !waiting.suspect {
+			continue
+		}
+		if next == nil {
+			next = map[scheduler.StepTaskID]time.Duration{}
+		}
+		for _, task := range waiting.tasks {
+			since, found := leadership.suspectsSince[task.ID()]
+			if !found {
+				since = now
+			}
+			next[task.ID()] = since
+		}
+	}
+	leadership.suspectsSince = next
+}
+
+// suspectsWaited returns how long the first of the waiting suspects of a step has been waiting, as of the last planning
+// cycle. The mutex must be held.
+func (leadership *leadership) suspectsWaited(waiting *waitingStep) time.Duration {
+	if !waiting.suspect {
+		return 0
+	}
+	now, longest := leadership.now(), time.Duration(0)
+	for _, task := range waiting.tasks {
+		if since, found := leadership.suspectsSince[task.ID()]; found {
+			longest = max(longest, now-since)
+		}
+	}
+	return longest
+}
+
 // isolationLog limits the log lines about waiting suspects. Its counts are sums over the pools of a planning cycle.
 type isolationLog struct {
 	loggedAt time.Duration
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -81,6 +81,8 @@
 	// packedWorkers holds for each pool what the waiting tasks cannot use.
 	packedWorkers map[scheduler.PoolName]*packedWorkers
 	isolationLog  isolationLog
+	// suspectsSince holds since when each waiting suspect has been waiting.
+	suspectsSince map[scheduler.StepTaskID]time.Duration
 	crashes       crashes
 	// repeatedWarnings bounds the log lines about failed proposals.
 	repeatedWarnings *suppressor.Suppressor
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -129,6 +129,7 @@
 		leadership.overseer.metrics.ready.Update(float64(state.ReadyCount()))
 		if state.ReadyCount() == 0 {
 			leadership.jobLog.updateWaiting(leadership.now(), nil)
+			leadership.suspectsSince = nil
 			leadership.watchWaiting(state, nil, nil, nil)
 			leadership.logIsolation()
 			leadership.dropReservations()
@@ -140,6 +141,7 @@
 		leadership.pruneApprovals(state)
 		steps := waitingSteps(state)
 		leadership.jobLog.updateWaiting(leadership.now(), steps)
+		leadership.updateSuspectWaits(steps)
 		leadership.logStepsWaitingForEvacuations(steps)
 		groups := map[scheduler.PoolName][]packer.Group{}
 		stepsByPool := map[scheduler.PoolName][]*waitingStep{}
@@ -320,6 +322,7 @@
 	group := packer.Group{
 		Step: waiting.step.Spec(), Approved: approved, Priority: waiting.step.Job().Queue().Priority,
 		Avoid: leadership.failureTracker.avoidedWorkers(waiting.tasks, time.Now()), Suspect: waiting.suspect,
+		Waited: leadership.suspectsWaited(waiting),
 	}
 	for _, task := range waiting.tasks {
 		group.Tasks = append(group.Tasks, task.ID())
--- a/internal/jobs/packer/isolation.go
+++ b/internal/jobs/packer/isolation.go
@@ -14,6 +14,11 @@
 //
 // On busy workers some start is always recent. Pack therefore keeps a few workers free of other starts for the suspects
 // that wait, each for at most as long as a start is recent.
+//
+// When many workers crash, there may soon be more suspects than workers, and each of them occupies its worker until it
+// has survived. A suspect that has waited for sharingDelay may therefore share a worker with suspects whose starts are
+// no longer recent, and more workers are kept. It still starts apart, so a crash at its start is blamed on it alone.
+// Between two suspects, a worker is open to other tasks for a while, see Isolation.ClosedFor.
 
 // Isolation is what decides whether suspects may start on a worker, and others beside them.
 type Isolation struct {
@@ -26,11 +31,31 @@
 	SuspectStarts int
 	// RecentFor is how long the latest start remains recent. It is zero if Starts is.
 	RecentFor time.Duration
+	// ClosedFor is how long no suspect may join the suspects on the worker. It includes some time in which their starts are
+	// no longer recent, so that a series of suspects does not keep all other tasks off the worker.
+	ClosedFor time.Duration
 }
 
-// maxKeptFraction is the maximum fraction of the workers that are kept free of other starts for suspects. The number of
-// workers is rounded down but at least one. Gangs may exceed it, because their members start together.
-const maxKeptFraction = 0.1
+const (
+	// maxKeptFraction is the maximum fraction of the workers that are kept free of other starts for suspects, and
+	// maxKeptFractionOverdue that for suspects that have waited for sharingDelay. The number of workers is rounded down but
+	// at least one. Gangs may exceed it, because their members start together.
+	maxKeptFraction        = 0.1
+	maxKeptFractionOverdue = 0.5
+	// sharingDelay is how long a suspect waits for a worker without another suspect before it may share one.
+	sharingDelay = time.Second
+)
+
+// mayShare reports whether the tasks, which are suspects, may run on a worker with other suspects.
+func (group *Group) mayShare() bool { return group.Waited >= sharingDelay }
+
+// admitsSuspect reports whether a suspect may join the suspects on the worker, apart from recent starts.
+func (isolation *Isolation) admitsSuspect(group *Group, assigned int) bool {
+	if isolation.Suspects <= assigned {
+		return true
+	}
+	return group.mayShare() && isolation.ClosedFor <= 0 && isolation.SuspectStarts <= assigned
+}
 
 // isolation returns whether the rules for suspects keep another task of the group off a worker. assigned is the number of
 // tasks of the group that this decision has assigned to the worker. The members of a gang may share a worker, because
@@ -39,7 +64,7 @@
 	switch isolation := &worker.Isolation; {
 	case !group.Suspect && (isolation.SuspectStarts > 0 || worker.isKeptFrom(group)):
 		return ExcludedBySuspect
-	case group.Suspect && isolation.Suspects > assigned:
+	case group.Suspect && !isolation.admitsSuspect(group, assigned):
 		return ExcludedBySuspect
 	case group.Suspect && isolation.Starts > assigned:
 		return ExcludedByStarts
@@ -68,20 +93,34 @@
 
 // keepForSuspects keeps workers free of other starts for the suspects that could start at once if no start were recent.
 func keepForSuspects(workers []*Worker, groups []Group) {
-	remaining := max(1, int(maxKeptFraction*float64(len(workers))))
+	kept := 0
 	for position := range groups {
 		group := &groups[position]
-		switch {
-		case !group.Suspect:
-		case group.Step.Gang:
+		if !group.Suspect {
+			continue
+		}
+		if group.Step.Gang {
 			keepForGang(workers, group)
-		case remaining > 0:
-			candidates := isolationCandidates(workers, group)
-			candidates = candidates[:min(len(candidates), len(group.Tasks), remaining)]
-			keep(candidates, group)
-			remaining -= len(candidates)
+			continue
+		}
+		remaining := maxKept(len(workers), group) - kept
+		if remaining <= 0 {
+			continue
 		}
+		candidates := isolationCandidates(workers, group)
+		candidates = candidates[:min(len(candidates), len(group.Tasks), remaining)]
+		keep(candidates, group)
+		kept += len(candidates)
+	}
+}
+
+// maxKept returns how many of the workers may be kept when some are kept for a group.
+func maxKept(workers int, group *Group) int {
+	fraction := maxKeptFraction
+	if group.mayShare() {
+		fraction = maxKeptFractionOverdue
 	}
+	return max(1, int(fraction*float64(workers)))
 }
 
 // keepForGang keeps as many workers as the members of a gang need, or none if they do not fit.
@@ -109,8 +148,9 @@
 	return members
 }
 
-// isolationCandidates returns the workers that accept a suspect but for recent starts, those first on which it can start
-// the soonest. Because a kept worker gets no other starts, the next decision chooses it again.
+// isolationCandidates returns the workers that accept a suspect but for recent starts. Those with the fewest suspects come
+// first, and of these the ones on which it can start the soonest. Because a kept worker gets no other starts, the next
+// decision chooses it again.
 func isolationCandidates(workers []*Worker, group *Group) []*Worker {
 	var candidates []*Worker
 	for _, worker := range workers {
@@ -122,7 +162,10 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		return cmp.Compare(a.Isolation.RecentFor, b.Isolation.RecentFor)
+		return cmp.Or(
+			cmp.Compare(a.Isolation.Suspects, b.Isolation.Suspects),
+			cmp.Compare(a.Isolation.RecentFor, b.Isolation.RecentFor),
+		)
 	})
 	return candidates
 }
--- a/internal/jobs/packer/isolation_test.go
+++ b/internal/jobs/packer/isolation_test.go
@@ -222,6 +222,7 @@
 			startedAt := map[scheduler.WorkerName][]time.Duration{}
 			now := time.Duration(0)
 			for ; len(waiting.Tasks) > 0 && now < time.Minute; now += playedStep {
+				waiting.Waited = now
 				var workers []*Worker
 				for number := range size {
 					name := fmt.Sprintf("w%d", number)
@@ -248,6 +249,7 @@
 		age := now - at
 		if age < survivalTime {
 			worker.Isolation.Suspects++
+			worker.Isolation.ClosedFor = max(worker.Isolation.ClosedFor, 2*startWindow-age)
 		}
 		if age < startWindow {
 			worker.Isolation.Starts++
--- a/internal/jobs/packer/packer.go
+++ b/internal/jobs/packer/packer.go
@@ -82,8 +82,10 @@
 	RunTime time.Duration
 	// Priority is the priority of the step's queue; 0 comes first. It only decides which holds the tasks may break.
 	Priority int
-	// Suspect is true if workers have crashed under the tasks, or under a member of the gang.
+	// Suspect is true if workers have crashed under the tasks, or under a member of the gang. Waited is then how long the
+	// first of them has been waiting.
 	Suspect bool
+	Waited  time.Duration
 }
 
 // Assignment assigns a task to a worker.
@@ -277,8 +279,10 @@
 	// weightHeld keeps tasks off capacity that is held for tasks of a lower priority, unless all other workers are
 	// remote from their data.
 	weightHeld = 5
-	// weightAttempts is the weight of each attempt that would be lost if a suspect crashed the worker.
+	// weightAttempts is the weight of each attempt that would be lost if a suspect crashed the worker. weightSuspects keeps
+	// suspects on separate workers as long as there are any, because a crash may be blamed on all suspects of a worker.
 	weightAttempts = 1
+	weightSuspects = 100
 )
 
 // score returns the score of a worker for a task of the group; the lowest score is best. Apart from the weighted terms,
@@ -301,7 +305,7 @@
 		score += weightHeld
 	}
 	if group.Suspect {
-		return score + weightAttempts*float64(worker.Isolation.Attempts)
+		return score + weightAttempts*float64(worker.Isolation.Attempts) + weightSuspects*float64(worker.Isolation.Suspects)
 	}
 	if step.Fill {
 		return score + weightOtherDemand*worker.placeableDemand.totalWithout(step.Image) -
