overseer: an answer proves no heartbeat of another name

A heartbeat of another writer with the address and the start time of a running worker, but another name or VM, passed as proven: a response does not name the worker, so that the running worker's own answer proved it. The instance that it displaced was ended and its tasks ran twice, or a second worker was taken to run at that address.

Such a heartbeat is refuted: the instance at that address answers under another name.

--- a/internal/jobs/overseer/claim.go
+++ b/internal/jobs/overseer/claim.go
@@ -18,9 +18,9 @@
 }
 
 // displacedBy returns the instances that cannot be up if the sender of a heartbeat is: another one of the same worker, and
-// those of other workers at its locations. outdated is true if one of them started later, so that the heartbeat is one that
-// arrives late. The mutex must be held.
-func (leadership *leadership) displacedBy(heartbeat *scheduler.WorkerHeartbeat) (displaced []*worker, outdated bool) {
+// those of other workers at its locations. refuted is true if one of them started later, so that the heartbeat is one that
+// arrives late, or if the sender is known under another name. The mutex must be held.
+func (leadership *leadership) displacedBy(heartbeat *scheduler.WorkerHeartbeat) (displaced []*worker, refuted bool) {
 	if known := leadership.instances[heartbeat.Worker]; known != nil && known.incarnation != heartbeat.Instance {
 		displaced = append(displaced, known)
 	}
@@ -34,10 +34,18 @@
 			displaced = append(displaced, other)
 		}
 	}
-	outdated = slices.ContainsFunc(displaced, func(other *worker) bool {
+	refuted = leadership.isKnownUnderOtherName(heartbeat) || slices.ContainsFunc(displaced, func(other *worker) bool {
 		return other.incarnation > heartbeat.Instance && other.mayRun()
 	})
-	return displaced, outdated
+	return displaced, refuted
+}
+
+// isKnownUnderOtherName reports whether the instance at the address of a heartbeat answers under another name. Its answer
+// would seem to prove the heartbeat, because responses do not name the worker. The mutex must be held.
+func (leadership *leadership) isKnownUnderOtherName(heartbeat *scheduler.WorkerHeartbeat) bool {
+	other := leadership.instances[leadership.occupants[addressLocation(heartbeat.Address)]]
+	return other != nil && other.name != heartbeat.Worker && other.hasHeartbeat && other.responded &&
+		other.incarnation == heartbeat.Instance && other.heartbeat.Address == heartbeat.Address
 }
 
 // isLaterOccupant reports whether another worker at a location of the heartbeat started after its sender.
@@ -102,7 +110,7 @@
 	if leadership.knows(&claim.heartbeat) {
 		return
 	}
-	if _, outdated := leadership.displacedBy(&claim.heartbeat); outdated {
+	if _, refuted := leadership.displacedBy(&claim.heartbeat); refuted {
 		return
 	}
 	for _, other := range claim.displaced {
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -120,9 +120,9 @@
 		leadership.logContradiction(instance, &heartbeat)
 		return
 	}
-	displaced, outdated := leadership.displacedBy(&heartbeat)
+	displaced, refuted := leadership.displacedBy(&heartbeat)
 	switch {
-	case outdated:
+	case refuted:
 	case needsProof(displaced, &heartbeat):
 		leadership.verifyClaim(&claim{heartbeat: heartbeat, receivedAt: leadership.now() - age, displaced: displaced})
 	default:
@@ -172,13 +172,15 @@
 type location string
 
 func locationsOf(heartbeat *scheduler.WorkerHeartbeat) []location {
-	locations := []location{location("address " + heartbeat.Address)}
+	locations := []location{addressLocation(heartbeat.Address)}
 	if heartbeat.VM != "" {
 		locations = append(locations, vmLocation(heartbeat.VM))
 	}
 	return locations
 }
 
+func addressLocation(address string) location { return location("address " + address) }
+
 func vmLocation(vm scheduler.VMName) location { return location("VM " + string(vm)) }
 
 // contradicts reports whether a heartbeat gives the instance another identity than the one under which it answers orders.
