--- a/internal/jobs/overseer/failuretracker.go
+++ b/internal/jobs/overseer/failuretracker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/internal/jobs/waitwatcher"
 	"github.com/crocusplank/crocusplank/internal/placement/quarantiner"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -27,9 +28,9 @@
 	at     time.Time
 }
 
-// avoidanceTime is how long tasks of a step avoid a worker on which one of them has failed. It is well below the time within
-// which a task with room for it must start, because no other worker may be able to run it.
-const avoidanceTime = 1500 * time.Millisecond
+// avoidanceTime is how long tasks of a step avoid a worker on which one of them has failed. It is
+// half of OverdueAfter, because no other worker may be able to run it.
+const avoidanceTime = waitwatcher.OverdueAfter / 2
 
 func newFailureTracker() failureTracker {
 	quarantiner, err := quarantiner.New(quarantiner.WithInitialQuarantine(initialQuarantine))
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -107,9 +107,9 @@
 	return true
 }
 
-// applyHeartbeat processes a heartbeat that was received age ago. A heartbeat of an earlier instance, or one that arrives
-// after a later heartbeat of the same instance, is ignored. One that displaces an instance that may be up is applied once
-// its sender has proven that it runs. The mutex must be held.
+// applyHeartbeat processes a heartbeat that was received age ago. One that is not later than the last one of its instance is
+// ignored, and so is one of an earlier instance if the later one may run. One that displaces an instance that may be up is
+// applied once its sender has answered. The mutex must be held.
 func (leadership *leadership) applyHeartbeat(heartbeat scheduler.WorkerHeartbeat, age time.Duration) {
 	instance := leadership.instances[heartbeat.Worker]
 	if instance != nil && instance.hasHeartbeat && heartbeat.Instance == instance.incarnation &&
--- a/internal/jobs/overseer/liveness_test.go
+++ b/internal/jobs/overseer/liveness_test.go
@@ -156,7 +156,8 @@
 	}
 }
 
-// Guards against tasks that wait for the lease of such a worker because the new leader never knew its address.
+// Guards against tasks that wait for the lease of a worker whose address a later one has taken over, because the new leader
+// never knew that address.
 func TestTasksOfRenamedWorkersUnderNewLeader(t *testing.T) {
 	for name, times := range map[string][]time.Duration{"leader change": {0}, "two leader changes": {0, 4 * time.Second}} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -12,14 +12,19 @@
 // and may have ends to report, or if it has not responded or sent a complete report yet, without which it gets no work. The
 // mutex must be held.
 func (leadership *leadership) ensureRenewal(instance *worker) {
-	if instance.renewing || instance.ended || !instance.hasHeartbeat || len(instance.attempts) == 0 &&
-		instance.unknownAttempts == 0 && instance.consecutiveFailures == 0 && instance.synced && instance.responded {
+	if instance.renewing || instance.ended || !instance.hasHeartbeat || !instance.needsRenewal() {
 		return
 	}
 	instance.renewing = true
 	leadership.goroutines.Go(func() { leadership.renew(instance) })
 }
 
+// needsRenewal reports whether the worker has a lease to keep or something to report.
+func (worker *worker) needsRenewal() bool {
+	return len(worker.attempts) > 0 || worker.unknownAttempts > 0 || worker.consecutiveFailures > 0 || !worker.synced ||
+		!worker.responded
+}
+
 // renew renews the lease of a worker while it has attempts, and records the ends that it reports.
 func (leadership *leadership) renew(instance *worker) {
 	for first := true; leadership.context.Err() == nil; first = false {
@@ -258,19 +263,23 @@
 		return false
 	case report.Result == scheduler.OrderLeaseExpired:
 		// The lease has expired but the worker responds: the next renewal grants a new lease.
-		instance.recordResponse(now)
-		instance.updateClock(report.Clock, now)
+		leadership.recordReport(instance, report.Clock, now)
 		return false
 	case report.Result != scheduler.OrderAccepted && report.Result != scheduler.OrderAcceptedUnreadable:
 		instance.consecutiveFailures++
 		return false
 	}
+	leadership.recordReport(instance, report.Clock, now)
+	return true
+}
+
+// recordReport records that the worker has sent a report. After the first one it may get work.
+func (leadership *leadership) recordReport(instance *worker, clock, now time.Duration) {
 	if !instance.responded {
 		leadership.replan()
 	}
 	instance.recordResponse(now)
-	instance.updateClock(report.Clock, now)
-	return true
+	instance.updateClock(clock, now)
 }
 
 // handleFenced ends the term because another leader has sent orders to a worker. The mutex must be held.
--- a/internal/jobs/overseer/waiting.go
+++ b/internal/jobs/overseer/waiting.go
@@ -144,7 +144,7 @@
 	now, wallTime, heartbeatTimeout := leadership.now(), time.Now(), leadership.heartbeatTimeout()
 	for _, instance := range leadership.instances {
 		reason := leadership.unavailableReason(instance, now, heartbeatTimeout, wallTime)
-		if reason.isSoft() && instance.responds(now, heartbeatTimeout) {
+		if reason.isSoft() && instance.isReachable(now, heartbeatTimeout) {
 			pool, worker := poolOf(instance.heartbeat.Pool), withheldWorker(state, instance, now)
 			pool.withheld[reason] = append(pool.withheld[reason], worker)
 			pool.addFree(worker.Free)
@@ -172,12 +172,6 @@
 	}
 }
 
-// responds reports whether the instance is ready and has been heard recently, whether or not it accepts work.
-func (worker *worker) responds(now, heartbeatTimeout time.Duration) bool {
-	return worker.hasHeartbeat && !worker.ended && !worker.shuttingDown && worker.heartbeat.Phase == scheduler.WorkerReady &&
-		worker.consecutiveFailures == 0 && now-max(worker.lastHeartbeat, worker.lastResponse) < heartbeatTimeout
-}
-
 // reportOverdue updates the metrics of overdue tasks and logs them. The age starts over with each leader.
 func (leadership *leadership) reportOverdue(overdue []waitwatcher.Overdue, now time.Duration) {
 	leadership.overseer.metrics.waiting.update(overdue)
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -32,7 +32,7 @@
 	formerCapacities []formerCapacity
 	// fullMilliCores is the largest CPU capacity that the instance has had.
 	fullMilliCores int64
-	// firstHeartbeat and lastHeartbeat are when heartbeats were received. lastResponse is when the worker last answered an order.
+	// firstHeartbeat and lastHeartbeat are when the first and the latest heartbeat were received. lastResponse is when the worker last answered an order.
 	firstHeartbeat time.Duration
 	lastHeartbeat  time.Duration
 	lastResponse   time.Duration
@@ -205,9 +205,13 @@
 
 // acceptsWork reports whether new work may be placed on the worker.
 func (worker *worker) acceptsWork(now, heartbeatTimeout time.Duration) bool {
-	return worker.hasHeartbeat && worker.responded && !worker.ended && !worker.shuttingDown &&
-		worker.heartbeat.Phase == scheduler.WorkerReady && worker.clock > 0 &&
-		now >= worker.backoffUntil && worker.consecutiveFailures == 0 &&
+	return worker.isReachable(now, heartbeatTimeout) && worker.responded && worker.clock > 0 && now >= worker.backoffUntil
+}
+
+// isReachable reports whether the instance is ready and has been heard recently, whether or not it accepts work.
+func (worker *worker) isReachable(now, heartbeatTimeout time.Duration) bool {
+	return worker.hasHeartbeat && !worker.ended && !worker.shuttingDown &&
+		worker.heartbeat.Phase == scheduler.WorkerReady && worker.consecutiveFailures == 0 &&
 		now-worker.lastContact() < heartbeatTimeout
 }
 
--- a/internal/jobs/packer/room.go
+++ b/internal/jobs/packer/room.go
@@ -30,9 +30,6 @@
 
 // places returns how many tasks of the group fit on a worker, up to limit.
 func (group *Group) places(worker *Worker, limit int) int {
-	if group.servingExclusion(worker) != NotExcluded || group.hardExclusion(worker, 0) != NotExcluded {
-		return 0
-	}
 	left := *worker
 	places := 0
 	for places < limit && group.servingExclusion(&left) == NotExcluded && group.hardExclusion(&left, places) == NotExcluded {
--- a/internal/jobs/waitwatcher/waitwatcher.go
+++ b/internal/jobs/waitwatcher/waitwatcher.go
@@ -21,6 +21,7 @@
 	MaxTasks = 64
 )
 
+// Each examination visits all workers of a pool. At most 64 in an observation keep the planning cycle short.
 const (
 	// maxWatchedSteps is the maximum number of steps that are examined again because there was room for them.
 	maxWatchedSteps = 48
@@ -109,12 +110,6 @@
 	return !watcher.observed || now >= watcher.observedAt+Interval
 }
 
-// Since returns since when there has been room for a waiting task.
-func (watcher *Watcher) Since(task scheduler.RunID) (since time.Duration, hasRoom bool) {
-	since, hasRoom = watcher.since[task]
-	return since, hasRoom
-}
-
 // Observe updates the watched tasks and returns those that are overdue, by queue and reason. steps holds the steps that may
 // have room, in an order that changes little from one observation to the next.
 func (watcher *Watcher) Observe(now time.Duration, steps []Step) []Overdue {
