overseer: silence proves no end of an instance, and an odd first heartbeat hides no worker

One heartbeat of another writer with a later start, sent while a worker was cut for 2.5 s, ended that worker without proof, and its tasks ran twice; also with a pool that does not exist. Every heartbeat that displaces an instance which has answered, or on which attempts may run, now needs the answer of its sender; a true next instance pays one round trip.

A first heartbeat after a leader change with a pool that does not exist, all else true, was confirmed by the worker's own answer; its true heartbeats then counted as contradictions for the rest of the term. The idle case is new since workers are asked at their first heartbeat. A heartbeat that names a pool of the configuration now corrects one that does not exist.

A claim is settled only if what it displaces is still what its sender was asked about.

--- a/internal/jobs/overseer/claim.go
+++ b/internal/jobs/overseer/claim.go
@@ -56,12 +56,11 @@
 // mayRun reports whether the instance has answered, or attempts may run on it. Otherwise it is known from heartbeats only.
 func (worker *worker) mayRun() bool { return worker.responded || len(worker.attempts) > 0 }
 
-// needsProof reports whether a heartbeat counts only once its sender has answered. That of a later instance counts at once
-// if the earlier one no longer answers, as after a crash.
+// needsProof reports whether a heartbeat counts only once its sender has answered. An instance that no longer answers may be
+// cut off and running, so that its silence is no proof.
 func needsProof(displaced []*worker, heartbeat *scheduler.WorkerHeartbeat) bool {
 	return slices.ContainsFunc(displaced, func(other *worker) bool {
-		answers := other.mayRun() && other.consecutiveFailures == 0 && other.respondedAt == ""
-		return answers || other.incarnation > heartbeat.Instance
+		return other.mayRun() && other.respondedAt == "" || other.incarnation > heartbeat.Instance
 	})
 }
 
@@ -110,8 +109,10 @@
 	if leadership.knows(&claim.heartbeat) {
 		return
 	}
-	if _, refuted := leadership.displacedBy(&claim.heartbeat); refuted {
-		return
+	displaced, refuted := leadership.displacedBy(&claim.heartbeat)
+	isOther := func(other *worker) bool { return !slices.Contains(claim.displaced, other) }
+	if refuted || slices.ContainsFunc(displaced, isOther) {
+		return // The sender repeats its heartbeat, which is then compared with what is known by now.
 	}
 	for _, other := range claim.displaced {
 		if other.incarnation > claim.heartbeat.Instance {
--- a/internal/jobs/overseer/heartbeat.go
+++ b/internal/jobs/overseer/heartbeat.go
@@ -116,7 +116,7 @@
 		heartbeat.Sequence <= instance.heartbeat.Sequence {
 		return
 	}
-	if instance != nil && instance.contradicts(&heartbeat) {
+	if instance != nil && instance.contradicts(&heartbeat) && !leadership.correctsPool(instance, &heartbeat) {
 		leadership.logContradiction(instance, &heartbeat)
 		return
 	}
@@ -195,6 +195,14 @@
 		known.DataCentre != heartbeat.DataCentre
 }
 
+// correctsPool reports whether a heartbeat names a pool of the configuration in place of one that does not exist, and nothing
+// else has changed but what a worker may change. The earlier heartbeat was of another writer. The mutex must be held.
+func (leadership *leadership) correctsPool(instance *worker, heartbeat *scheduler.WorkerHeartbeat) bool {
+	known := &instance.heartbeat
+	return known.Address == heartbeat.Address && known.VM == heartbeat.VM && known.DataCentre == heartbeat.DataCentre &&
+		!leadership.isKnownPool(known.Pool) && leadership.isKnownPool(heartbeat.Pool)
+}
+
 func (leadership *leadership) logContradiction(instance *worker, heartbeat *scheduler.WorkerHeartbeat) {
 	suppressed, allowed := leadership.repeatedWarnings.Allow("beatContradicts")
 	if !allowed {
