assembler: the test of a start on a full disk waits for the log line as for the state

The node stores its outage before it writes the line (replicator, lifecycle.go and outage.go), so that a reader of the state may be first.

--- a/internal/operating/assembler/refusingdisk_test.go
+++ b/internal/operating/assembler/refusingdisk_test.go
@@ -170,9 +170,9 @@
 	eventually(t, time.Second, "the VM says that it is out of its group", func() bool {
 		return vm.replicator.Err() != nil
 	})
-	if !strings.Contains(log.String(), "file too large") {
-		t.Errorf("log: got %s, want the reason", log.String())
-	}
+	eventually(t, time.Second, "the log has the reason", func() bool {
+		return strings.Contains(log.String(), "file too large")
+	})
 	limitFileSize(t, false)
 	eventually(t, returnLimit, "the VM leads", vm.overseer.IsLeader)
 }
