leaserecorder: history and recorder of leases are one package

Cause: the rule that makes a record safe has two halves, what the log does with it and what a leader may do beside it, which stood in two packages. Both are now pure values of leaserecorder, so that a model can check them together. Behaviour is unchanged; jobkeeper, TestTasksOfLostWorkerUnderChangingLeaders and TestRandomFailures pass.

--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/jobs/leaserecorder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -27,7 +28,7 @@
 	// Locations are those of the instances in Place that the state does not hold yet. Earlier builds ignore them.
 	Locations []Location `cbor:"14,keyasint,omitempty"`
 	// RecordLeases is invalid for earlier builds, whose state it does not change.
-	RecordLeases *LeaseRecord `cbor:"15,keyasint,omitempty"`
+	RecordLeases *leaserecorder.Record `cbor:"15,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/jobs/leaserecorder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -42,7 +43,7 @@
 	// Locations has a key beyond those that the configuration may get.
 	Locations []Location `cbor:"100,keyasint,omitempty"`
 	// Leases is nil if no leases have been recorded.
-	Leases *leaseHistory `cbor:"101,keyasint,omitempty"`
+	Leases *leaserecorder.History `cbor:"101,keyasint,omitempty"`
 }
 
 // storedStateV3 is storedState in format version 3.
@@ -221,7 +222,7 @@
 	if state.configuration == nil {
 		return nil
 	}
-	return &storedConfiguration{QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: state.leases}
+	return &storedConfiguration{QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: state.storeLeases()}
 }
 
 func (job *Job) store() storedJob {
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/leaserecorder"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -19,10 +20,8 @@
 	evacuations map[scheduler.DataCentreName]Evacuation
 	// withdrawals holds the jobs that were cancelled before their submission was accepted, in the order of the requests.
 	withdrawals []withdrawal
-	// leases is the newest record of leases, or nil if there is none that may hold.
-	leases *leaseHistory
-	// term is the newest term of which an entry has been applied, or zero after the restore of a snapshot without leases.
-	term scheduler.Term
+	// leases holds the leases of workers that do not respond.
+	leases leaserecorder.History
 
 	// withdrawn holds the jobs in withdrawals.
 	withdrawn map[scheduler.JobID]struct{}
--- a/internal/jobs/overseer/leaserecord.go
+++ b/internal/jobs/overseer/leaserecord.go
@@ -31,7 +31,7 @@
 	defer leadership.mutex.Unlock()
 	inherited, now := 0, leadership.now()
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
-		state.VisitLeaseBounds(leadership.term, func(bound *jobkeeper.LeaseBound, remaining time.Duration) {
+		state.VisitLeaseBounds(leadership.term, func(bound *leaserecorder.Bound, remaining time.Duration) {
 			leadership.leaseRecorder.Inherit(bound.Worker, now)
 			instance := leadership.instances[bound.Worker]
 			if instance == nil || instance.incarnation != bound.Instance {
@@ -124,9 +124,9 @@
 func (leadership *leadership) proposeLeaseRecord(silent []leaserecorder.Lease) bool {
 	overseer, now := leadership.overseer, leadership.now()
 	overseer.leaseRecords.term.Store(uint64(leadership.term))
-	record := &jobkeeper.LeaseRecord{Term: leadership.term, Sequence: overseer.leaseRecords.sequence.Add(1)}
+	record := &leaserecorder.Record{Term: leadership.term, Sequence: overseer.leaseRecords.sequence.Add(1)}
 	for _, lease := range silent {
-		record.Bounds = append(record.Bounds, jobkeeper.LeaseBound{
+		record.Bounds = append(record.Bounds, leaserecorder.Bound{
 			Worker: lease.Worker(), Instance: lease.Instance(),
 			// The clocks of two VMs may run at different rates, as that of a worker may.
 			Remaining: time.Duration(float64(lease.Remaining(now)) / (1 - overseer.clockDrift)),
