overseer: gauges are reset only after all goroutines of a leadership have ended

Cause: lead reset the gauges before awaitEnd had waited for the planning goroutine, which writes to the map of the gauges of overdue tasks. Change: only awaitEnd resets them, once the goroutines have ended; it already did so a second time.

--- a/internal/jobs/overseer/formerleadership.go
+++ b/internal/jobs/overseer/formerleadership.go
@@ -33,7 +33,7 @@
 
 func (noCandidacy) Restore() {}
 
-// awaitEnd waits until the goroutines of a former leadership have ended. If that takes longer than formerLeadershipGrace,
+// awaitEnd waits until the goroutines of a former leadership have ended, and resets its gauges. If that takes longer than formerLeadershipGrace,
 // this VM does not stand for election meanwhile; otherwise it might lead the group and serve nobody. After
 // formerLeadershipLimit it returns ErrHangs.
 func (overseer *Overseer) awaitEnd(former *leadership) error {
@@ -44,7 +44,7 @@
 	for withdrawn := false; ; {
 		select {
 		case <-ended:
-			overseer.metrics.resetGauges() // A planning cycle that was in progress may have set them again.
+			overseer.metrics.resetGauges()
 			if withdrawn && former.progress.suspected.Load() == nil {
 				overseer.candidacy.Restore()
 			}
--- a/internal/jobs/overseer/metrics_test.go
+++ b/internal/jobs/overseer/metrics_test.go
@@ -51,3 +51,33 @@
 		}
 	})
 }
+
+// Guards against a data race on the gauges: the planning goroutine of a leadership may still set them while it ends.
+func TestGaugesAreResetOnceTheLeadershipHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		stop := simulation.start()
+		time.Sleep(time.Second)
+		overseer := simulation.overseers[0]
+		scope := tally.NewTestScope("", nil)
+		overseer.metrics.waiting.scope = scope
+		overseer.current.Load().goroutines.Go(func() {
+			for range 100 { // The leadership ends meanwhile.
+				overseer.metrics.waiting.update(overdueTask())
+				time.Sleep(time.Millisecond)
+			}
+		})
+		simulation.domain.elect(1)
+		time.Sleep(time.Second)
+		if got, want := len(scope.Snapshot().Gauges()), 1; got != want {
+			t.Errorf("got %d gauges of overdue tasks, want %d", got, want)
+		}
+		for name, gauge := range scope.Snapshot().Gauges() {
+			if got := gauge.Value(); got != 0 {
+				t.Errorf("%s: got %g, want 0", name, got)
+			}
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -109,7 +109,7 @@
 }
 
 // lead schedules jobs for one term, until the VM is no longer the leader, the leadership is deposed or ctx is done. It
-// returns the leadership, whose goroutines may still be about to end.
+// returns the leadership, whose goroutines may still be about to end and use its state and the metrics.
 func (overseer *Overseer) lead(ctx context.Context, term scheduler.Term) *leadership {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -135,7 +135,6 @@
 		waiter.Sleep(ctx, leaseCheckInterval)
 	}
 	overseer.current.Store(nil)
-	overseer.metrics.resetGauges()
 	overseer.logger.Info().Str("event", "leadershipLost").Uint64("term", uint64(term)).
 		Msg("this VM is no longer the leader of the domain")
 	return leadership
