overseer: a start is not repeated on a worker that has come back as one of another kind

Cause: attempts that no report has listed are carried over to the next instance of their worker, and adopted ones as well; the start order that is then repeated was checked against capacity, drain and evacuation of the instance, but not against its label and pool. Change: planStart, through which every start order goes, checks both.

--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -71,6 +72,7 @@
 	startedAt      time.Time
 	clockRate      float64
 	capacity       scheduler.Resources
+	labels         []string
 	capacities     *fakeCapacities // Nil unless fakeFleet.unguarded is true.
 	used           scheduler.Resources
 	token          scheduler.Term
@@ -147,7 +149,7 @@
 	}
 	worker := &fakeWorker{
 		fleet: fleet, name: name, incarnation: incarnation, address: address, startedAt: time.Now(),
-		clockRate: 0.98 + 0.04*fleet.random.Float64(),
+		clockRate: 0.98 + 0.04*fleet.random.Float64(), labels: []string{"a", "r1-1"},
 		capacity:  scheduler.Resources{MilliCores: 8000, MemoryBytes: 8 << 30}, runs: map[scheduler.RunID]*fakeRun{},
 		highestAttempt: map[scheduler.StepTaskID]scheduler.AttemptNumber{}, endSignal: make(chan struct{}),
 	}
@@ -266,7 +268,7 @@
 	return scheduler.WorkerHeartbeat{
 		VM: vm, Worker: worker.name, Instance: worker.incarnation, Pool: "pool", Address: worker.address,
 		Phase: phase, Capacity: worker.capacity, DataCentre: worker.fleet.dataCentres[worker.name],
-		Labels: []string{"a", "r1-1"}, Clock: worker.clock(), Sequence: worker.sequence, DrainRemaining: 3 * time.Second,
+		Labels: worker.labels, Clock: worker.clock(), Sequence: worker.sequence, DrainRemaining: 3 * time.Second,
 	}, true
 }
 
@@ -362,6 +364,10 @@
 	if repeat := workflow.Repeat; repeat != nil && time.Now().Before(repeat.Due(task.Occurrence)) {
 		fleet.reportViolation("%v starts %v before it is due", order.Run, time.Until(repeat.Due(task.Occurrence)))
 	}
+	if label := workflow.Steps[task.Step].RequiredLabel; label != "" && !slices.Contains(worker.labels, label) {
+		fleet.reportViolation("%v starts on %s/%d, which lacks the label %q: %v", order.Run, worker.name, worker.incarnation,
+			label, fleet.history[task])
+	}
 	for _, dependency := range workflow.Steps[task.Step].DependsOn {
 		for index := range workflow.Steps[dependency].Count {
 			if !fleet.done[scheduler.StepTaskID{
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -80,6 +80,9 @@
 		if !found || !run.Task().IsRunnable() {
 			return
 		}
+		if !instance.isOfKind(run.Task().Step()) {
+			return // A later instance of the worker may be of another kind.
+		}
 		// This state is read at most maxOrderAge before the order is sent, also after a pause of the process.
 		if withheld = state.Evacuation(instance.heartbeat.DataCentre).Active(); withheld {
 			return
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -163,6 +164,12 @@
 	return scheduler.WorkerRef{Worker: worker.name, Instance: worker.incarnation, Address: worker.heartbeat.Address}
 }
 
+// isOfKind reports whether the instance belongs to the pool of a step's queue and has the label that the step requires.
+func (worker *worker) isOfKind(step *jobkeeper.StepState) bool {
+	label := step.Spec().RequiredLabel
+	return worker.heartbeat.Pool == step.Job().Queue().Pool && (label == "" || slices.Contains(worker.heartbeat.Labels, label))
+}
+
 // rack returns the label that identifies the rack, or an empty string.
 func (worker *worker) rack() string {
 	for _, label := range worker.heartbeat.Labels {
