overseer: a task on a worker that does not respond does not count as operational

Cause: isOperational went by what the worker reported last, however long ago, until the lease of a lost worker ended. TestWaveWaitsForTasksOfLostWorker fails without the change (2 tasks away, at most 1 allowed) and passes with it.

--- a/internal/jobs/overseer/maintenance.go
+++ b/internal/jobs/overseer/maintenance.go
@@ -235,10 +235,13 @@
 // operationalProgress is the progress that a long-running task reports once it is operational.
 const operationalProgress = 100
 
+// isOperational reports whether a task is certain to be operational. On a worker that does not respond it may have ended,
+// whatever the worker reported last.
 func (leadership *leadership) isOperational(task *jobkeeper.Task) bool {
+	now, timeout := leadership.now(), leadership.heartbeatTimeout()
 	for _, run := range task.Runs() {
 		instance := leadership.instances[run.Worker()]
-		if instance == nil {
+		if instance == nil || instance.consecutiveFailures > 0 || now-instance.lastContact() >= timeout {
 			continue
 		}
 		attempt := instance.attempts[run.ID()]
--- a/internal/jobs/overseer/maintenance_test.go
+++ b/internal/jobs/overseer/maintenance_test.go
@@ -177,3 +177,51 @@
 	stop()
 	time.Sleep(20 * time.Second)
 }
+
+// Guards against a wave that stops a long-running task while as many others of its step as it allows are away with a lost worker,
+// which reported them as operational last (review/10).
+func TestWaveWaitsForTasksOfLostWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		simulation := newSimulation(t, 1)
+		simulation.fleet.withVMs = true
+		platform := &fakePlatform{
+			t: t, simulation: simulation, down: map[scheduler.VMName]bool{}, maintained: map[scheduler.VMName]bool{},
+		}
+		for number, overseer := range simulation.overseers {
+			WithMaintainer(platform, vmName(number), 0)(overseer)
+		}
+		stop := simulation.start()
+		time.Sleep(startBound)
+		job := simulation.submitLongRunning(scheduler.Step{Count: 4, MaxPerWorker: 1, MaxUnavailable: 1})
+		waitUntil(startBound, func() bool { return simulation.waitingTasks(job) == 0 })
+		var atWork []scheduler.WorkerName
+		for _, name := range simulation.names {
+			if simulation.runningOn(name) > 0 {
+				atWork = append(atWork, name)
+			}
+		}
+		time.Sleep(startBound)
+		simulation.fleet.kill(atWork[0])
+		time.Sleep(5200 * time.Millisecond)
+		simulation.apply(jobkeeper.Command{SubmitWave: &jobkeeper.SubmitWave{
+			Wave: scheduler.Wave{
+				Number: testWave, VMs: []scheduler.VMName{scheduler.VMName(atWork[1])}, MaxConcurrent: 1, Duration: 20 * time.Second,
+			},
+			Accepted: time.Now(),
+		}})
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if got, limit := simulation.waitingTasks(job), 1; got > limit {
+				t.Errorf("got %d tasks of a step away, want at most %d", got, limit)
+				break
+			}
+		}
+		platform.mutex.Lock()
+		if got, want := len(platform.maintained), 1; got != want {
+			t.Errorf("got %d maintained VMs, want %d", got, want)
+		}
+		platform.mutex.Unlock()
+		simulation.check()
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
