--- a/internal/jobs/leaserecorder/leaserecorder.go
+++ b/internal/jobs/leaserecorder/leaserecorder.go
@@ -83,6 +83,9 @@
 // Held returns the number of workers whose leases are held.
 func (recorder *Recorder) Held() int { return len(recorder.held) }
 
+// Recorded returns the number of leases in the record that was committed last.
+func (recorder *Recorder) Recorded() int { return len(recorder.listed) }
+
 // Propose reports whether a record of the given leases, those of all workers that do not respond, is to be proposed now. If
 // so, none of them may be extended from now on, whatever becomes of the proposal.
 func (recorder *Recorder) Propose(now time.Duration, silent []Lease) bool {
--- a/internal/jobs/overseer/leaserecord.go
+++ b/internal/jobs/overseer/leaserecord.go
@@ -12,6 +12,8 @@
 const (
 	// leaseRecordInterval is how often a leadership looks for workers that do not respond.
 	leaseRecordInterval = 250 * time.Millisecond
+	// leaseRecordPause is the time between two records. Workers that answer within it are released by one record.
+	leaseRecordPause = 100 * time.Millisecond
 	// silentHeartbeats is the number of heartbeat intervals without contact after which the lease of a worker is recorded,
 	// failedHeartbeats that after a failed order.
 	silentHeartbeats = 1.5
@@ -61,13 +63,16 @@
 func (leadership *leadership) recordLeases() {
 	for failures := 0; leadership.context.Err() == nil; {
 		silent, due := leadership.planLeaseRecord()
-		if due && !leadership.proposeLeaseRecord(silent) {
+		switch {
+		case !due:
+			leadership.awaitLeaseRecord()
+		case leadership.proposeLeaseRecord(silent):
+			failures = 0
+			leadership.pause(leaseRecordPause)
+		default:
 			failures++
 			leadership.pause(retryDelay(failures))
-			continue
 		}
-		failures = 0
-		leadership.awaitLeaseRecord()
 	}
 }
 
@@ -149,7 +154,7 @@
 func (leadership *leadership) commitLeaseRecord(now time.Duration, recorded []leaserecorder.Lease) {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
-	before := leadership.leaseRecorder.Held()
+	before := leadership.leaseRecorder.Recorded()
 	leadership.leaseRecorder.Commit(now, recorded)
 	leadership.overseer.metrics.leaseRecords.Inc(1)
 	leadership.overseer.metrics.leasesHeld.Update(float64(len(recorded)))
