--- a/internal/jobs/jobkeeper/leasehistory.go
+++ b/internal/jobs/jobkeeper/leasehistory.go
@@ -32,17 +32,11 @@
 	state.leases.VisitBounds(leader, time.Now(), visit)
 }
 
-// storeLeases returns nil if no leases are recorded.
-func (state *State) storeLeases() *leaserecorder.History {
-	if state.leases.Record == nil {
-		return nil
-	}
-	return &state.leases
-}
-
-// restoreLeases takes over the record of a snapshot, if it has one.
+// restoreLeases takes over the record of a snapshot. Snapshots of earlier builds have none.
 func (state *State) restoreLeases(stored *leaserecorder.History) {
-	if stored != nil {
-		state.leases = stored.Restored(time.Now())
+	if stored == nil {
+		state.leases = leaserecorder.Unknown()
+		return
 	}
+	state.leases = stored.Restored(time.Now())
 }
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -42,7 +42,7 @@
 	scheduler.QueueConfiguration
 	// Locations has a key beyond those that the configuration may get.
 	Locations []Location `cbor:"100,keyasint,omitempty"`
-	// Leases is nil if no leases have been recorded.
+	// Leases is nil in snapshots of earlier builds.
 	Leases *leaserecorder.History `cbor:"101,keyasint,omitempty"`
 }
 
@@ -222,7 +222,7 @@
 	if state.configuration == nil {
 		return nil
 	}
-	return &storedConfiguration{QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: state.storeLeases()}
+	return &storedConfiguration{QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: &state.leases}
 }
 
 func (job *Job) store() storedJob {
--- a/internal/jobs/leaserecorder/history.go
+++ b/internal/jobs/leaserecorder/history.go
@@ -25,7 +25,7 @@
 }
 
 // History is the newest record in the log and what shows whether its bounds still hold. It is a wire type and a map. Its
-// methods return the changed History and leave the receiver as it is.
+// methods return the changed History and leave the receiver as it is. The zero value is that of an empty log.
 type History struct {
 	// Record is nil if there is none that may hold.
 	Record *Record `cbor:"1,keyasint,omitempty"`
@@ -33,6 +33,8 @@
 	Successor scheduler.Term `cbor:"2,keyasint,omitempty"`
 	// term is the newest term of which an entry has been applied, or zero if that is not known.
 	term scheduler.Term
+	// incomplete is true if records of the present term may be missing, so that an older one could be taken for the newest.
+	incomplete bool
 	// recordedAt is when this replica applied the record, or restored it. It differs between replicas.
 	recordedAt time.Time
 }
@@ -44,6 +46,7 @@
 	if term <= history.term {
 		return history
 	}
+	history.incomplete = history.incomplete && history.term == 0
 	history.term = term
 	switch {
 	case history.Record == nil:
@@ -58,7 +61,7 @@
 // Append returns the History after a record has been applied at the given time. The result is false if the record has no
 // effect, because it is of a former leader or older than the present one.
 func (history History) Append(record *Record, now time.Time) (History, bool) {
-	if record.Term != history.term {
+	if record.Term != history.term || history.incomplete {
 		return history, false
 	}
 	if newest := history.Record; newest != nil && newest.Term == record.Term && newest.Sequence >= record.Sequence {
@@ -67,6 +70,10 @@
 	return History{Record: record, term: history.term, recordedAt: now}, true
 }
 
+// Unknown returns the History after the restore of a snapshot that lacks one, because an earlier build has written it. It holds
+// no records until the next term.
+func Unknown() History { return History{incomplete: true} }
+
 // Restored returns a History that was read from a snapshot at the given time.
 func (history History) Restored(now time.Time) History {
 	if history.Record != nil {
--- a/internal/jobs/overseer/fake_worker_test.go
+++ b/internal/jobs/overseer/fake_worker_test.go
@@ -150,7 +150,7 @@
 	worker := &fakeWorker{
 		fleet: fleet, name: name, incarnation: incarnation, address: address, startedAt: time.Now(),
 		clockRate: 0.98 + 0.04*fleet.random.Float64(), labels: []string{"a", "r1-1"},
-		capacity:  scheduler.Resources{MilliCores: 8000, MemoryBytes: 8 << 30}, runs: map[scheduler.RunID]*fakeRun{},
+		capacity: scheduler.Resources{MilliCores: 8000, MemoryBytes: 8 << 30}, runs: map[scheduler.RunID]*fakeRun{},
 		highestAttempt: map[scheduler.StepTaskID]scheduler.AttemptNumber{}, endSignal: make(chan struct{}),
 	}
 	worker.trackCapacity()
