--- a/internal/state/replicator/fake_cluster_test.go
+++ b/internal/state/replicator/fake_cluster_test.go
@@ -30,6 +30,24 @@
 	restores int
 	// hang blocks Apply until it is closed.
 	hang chan struct{}
+	// term is the term that was observed last, or zero after a restore. unobserved counts the commands that were applied
+	// without one.
+	term       scheduler.Term
+	unobserved int
+}
+
+// ObserveTerm implements scheduler.TermObserver.
+func (machine *fakeMachine) ObserveTerm(term scheduler.Term) {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	machine.term = term
+}
+
+// observed returns the term that was observed last and the number of commands that were applied without one.
+func (machine *fakeMachine) observed() (term scheduler.Term, unobserved int) {
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	return machine.term, machine.unobserved
 }
 
 func (machine *fakeMachine) Apply(index scheduler.Index, command []byte) []byte {
@@ -41,6 +59,9 @@
 	}
 	machine.mutex.Lock()
 	defer machine.mutex.Unlock()
+	if machine.term == 0 {
+		machine.unobserved++
+	}
 	result := fmt.Sprintf("%d:%s", index, command)
 	machine.applied = append(machine.applied, result)
 	return []byte(result)
@@ -63,6 +84,7 @@
 	err := cbor.NewDecoder(r).Decode(&state)
 	machine.applied, machine.padding = state.Applied, state.Padding
 	machine.restores++
+	machine.term = 0
 	return err
 }
 
