--- a/internal/jobs/overseer/leaserecord_test.go
+++ b/internal/jobs/overseer/leaserecord_test.go
@@ -1,6 +1,8 @@
 package overseer
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +69,59 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice because a leader extends the lease of a worker that it, or the leader before, has recorded: the
+// worker is cut off, answers for a moment, and is cut off again while the leader changes.
+func TestRandomCutsAroundChangesOfLeader(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, uint64(seed))
+				random := rand.New(rand.NewPCG(uint64(seed), 7))
+				simulation.domain.proposalDelay = time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+				simulation.fleet.lateRate = 0.1 * float64(seed%2)
+				stop := simulation.start()
+				time.Sleep(startBound)
+				simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: simulationWorkers})
+				time.Sleep(startBound)
+				for range 5 {
+					simulation.cutAroundElections(random)
+				}
+				time.Sleep(silenceBound)
+				if got := simulation.waitingInAll(); got > 0 {
+					t.Errorf("got %d tasks waiting after all cuts have healed, want none", got)
+				}
+				simulation.check()
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
+// cutAroundElections cuts a worker off, heals it for a moment and cuts it off again, with changes of the leader around that.
+func (simulation *simulation) cutAroundElections(random *rand.Rand) {
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	name := simulation.names[random.IntN(len(simulation.names))]
+	simulation.setPartitioned(name, true)
+	time.Sleep(upTo(9 * time.Second))
+	if random.IntN(2) == 0 {
+		simulation.domain.elect(random.IntN(simulationVMs))
+		time.Sleep(upTo(3 * time.Second))
+	}
+	simulation.setPartitioned(name, false)
+	time.Sleep(upTo(1500 * time.Millisecond))
+	simulation.setPartitioned(name, true)
+	time.Sleep(upTo(200 * time.Millisecond))
+	switch random.IntN(3) {
+	case 0:
+		simulation.domain.elect(random.IntN(simulationVMs))
+	case 1:
+		simulation.electFromSnapshot(random.IntN(simulationVMs))
+	case 2:
+		simulation.domain.stall(upTo(5*time.Second), random.IntN(simulationVMs))
+	}
+	time.Sleep(upTo(14 * time.Second))
+	simulation.setPartitioned(name, false)
+	time.Sleep(upTo(2 * time.Second))
+}
