--- a/internal/jobs/overseer/randomliveness_test.go
+++ b/internal/jobs/overseer/randomliveness_test.go
@@ -40,7 +40,7 @@
 	// calmAt is when the consequences of all disruptions so far must have ended.
 	calmAt time.Time
 	// silentAt is when a worker was last lost whose end only the expiry of its lease proves, or when the leader
-	// changed after that.
+	// changed before that lease can have been recorded.
 	silentAt time.Time
 	// waitingSince holds since when each task has been waiting with room for it.
 	waitingSince map[scheduler.StepTaskID]time.Time
@@ -49,12 +49,15 @@
 
 const sampleInterval = 100 * time.Millisecond
 
+// recordBound is the time within which a leader records the lease of a worker that does not respond.
+const recordBound = 3 * time.Second
+
 // disrupt records a disruption that ends after a duration. A silent one has ended only when all leases have that the leader
 // at that time may have granted.
 func (monitor *livenessMonitor) disrupt(duration time.Duration, silent bool) {
 	end := time.Now().Add(duration)
-	if silent || time.Now().Before(monitor.silentAt.Add(silenceBound)) {
-		monitor.silentAt = end // A new leader waits for a whole lease again.
+	if silent || time.Now().Before(monitor.silentAt.Add(recordBound)) {
+		monitor.silentAt = end // A leader that finds no record waits for a whole lease.
 		monitor.delayCalm(end.Add(silenceBound))
 	}
 	monitor.delayCalm(end.Add(calmLead))
