--- a/internal/jobs/leaserecorder/history.go
+++ b/internal/jobs/leaserecorder/history.go
@@ -31,10 +31,10 @@
 	Record *Record `cbor:"1,keyasint,omitempty"`
 	// Successor is the next term after that of the record of which an entry has been applied, or zero.
 	Successor scheduler.Term `cbor:"2,keyasint,omitempty"`
+	// Incomplete is true if records of the present term may be missing, so that an older one could be taken for the newest.
+	Incomplete bool `cbor:"3,keyasint,omitempty"`
 	// term is the newest term of which an entry has been applied, or zero if that is not known.
 	term scheduler.Term
-	// incomplete is true if records of the present term may be missing, so that an older one could be taken for the newest.
-	incomplete bool
 	// recordedAt is when this replica applied the record, or restored it. It differs between replicas.
 	recordedAt time.Time
 }
@@ -46,7 +46,7 @@
 	if term <= history.term {
 		return history
 	}
-	history.incomplete = history.incomplete && history.term == 0
+	history.Incomplete = history.Incomplete && history.term == 0
 	history.term = term
 	switch {
 	case history.Record == nil:
@@ -61,7 +61,7 @@
 // Append returns the History after a record has been applied at the given time. The result is false if the record has no
 // effect, because it is of a former leader or older than the present one.
 func (history History) Append(record *Record, now time.Time) (History, bool) {
-	if record.Term != history.term || history.incomplete {
+	if record.Term != history.term || history.Incomplete {
 		return history, false
 	}
 	if newest := history.Record; newest != nil && newest.Term == record.Term && newest.Sequence >= record.Sequence {
@@ -72,15 +72,17 @@
 
 // Unknown returns the History after the restore of a snapshot that lacks one, because an earlier build has written it. It holds
 // no records until the next term.
-func Unknown() History { return History{incomplete: true} }
+func Unknown() History { return History{Incomplete: true} }
 
 // Restored returns a History that was read from a snapshot at the given time.
 func (history History) Restored(now time.Time) History {
-	if history.Record != nil {
-		history.term = max(history.Record.Term, history.Successor)
+	restored := History{
+		Record: history.Record, Successor: history.Successor, Incomplete: history.Incomplete, recordedAt: now,
 	}
-	history.recordedAt = now
-	return history
+	if restored.Record != nil {
+		restored.term = max(restored.Record.Term, restored.Successor)
+	}
+	return restored
 }
 
 // VisitBounds calls visit for each bound that holds for the leader of a term. remaining is the time from now on after which the
--- a/internal/jobs/leaserecorder/model_test.go
+++ b/internal/jobs/leaserecorder/model_test.go
@@ -253,7 +253,7 @@
 		}
 	}
 	for _, history := range model.histories {
-		fmt.Fprint(&key, "|", model.term-history.term, history.incomplete, history.Successor != 0, model.time().Sub(history.recordedAt))
+		fmt.Fprint(&key, "|", model.term-history.term, history.Incomplete, history.Successor != 0, model.time().Sub(history.recordedAt))
 		writeRecord(history.Record)
 	}
 	return key.String()
--- a/internal/jobs/overseer/formerleadership.go
+++ b/internal/jobs/overseer/formerleadership.go
@@ -33,9 +33,9 @@
 
 func (noCandidacy) Restore() {}
 
-// awaitEnd waits until the goroutines of a former leadership have ended, and resets its gauges. If that takes longer than formerLeadershipGrace,
-// this VM does not stand for election meanwhile; otherwise it might lead the group and serve nobody. After
-// formerLeadershipLimit it returns ErrHangs.
+// awaitEnd waits until the goroutines of a former leadership have ended, and then resets the gauges that they set. If that
+// takes longer than formerLeadershipGrace, this VM does not stand for election meanwhile; otherwise it might lead the group and
+// serve nobody. After formerLeadershipLimit it returns ErrHangs.
 func (overseer *Overseer) awaitEnd(former *leadership) error {
 	ended := former.goroutines.BeginClose()
 	ticker := time.NewTicker(formerLeadershipCheck)
