--- a/internal/jobs/overseer/leaserecord_test.go
+++ b/internal/jobs/overseer/leaserecord_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -125,3 +127,25 @@
 	simulation.setPartitioned(name, false)
 	time.Sleep(upTo(2 * time.Second))
 }
+
+// Guards against records of the leases of workers that respond, which would cost a commit each.
+func TestHealthyWorkersAreInNoRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		simulation := newSimulation(t, 1, WithScope(scope))
+		stop := simulation.start()
+		simulation.submitLongRunning(scheduler.Step{Count: 2 * simulationWorkers, MaxPerWorker: 2})
+		for range 20 {
+			simulation.submit()
+			time.Sleep(2 * time.Second)
+		}
+		if got := scope.Snapshot().Counters()["lease_records+"].Value(); got != 0 {
+			t.Errorf("got %d records in a calm domain, want none", got)
+		}
+		if got := scope.Snapshot().Counters()["attempts_started+"].Value(); got == 0 {
+			t.Error("got no attempts, want some")
+		}
+		stop()
+		time.Sleep(20 * time.Second)
+	})
+}
