overseer: one rule for a worker that is in contact

isOperational wrote again what isReachable had: answered orders and a contact within the heartbeat timeout. Both use isInContact now. Found by reading the change once more.

--- a/internal/jobs/overseer/maintenance.go
+++ b/internal/jobs/overseer/maintenance.go
@@ -241,7 +241,7 @@
 	now, timeout := leadership.now(), leadership.heartbeatTimeout()
 	for _, run := range task.Runs() {
 		instance := leadership.instances[run.Worker()]
-		if instance == nil || instance.consecutiveFailures > 0 || now-instance.lastContact() >= timeout {
+		if instance == nil || !instance.isInContact(now, timeout) {
 			continue
 		}
 		attempt := instance.attempts[run.ID()]
--- a/internal/jobs/overseer/worker.go
+++ b/internal/jobs/overseer/worker.go
@@ -224,8 +224,12 @@
 // isReachable reports whether the instance is ready and has been heard recently, whether or not it accepts work.
 func (worker *worker) isReachable(now, heartbeatTimeout time.Duration) bool {
 	return worker.acceptsOrders() && !worker.shuttingDown &&
-		worker.heartbeat.Phase == scheduler.WorkerReady && worker.consecutiveFailures == 0 &&
-		now-worker.lastContact() < heartbeatTimeout
+		worker.heartbeat.Phase == scheduler.WorkerReady && worker.isInContact(now, heartbeatTimeout)
+}
+
+// isInContact reports whether the instance answers orders and has been heard recently.
+func (worker *worker) isInContact(now, heartbeatTimeout time.Duration) bool {
+	return worker.consecutiveFailures == 0 && now-worker.lastContact() < heartbeatTimeout
 }
 
 // lastContact returns when the worker was last heard. Of an instance that has never responded only the first heartbeat
