jobkeeper, overseer: a job is pending until a start is certain

Cause: placeTask made a job active in the command that places its first task, before any start order was sent. An order that is refused, unanswered, or sent to a worker that no longer exists put nothing back.

Fix: a job begins when a worker has accepted an attempt of it, or lists one as running or ended (for a gang, one of each member). The leader records such jobs beside the next placements or ends, or after 0.5 s in one command for all (Command.Begun, ignored by earlier builds). Ends that prove a start count too. The count is still kept, without a scan.

Tests that took a placement for a start: those whose point is another one now start their tasks first (fixture.start), and check the same states; the count after a placement alone is checked anew (TestPendingUntilStartIsCertain, TestQueuedJobsOfRenamedQueue).

--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -8,6 +8,7 @@
 )
 
 func (state *State) apply(command *Command) Result {
+	state.begin(command.Begun)
 	switch {
 	case command.Configure != nil:
 		return Result{Status: state.configure(command.Configure)}
@@ -45,6 +46,8 @@
 		return Result{Status: state.mark(command.Mark)}
 	case command.RecordLeases != nil:
 		return Result{Status: state.recordLeases(command.RecordLeases)}
+	case command.Begun != nil:
+		return Result{Status: StatusDone}
 	}
 	return Result{Status: StatusInvalid}
 }
@@ -224,6 +227,9 @@
 	if !found {
 		return
 	}
+	if end.provesStart(task.step.Spec()) {
+		state.begin([]scheduler.JobID{end.Run.Task.Job})
+	}
 	position := slices.IndexFunc(task.runs, func(run *Run) bool { return run.attempt == end.Run.Attempt })
 	job := task.step.occurrence.job
 	if position < 0 {
--- a/internal/jobs/jobkeeper/blame_test.go
+++ b/internal/jobs/jobkeeper/blame_test.go
@@ -8,10 +8,10 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// crash places a task and ends its next attempt with a crash of the worker.
+// crash starts a task and ends its next attempt with a crash of the worker.
 func (fixture *fixture) crash(step, index int, kind scheduler.EndKind) {
 	fixture.t.Helper()
-	attempt := fixture.place("j", step, index)[0]
+	attempt := fixture.start("j", step, index)[0]
 	fixture.end("j", step, index, attempt, kind, "")
 }
 
@@ -100,7 +100,7 @@
 			}
 		}, scheduler.WorkflowFailed},
 		"the copy crashes while the original runs": {scheduler.Step{Count: 1, Speculative: true}, func(fixture *fixture) {
-			fixture.place("j", 0, 0)
+			fixture.start("j", 0, 0)
 			fixture.placeCopy()
 			fixture.end("j", 0, 0, 2, starting, "")
 		}, scheduler.WorkflowActive},
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -8,8 +8,8 @@
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
-// Command is one change of the replicated state. It is a wire type, in which exactly one field is set, and Locations beside
-// Place.
+// Command is one change of the replicated state. It is a wire type, in which exactly one field is set, besides Locations, which
+// goes with Place, and Begun, which may go with any.
 type Command struct {
 	Configure        *scheduler.QueueConfiguration `cbor:"1,keyasint,omitempty"`
 	Submit           *Submit                       `cbor:"2,keyasint,omitempty"`
@@ -29,6 +29,9 @@
 	Locations []Location `cbor:"14,keyasint,omitempty"`
 	// RecordLeases is invalid for earlier builds, whose state it does not change.
 	RecordLeases *leaserecorder.Record `cbor:"15,keyasint,omitempty"`
+	// Begun holds jobs of which a task has started. Earlier builds ignore it; a command with nothing else is invalid for them
+	// and does not change their state.
+	Begun []scheduler.JobID `cbor:"16,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/copy_test.go
+++ b/internal/jobs/jobkeeper/copy_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			fixture := newFixture(t)
 			fixture.submit("j", scheduler.Step{Count: 1, Speculative: true}, scheduler.Step{Count: 1, DependsOn: []int{0}})
-			fixture.place("j", 0, 0)
+			fixture.start("j", 0, 0)
 			if got := fixture.placeCopy(); got != 2 {
 				t.Fatalf("got attempt %d of the copy, want 2", got)
 			}
--- a/internal/jobs/jobkeeper/keeper_test.go
+++ b/internal/jobs/jobkeeper/keeper_test.go
@@ -107,7 +107,7 @@
 	}{
 		"dependent step not ready": {
 			steps: []scheduler.Step{singleTask(), {Count: 2, DependsOn: []int{0}}},
-			act:   func(fixture *fixture) { fixture.place("j", 0, 0) },
+			act:   func(fixture *fixture) { fixture.start("j", 0, 0) },
 			want:  scheduler.WorkflowActive, wantReady: 0,
 		},
 		"dependent step ready once its dependency has finished": {
@@ -159,7 +159,7 @@
 			steps: []scheduler.Step{singleTask()},
 			act: func(fixture *fixture) {
 				for attempt := range 5 {
-					fixture.place("j", 0, 0)
+					fixture.start("j", 0, 0)
 					fixture.end("j", 0, 0, scheduler.AttemptNumber(attempt+1), scheduler.EndLost, "")
 				}
 			},
@@ -207,7 +207,7 @@
 		"gang not ready until all members have ended": {
 			steps: []scheduler.Step{{Count: 2, Gang: true}},
 			act: func(fixture *fixture) {
-				fixture.place("j", 0, 0, 1)
+				fixture.start("j", 0, 0, 1)
 				fixture.end("j", 0, 0, 1, scheduler.EndGangBroken, "")
 			},
 			want: scheduler.WorkflowActive, wantReady: 0,
@@ -238,7 +238,7 @@
 		"gang restarts with a common attempt number": {
 			steps: []scheduler.Step{{Count: 2, Gang: true}},
 			act: func(fixture *fixture) {
-				fixture.place("j", 0, 0, 1)
+				fixture.start("j", 0, 0, 1)
 				fixture.end("j", 0, 0, 1, scheduler.EndGangIncomplete, "")
 				fixture.end("j", 0, 1, 1, scheduler.EndGangBroken, "")
 				if got := fixture.place("j", 0, 0, 1); got[0] != 2 || got[1] != 2 {
--- a/internal/jobs/jobkeeper/placement.go
+++ b/internal/jobs/jobkeeper/placement.go
@@ -58,10 +58,6 @@
 	run := &Run{task: task, attempt: task.attempt, worker: placement.Worker, instance: placement.Instance}
 	task.runs = append(task.runs, run)
 	state.addRun(run)
-	job := task.step.occurrence.job
-	if job.state == scheduler.WorkflowQueued {
-		state.changeState(job, scheduler.WorkflowActive)
-	}
 	state.updateTaskIndexes(task)
 	return run.attempt
 }
--- a/internal/jobs/jobkeeper/renamedqueue_test.go
+++ b/internal/jobs/jobkeeper/renamedqueue_test.go
@@ -32,6 +32,8 @@
 	fixture.apply(Command{Configure: configuration(3, queue("again", "/c/"))})
 	check("renamed again", queue("again", "/c/"), 2)
 	fixture.place("j1", 0, 0)
+	check("one is placed", queue("again", "/c/"), 2)
+	fixture.begin("j1")
 	check("one has started", queue("again", "/c/"), 1)
 	fixture.apply(Command{Configure: configuration(4, queue("checks", "/elsewhere/"))})
 	check("its first name has another route", queue("checks", "/elsewhere/"), 1)
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -44,6 +44,9 @@
 	Locations []Location `cbor:"100,keyasint,omitempty"`
 	// Leases is nil in snapshots of earlier builds.
 	Leases *leaserecorder.History `cbor:"101,keyasint,omitempty"`
+	// BeginsWithStart is true if active jobs are those that have begun. In snapshots of earlier builds they are those of which a
+	// task has been placed.
+	BeginsWithStart bool `cbor:"102,keyasint,omitempty"`
 }
 
 // storedStateV3 is storedState in format version 3.
@@ -222,7 +225,9 @@
 	if state.configuration == nil {
 		return nil
 	}
-	return &storedConfiguration{QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: &state.leases}
+	return &storedConfiguration{
+		QueueConfiguration: *state.configuration, Locations: state.storeLocations(), Leases: &state.leases, BeginsWithStart: true,
+	}
 }
 
 func (job *Job) store() storedJob {
@@ -271,8 +276,9 @@
 	if stored.Configuration != nil {
 		state.configuration = &stored.Configuration.QueueConfiguration
 	}
+	beginsWithStart := stored.Configuration != nil && stored.Configuration.BeginsWithStart
 	for position := range stored.Jobs {
-		state.restoreJob(&stored.Jobs[position])
+		state.restoreJob(&stored.Jobs[position], beginsWithStart)
 	}
 	for position := range stored.Waves {
 		state.waves = append(state.waves, stored.Waves[position].restore())
@@ -287,10 +293,10 @@
 	return state
 }
 
-func (state *State) restoreJob(stored *storedJob) {
+func (state *State) restoreJob(stored *storedJob, beginsWithStart bool) {
 	job := &Job{
 		id: stored.ID, queue: stored.Queue, workflow: stored.Workflow, accepted: stored.Accepted, sequence: stored.Sequence,
-		state: stored.State, started: stored.Started, finished: stored.Finished, occurrences: map[int]*Occurrence{},
+		state: stored.correctedState(beginsWithStart), started: stored.Started, finished: stored.Finished, occurrences: map[int]*Occurrence{},
 	}
 	state.jobs[job.id] = job
 	if job.state == scheduler.WorkflowQueued {
--- a/internal/jobs/jobkeeper/snapshot_test.go
+++ b/internal/jobs/jobkeeper/snapshot_test.go
@@ -51,7 +51,9 @@
 func randomCommand(random *rand.Rand) Command {
 	id := scheduler.JobID(fmt.Sprintf("j%d", random.IntN(8)))
 	task := scheduler.StepTaskID{Job: id, Step: random.IntN(2), Index: random.IntN(3), Occurrence: random.IntN(2)}
-	switch random.IntN(11) {
+	switch random.IntN(12) {
+	case 11:
+		return Command{Begun: []scheduler.JobID{id}}
 	case 10:
 		return Command{Withdraw: &Withdraw{Job: id, Requested: time.Unix(random.Int64N(1200), 7).UTC()}}
 	case 9:
--- a/internal/jobs/overseer/attemptlog.go
+++ b/internal/jobs/overseer/attemptlog.go
@@ -12,18 +12,12 @@
 // attemptTimes holds the times of one attempt that its log events report. An attempt that was adopted from an earlier
 // leader counts from its adoption.
 type attemptTimes struct {
-	placedAt   time.Duration
+	placedAt time.Duration
+	// acceptedAt is when the worker was first known to run the attempt.
 	acceptedAt time.Duration
 	listedAt   time.Duration
 }
 
-// recordAccepted records when the worker was first known to run the attempt.
-func (times *attemptTimes) recordAccepted(now time.Duration) {
-	if times.acceptedAt == 0 {
-		times.acceptedAt = now
-	}
-}
-
 // attemptStages is the time that an attempt, or several of them, spent in each stage.
 type attemptStages struct {
 	// starting is the time from the placement until the start was accepted, running the time from then until the end was
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -92,6 +92,8 @@
 	// leaseRecorder holds the leases that must not be extended. leaseSignal requests a record of them.
 	leaseRecorder *leaserecorder.Recorder
 	leaseSignal   chan struct{}
+	// beginnings holds the jobs that have begun and are not recorded as such.
+	beginnings *beginnings
 	// repeatedWarnings bounds the log lines about failed proposals.
 	repeatedWarnings *suppressor.Suppressor
 }
@@ -118,6 +120,7 @@
 		backlogAdmitters:  map[scheduler.PoolName]*admitter.BacklogAdmitter{},
 		packedWorkers:     map[scheduler.PoolName]*packedWorkers{}, crashes: newCrashes(),
 		repeatedWarnings: suppressor.New(repeatedWarningInterval), leaseSignal: make(chan struct{}, 1),
+		beginnings: newBeginnings(),
 	}
 	leadership.leaseRecorder = leaserecorder.New(overseer.leaseRecords.term.Load() == uint64(term))
 	leadership.speculation = newSpeculation(leadership.runTimes)
@@ -333,7 +336,7 @@
 // recordEndBatch proposes the attempt ends of one command until they are committed or the term ends.
 func (leadership *leadership) recordEndBatch(instance *worker, ends []jobkeeper.End) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
-		_, err := leadership.propose(jobkeeper.Command{End: ends})
+		_, err := leadership.proposeWithBeginnings(jobkeeper.Command{End: ends})
 		if err == nil {
 			leadership.removeAttempts(instance, ends)
 			return true
--- a/internal/jobs/overseer/metrics.go
+++ b/internal/jobs/overseer/metrics.go
@@ -48,6 +48,8 @@
 	blamedStarting tally.Counter
 	blamedRunning  tally.Counter
 	givenUp        tally.Counter
+	// begun counts the jobs that were recorded as begun.
+	begun tally.Counter
 
 	// leaseRecords counts the records of leases of workers that do not respond. leasesHeld is the number of leases in the
 	// current one, and leasesInherited counts those that a leadership took over.
@@ -79,7 +81,7 @@
 		planTime:     scope.Histogram("plan_duration", buckets),
 		reservations: scope.Gauge("reservations"), heldIdle: scope.Counter("reserved_idle_core_seconds"),
 		reservedWait: scope.Histogram("reserved_task_wait", tally.MustMakeExponentialDurationBuckets(100*time.Millisecond, 2, 12)),
-		crashes:      scope.Counter("worker_crashes"), givenUp: scope.Counter("jobs_given_up"),
+		crashes:      scope.Counter("worker_crashes"), givenUp: scope.Counter("jobs_given_up"), begun: scope.Counter("jobs_begun"),
 		blamedStarting:  scope.Tagged(map[string]string{"kind": "starting"}).Counter("attempts_blamed"),
 		blamedRunning:   scope.Tagged(map[string]string{"kind": "running"}).Counter("attempts_blamed"),
 		suspectsWaiting: scope.Gauge("suspects_waiting"), workersKept: scope.Gauge("workers_kept_for_suspects"),
--- a/internal/jobs/overseer/order.go
+++ b/internal/jobs/overseer/order.go
@@ -178,6 +178,9 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	attempt := leadership.recordOrderResponse(instance, id, response)
+	if response.Result == scheduler.OrderAccepted {
+		leadership.recordStart(id, attempt)
+	}
 	if attempt == nil {
 		return true
 	}
@@ -187,7 +190,6 @@
 		attempt.startOutstanding = false
 		leadership.logUnwantedStart(instance, id, attempt)
 		attempt.timing.begin(leadership.now())
-		attempt.times.recordAccepted(leadership.now())
 		if attempt.state == attemptStarting {
 			attempt.state = attemptRunning
 		}
--- a/internal/jobs/overseer/overseer.go
+++ b/internal/jobs/overseer/overseer.go
@@ -122,6 +122,7 @@
 	leadership.goroutines.Go(leadership.plan)
 	leadership.goroutines.Go(leadership.stopObsoleteAttempts)
 	leadership.goroutines.Go(leadership.recordLeases)
+	leadership.goroutines.Go(leadership.recordBeginnings)
 	if overseer.approver != nil {
 		leadership.goroutines.Go(leadership.requestApprovals)
 	}
--- a/internal/jobs/overseer/plan.go
+++ b/internal/jobs/overseer/plan.go
@@ -329,7 +329,7 @@
 // returns false if they could not be replicated.
 func (leadership *leadership) commitPlacementBatch(placements []jobkeeper.Placement) bool {
 	command := jobkeeper.Command{Place: placements, Locations: leadership.unrecordedLocations(placements)}
-	result, err := leadership.propose(command)
+	result, err := leadership.proposeWithBeginnings(command)
 	leadership.progress.plans.Add(1)
 	if err != nil {
 		leadership.repeatedWarning("placementsNotRecorded", err).Int("placements", len(placements)).
--- a/internal/jobs/overseer/renewal.go
+++ b/internal/jobs/overseer/renewal.go
@@ -240,6 +240,7 @@
 	}
 	instance.lastAcknowledgedEnd = max(instance.lastAcknowledgedEnd, order.Acknowledged)
 	listed := map[scheduler.RunID]bool{}
+	leadership.observeEndedStarts(instance, report.Ended)
 	ends = instance.collectEnds(report.Ended, listed)
 	leadership.observeRunTimes(instance, ends)
 	leadership.recordListed(instance, ends)
@@ -325,12 +326,13 @@
 		leadership.logger.Warn().Str("event", "unknownAttempt").Stringer("run", running.Run).
 			Str("worker", string(instance.name)).
 			Msg("worker runs an attempt that is not in the log; stopping it")
+		leadership.recordStart(running.Run, nil)
 		leadership.goroutines.Go(func() { leadership.stopUnknown(instance, running.Run) })
 		return
 	}
 	known.running, known.reported = running, true
 	known.timing.begin(leadership.now())
-	known.times.recordAccepted(leadership.now())
+	leadership.recordStart(running.Run, known)
 	if known.state == attemptUnknown || known.state == attemptStarting {
 		known.state = attemptRunning
 	}
--- a/internal/jobs/overseer/start_benchmark_test.go
+++ b/internal/jobs/overseer/start_benchmark_test.go
@@ -85,6 +85,7 @@
 		}})
 	}
 	leadership := newLeadership(ctx, overseer, 1)
+	leadership.goroutines.Go(leadership.recordBeginnings)
 	for number := range workers {
 		instance := newWorker(benchmarkWorker(number), 1)
 		leadership.instances[instance.name] = instance
