handler: a VM that has lost the leadership gives no number of pending jobs

Cause: queueLength checked the leadership before it read the state, but not after, unlike the other readings. A process that is paused in between answered with a number as old as the pause; callers may be given one that is 2 s old.

Change: the leadership is checked after the reading; without it the answer is 503. Test: TestQueueLengthAfterLossOfLeadership failed before ("got {Status:done ...").

--- a/internal/jobs/handler/handler.go
+++ b/internal/jobs/handler/handler.go
@@ -263,6 +263,9 @@
 	handler.keeper.View(func(state *jobkeeper.State) {
 		response = Response{Status: StatusDone, QueuedJobs: state.Queued(queue)}
 	})
+	if !handler.overseer.IsLeader() {
+		return errorResponse(StatusUnavailable, "this VM lost the leadership during the request", leaderRetry)
+	}
 	return response
 }
 
--- a/internal/jobs/handler/submission_test.go
+++ b/internal/jobs/handler/submission_test.go
@@ -74,3 +74,11 @@
 		})
 	}
 }
+
+// Guards against an old number of pending jobs from a VM that was paused in the request and has lost the leadership meanwhile.
+func TestQueueLengthAfterLossOfLeadership(t *testing.T) {
+	handler := newKeeperHandler(t, testQueue)
+	if got := handler.queueLength(&testRoute); got.Status != StatusUnavailable {
+		t.Errorf("got %+v from a VM that does not lead, want status %s", got, StatusUnavailable)
+	}
+}
