overseer: a test of pending jobs after a leader of an earlier build

A mixed roll-out: the leader is of a build that records no beginnings, so that its jobs stay pending at the replicas of this build. Under the next leader they are settled by the first reports of the workers, within 2 s, and jobs of which nothing has started stay pending. The fake group drops Command.Begun from the proposals of one VM.

--- a/internal/jobs/overseer/beginning_test.go
+++ b/internal/jobs/overseer/beginning_test.go
@@ -151,6 +151,38 @@
 	}
 }
 
+// Guards against jobs that stay pending although they run, or are left out although they do not, after a leader of an earlier
+// build, which records no beginnings.
+func TestPendingJobsAfterLeaderOfEarlierBuild(t *testing.T) {
+	tests := map[string]struct {
+		partitioned bool
+		want        int
+	}{"running": {false, 0}, "unanswered": {true, 5}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				simulation := newSimulation(t, 1)
+				simulation.fleet.runTime, simulation.domain.earlierBuild = time.Hour, 0
+				stop := simulation.start()
+				time.Sleep(2 * time.Second)
+				simulation.partitionAll(test.partitioned)
+				simulation.submitTasks(5, scheduler.Step{Count: 1})
+				time.Sleep(time.Second)
+				if got := simulation.pending(); got != 5 {
+					t.Fatalf("got %d pending jobs that the earlier build has placed, want 5", got)
+				}
+				simulation.domain.elect(1)
+				time.Sleep(pendingBound)
+				if got := simulation.pending(); got != test.want {
+					t.Errorf("got %d pending jobs under the new leader, want %d", got, test.want)
+				}
+				stop()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
 // submitGang submits a gang of two tasks that fit on no worker together.
 func (simulation *simulation) submitGang() {
 	request := scheduler.Resources{MilliCores: 5000, MemoryBytes: 1 << 20}
--- a/internal/jobs/overseer/fake_group_test.go
+++ b/internal/jobs/overseer/fake_group_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/basics/encoder"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
@@ -30,6 +31,8 @@
 	proposalDelay time.Duration
 	// stalledUntil is the time until which the process of each VM is stalled, see HoldsLeaderLease.
 	stalledUntil [simulationVMs]time.Time
+	// earlierBuild is the VM of an earlier build, which records no beginnings, or noLeader if there is none.
+	earlierBuild int
 	electedAt    time.Time
 }
 
@@ -62,6 +65,9 @@
 		}
 		// The group forwards a proposal that has not run to the new leader.
 	}
+	if group.number == domain.earlierBuild {
+		command = withoutBeginnings(command)
+	}
 	domain.index++
 	result := domain.keeper.Apply(domain.index, command)
 	if domain.random.IntN(50) == 0 {
@@ -70,6 +76,20 @@
 	return result, nil
 }
 
+// withoutBeginnings returns a command as an earlier build would have encoded it.
+func withoutBeginnings(data []byte) []byte {
+	var command jobkeeper.Command
+	if err := encoder.Unmarshal(data, &command); err != nil {
+		panic(err)
+	}
+	command.Begun = nil
+	data, err := command.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 func (group *fakeGroup) ReadBarrier(context.Context) error { return nil }
 
 func (group *fakeGroup) Status() scheduler.GroupStatus {
--- a/internal/jobs/overseer/simulation_test.go
+++ b/internal/jobs/overseer/simulation_test.go
@@ -52,7 +52,7 @@
 )
 
 func newSimulation(t *testing.T, seed uint64, options ...Option) *simulation {
-	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New()}
+	domain := &fakeDomain{random: rand.New(rand.NewPCG(seed, 1)), keeper: jobkeeper.New(), earlierBuild: noLeader}
 	domain.leader.Store(noLeader)
 	simulation := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), fleet: newFleet(seed), network: newFakeNetwork(seed),
