crashclassifier: a task is given up on the evidence of its crashes, not on points for being near them

Cause: points for each crash near a task. Whatever adds a point to the guilty adds points to the innocent beside it, and the rate at which workers crash anyway played no part.

Change: each crash adds the logarithm of a likelihood ratio to the evidence against each task on the worker: the density with which a deadly task crashes at this age, against the learned rate of crashes by chance plus the same densities of the other attempts there, each weighted with the evidence against it so far; an attempt that had been running for long is exonerated a little. A job is given up at 16.5 nats (an innocent task gets there with a probability below 7e-8). A crash by chance counts with the probability that none of its suspects is the cause, and not once one of them is given up. The points rule remains for crashes that leaders of earlier builds record. A suspect with 6 nats shares its worker with no other one. The special rules for a sole likely cause and for lost racks go: the densities explain the former, and a common cause is a rate of crashes by chance.

--- a/internal/jobs/crashclassifier/crashclassifier.go
+++ b/internal/jobs/crashclassifier/crashclassifier.go
@@ -55,7 +55,9 @@
 	At time.Duration
 	// Rack and Pool are the failure domains of the worker.
 	Rack, Pool FailureDomain
-	Attempts   []Attempt
+	// Rate is how often a worker of the pool crashes in a second for other reasons than its tasks.
+	Rate     float64
+	Attempts []Attempt
 }
 
 // FailureDomain is a group of workers that may fail together.
@@ -75,10 +77,11 @@
 	// Accepted is true if the worker is known to have run the attempt, since at or before Since.
 	Accepted bool
 	Since    time.Duration
-	// Suspect is true if the task is suspected because of earlier crashes.
-	Suspect bool
-	// LostBefore is true if an attempt of the task was lost with a rack shortly before.
-	LostBefore bool
+	// Suspect is true if the task is suspected because of earlier crashes, and Evidence that of these crashes.
+	Suspect  bool
+	Evidence Evidence
+	// CrashedAfter is the age at which an earlier attempt of the task was lost in a crash, 0 if none is known.
+	CrashedAfter time.Duration
 	// Marked is how an earlier leader, which saw the connection being closed, would have blamed the attempt. It is empty if
 	// there is none.
 	Marked scheduler.EndKind
@@ -88,6 +91,8 @@
 type Decision struct {
 	verdict  Verdict
 	kinds    map[scheduler.RunID]scheduler.EndKind
+	evidence map[scheduler.RunID]Evidence
+	rate     float64
 	starting int
 	suspects int
 }
@@ -103,6 +108,13 @@
 	return scheduler.EndLost
 }
 
+// Rate returns the rate of crashes by chance with which the evidence was weighed.
+func (decision Decision) Rate() float64 { return decision.rate }
+
+// Evidence returns the evidence of the crash against each attempt that is blamed for it. Attempts that an earlier leader has marked
+// are left out: their evidence is recorded with the mark.
+func (decision Decision) Evidence() map[scheduler.RunID]Evidence { return decision.evidence }
+
 // Blamed returns the attempts that are blamed, in no particular order.
 func (decision Decision) Blamed() []scheduler.RunID { return slices.Collect(maps.Keys(decision.kinds)) }
 
@@ -112,41 +124,42 @@
 // Suspects returns the number of attempts of suspects that had not survived.
 func (decision Decision) Suspects() int { return decision.suspects }
 
-// Classify decides whether the end of an instance was a crash, and which attempts are blamed. The likely causes are the
-// attempts that were accepted within immediateWindow, or without those within StartWindow. All others that have not survived
-// get the weaker blame, because a task may also crash its worker later, unless a suspect is the only likely cause. So each
-// crash adds to the blame of its cause.
+// Classify decides whether the end of an instance was a crash, which of its attempts are blamed, and what the crash says against
+// each of them, see Evidence. All attempts that have not survived are blamed, because a task may crash its worker at any age.
 //
-// An attempt whose start was not answered is no likely cause: it may never have reached the worker, and a task must not be
-// given up after one crash. If many workers of a pool crashed at once, all get the weaker blame. It adds up for tasks that crash
-// their workers, wait for them together and start together again. If a rack was lost, only tasks that were lost in the same
-// way shortly before get it.
+// The kinds of their ends are what earlier builds count: attempts that were accepted within immediateWindow, or without those
+// within StartWindow, are likely causes, unless many workers crashed at once. An attempt whose start was not answered is no likely
+// cause: it may never have reached the worker.
 func Classify(ending *Ending) Decision {
-	decision := Decision{verdict: ending.verdict(), kinds: map[scheduler.RunID]scheduler.EndKind{}}
+	decision := Decision{verdict: ending.verdict(), rate: ending.Rate, kinds: map[scheduler.RunID]scheduler.EndKind{}}
 	decision.count(ending)
-	window, certain := StartWindow, false
+	window := StartWindow
 	if len(ending.startedWithin(immediateWindow)) > 0 {
 		window = immediateWindow
 	}
-	if likely := ending.startedWithin(window); len(likely) == 1 {
-		certain = likely[0].Suspect
-	}
 	for position := range ending.Attempts {
 		attempt := &ending.Attempts[position]
 		switch {
-		case attempt.Marked != "" && attempt.Adopted && !ending.Expected:
+		case attempt.isMarkedByEarlierLeader() && !ending.Expected:
 			decision.kinds[attempt.Run] = attempt.Marked
 		case !decision.isCrash():
 		case attempt.startedWithin(window, ending.At) && decision.verdict == VerdictCrash:
 			decision.kinds[attempt.Run] = scheduler.EndCrashedStarting
-		case decision.verdict == VerdictRackLost && !attempt.LostBefore:
-		case !certain && !attempt.hasSurvived(ending.At) && (attempt.Sent || attempt.Adopted):
+		case !attempt.hasSurvived(ending.At) && attempt.mayHaveStarted():
 			decision.kinds[attempt.Run] = scheduler.EndCrashedRunning
 		}
 	}
+	decision.weigh(ending)
 	return decision
 }
 
+// isMarkedByEarlierLeader reports whether an earlier leader has recorded how the attempt is blamed.
+func (attempt *Attempt) isMarkedByEarlierLeader() bool {
+	return attempt.Marked != "" && attempt.Adopted
+}
+
+func (attempt *Attempt) mayHaveStarted() bool { return attempt.Sent || attempt.Adopted }
+
 // isCrash reports whether processes crashed, be it for a common cause.
 func (decision Decision) isCrash() bool {
 	return decision.verdict == VerdictCrash || decision.verdict == VerdictRackLost || decision.verdict == VerdictCommonCause
--- a/internal/jobs/jobkeeper/apply.go
+++ b/internal/jobs/jobkeeper/apply.go
@@ -9,6 +9,7 @@
 
 func (state *State) apply(command *Command) Result {
 	state.begin(command.Begun)
+	state.recordEvidence(command.Evidence)
 	switch {
 	case command.Configure != nil:
 		return Result{Status: state.configure(command.Configure)}
@@ -236,8 +237,9 @@
 		state.finishLate(task, end)
 		return
 	}
-	end.Kind = task.runs[position].blamedKind(end.Kind)
-	state.removeRun(task.runs[position])
+	run := task.runs[position]
+	end.Kind = run.blamedKind(end.Kind)
+	state.removeRun(run)
 	task.saveCheckpoint(end.Checkpoint)
 	if !job.state.Ended() && !task.finished {
 		switch end.Kind {
@@ -246,7 +248,7 @@
 		case scheduler.EndFailed:
 			state.failTask(task)
 		default:
-			state.blameTask(task, end.Kind)
+			state.blameTask(task, run, end.Kind)
 		}
 		if len(task.runs) == 0 {
 			state.giveUpIfBlamed(task)
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -13,27 +14,44 @@
 const (
 	pointsStarting = 2
 	pointsRunning  = 1
-	// A task is given up after likelyCrashLimit crashes of which it is a likely cause, or after crashLimit crashes of which
-	// it is a likely or possible cause.
+	// Leaders of earlier builds record no evidence. They gave a task up after likelyCrashLimit crashes of which it is a likely cause,
+	// or after crashLimit crashes of which it is a likely or possible cause.
 	likelyCrashLimit = 2
 	crashLimit       = 4
 )
 
 // blame records the crashes of workers that a task may have caused.
 type blame struct {
-	points  int
-	crashes int
+	points   int
+	crashes  int
+	evidence crashclassifier.Evidence
 }
 
-// isConclusive reports whether the task is given up. One crash may have several likely causes, so a single one of them
-// counts only towards crashLimit, like a possible cause.
-func (blame blame) isConclusive() bool {
+// countedEvidence returns the evidence of crashes of which only the numbers are known.
+func (blame blame) countedEvidence() crashclassifier.Evidence {
 	likely := (blame.points - blame.crashes*pointsRunning) / (pointsStarting - pointsRunning)
-	return likely >= likelyCrashLimit || blame.crashes >= crashLimit
+	share := max(float64(likely)/likelyCrashLimit, float64(blame.crashes)/crashLimit)
+	return crashclassifier.Evidence(share * float64(crashclassifier.Conviction))
+}
+
+// RunEvidence is the evidence against a task if its attempt ends with the crash of its worker. A later one replaces it.
+type RunEvidence struct {
+	_        struct{} `cbor:",toarray"`
+	Run      scheduler.RunID
+	Evidence crashclassifier.Evidence
+}
+
+// recordEvidence records the evidence of attempts that have not ended.
+func (state *State) recordEvidence(list []RunEvidence) {
+	for _, recorded := range list {
+		if run := state.openRun(recorded.Run); run != nil {
+			run.evidence, run.hasEvidence = recorded.Evidence, true
+		}
+	}
 }
 
 // blameTask adds the points for the end of an attempt. Ends that are not crashes add none.
-func (state *State) blameTask(task *Task, kind scheduler.EndKind) {
+func (state *State) blameTask(task *Task, run *Run, kind scheduler.EndKind) {
 	added := task.blame
 	switch kind {
 	case scheduler.EndCrashedStarting:
@@ -44,6 +62,11 @@
 		return
 	}
 	added.crashes++
+	if run.hasEvidence {
+		added.evidence = max(added.evidence+run.evidence, 0)
+	} else {
+		added.evidence = max(added.evidence, added.countedEvidence())
+	}
 	state.setBlame(task, added)
 }
 
@@ -81,6 +104,9 @@
 	for _, mark := range marks {
 		if run := state.openRun(mark.Run); run != nil {
 			run.mark = mark.Kind
+			if mark.Kind == "" {
+				run.evidence, run.hasEvidence = 0, false
+			}
 		}
 	}
 	return StatusDone
@@ -122,7 +148,7 @@
 // task is running, which could still finish.
 func (state *State) giveUpIfBlamed(task *Task) {
 	job := task.step.occurrence.job
-	if !task.blame.isConclusive() || task.finished || job.state.Ended() {
+	if task.blame.evidence < crashclassifier.Conviction || task.finished || job.state.Ended() {
 		return
 	}
 	job.failureReason = fmt.Sprintf("task %d of step %d was given up: %d workers crashed while they ran it",
@@ -139,6 +165,11 @@
 		Points  int
 		Crashes int
 	}
+	storedEvidence struct {
+		_        struct{} `cbor:",toarray"`
+		Task     scheduler.StepTaskID
+		Evidence crashclassifier.Evidence
+	}
 	storedFailure struct {
 		_      struct{} `cbor:",toarray"`
 		Job    scheduler.JobID
@@ -157,32 +188,56 @@
 	for _, occurrence := range job.sortedOccurrences() {
 		for _, step := range occurrence.steps {
 			for _, task := range step.tasks {
-				for _, run := range task.runs {
-					if run.mark != "" {
-						stored.Marks = append(stored.Marks, Mark{Run: run.ID(), Kind: run.mark})
-					}
-				}
-				if task.blame != (blame{}) {
-					stored.Blames = append(stored.Blames, storedBlame{
-						Task: task.ID(), Points: task.blame.points, Crashes: task.blame.crashes,
-					})
-				}
+				stored.storeBlame(task)
 			}
 		}
 	}
 }
 
+// storeBlame appends the blame of a task, and the marks and the evidence of its attempts.
+func (stored *storedState) storeBlame(task *Task) {
+	for _, run := range task.runs {
+		if run.mark != "" {
+			stored.Marks = append(stored.Marks, Mark{Run: run.ID(), Kind: run.mark})
+		}
+		if run.hasEvidence {
+			configuration := stored.Configuration
+			configuration.RunEvidence = append(configuration.RunEvidence, RunEvidence{Run: run.ID(), Evidence: run.evidence})
+		}
+	}
+	if task.blame == (blame{}) {
+		return
+	}
+	stored.Blames = append(stored.Blames, storedBlame{Task: task.ID(), Points: task.blame.points, Crashes: task.blame.crashes})
+	stored.Configuration.Evidence = append(stored.Configuration.Evidence, storedEvidence{Task: task.ID(), Evidence: task.blame.evidence})
+}
+
 // restoreBlames restores what storeBlames has stored. The jobs and attempts must have been restored before.
 func (state *State) restoreBlames(stored *storedState) {
 	state.mark(stored.Marks)
 	for _, storedBlame := range stored.Blames {
 		if task, found := state.task(storedBlame.Task); found {
-			state.setBlame(task, blame{points: storedBlame.Points, crashes: storedBlame.Crashes})
+			counted := blame{points: storedBlame.Points, crashes: storedBlame.Crashes}
+			counted.evidence = counted.countedEvidence()
+			state.setBlame(task, counted)
 		}
 	}
+	if stored.Configuration != nil {
+		state.restoreEvidence(stored.Configuration)
+	}
 	for _, storedFailure := range stored.Failures {
 		if job := state.jobs[storedFailure.Job]; job != nil {
 			job.failureReason = storedFailure.Reason
 		}
 	}
 }
+
+// restoreEvidence replaces the evidence that was derived from points.
+func (state *State) restoreEvidence(configuration *storedConfiguration) {
+	for _, storedEvidence := range configuration.Evidence {
+		if task, found := state.task(storedEvidence.Task); found {
+			task.blame.evidence = storedEvidence.Evidence
+		}
+	}
+	state.recordEvidence(configuration.RunEvidence)
+}
--- a/internal/jobs/jobkeeper/blame_test.go
+++ b/internal/jobs/jobkeeper/blame_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/crocusplank/crocusplank/internal/basics/encoder"
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -181,3 +182,101 @@
 		})
 	}
 }
+
+// Guards against evidence that is counted twice, gets lost with a leader or a restart, or counts for another end than a crash.
+func TestEvidenceOfCrashes(t *testing.T) {
+	const half = crashclassifier.Conviction / 2
+	run := func(attempt scheduler.AttemptNumber) scheduler.RunID {
+		return scheduler.RunID{Task: scheduler.StepTaskID{Job: "j"}, Attempt: attempt}
+	}
+	crash := func(fixture *fixture, evidence crashclassifier.Evidence) {
+		id := run(fixture.start("j", 0, 0)[0])
+		fixture.apply(Command{
+			End:      []End{{Run: id, Kind: scheduler.EndCrashedRunning}},
+			Evidence: []RunEvidence{{Run: id, Evidence: evidence}},
+		})
+	}
+	tests := map[string]struct {
+		act  func(fixture *fixture)
+		want scheduler.WorkflowState
+	}{
+		"conclusive": {func(fixture *fixture) { crash(fixture, half); crash(fixture, half) }, scheduler.WorkflowFailed},
+		"many crashes that prove nothing": {func(fixture *fixture) {
+			for range 20 {
+				crash(fixture, 100)
+			}
+		}, scheduler.WorkflowActive},
+		"a crash that exonerates": {func(fixture *fixture) {
+			crash(fixture, half)
+			crash(fixture, -half)
+			crash(fixture, half)
+		}, scheduler.WorkflowActive},
+		"no less than none": {func(fixture *fixture) {
+			crash(fixture, -half)
+			crash(fixture, half)
+			crash(fixture, half)
+		}, scheduler.WorkflowFailed},
+		"restarts in between": {func(fixture *fixture) {
+			crash(fixture, half)
+			fixture.restart()
+			crash(fixture, half)
+		}, scheduler.WorkflowFailed},
+		"the mark of a leader that is lost": {func(fixture *fixture) {
+			crash(fixture, half)
+			id := run(fixture.start("j", 0, 0)[0])
+			fixture.apply(Command{
+				Mark:     []Mark{{Run: id, Kind: scheduler.EndCrashedRunning}},
+				Evidence: []RunEvidence{{Run: id, Evidence: half}},
+			})
+			fixture.restart()
+			fixture.end("j", 0, 0, id.Attempt, scheduler.EndLost, "")
+		}, scheduler.WorkflowFailed},
+		"a mark that is cleared": {func(fixture *fixture) {
+			crash(fixture, half)
+			id := run(fixture.start("j", 0, 0)[0])
+			fixture.apply(Command{
+				Mark:     []Mark{{Run: id, Kind: scheduler.EndCrashedRunning}},
+				Evidence: []RunEvidence{{Run: id, Evidence: half}},
+			})
+			fixture.apply(Command{Mark: []Mark{{Run: id}}})
+			fixture.end("j", 0, 0, id.Attempt, scheduler.EndLost, "")
+		}, scheduler.WorkflowActive},
+		"the same end twice": {func(fixture *fixture) {
+			crash(fixture, half)
+			fixture.apply(Command{
+				End:      []End{{Run: run(1), Kind: scheduler.EndCrashedRunning}},
+				Evidence: []RunEvidence{{Run: run(1), Evidence: half}},
+			})
+		}, scheduler.WorkflowActive},
+		"attempts that do not exist": {func(fixture *fixture) {
+			fixture.start("j", 0, 0)
+			fixture.apply(Command{Evidence: []RunEvidence{{Run: run(7), Evidence: half}, {Run: scheduler.RunID{}, Evidence: half}}})
+			fixture.end("j", 0, 0, 7, scheduler.EndCrashedRunning, "")
+		}, scheduler.WorkflowActive},
+		"survival in between": {func(fixture *fixture) {
+			crash(fixture, half)
+			fixture.clearBlame(fixture.start("j", 0, 0)[0])
+			fixture.end("j", 0, 0, 2, scheduler.EndLost, "")
+			crash(fixture, half)
+		}, scheduler.WorkflowActive},
+		"counted by an earlier build": {func(fixture *fixture) {
+			fixture.crash(0, 0, scheduler.EndCrashedStarting)
+			fixture.restart()
+			fixture.crash(0, 0, scheduler.EndCrashedStarting)
+		}, scheduler.WorkflowFailed},
+		"one crash counted by an earlier build": {func(fixture *fixture) {
+			fixture.crash(0, 0, scheduler.EndCrashedStarting)
+			crash(fixture, half-1000)
+		}, scheduler.WorkflowActive},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixture(t)
+			fixture.submit("j", singleTask())
+			test.act(fixture)
+			if got := fixture.state("j"); got != test.want {
+				t.Errorf("got state %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/jobkeeper/command.go
+++ b/internal/jobs/jobkeeper/command.go
@@ -9,7 +9,7 @@
 )
 
 // Command is one change of the replicated state. It is a wire type, in which exactly one field is set, besides Locations, which
-// goes with Place, and Begun, which may go with any.
+// goes with Place, Evidence, which goes with Mark and End, and Begun, which may go with any.
 type Command struct {
 	Configure        *scheduler.QueueConfiguration `cbor:"1,keyasint,omitempty"`
 	Submit           *Submit                       `cbor:"2,keyasint,omitempty"`
@@ -32,6 +32,8 @@
 	// Begun holds jobs of which a task has started. Earlier builds ignore it; a command with nothing else is invalid for them
 	// and does not change their state.
 	Begun []scheduler.JobID `cbor:"16,keyasint,omitempty"`
+	// Evidence is that of the crashes in Mark and End. Earlier builds ignore it and count points.
+	Evidence []RunEvidence `cbor:"17,keyasint,omitempty"`
 }
 
 // Submit submits a job.
--- a/internal/jobs/jobkeeper/job.go
+++ b/internal/jobs/jobkeeper/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
 )
 
@@ -168,8 +169,11 @@
 // Blame returns the points that the task has for crashes of workers.
 func (task *Task) Blame() int { return task.blame.points }
 
+// Evidence returns the evidence that the task crashes its workers.
+func (task *Task) Evidence() crashclassifier.Evidence { return task.blame.evidence }
+
 // IsSuspect reports whether the task is suspected of crashing workers.
-func (task *Task) IsSuspect() bool { return task.blame.points >= pointsStarting }
+func (task *Task) IsSuspect() bool { return task.blame.evidence >= crashclassifier.Suspicion }
 
 // Runs returns the attempts that have not ended.
 func (task *Task) Runs() []*Run { return task.runs }
@@ -191,6 +195,9 @@
 	instance scheduler.Incarnation
 	// mark is the kind of end that counts if the attempt is lost, empty if its worker is not known to have crashed.
 	mark scheduler.EndKind
+	// evidence is that against the task if the attempt ends with a crash. hasEvidence is false if none was recorded.
+	evidence    crashclassifier.Evidence
+	hasEvidence bool
 }
 
 // ID returns the id of the attempt.
--- a/internal/jobs/jobkeeper/snapshot.go
+++ b/internal/jobs/jobkeeper/snapshot.go
@@ -47,6 +47,9 @@
 	// BeginsWithStart is true if active jobs are those that have begun. In snapshots of earlier builds they are those of which a
 	// task has been placed.
 	BeginsWithStart bool `cbor:"102,keyasint,omitempty"`
+	// Evidence belongs to the blames, and RunEvidence to the marks. Snapshots of earlier builds have neither.
+	Evidence    []storedEvidence `cbor:"103,keyasint,omitempty"`
+	RunEvidence []RunEvidence    `cbor:"104,keyasint,omitempty"`
 }
 
 // storedStateV3 is storedState in format version 3.
--- a/internal/jobs/jobkeeper/state.go
+++ b/internal/jobs/jobkeeper/state.go
@@ -71,6 +71,9 @@
 	return job, found
 }
 
+// Task returns a task. found is false if it does not exist or its job has been compacted.
+func (state *State) Task(id scheduler.StepTaskID) (task *Task, found bool) { return state.task(id) }
+
 // VisitReady calls visit for every ready task, in no particular order.
 func (state *State) VisitReady(visit func(task *Task)) {
 	for task := range state.ready {
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -19,18 +19,22 @@
 	suspects map[scheduler.StepTaskID]bool
 	// recent holds the instances that ended after they had closed a connection.
 	recent []crash
-	// rackLosses holds when tasks were last lost with a rack.
-	rackLosses map[scheduler.StepTaskID]time.Duration
 	// marks holds the marks that are to be proposed, in order. marking is true while they are being proposed.
 	marks   []jobkeeper.Mark
 	marking bool
 	// clearing is true while the blame of tasks that have survived is being cleared.
 	clearing bool
+	// rates holds for each pool how often its workers crash for other reasons than their tasks.
+	rates map[scheduler.PoolName]*crashclassifier.Rate
+	// ratesAt is when perSecond, the learned rates, were last computed.
+	ratesAt   time.Duration
+	perSecond map[scheduler.PoolName]float64
+	// evidence holds that of the crashes that are being recorded.
+	evidence map[scheduler.RunID]crashclassifier.Evidence
+	// ages holds the age at which an attempt of each suspect was lost last.
+	ages map[scheduler.StepTaskID]time.Duration
 }
 
-// rackLossRetention is how long the loss of a task with a rack is remembered.
-const rackLossRetention = time.Minute
-
 type crash struct {
 	at   time.Duration
 	rack string
@@ -38,7 +42,11 @@
 }
 
 func newCrashes() crashes {
-	return crashes{suspects: map[scheduler.StepTaskID]bool{}, rackLosses: map[scheduler.StepTaskID]time.Duration{}}
+	return crashes{
+		suspects: map[scheduler.StepTaskID]bool{},
+		rates:    map[scheduler.PoolName]*crashclassifier.Rate{}, evidence: map[scheduler.RunID]crashclassifier.Evidence{},
+		ages: map[scheduler.StepTaskID]time.Duration{}, perSecond: map[scheduler.PoolName]float64{},
+	}
 }
 
 // mayReachNextInstance reports whether a start order of the attempt may have reached, or may still reach, the next instance
@@ -59,28 +67,29 @@
 	}
 }
 
-// markAttempts marks the attempts that are blamed if the worker has crashed. The mutex must be held.
+// markAttempts marks the attempts that are blamed if the worker has crashed. Once a rack is known to be lost, those of its first
+// workers, whose crashes were taken for single ones, are marked anew, with less evidence. The mutex must be held.
 func (leadership *leadership) markAttempts(instance *worker) {
 	decision := leadership.classifyEnding(instance, true)
-	var marks []jobkeeper.Mark
-	for _, run := range decision.Blamed() {
-		instance.attempts[run].mark = decision.Kind(run)
-		marks = append(marks, jobkeeper.Mark{Run: run, Kind: decision.Kind(run)})
+	leadership.recordMarks(instance.marksOf(decision))
+	if decision.Verdict() != crashclassifier.VerdictRackLost {
+		return
 	}
-	leadership.recordMarks(marks)
-	if decision.Verdict() == crashclassifier.VerdictRackLost {
-		leadership.reviseMarks()
+	for _, other := range leadership.instances {
+		if other.connectionClosed && other != instance && other.rack() == instance.rack() {
+			leadership.recordMarks(other.marksOf(leadership.classifyEnding(other, true)))
+		}
 	}
 }
 
-// reviseMarks clears the marks of attempts on the first workers of a lost rack, whose crashes were taken for single
-// ones. The mutex must be held.
-func (leadership *leadership) reviseMarks() {
-	for _, instance := range leadership.instances {
-		if instance.connectionClosed {
-			leadership.recordMarks(instance.takeUnblamedMarks(leadership.classifyEnding(instance, true)))
-		}
+// marksOf sets the marks of the attempts that a decision blames, and returns them.
+func (worker *worker) marksOf(decision crashclassifier.Decision) []jobkeeper.Mark {
+	var marks []jobkeeper.Mark
+	for _, run := range decision.Blamed() {
+		worker.attempts[run].mark = decision.Kind(run)
+		marks = append(marks, jobkeeper.Mark{Run: run, Kind: decision.Kind(run)})
 	}
+	return marks
 }
 
 // takeUnblamedMarks removes the marks of attempts that a decision does not blame, and returns what clears them in the log.
@@ -102,6 +111,7 @@
 	for id, attempt := range instance.attempts {
 		if attempt.mark != "" && !attempt.recordingEnd {
 			attempt.mark = ""
+			delete(leadership.crashes.evidence, id)
 			marks = append(marks, jobkeeper.Mark{Run: id})
 		}
 	}
@@ -149,7 +159,7 @@
 // commitMarkBatch proposes the marks of one command until they are committed. It returns false if the term ends before.
 func (leadership *leadership) commitMarkBatch(marks []jobkeeper.Mark) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
-		_, err := leadership.propose(jobkeeper.Command{Mark: marks})
+		_, err := leadership.propose(jobkeeper.Command{Mark: marks, Evidence: leadership.evidenceOf(runsOf(marks))})
 		if err == nil {
 			return true
 		}
@@ -170,6 +180,7 @@
 		At:       instance.failingSince,
 	}
 	ending.Rack, ending.Pool = leadership.failureDomains(instance)
+	ending.Rate = leadership.crashesPerSecond(instance.heartbeat.Pool, ending.Pool.Workers)
 	for id, attempt := range instance.attempts {
 		if attempt.recordingEnd {
 			continue
@@ -179,29 +190,13 @@
 			Run: id, Adopted: attempt.adopted,
 			Sent:     !attempt.adopted && (accepted || attempt.startSending || attempt.startUnanswered),
 			Accepted: accepted, Since: attempt.times.acceptedAt, Suspect: leadership.crashes.suspects[id.Task],
-			Marked: attempt.mark, LostBefore: leadership.wasLostBefore(id.Task),
+			Marked: attempt.mark, Evidence: leadership.taskEvidence(id.Task),
+			CrashedAfter: leadership.crashes.ages[id.Task],
 		})
 	}
-	return crashclassifier.Classify(ending)
-}
-
-// wasLostBefore reports whether a task was lost with a rack shortly before.
-func (leadership *leadership) wasLostBefore(task scheduler.StepTaskID) bool {
-	lostAt, lost := leadership.crashes.rackLosses[task]
-	return lost && leadership.now()-lostAt < rackLossRetention
-}
-
-// recordRackLosses records the tasks on an instance that was lost with its rack. The mutex must be held.
-func (leadership *leadership) recordRackLosses(instance *worker) {
-	now := leadership.now()
-	maps.DeleteFunc(leadership.crashes.rackLosses, func(_ scheduler.StepTaskID, lostAt time.Duration) bool {
-		return now-lostAt >= rackLossRetention
-	})
-	for id, attempt := range instance.attempts {
-		if !attempt.recordingEnd {
-			leadership.crashes.rackLosses[id.Task] = now
-		}
-	}
+	decision := crashclassifier.Classify(ending)
+	maps.Copy(leadership.crashes.evidence, decision.Evidence())
+	return decision
 }
 
 // failureDomains returns the rack and the pool of an instance, with the crashes in them.
@@ -247,11 +242,11 @@
 	leadership.crashes.recent = append(leadership.crashes.recent, crash{
 		at: instance.failingSince, rack: instance.rack(), pool: instance.heartbeat.Pool,
 	})
+	leadership.recordAges(instance)
 	switch decision.Verdict() {
 	case crashclassifier.VerdictCrash:
 		leadership.overseer.metrics.crashes.Inc(1)
-	case crashclassifier.VerdictRackLost:
-		leadership.recordRackLosses(instance)
+		leadership.crashRate(instance.heartbeat.Pool).AddCrash(instance.failingSince, tasksOf(decision.Blamed()))
 	default:
 	}
 	var likely []string
@@ -267,7 +262,7 @@
 		Uint64("life", uint64(instance.incarnation)).Str("verdict", string(decision.Verdict())).
 		Dur("failingFor", now-instance.failingSince).Dur("answeredBefore", instance.failingSince-instance.lastResponse).
 		Int("starting", decision.Starting()).Int("suspects", decision.Suspects()).Strs("likelyCauses", likely).
-		Int("otherBlamed", others).
+		Int("otherBlamed", others).Float64("crashRate", decision.Rate()).Dict("evidence", evidenceDict(decision)).
 		Msg("worker closed its connections and was replaced")
 }
 
@@ -333,5 +328,9 @@
 		Msg("suspected tasks have survived")
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
+	if err == nil {
+		cleared := tasksOf(survivors)
+		leadership.clearCrashSuspects(func(task scheduler.StepTaskID) bool { return slices.Contains(cleared, task) })
+	}
 	leadership.crashes.clearing = false
 }
--- /dev/null
+++ b/internal/jobs/overseer/crashevidence.go
@@ -0,0 +1,150 @@
+package overseer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
+	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
+	"github.com/crocusplank/crocusplank/pkg/scheduler"
+)
+
+// crashRate returns the crash rate of a pool. The mutex must be held.
+func (leadership *leadership) crashRate(pool scheduler.PoolName) *crashclassifier.Rate {
+	rates := leadership.crashes.rates
+	if rates[pool] == nil {
+		rates[pool] = crashclassifier.NewRate(leadership.startedAt)
+	}
+	return rates[pool]
+}
+
+// crashRateInterval is how often the rates are computed at most, because many workers may crash at once.
+const crashRateInterval = 250 * time.Millisecond
+
+// crashesPerSecond returns how often a worker of a pool crashes in a second for other reasons than its tasks. The mutex must be held.
+func (leadership *leadership) crashesPerSecond(pool scheduler.PoolName, workers int) float64 {
+	crashes, now := &leadership.crashes, leadership.now()
+	if now-crashes.ratesAt >= crashRateInterval {
+		crashes.ratesAt, crashes.perSecond = now, map[scheduler.PoolName]float64{}
+	}
+	perSecond, known := crashes.perSecond[pool]
+	if !known {
+		perSecond = leadership.crashRate(pool).PerSecond(now, workers, leadership.taskEvidence)
+		crashes.perSecond[pool] = perSecond
+	}
+	return perSecond
+}
+
+// recordAges records how old the attempts on a crashed worker were. The mutex must be held.
+func (leadership *leadership) recordAges(instance *worker) {
+	for id, attempt := range instance.attempts {
+		if !attempt.recordingEnd && attempt.times.acceptedAt > 0 && !attempt.adopted {
+			leadership.crashes.ages[id.Task] = max(instance.failingSince-attempt.times.acceptedAt, 1)
+		}
+	}
+}
+
+// taskEvidence returns the evidence that a task crashes its workers.
+func (leadership *leadership) taskEvidence(id scheduler.StepTaskID) (evidence crashclassifier.Evidence) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		if task, found := state.Task(id); found {
+			evidence = task.Evidence()
+		}
+	})
+	return evidence
+}
+
+// evidenceOf returns the evidence of crashes against attempts, for the command that records how they end.
+func (leadership *leadership) evidenceOf(runs []scheduler.RunID) []jobkeeper.RunEvidence {
+	leadership.mutex.Lock()
+	defer leadership.mutex.Unlock()
+	var list []jobkeeper.RunEvidence
+	for _, run := range runs {
+		if evidence, found := leadership.crashes.evidence[run]; found {
+			list = append(list, jobkeeper.RunEvidence{Run: run, Evidence: evidence})
+		}
+	}
+	return list
+}
+
+// observeCrashSuspects learns from the end of an attempt whether its task has caused crashes. The mutex must be held.
+func (leadership *leadership) observeCrashSuspects(end *jobkeeper.End) {
+	delete(leadership.crashes.evidence, end.Run)
+	if end.Kind != scheduler.EndFinished || len(leadership.crashes.rates) == 0 {
+		return
+	}
+	leadership.clearCrashSuspects(func(task scheduler.StepTaskID) bool {
+		return keyOf(task) == keyOf(end.Run.Task) && leadership.isFinished(task)
+	})
+}
+
+func (leadership *leadership) isFinished(id scheduler.StepTaskID) (finished bool) {
+	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
+		task, found := state.Task(id)
+		finished = !found || task.Finished()
+	})
+	return finished
+}
+
+// clearCrashSuspects clears tasks of the crashes of which they were suspects. The mutex must be held.
+func (leadership *leadership) clearCrashSuspects(isCleared func(task scheduler.StepTaskID) bool) {
+	for _, rate := range leadership.crashes.rates {
+		rate.Clear(isCleared)
+	}
+	maps.DeleteFunc(leadership.crashes.ages, func(task scheduler.StepTaskID, _ time.Duration) bool { return isCleared(task) })
+}
+
+// forgetCrashSuspects drops what is known of the tasks of a job that has ended. givenUp is true if one of them has caused the
+// crashes of which it was a suspect. The mutex must be held.
+func (leadership *leadership) forgetCrashSuspects(job scheduler.JobID, givenUp bool) {
+	maps.DeleteFunc(leadership.crashes.ages, func(task scheduler.StepTaskID, _ time.Duration) bool { return task.Job == job })
+	if !givenUp {
+		return
+	}
+	for _, rate := range leadership.crashes.rates {
+		rate.Explain(job)
+	}
+}
+
+// maxLoggedEvidence bounds the attempts in the log line of a crash.
+const maxLoggedEvidence = 8
+
+// evidenceDict returns the strongest evidence of a crash by attempt.
+func evidenceDict(decision crashclassifier.Decision) *zerolog.Event {
+	evidence, dict := decision.Evidence(), zerolog.Dict()
+	runs := slices.SortedFunc(maps.Keys(evidence), func(a, b scheduler.RunID) int {
+		return cmp.Or(cmp.Compare(evidence[b], evidence[a]), cmp.Compare(a.String(), b.String()))
+	})
+	for _, run := range runs[:min(len(runs), maxLoggedEvidence)] {
+		dict.Int(run.String(), int(evidence[run]))
+	}
+	return dict
+}
+
+func runsOf(marks []jobkeeper.Mark) []scheduler.RunID {
+	runs := make([]scheduler.RunID, len(marks))
+	for position := range marks {
+		runs[position] = marks[position].Run
+	}
+	return runs
+}
+
+func endedRuns(ends []jobkeeper.End) []scheduler.RunID {
+	runs := make([]scheduler.RunID, len(ends))
+	for position := range ends {
+		runs[position] = ends[position].Run
+	}
+	return runs
+}
+
+func tasksOf(runs []scheduler.RunID) []scheduler.StepTaskID {
+	tasks := make([]scheduler.StepTaskID, len(runs))
+	for position := range runs {
+		tasks[position] = runs[position].Task
+	}
+	return tasks
+}
--- a/internal/jobs/overseer/joblog.go
+++ b/internal/jobs/overseer/joblog.go
@@ -85,6 +85,7 @@
 			if job.GivenUp() {
 				leadership.overseer.metrics.givenUp.Inc(1)
 			}
+			leadership.forgetCrashSuspects(job.ID(), job.GivenUp())
 			leadership.logger.Info().Str("event", "jobEnded").Str("job", string(job.ID())).
 				Str("queue", string(job.Queue().Name)).
 				Str("state", string(job.State())).Str("reason", job.FailureReason()).
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -336,7 +336,9 @@
 // recordEndBatch proposes the attempt ends of one command until they are committed or the term ends.
 func (leadership *leadership) recordEndBatch(instance *worker, ends []jobkeeper.End) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
-		_, err := leadership.proposeWithBeginnings(jobkeeper.Command{End: ends})
+		_, err := leadership.proposeWithBeginnings(jobkeeper.Command{
+			End: ends, Evidence: leadership.evidenceOf(endedRuns(ends)),
+		})
 		if err == nil {
 			leadership.removeAttempts(instance, ends)
 			return true
@@ -364,6 +366,7 @@
 	for _, end := range ends {
 		ended := instance.attempts[end.Run]
 		delete(instance.attempts, end.Run)
+		leadership.observeCrashSuspects(&end)
 		leadership.failureTracker.observe(instance, ended, end, time.Now())
 		delete(leadership.pendingEnds, end.Run)
 		leadership.overseer.metrics.ended.Inc(1)
--- a/internal/jobs/overseer/waitexplanation.go
+++ b/internal/jobs/overseer/waitexplanation.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/crocusplank/crocusplank/internal/jobs/crashclassifier"
 	"github.com/crocusplank/crocusplank/internal/jobs/jobkeeper"
 	"github.com/crocusplank/crocusplank/internal/jobs/waitexplainer"
 	"github.com/crocusplank/crocusplank/pkg/scheduler"
@@ -83,6 +84,9 @@
 	LastAttempt scheduler.AttemptNumber `json:"lastAttempt" cbor:"3,keyasint"`
 	// Blame is the number of points for crashes of workers.
 	Blame int `json:"blame,omitempty" cbor:"4,keyasint,omitempty"`
+	// Evidence is that of these crashes against the task, and Conviction that with which it is given up.
+	Evidence   int `json:"evidence,omitempty" cbor:"7,keyasint,omitempty"`
+	Conviction int `json:"conviction,omitempty" cbor:"8,keyasint,omitempty"`
 	// WaitsFor holds the steps that have to finish first.
 	WaitsFor []int `json:"waitsFor,omitempty" cbor:"5,keyasint,omitempty"`
 	// Attempts holds the attempts that have not ended: those of the task, or of other members of its gang.
@@ -207,6 +211,9 @@
 	explained := &TaskExplanation{
 		ID: task.ID(), State: TaskWaiting, LastAttempt: task.LastAttempt(), Blame: task.Blame(),
 	}
+	if evidence := task.Evidence(); evidence > 0 {
+		explained.Evidence, explained.Conviction = int(evidence), int(crashclassifier.Conviction)
+	}
 	runs := task.Runs()
 	switch {
 	case len(runs) > 0:
--- a/internal/operating/explainer/waitprinter.go
+++ b/internal/operating/explainer/waitprinter.go
@@ -48,7 +48,11 @@
 	case overseer.TaskGangPlaced:
 		text = "waits for the ends of its gang's attempts"
 	}
-	table.row("task", fmt.Sprintf("%s: %s, last attempt %d, blame %d", task.ID, text, task.LastAttempt, task.Blame))
+	text = fmt.Sprintf("%s: %s, last attempt %d, blame %d", task.ID, text, task.LastAttempt, task.Blame)
+	if task.Conviction > 0 {
+		text += fmt.Sprintf(", evidence of crashes %d, given up with %d", task.Evidence, task.Conviction)
+	}
+	table.row("task", text)
 	for position := range task.Attempts {
 		attempt := &task.Attempts[position]
 		text := fmt.Sprintf("%s on %s: %s", attempt.Run, attempt.Worker, attempt.State)
