--- a/internal/jobs/crashclassifier/evidence_test.go
+++ b/internal/jobs/crashclassifier/evidence_test.go
@@ -192,7 +192,7 @@
 		t.Run(name, func(t *testing.T) {
 			rate := NewRate(0)
 			test.act(rate)
-			evidence := func(task scheduler.StepTaskID) Evidence { return test.evidence }
+			evidence := func(scheduler.StepTaskID) Evidence { return test.evidence }
 			if got := rate.PerSecond(200*time.Second, 10, evidence); got < test.least || got > test.most {
 				t.Errorf("got %v crashes of a worker in a second, want %v to %v", got, test.least, test.most)
 			}
