crashclassifier: a suspect is cleared without a scan of the open crashes

Cause, by reading: each finished attempt compared its task with the suspects of all open crashes, while the mutex of the leadership is held: with 540 workers that crash again and again some 2,400 crashes of ten tasks, 300 times a second.

Change: the open crashes are indexed by suspect, at most 500 of them are kept, and a finished gang clears its members by name. Ages are recorded for blamed attempts only. The jobs that have begun are bounded by bytes in a command instead of a number.

--- a/internal/jobs/crashclassifier/evidence_test.go
+++ b/internal/jobs/crashclassifier/evidence_test.go
@@ -115,7 +115,9 @@
 					rate.AddCrash(now, []scheduler.StepTaskID{hit.Run.Task})
 				}
 				if round%cleared == 0 {
-					rate.Clear(func(scheduler.StepTaskID) bool { return true })
+					for number := range workers {
+						rate.Clear(scheduler.StepTaskID{Job: scheduler.JobID(fmt.Sprint("job", number))})
+					}
 				}
 			}
 			if worst >= Conviction {
@@ -179,14 +181,30 @@
 		}, Conviction - 1, 0, 1.01e-4},
 		"all suspects are cleared": {func(rate *Rate) {
 			rate.AddCrash(100*time.Second, []scheduler.StepTaskID{task("a"), task("b")})
-			rate.Clear(func(cleared scheduler.StepTaskID) bool { return cleared.Job == "a" })
-			rate.Clear(func(cleared scheduler.StepTaskID) bool { return cleared.Job == "b" })
+			rate.Clear(task("a"))
+			rate.Clear(task("b"))
 		}, Conviction - 1, 1.6e-4, 3e-4},
 		"the cause is found": {func(rate *Rate) {
 			rate.AddCrash(100*time.Second, []scheduler.StepTaskID{task("a"), task("b")})
 			rate.Explain("a")
-			rate.Clear(func(scheduler.StepTaskID) bool { return true })
+			rate.Clear(task("a"))
+			rate.Clear(task("b"))
 		}, 0, 0, 1.01e-4},
+		"one of two crashes is explained": {func(rate *Rate) {
+			rate.AddCrash(100*time.Second, []scheduler.StepTaskID{task("a"), task("b")})
+			rate.AddCrash(100*time.Second, []scheduler.StepTaskID{task("b"), task("c")})
+			rate.Explain("a")
+			rate.Clear(task("b"))
+			rate.Clear(task("c"))
+		}, Conviction, 1.6e-4, 2e-4},
+		"more crashes than are kept open": {func(rate *Rate) {
+			for number := range maxOpenCrashes + 10 {
+				rate.AddCrash(100*time.Second, []scheduler.StepTaskID{task(scheduler.JobID(fmt.Sprint(number)))})
+			}
+			for number := range maxOpenCrashes + 10 {
+				rate.Clear(task(scheduler.JobID(fmt.Sprint(number))))
+			}
+		}, 0, 0.0417, 0.0418},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/jobs/crashclassifier/rate.go
+++ b/internal/jobs/crashclassifier/rate.go
@@ -1,7 +1,6 @@
 package crashclassifier
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +16,8 @@
 	recentExposure = 300 * time.Second
 	// unresolvedTime is how long a crash may stay unexplained before it is dropped. It exceeds SurvivalTime.
 	unresolvedTime = 2 * time.Minute
+	// maxOpenCrashes bounds the crashes of which suspects remain. The oldest ones are dropped.
+	maxOpenCrashes = 500
 	// rateMemory is how long a crash without a cause among the tasks counts.
 	rateMemory = 10 * time.Minute
 )
@@ -26,66 +27,102 @@
 // given up.
 type Rate struct {
 	since time.Duration
-	open  []openCrash
-	// causeless holds the times of the crashes that count, in any order.
+	// open holds the crashes of which a suspect has not been cleared, in the order in which they were added, and suspects holds those
+	// of each suspect.
+	open     []*openCrash
+	suspects map[scheduler.StepTaskID][]*openCrash
+	// causeless holds the times of the crashes of which all suspects have been cleared, in any order.
 	causeless []time.Duration
 }
 
-// openCrash is a crash of which a suspect has not been cleared.
+// openCrash is a crash with the suspects that have not been cleared.
 type openCrash struct {
 	at       time.Duration
 	suspects map[scheduler.StepTaskID]bool
 }
 
 // NewRate returns a Rate that observes from the given time on.
-func NewRate(now time.Duration) *Rate { return &Rate{since: now} }
+func NewRate(now time.Duration) *Rate {
+	return &Rate{since: now, suspects: map[scheduler.StepTaskID][]*openCrash{}}
+}
 
 // AddCrash adds a crash with the tasks that may have caused it.
 func (rate *Rate) AddCrash(at time.Duration, suspects []scheduler.StepTaskID) {
-	crash := openCrash{at: at, suspects: map[scheduler.StepTaskID]bool{}}
+	if len(suspects) == 0 {
+		rate.causeless = append(rate.causeless, at)
+		return
+	}
+	crash := &openCrash{at: at, suspects: map[scheduler.StepTaskID]bool{}}
 	for _, suspect := range suspects {
 		crash.suspects[suspect] = true
+		rate.suspects[suspect] = append(rate.suspects[suspect], crash)
 	}
 	rate.open = append(rate.open, crash)
-	rate.resolve()
+	if len(rate.open) > maxOpenCrashes {
+		rate.drop(func(crash *openCrash) bool { return crash == rate.open[0] })
+	}
 }
 
-// Clear removes tasks that have caused none of the crashes, because an attempt of them has finished or survived.
-func (rate *Rate) Clear(isCleared func(task scheduler.StepTaskID) bool) {
-	for _, crash := range rate.open {
-		maps.DeleteFunc(crash.suspects, func(task scheduler.StepTaskID, _ bool) bool { return isCleared(task) })
+// Clear removes a task that has caused none of the crashes, because an attempt of it has finished or survived.
+func (rate *Rate) Clear(task scheduler.StepTaskID) {
+	crashes := rate.suspects[task]
+	if len(crashes) == 0 {
+		return
 	}
-	rate.resolve()
+	delete(rate.suspects, task)
+	for _, crash := range crashes {
+		delete(crash.suspects, task)
+		if len(crash.suspects) == 0 {
+			rate.causeless = append(rate.causeless, crash.at)
+		}
+	}
+	rate.drop(func(crash *openCrash) bool { return len(crash.suspects) == 0 })
 }
 
 // Explain drops the crashes of which a task of the job, which was given up, was a suspect.
 func (rate *Rate) Explain(job scheduler.JobID) {
-	rate.open = slices.DeleteFunc(rate.open, func(crash openCrash) bool {
-		for task := range crash.suspects {
-			if task.Job == job {
-				return true
-			}
+	explained := map[*openCrash]bool{}
+	for task, crashes := range rate.suspects {
+		if task.Job != job {
+			continue
 		}
-		return false
-	})
+		for _, crash := range crashes {
+			explained[crash] = true
+		}
+	}
+	rate.drop(func(crash *openCrash) bool { return explained[crash] })
 }
 
-// resolve counts the crashes without suspects.
-func (rate *Rate) resolve() {
-	rate.open = slices.DeleteFunc(rate.open, func(crash openCrash) bool {
-		if len(crash.suspects) > 0 {
-			return false
+// drop removes open crashes, also from those of their suspects.
+func (rate *Rate) drop(isDropped func(crash *openCrash) bool) {
+	kept := rate.open[:0]
+	for _, crash := range rate.open {
+		if !isDropped(crash) {
+			kept = append(kept, crash)
+			continue
+		}
+		for suspect := range crash.suspects {
+			rate.forget(suspect, crash)
 		}
-		rate.causeless = append(rate.causeless, crash.at)
-		return true
-	})
+	}
+	clear(rate.open[len(kept):])
+	rate.open = kept
+}
+
+func (rate *Rate) forget(suspect scheduler.StepTaskID, dropped *openCrash) {
+	others := slices.DeleteFunc(rate.suspects[suspect], func(crash *openCrash) bool { return crash == dropped })
+	if len(others) == 0 {
+		delete(rate.suspects, suspect)
+		return
+	}
+	rate.suspects[suspect] = others
 }
 
 // PerSecond returns the crashes of a worker in a second. workers is the number of workers of the pool, evidence the present evidence
 // against a suspect.
 func (rate *Rate) PerSecond(now time.Duration, workers int, evidence func(task scheduler.StepTaskID) Evidence) float64 {
 	rate.causeless = slices.DeleteFunc(rate.causeless, func(at time.Duration) bool { return now-at > rateMemory })
-	rate.open = slices.DeleteFunc(rate.open, func(crash openCrash) bool { return now-crash.at > unresolvedTime })
+	rate.drop(func(crash *openCrash) bool { return now-crash.at > unresolvedTime })
 	all, recent := 1.0, 0.0
 	count := func(at time.Duration, chance float64) {
 		all += chance
@@ -96,8 +133,8 @@
 	for _, at := range rate.causeless {
 		count(at, 1)
 	}
-	for position := range rate.open {
-		count(rate.open[position].at, rate.open[position].causelessChance(evidence))
+	for _, crash := range rate.open {
+		count(crash.at, crash.causelessChance(evidence))
 	}
 	observed := float64(workers) * min(now-rate.since, rateMemory).Seconds()
 	average := all / (observed + priorExposure.Seconds())
--- a/internal/jobs/overseer/beginning.go
+++ b/internal/jobs/overseer/beginning.go
@@ -13,8 +13,10 @@
 	// beginningInterval is how often the jobs that have begun are recorded if no other command carries them. Callers see a job as
 	// queued until then.
 	beginningInterval = 500 * time.Millisecond
-	// maxBegunJobs bounds the jobs in one command, so that it stays below the limit of the log beside a batch of ends.
-	maxBegunJobs = 1000
+	// maxBegunBytes bounds the jobs in one command, so that it stays below the limit of the log beside a batch of ends.
+	maxBegunBytes = 64 << 10
+	// jobBytes is the maximum size of an encoded job id without its text.
+	jobBytes = 5
 )
 
 // beginnings holds the jobs that have begun and are not recorded as such. It is safe for concurrent use; no other lock is taken
@@ -42,11 +44,16 @@
 	beginnings.mutex.Lock()
 	defer beginnings.mutex.Unlock()
 	var jobs []scheduler.JobID
+	bytes := 0
 	for job, recording := range beginnings.recording {
-		if !recording && len(jobs) < maxBegunJobs {
-			beginnings.recording[job] = true
-			jobs = append(jobs, job)
+		if recording {
+			continue
 		}
+		if bytes += len(job) + jobBytes; bytes > maxBegunBytes {
+			break
+		}
+		beginnings.recording[job] = true
+		jobs = append(jobs, job)
 	}
 	slices.Sort(jobs)
 	return jobs
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -242,7 +242,7 @@
 	leadership.crashes.recent = append(leadership.crashes.recent, crash{
 		at: instance.failingSince, rack: instance.rack(), pool: instance.heartbeat.Pool,
 	})
-	leadership.recordAges(instance)
+	leadership.recordAges(instance, decision)
 	switch decision.Verdict() {
 	case crashclassifier.VerdictCrash:
 		leadership.overseer.metrics.crashes.Inc(1)
@@ -329,8 +329,9 @@
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
 	if err == nil {
-		cleared := tasksOf(survivors)
-		leadership.clearCrashSuspects(func(task scheduler.StepTaskID) bool { return slices.Contains(cleared, task) })
+		for _, survivor := range survivors {
+			leadership.clearCrashSuspect(survivor.Task)
+		}
 	}
 	leadership.crashes.clearing = false
 }
--- a/internal/jobs/overseer/crashevidence.go
+++ b/internal/jobs/overseer/crashevidence.go
@@ -39,10 +39,11 @@
 	return perSecond
 }
 
-// recordAges records how old the attempts on a crashed worker were. The mutex must be held.
-func (leadership *leadership) recordAges(instance *worker) {
+// recordAges records how old the blamed attempts on a crashed worker were. The mutex must be held.
+func (leadership *leadership) recordAges(instance *worker, decision crashclassifier.Decision) {
 	for id, attempt := range instance.attempts {
-		if !attempt.recordingEnd && attempt.times.acceptedAt > 0 && !attempt.adopted {
+		blamed := !attempt.recordingEnd && decision.Kind(id) != scheduler.EndLost
+		if blamed && attempt.times.acceptedAt > 0 && !attempt.adopted {
 			leadership.crashes.ages[id.Task] = max(instance.failingSince-attempt.times.acceptedAt, 1)
 		}
 	}
@@ -77,25 +78,36 @@
 	if end.Kind != scheduler.EndFinished || len(leadership.crashes.rates) == 0 {
 		return
 	}
-	leadership.clearCrashSuspects(func(task scheduler.StepTaskID) bool {
-		return keyOf(task) == keyOf(end.Run.Task) && leadership.isFinished(task)
-	})
+	for _, task := range leadership.finishedWith(end.Run.Task) {
+		leadership.clearCrashSuspect(task)
+	}
 }
 
-func (leadership *leadership) isFinished(id scheduler.StepTaskID) (finished bool) {
+// finishedWith returns the tasks that have finished with one: all members of a gang have. None has if the result came too late.
+func (leadership *leadership) finishedWith(id scheduler.StepTaskID) []scheduler.StepTaskID {
+	tasks := []scheduler.StepTaskID{id}
 	leadership.overseer.keeper.View(func(state *jobkeeper.State) {
 		task, found := state.Task(id)
-		finished = !found || task.Finished()
+		switch {
+		case !found: // Its job has ended.
+		case !task.Finished():
+			tasks = nil
+		case task.Step().Spec().Gang:
+			tasks = nil
+			for _, member := range task.Step().Tasks() {
+				tasks = append(tasks, member.ID())
+			}
+		}
 	})
-	return finished
+	return tasks
 }
 
-// clearCrashSuspects clears tasks of the crashes of which they were suspects. The mutex must be held.
-func (leadership *leadership) clearCrashSuspects(isCleared func(task scheduler.StepTaskID) bool) {
+// clearCrashSuspect clears a task of the crashes of which it was a suspect. The mutex must be held.
+func (leadership *leadership) clearCrashSuspect(task scheduler.StepTaskID) {
 	for _, rate := range leadership.crashes.rates {
-		rate.Clear(isCleared)
+		rate.Clear(task)
 	}
-	maps.DeleteFunc(leadership.crashes.ages, func(task scheduler.StepTaskID, _ time.Duration) bool { return isCleared(task) })
+	delete(leadership.crashes.ages, task)
 }
 
 // forgetCrashSuspects drops what is known of the tasks of a job that has ended. givenUp is true if one of them has caused the
