--- a/internal/jobs/crashclassifier/rate.go
+++ b/internal/jobs/crashclassifier/rate.go
@@ -59,7 +59,8 @@
 	}
 	rate.open = append(rate.open, crash)
 	if len(rate.open) > maxOpenCrashes {
-		rate.drop(func(crash *openCrash) bool { return crash == rate.open[0] })
+		oldest := rate.open[0]
+		rate.drop(func(crash *openCrash) bool { return crash == oldest })
 	}
 }
 
@@ -109,6 +110,7 @@
 	rate.open = kept
 }
 
+// forget removes a dropped crash from those of a suspect.
 func (rate *Rate) forget(suspect scheduler.StepTaskID, dropped *openCrash) {
 	others := slices.DeleteFunc(rate.suspects[suspect], func(crash *openCrash) bool { return crash == dropped })
 	if len(others) == 0 {
--- a/internal/jobs/jobkeeper/blame.go
+++ b/internal/jobs/jobkeeper/blame.go
@@ -10,7 +10,7 @@
 )
 
 // A task gets pointsStarting for a crash of its worker of which it is a likely cause, and pointsRunning for one of which it
-// is a possible cause. With pointsStarting it is a suspect.
+// is a possible cause. Only earlier builds decide by points.
 const (
 	pointsStarting = 2
 	pointsRunning  = 1
@@ -20,7 +20,8 @@
 	crashLimit       = 4
 )
 
-// blame records the crashes of workers that a task may have caused.
+// blame records the crashes of workers that a task may have caused. The evidence decides whether the task is a suspect and when it is
+// given up.
 type blame struct {
 	points   int
 	crashes  int
@@ -50,7 +51,7 @@
 	}
 }
 
-// blameTask adds the points for the end of an attempt. Ends that are not crashes add none.
+// blameTask adds the points and the evidence for the end of an attempt. Ends that are not crashes add none.
 func (state *State) blameTask(task *Task, run *Run, kind scheduler.EndKind) {
 	added := task.blame
 	switch kind {
--- a/internal/jobs/overseer/isolation.go
+++ b/internal/jobs/overseer/isolation.go
@@ -127,7 +127,7 @@
 	now, longest := leadership.now(), time.Duration(0)
 	for _, task := range waiting.tasks {
 		if task.Evidence() >= crashclassifier.Isolation {
-			return 0 // It waits for a worker without another suspect, whatever the time.
+			return 0 // It never shares a worker with other suspects, however long it waits.
 		}
 		if since, found := leadership.suspectsSince[task.ID()]; found {
 			longest = max(longest, now-since)
