overseer: evidence for a command is collected without lists of attempts

One function serves both and returns at once without evidence. The comment on Conviction says what the figure is.

--- a/internal/jobs/crashclassifier/evidence.go
+++ b/internal/jobs/crashclassifier/evidence.go
@@ -17,8 +17,8 @@
 	Suspicion Evidence = 3_000
 	// Isolation is the evidence with which a suspect shares its worker with no other suspect.
 	Isolation Evidence = 6_000
-	// Conviction is the evidence with which a task is given up. An innocent task of a job of ten reaches it with a probability
-	// below one in a million for the job.
+	// Conviction is the evidence with which a task is given up: with ten tasks, exp(-16.5) for each is less than one innocent job in a
+	// million.
 	Conviction Evidence = 16_500
 	// priorEvidence is that of a task before any crash: one of 400 crashes its worker. It makes the first crash, which several
 	// tasks share, weak evidence against each.
--- a/internal/jobs/overseer/crash.go
+++ b/internal/jobs/overseer/crash.go
@@ -159,7 +159,7 @@
 // commitMarkBatch proposes the marks of one command until they are committed. It returns false if the term ends before.
 func (leadership *leadership) commitMarkBatch(marks []jobkeeper.Mark) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
-		_, err := leadership.propose(jobkeeper.Command{Mark: marks, Evidence: leadership.evidenceOf(runsOf(marks))})
+		_, err := leadership.propose(jobkeeper.Command{Mark: marks, Evidence: evidenceOf(leadership, marks, runOfMark)})
 		if err == nil {
 			return true
 		}
--- a/internal/jobs/overseer/crashevidence.go
+++ b/internal/jobs/overseer/crashevidence.go
@@ -59,12 +59,16 @@
 	return evidence
 }
 
-// evidenceOf returns the evidence of crashes against attempts, for the command that records how they end.
-func (leadership *leadership) evidenceOf(runs []scheduler.RunID) []jobkeeper.RunEvidence {
+// evidenceOf returns the evidence of crashes against the attempts of items, for the command that records how they end.
+func evidenceOf[T any](leadership *leadership, items []T, runOf func(item *T) scheduler.RunID) []jobkeeper.RunEvidence {
 	leadership.mutex.Lock()
 	defer leadership.mutex.Unlock()
+	if len(leadership.crashes.evidence) == 0 {
+		return nil
+	}
 	var list []jobkeeper.RunEvidence
-	for _, run := range runs {
+	for position := range items {
+		run := runOf(&items[position])
 		if evidence, found := leadership.crashes.evidence[run]; found {
 			list = append(list, jobkeeper.RunEvidence{Run: run, Evidence: evidence})
 		}
@@ -72,6 +76,10 @@
 	return list
 }
 
+func runOfEnd(end *jobkeeper.End) scheduler.RunID { return end.Run }
+
+func runOfMark(mark *jobkeeper.Mark) scheduler.RunID { return mark.Run }
+
 // observeCrashSuspects learns from the end of an attempt whether its task has caused crashes. The mutex must be held.
 func (leadership *leadership) observeCrashSuspects(end *jobkeeper.End) {
 	delete(leadership.crashes.evidence, end.Run)
@@ -137,22 +145,6 @@
 	return dict
 }
 
-func runsOf(marks []jobkeeper.Mark) []scheduler.RunID {
-	runs := make([]scheduler.RunID, len(marks))
-	for position := range marks {
-		runs[position] = marks[position].Run
-	}
-	return runs
-}
-
-func endedRuns(ends []jobkeeper.End) []scheduler.RunID {
-	runs := make([]scheduler.RunID, len(ends))
-	for position := range ends {
-		runs[position] = ends[position].Run
-	}
-	return runs
-}
-
 func tasksOf(runs []scheduler.RunID) []scheduler.StepTaskID {
 	tasks := make([]scheduler.StepTaskID, len(runs))
 	for position := range runs {
--- a/internal/jobs/overseer/leadership.go
+++ b/internal/jobs/overseer/leadership.go
@@ -337,7 +337,7 @@
 func (leadership *leadership) recordEndBatch(instance *worker, ends []jobkeeper.End) bool {
 	for failures := 1; leadership.context.Err() == nil; failures++ {
 		_, err := leadership.proposeWithBeginnings(jobkeeper.Command{
-			End: ends, Evidence: leadership.evidenceOf(endedRuns(ends)),
+			End: ends, Evidence: evidenceOf(leadership, ends, runOfEnd),
 		})
 		if err == nil {
 			leadership.removeAttempts(instance, ends)
